--- a/extras/reference_tables.py
+++ b/extras/reference_tables.py
@@ -1,6 +1,6 @@
 """Prints the tables of the reference pages from the code, so that both agree.
 
-python -m extras.reference_tables [events|errors|settings|manifest]
+python -m extras.reference_tables [events|errors|settings|gateway|manifest]
 """
 
 import sys
@@ -14,6 +14,7 @@
 
 from wisteriaarch.errors import ANSWERS
 from wisteriaarch.events import Event
+from wisteriaarch.process.gateway_settings import GatewaySettings
 from wisteriaarch.process.settings import EntrySettings
 from wisteriaarch.version.manifest import Manifest
 
@@ -42,6 +43,11 @@
     return _render(("Field", "Type", "Default"), _field_rows(EntrySettings, ""))
 
 
+def render_gateway() -> str:
+    """Return the table of the settings of an entry that serves routes in Markdown."""
+    return _render(("Field", "Type", "Default"), _field_rows(GatewaySettings, ""))
+
+
 def render_manifest() -> str:
     """Return the table of a manifest's fields in Markdown."""
     return _render(("Field", "Type", "Default"), _field_rows(Manifest, ""))
@@ -100,6 +106,7 @@
     "events": render_events,
     "errors": render_errors,
     "settings": render_settings,
+    "gateway": render_gateway,
     "manifest": render_manifest,
 }
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,6 +12,7 @@
     "events": "docs/EVENTS.md",
     "errors": "docs/HTTP.md",
     "settings": "docs/CONFIGURATION.md",
+    "gateway": "docs/CONFIGURATION.md",
     "manifest": "docs/CONFIGURATION.md",
 }
 
--- a/wisteriaarch/cli/commands.py
+++ b/wisteriaarch/cli/commands.py
@@ -6,10 +6,15 @@
 
 from ..entry import Entry
 from ..environment import Environment
+from ..errors import ConfigError
 from ..events import open_log
+from ..gateway import Gateway
+from ..platform.adapter import Platform
+from ..process.gateway_settings import GatewaySettings
 from ..process.settings import EntrySettings, load_model
 from ..status import ExitStatus
 from ..version.manifest import Manifest
+from .definition import SETTINGS_VARIABLE
 from .emulation import emulate
 from .marks import drain, replace, undrain, withdraw
 from .output import Command, announcer, print_result
@@ -33,6 +38,22 @@
     return ExitStatus.SUCCESS
 
 
+def _gateway(options: argparse.Namespace, env: Environment) -> ExitStatus:
+    path = options.config or env.variables.get(SETTINGS_VARIABLE)
+    if path is None:
+        raise ConfigError(f"neither --config nor {SETTINGS_VARIABLE} names a file")
+    settings = GatewaySettings.from_file(path)
+
+    async def serve() -> None:
+        platform = Platform(settings.store.address())
+        async with Gateway(settings, platform) as gateway:
+            await gateway.run(path)
+
+    with open_log(settings.log.form, settings.log.level, env.stdout).applicationbound():
+        curio.run(serve)
+    return ExitStatus.SUCCESS
+
+
 def _check(options: argparse.Namespace, env: Environment) -> ExitStatus:
     model = EntrySettings if options.settings else Manifest
     load_model(model, options.file)
@@ -43,6 +64,7 @@
 
 _COMMANDS: dict[str, Command] = {
     "serve": _serve,
+    "gateway": _gateway,
     "check": _check,
     "apply": apply,
     "status": show_status,
--- a/wisteriaarch/cli/definition.py
+++ b/wisteriaarch/cli/definition.py
@@ -6,6 +6,7 @@
 
 APPLY_TIMEOUT_S = 15.0
 MARK_TIMEOUT_S = 120.0
+SETTINGS_VARIABLE = "WISTERIAARCH_BOOT"
 MARK_COMMANDS = {
     "drain": "take an upstream out of routing and wait until it is unused",
     "undrain": "route to an upstream again",
@@ -23,6 +24,7 @@
     parser.add_argument("--version", action="version", version=__version__)
     commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_serve(commands)
+    _add_gateway(commands)
     _add_check(commands)
     _add_apply(commands)
     _add_status(commands)
@@ -36,6 +38,15 @@
     parser.add_argument("--config", required=True, metavar="FILE", help="settings")
 
 
+def _add_gateway(commands) -> None:
+    parser = commands.add_parser("gateway", help="run an entry on the users' platform")
+    parser.add_argument(
+        "--config",
+        metavar="FILE",
+        help=f"settings; left out, the file that {SETTINGS_VARIABLE} names",
+    )
+
+
 def _add_check(commands) -> None:
     parser = commands.add_parser("check", help="check a manifest or settings file")
     parser.add_argument("file", metavar="FILE")
--- a/wisteriaarch/connection/caller.py
+++ b/wisteriaarch/connection/caller.py
@@ -1,6 +1,7 @@
 """One caller's connection: reads requests, runs them and writes the answers."""
 
 import json
+from dataclasses import dataclass
 
 import curio
 from curio import socket
@@ -21,6 +22,17 @@
 EVENT_END = b"\n\n"
 
 
+@dataclass(frozen=True)
+class AnswerForm:
+    """How errors are put to callers.
+
+    ``error_events`` says whether a started stream gets an event that names the error.
+    """
+
+    retry_after_decimals: int = 0
+    error_events: bool = True
+
+
 class CallerConnection:
     """Serves one connection; also the sink that answers are written to."""
 
@@ -174,15 +186,18 @@
     async def send_problem(self, exc: RequestError) -> None:
         """Answer with an error; a started stream gets an error event and is cut."""
         content = problem_content(exc)
+        form = self._app.answer_form
+        if self._conn.head_sent and not form.error_events:
+            raise ConnectionError("a started answer was cut")
         if self._conn.head_sent:
             event = b"event: error\ndata: " + json.dumps(content).encode() + b"\n\n"
             await self._conn.send_block(event)
             raise ConnectionError("a started answer ended in an error")
         headers = [*PROBLEM_HEADERS, ("X-Ran", exc.ran.value)]
         if "retry_after_s" in content:
-            headers.append(
-                ("Retry-After", f"{max(0, round(content['retry_after_s']))}")
-            )
+            retry_after_s = max(0.0, content["retry_after_s"])
+            text = f"{retry_after_s:.{form.retry_after_decimals}f}"
+            headers.append(("Retry-After", text))
         status = ANSWERS[exc.kind].status
         await self.send_whole(status, headers, json.dumps(content).encode())
 
--- /dev/null
+++ b/wisteriaarch/connection/info_server.py
@@ -0,0 +1,62 @@
+"""Answers short questions about the entry itself over HTTP."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..errors import ANSWERS, RequestError
+from ..http_server import HttpServerConnection
+from ..sockets import listen_on, serve_clients
+from ..wire import Address, Headers, HttpRequest
+
+IDLE_TIMEOUT_S = 30.0
+HEAD_MAX_BYTES = 16 * 1024
+BODY_MAX_BYTES = 16 * 1024
+
+
+@dataclass(frozen=True)
+class InfoAnswer:
+    """Whole answer to a question."""
+
+    status: int
+    body: bytes = b""
+    headers: Headers = field(default_factory=list)
+
+
+class InfoServer:
+    """Serves ``answer`` on an address; ``field`` is the setting that names it."""
+
+    def __init__(
+        self,
+        field: str,
+        address: Address,
+        answer: Callable[[HttpRequest], InfoAnswer],
+    ):
+        self._field = field
+        self._address = address
+        self._answer = answer
+
+    async def run(self) -> None:
+        """Answer for ever."""
+        sock = listen_on(self._field, self._address)
+        await serve_clients(sock, self._serve)
+
+    async def _serve(self, client) -> None:
+        conn = HttpServerConnection(client, HEAD_MAX_BYTES, BODY_MAX_BYTES)
+        try:
+            while await self._serve_one(conn):
+                pass
+        except OSError:
+            return
+
+    async def _serve_one(self, conn: HttpServerConnection) -> bool:
+        try:
+            req = await conn.read_head(IDLE_TIMEOUT_S)
+            if req is None:
+                return False
+            req.body = await conn.read_body()
+        except RequestError as exc:
+            await conn.send_response(ANSWERS[exc.kind].status, [])
+            return False
+        answer = self._answer(req)
+        await conn.send_response(answer.status, answer.headers, answer.body)
+        return conn.next_request()
--- a/wisteriaarch/connection/pool.py
+++ b/wisteriaarch/connection/pool.py
@@ -4,10 +4,12 @@
 
 from ..http_client import HttpClientConnection
 from ..process.clock import now_s
+from ..sockets import CONNECT_TIMEOUT_S
 from ..wire import Address
 
 IDLE_MAX_S = 20.0
 IDLE_PER_UPSTREAM = 64
+KEPT_SHARE = 0.7
 
 
 class UpstreamPool:
@@ -18,27 +20,39 @@
             defaultdict(list)
         )
 
-    async def acquire(self, address: Address, *, fresh: bool) -> HttpClientConnection:
+    async def acquire(
+        self,
+        address: Address,
+        *,
+        fresh: bool,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> HttpClientConnection:
         """Return a connection; ``fresh`` never takes an idle one. Raises OSError."""
         idle = self._idle[address]
         while idle and not fresh:
-            conn, since_s = idle.pop()
-            if now_s() - since_s < IDLE_MAX_S and not conn.has_input():
+            conn, until_s = idle.pop()
+            if now_s() < until_s and not conn.has_input():
                 return conn
             await conn.close()
-        return await HttpClientConnection.connect(address)
+        return await HttpClientConnection.connect(address, timeout_s)
 
-    async def release(self, conn: HttpClientConnection) -> None:
-        """Keep a connection whose exchange is complete; close any other."""
+    async def release(
+        self, conn: HttpClientConnection, keep_s: float | None = None
+    ) -> None:
+        """Keep a connection whose exchange is complete; close any other.
+
+        ``keep_s`` is how long the upstream keeps it open, where it says so.
+        """
         idle = self._idle[conn.address]
-        if len(idle) < IDLE_PER_UPSTREAM and conn.reuse():
-            idle.append((conn, now_s()))
+        kept_s = IDLE_MAX_S if keep_s is None else min(IDLE_MAX_S, keep_s * KEPT_SHARE)
+        if len(idle) < IDLE_PER_UPSTREAM and kept_s > 0 and conn.reuse():
+            idle.append((conn, now_s() + kept_s))
         else:
             await conn.close()
 
     async def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
-            for conn, _since_s in idle:
+            for conn, _until_s in idle:
                 await conn.close()
         self._idle.clear()
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from .connection.caller import CallerConnection
+from .connection.caller import AnswerForm, CallerConnection
 from .connection.callers import CallerServer
 from .connection.peers import PeerNetwork
 from .connection.pool import UpstreamPool
@@ -46,6 +46,8 @@
 class Entry:
     """One entry instance; an async context manager that owns its parts."""
 
+    answer_form = AnswerForm()
+
     def __init__(self, settings: EntrySettings):
         self.settings = settings
         self.log = EventLog(settings.entry_id)
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -40,6 +40,9 @@
     ANSWER_INCOMPLETE = "answer_incomplete"
     STORE_UNAVAILABLE = "store_unavailable"
     STALE_MANIFEST = "stale_manifest"
+    NO_CONFIGURATION = "no_configuration"
+    UNKNOWN_ROUTE = "unknown_route"
+    UPSTREAM_OVERLOADED = "upstream_overloaded"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -87,6 +90,13 @@
     ErrorKind.STALE_MANIFEST: ErrorAnswer(
         503, "This entry can't confirm the manifest in force", 1.0
     ),
+    ErrorKind.NO_CONFIGURATION: ErrorAnswer(
+        503, "This entry has no configuration yet", 0.5
+    ),
+    ErrorKind.UNKNOWN_ROUTE: ErrorAnswer(404, "No route leads there"),
+    ErrorKind.UPSTREAM_OVERLOADED: ErrorAnswer(
+        503, "The upstreams have no room for the request", 0.5
+    ),
     ErrorKind.STOPPING: ErrorAnswer(503, "This entry is stopping", 0.0),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error"),
 }
@@ -144,6 +154,10 @@
     """The store refused or could not be reached; nothing was written."""
 
 
+class HistoryLost(PlatformError):
+    """The store no longer knows the changes since the version asked for."""
+
+
 class WriteOutcomeUnknown(PlatformError):
     """A write's answer was lost and reading back did not settle it."""
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -45,6 +45,23 @@
     )
     STORE_UNAVAILABLE = EventKind(210, logbook.WARNING, "platform store unavailable")
     STORE_AVAILABLE = EventKind(211, logbook.INFO, "platform store available again")
+    CONFIGURATION_IN_FORCE = EventKind(206, logbook.INFO, "configuration is in force")
+    CONFIGURATION_INVALID = EventKind(
+        207, logbook.WARNING, "configuration can't be read; the last one stays"
+    )
+    WATCH_RESTARTED = EventKind(212, logbook.INFO, "history lost; reading all rows")
+    UPSTREAM_LISTED = EventKind(220, logbook.INFO, "upstream registered")
+    UPSTREAM_GONE = EventKind(221, logbook.INFO, "upstream's registration is gone")
+    ROW_UNREADABLE = EventKind(222, logbook.WARNING, "registration can't be read")
+    UPSTREAM_SUSPENDED = EventKind(223, logbook.WARNING, "upstream taken out of use")
+    SETTINGS_RELOADED = EventKind(105, logbook.INFO, "settings reloaded")
+    SETTINGS_REFUSED = EventKind(
+        106, logbook.WARNING, "changed settings are invalid; the former ones stay"
+    )
+    CALL_PLACED = EventKind(310, logbook.INFO, "attempt placed on an upstream")
+    CALL_FAILED_ATTEMPT = EventKind(311, logbook.INFO, "attempt failed")
+    CALL_ANSWERED = EventKind(312, logbook.INFO, "call answered")
+    MEMORY_NOT_RELEASED = EventKind(313, logbook.INFO, "unused memory can't be freed")
     REQUEST_ROUTED = EventKind(300, logbook.INFO, "request routed")
     REQUEST_RETRIED = EventKind(301, logbook.INFO, "attempt failed; trying another")
     REQUEST_ANSWERED = EventKind(302, logbook.INFO, "request answered")
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -88,7 +88,9 @@
     def _request_head(
         self, method: str, target: str, headers: Headers, body_bytes: int
     ) -> h11.Request:
-        all_headers = [("Host", str(self.address)), *headers]
+        all_headers = list(headers)
+        if not any(name.lower() == "host" for name, _value in headers):
+            all_headers.insert(0, ("Host", str(self.address)))
         if body_bytes or method in ("POST", "PUT"):
             all_headers.append(("Content-Length", str(body_bytes)))
         return h11.Request(method=method, target=target, headers=all_headers)
@@ -150,6 +152,19 @@
         except OSError as exc:
             raise ConnectionClosed(f"the connection failed: {exc}") from exc
 
+    def expect_another_response(self, method: str) -> None:
+        """Take the response that was read as one to an earlier request.
+
+        What follows on the connection is then read as the response to this one.
+        """
+        arrived, _closed = self._h11.trailing_data
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._h11.send(self._request_head(method, "/", [], 0))
+        self._h11.send(h11.EndOfMessage())
+        self._event_ahead = None
+        if arrived:
+            self._h11.receive_data(arrived)
+
     def has_input(self) -> bool:
         """Whether the server closed, or sent something, while nothing was asked."""
         poll = select.poll()
--- /dev/null
+++ b/wisteriaarch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/wisteriaarch/platform/callers.py
@@ -0,0 +1,86 @@
+"""Callers' requests, decoded into calls."""
+
+import random
+
+from ..errors import ErrorKind, RequestError
+from ..process.clock import now_s
+from ..request.routed_call import Prompt, PromptPart, RoutedCall
+from ..version.route_table import RouteTable, choose_service
+from ..wire import Headers, HttpRequest, end_to_end_headers
+from . import names
+
+SHOWN_CHARS = 80
+
+
+def decode_call(req: HttpRequest, table: RouteTable, rng: random.Random) -> RoutedCall:
+    """Return the call of a request; raises RequestError."""
+    route = table.find(req.headers.get("host", ""), req.path)
+    if route is None:
+        raise RequestError(
+            ErrorKind.UNKNOWN_ROUTE,
+            "no route leads there",
+            field="path",
+            value=req.path[:SHOWN_CHARS],
+            expected=f"a route of configuration {table.version}",
+        )
+    arrived_at_s = now_s()
+    wait_s = min(route.timeout_s, _deadline_s(req))
+    return RoutedCall(
+        call_id=req.headers.get(names.ATTEMPT_ID.lower(), ""),
+        route=route,
+        service=choose_service(route, rng),
+        method=req.method,
+        target=req.target,
+        headers=_passed_on(req.header_list),
+        body=req.body,
+        arrived_at_s=arrived_at_s,
+        deadline_at_s=arrived_at_s + wait_s,
+        prompt=_prompt(req),
+        resume_after=req.headers.get(names.LAST_EVENT_ID.lower()),
+    )
+
+
+def _passed_on(headers: Headers) -> Headers:
+    dropped = names.SYSTEM_HEADERS | {"content-length", "last-event-id", "expect"}
+    return [
+        (name, value)
+        for name, value in end_to_end_headers(headers)
+        if name.lower() not in dropped
+    ]
+
+
+def _deadline_s(req: HttpRequest) -> float:
+    text = req.headers.get(names.DEADLINE.lower(), "")
+    try:
+        remaining_ms = float(text)
+    except ValueError:
+        return float("inf")
+    return remaining_ms / names.MS_PER_S if remaining_ms > 0 else float("inf")
+
+
+def _prompt(req: HttpRequest) -> Prompt | None:
+    """Return the prompt that the headers describe; None for a call without one."""
+    counts = req.headers.get(names.TOKEN_COUNTS)
+    if counts is None:
+        return None
+    try:
+        input_tokens, output_tokens = (int(item) for item in counts.split(","))
+        parts = tuple(
+            _part(item)
+            for item in req.headers.get(names.PREFIX_HASH, "").split(",")
+            if item.strip()
+        )
+    except ValueError as exc:
+        raise RequestError(
+            ErrorKind.INVALID_FIELD,
+            "the token counts can't be read",
+            field="Token-Counts",
+            value=counts[:SHOWN_CHARS],
+            expected="two whole numbers, and parts with a whole number each",
+        ) from exc
+    return Prompt(input_tokens, output_tokens, parts)
+
+
+def _part(text: str) -> PromptPart:
+    part_id, _, tokens = text.strip().partition(":")
+    return PromptPart(part_id, int(tokens))
--- /dev/null
+++ b/wisteriaarch/platform/names.py
@@ -0,0 +1,38 @@
+"""Names that the platform uses on the wire."""
+
+ATTEMPT_ID = "Attempt-Id"
+DEADLINE = "Deadline-Remaining"
+EXPECT_INSTANCE = "Expect-Instance"
+NOT_EXECUTED = "not-executed"
+STAGE = "Stage"
+KV_SOURCE = "Kv-Source"
+URGENCY = "Request-Urgency"
+LAST_EVENT_ID = "Last-Event-Id"
+MODEL = "model"
+TOKEN_COUNTS = "token-counts"
+PREFIX_HASH = "prefix-hash"
+
+PREFILL = "prefill"
+
+# Set by the system alone; a caller's value never reaches an upstream.
+SYSTEM_HEADERS = frozenset(
+    (
+        "deadline-remaining",
+        "expect-instance",
+        "expect-version",
+        "instance-id",
+        "kv-backup",
+        "kv-fetch",
+        "kv-hold",
+        "kv-source",
+        "not-executed",
+        "pin-ms",
+        "request-urgency",
+        "server-seal",
+        "stage",
+        "wait-ms",
+        "weight-versions",
+    )
+)
+
+MS_PER_S = 1000
--- /dev/null
+++ b/wisteriaarch/platform/rows.py
@@ -0,0 +1,117 @@
+"""Rows of the platform's store, decoded into the types of the core."""
+
+import json
+from typing import Any
+
+from ..errors import ConfigError
+from ..process.rows import StoredRow
+from ..process.upstreams import Stage, Upstream
+from ..version.route_table import (
+    CallKind,
+    EngineSpec,
+    Route,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+)
+from ..wire import Address
+from .names import MS_PER_S
+
+CONFIG_KEY = "config"
+STATES = {"ready": False, "draining": True}
+
+
+def decode_configuration(row: StoredRow) -> RouteTable:
+    """Return the routes of a configuration; raises ConfigError."""
+    try:
+        content = json.loads(row.value)
+        services = (_service(item) for item in content["services"])
+        return RouteTable(
+            version=int(content["version"]),
+            routes=tuple(_route(item) for item in content["routes"]),
+            services={item.name: item for item in services},
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise ConfigError(f"configuration row {row.version}: {exc!r}") from exc
+
+
+def _route(item: dict[str, Any]) -> Route:
+    splits = item.get("traffic-split") or [{"service": item["service"], "weight": 1}]
+    gap_ms = item.get("gap-slo-ms")
+    return Route(
+        name=item["name"],
+        host=item["host"],
+        prefix=item["prefix"],
+        kind=CallKind(item["kind"]),
+        services=tuple(
+            WeightedService(split["service"], float(split["weight"]))
+            for split in splits
+            if split["weight"] > 0
+        ),
+        timeout_s=item["timeout-ms"] / MS_PER_S,
+        objective_s=item["slo-ms"] / MS_PER_S,
+        priority=item.get("priority", 0),
+        attempts_max=item.get("max-attempts", 1),
+        resumable=bool(item.get("resumable", False)),
+        pause_s=None if gap_ms is None else gap_ms / MS_PER_S,
+    )
+
+
+def _service(item: dict[str, Any]) -> ServiceSpec:
+    engine = item.get("engine")
+    spec = None
+    if engine:
+        spec = EngineSpec(engine["slots"], engine["kv-capacity-tokens"])
+    return ServiceSpec(item["name"], item.get("max-conns", 0), spec)
+
+
+def decode_upstream(row: StoredRow) -> Upstream:
+    """Return a registered upstream; raises ConfigError where a field can't be read."""
+    try:
+        content = json.loads(row.value)
+        stage = content.get("stage")
+        return Upstream(
+            upstream_id=row.key,
+            service=_text(content, "service"),
+            address=_address(_text(content, "address")),
+            zone=_text(content, "zone"),
+            slots=_whole(content, "slots"),
+            leaving=STATES[_text(content, "state")],
+            stage=None if stage is None else Stage(stage),
+            cold_left_s=_number(content, "cold-left-ms") / MS_PER_S,
+            started_at_ms=_whole(content, "born") if "born" in content else 0,
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise ConfigError(f"server row {row.key!r}: {exc!r}") from exc
+
+
+def _text(content: dict[str, Any], name: str) -> str:
+    value = content[name]
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{name} is no text")
+    return value
+
+
+def _whole(content: dict[str, Any], name: str) -> int:
+    value = content[name]
+    if type(value) is not int or value < 0:
+        raise TypeError(f"{name} is no whole number")
+    return value
+
+
+def _number(content: dict[str, Any], name: str) -> float:
+    value = content.get(name, 0)
+    if type(value) not in (int, float):
+        raise TypeError(f"{name} is no number")
+    return float(value)
+
+
+def _address(text: str) -> Address:
+    address = Address.parse(text)
+    octets = address.host.split(".")
+    is_ip = len(octets) == 4 and all(
+        octet.isdigit() and int(octet) < 256 for octet in octets
+    )
+    if not is_ip or not 0 < address.port < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return address
--- /dev/null
+++ b/wisteriaarch/platform/upstreams.py
@@ -0,0 +1,95 @@
+"""Requests to the platform's servers and their answers."""
+
+import json
+
+from ..errors import WireError
+from ..process.upstreams import Upstream
+from ..request.routed_call import RoutedCall
+from ..request.upstream_protocol import (
+    OutgoingRequest,
+    PromptMemory,
+    RunOptions,
+    UpstreamHead,
+)
+from ..wire import Headers, HttpResponse, end_to_end_headers
+from . import names
+
+MISDIRECTED_STATUS = 421
+SHOWN_BYTES = 80
+
+
+class PlatformUpstreams:
+    """Protocol of the platform's servers."""
+
+    def run_request(
+        self, call: RoutedCall, upstream: Upstream, options: RunOptions
+    ) -> OutgoingRequest:
+        """Return the request that runs a call."""
+        headers = _common_headers(call, upstream)
+        resume_after = options.resume_after or call.resume_after
+        if resume_after is not None:
+            headers.append((names.LAST_EVENT_ID, resume_after))
+        if options.memory is not None:
+            memory = options.memory
+            source = f"{memory.upstream.address}/{memory.handle}"
+            headers.append((names.KV_SOURCE, source))
+        if options.urgency is not None:
+            headers.append((names.URGENCY, str(options.urgency)))
+        return OutgoingRequest(call.method, call.target, headers, call.body)
+
+    def prefill_request(self, call: RoutedCall, upstream: Upstream) -> OutgoingRequest:
+        """Return the request that has the call's prompt read, and not run."""
+        headers = _common_headers(call, upstream)
+        headers.append((names.STAGE, names.PREFILL))
+        return OutgoingRequest(call.method, call.target, headers, call.body)
+
+    def release_request(self, memory: PromptMemory) -> OutgoingRequest:
+        """Return the request that frees the memory of a prompt."""
+        headers = [(names.EXPECT_INSTANCE, memory.upstream.upstream_id)]
+        return OutgoingRequest("DELETE", f"/api/kv-handle/{memory.handle}", headers)
+
+    def read_head(self, call: RoutedCall, head: HttpResponse) -> UpstreamHead:
+        """Interpret the head of an answer."""
+        wrong_instance = head.status == MISDIRECTED_STATUS
+        not_run = wrong_instance or names.NOT_EXECUTED in head.headers
+        echoed = head.headers.get(names.ATTEMPT_ID.lower())
+        # An answer without an id is a server's refusal; a success always has one.
+        foreign = (
+            echoed != call.call_id if echoed else not not_run and bool(call.call_id)
+        )
+        return UpstreamHead(
+            head.status,
+            end_to_end_headers(head.header_list),
+            not_run=not_run,
+            wrong_instance=wrong_instance,
+            foreign=foreign,
+            keep_s=_keep_s(head),
+        )
+
+    def read_memory(self, upstream: Upstream, body: bytes) -> PromptMemory:
+        """Interpret the answer to a prefill request; raises WireError."""
+        try:
+            content = json.loads(body)
+            return PromptMemory(upstream, str(content["handle"]), content["tokens"])
+        except (ValueError, KeyError, TypeError) as exc:
+            raise WireError(f"no handle in {body[:SHOWN_BYTES]!r}") from exc
+
+
+def _common_headers(call: RoutedCall, upstream: Upstream) -> Headers:
+    remaining_ms = max(1, int(call.remaining_s() * names.MS_PER_S))
+    return [
+        *call.headers,
+        (names.DEADLINE, str(remaining_ms)),
+        (names.EXPECT_INSTANCE, upstream.upstream_id),
+    ]
+
+
+def _keep_s(head: HttpResponse) -> float | None:
+    for item in head.headers.get("keep-alive", "").split(","):
+        name, _, value = item.strip().partition("=")
+        if name.lower() == "timeout":
+            try:
+                return float(value)
+            except ValueError:
+                return None
+    return None
--- /dev/null
+++ b/wisteriaarch/process/fleet_state.py
@@ -0,0 +1,167 @@
+"""Configuration and upstreams in force at an entry, from the store or from peers.
+
+It stands where ``ManifestWatcher`` stands for the own interface: peers compare its
+generation and pass copies to an entry that can't reach the store.
+"""
+
+from collections.abc import Callable
+
+import curio
+
+from ..adapter import PlatformAdapter
+from ..errors import ConfigError
+from ..events import Event, EventLog
+from ..version.publication import ManifestCopy
+from ..version.route_table import RouteTable
+from .clock import now_s
+from .row_copy import RowCopy
+from .row_watch import RowWatch
+from .rows import RowTable, StoredRow
+from .upstreams import Upstream, UpstreamRegistry
+
+LEARN_PATIENCE_S = 0.4
+CONTACT_WAITS = 2
+
+
+class FleetState:
+    """Owns the watches of both tables."""
+
+    def __init__(
+        self,
+        adapter: PlatformAdapter,
+        wait_s: float,
+        log: EventLog,
+        seed: int | None = None,
+    ):
+        self._adapter = adapter
+        self._wait_s = wait_s
+        self._log = log
+        self._learned = curio.Event()
+        self._learned_generation = 0
+        self._unreadable: dict[str, int] = {}
+        self.routes: RouteTable | None = None
+        self._configuration = RowWatch(
+            adapter.rows,
+            RowTable.CONFIGURATION,
+            wait_s,
+            log,
+            self._take_configuration,
+            seed,
+        )
+        self._upstream_rows = RowWatch(
+            adapter.rows, RowTable.UPSTREAMS, wait_s, log, self._take_upstreams, seed
+        )
+        self.registry = UpstreamRegistry(lambda: self._upstream_rows.regained_at_s, log)
+
+    def task_mains(self) -> list[Callable]:
+        """Return the tasks that must be running."""
+        return [self._configuration.run, self._upstream_rows.run, self._follow_peers]
+
+    @property
+    def generation(self) -> int:
+        """Store version of the newest change that is in force here; 0 before any."""
+        return max(
+            self._configuration.changed_version, self._upstream_rows.changed_version
+        )
+
+    @property
+    def accepted_generation(self) -> int:
+        """Newest generation that the store has shown to this entry."""
+        return self.generation
+
+    @property
+    def confirmed_at_s(self) -> float | None:
+        """When the store last confirmed the configuration; None for never."""
+        return self._configuration.confirmed_at_s
+
+    def has_contact(self) -> bool:
+        """Whether both tables were read not long ago."""
+        age_s = CONTACT_WAITS * self._wait_s
+        return self._configuration.has_contact(age_s) and (
+            self._upstream_rows.has_contact(age_s)
+        )
+
+    async def learn(self, generation: int) -> None:
+        """Read the tables soon, where a peer is ahead and the watches stay behind."""
+        if generation > max(self.generation, self._learned_generation):
+            self._learned_generation = generation
+            await self._learned.set()
+
+    async def _follow_peers(self) -> None:
+        while True:
+            await self._learned.wait()
+            self._learned.clear()
+            await curio.sleep(LEARN_PATIENCE_S)
+            if self.generation < self._learned_generation:
+                await self._configuration.refresh()
+                await self._upstream_rows.refresh()
+
+    def copy(self) -> ManifestCopy | None:
+        """Return what is in force, for a peer that can't reach the store."""
+        if self.routes is None:
+            return None
+        return ManifestCopy(
+            head=self._upstream_rows.copy().encode(),
+            body=self._configuration.copy().encode(),
+            row_version=self.generation,
+        )
+
+    async def install_copy(self, copy: ManifestCopy) -> None:
+        """Put a peer's copy in force where it is newer; raises ConfigError."""
+        upstreams = RowCopy.decode(copy.head)
+        configuration = RowCopy.decode(copy.body)
+        if copy.row_version <= self.generation:
+            return
+        self._configuration.install_copy(configuration)
+        self._upstream_rows.install_copy(upstreams)
+
+    def _take_configuration(self) -> None:
+        row = self._configuration.rows.get(self._adapter.configuration_key)
+        if row is None:
+            return
+        try:
+            table = self._adapter.decode_configuration(row)
+        except ConfigError as exc:
+            self._log.write(Event.CONFIGURATION_INVALID, error=str(exc))
+            return
+        if self.routes is not None and table.version < self.routes.version:
+            return
+        self.routes = table
+        self._log.write(
+            Event.CONFIGURATION_IN_FORCE,
+            version=table.version,
+            row_version=row.version,
+            routes=len(table.routes),
+        )
+        self._take_upstreams()
+
+    def _take_upstreams(self) -> None:
+        rows = self._upstream_rows.rows
+        decoded = (self._decode_upstream(row) for row in rows.values())
+        self.registry.update(item for item in decoded if item is not None)
+        self._unreadable = {
+            key: version for key, version in self._unreadable.items() if key in rows
+        }
+
+    def _decode_upstream(self, row: StoredRow) -> Upstream | None:
+        try:
+            upstream = self._adapter.decode_upstream(row)
+            self._check_service(upstream)
+        except ConfigError as exc:
+            if self._unreadable.get(row.key) != row.version:
+                self._log.write(Event.ROW_UNREADABLE, error=str(exc))
+            self._unreadable[row.key] = row.version
+            return None
+        return upstream
+
+    def _check_service(self, upstream: Upstream) -> None:
+        if self.routes is not None and upstream.service not in self.routes.services:
+            raise ConfigError(
+                f"upstream {upstream.upstream_id!r}: got service {upstream.service!r}; "
+                "expected one of the configuration"
+            )
+
+    def age_s(self) -> float | None:
+        """Return how old the last confirmation of the configuration is."""
+        confirmed_at_s = self.confirmed_at_s
+        return None if confirmed_at_s is None else now_s() - confirmed_at_s
--- /dev/null
+++ b/wisteriaarch/process/gateway_settings.py
@@ -0,0 +1,87 @@
+"""Settings of an entry that serves routes; read from a JSON file and checked."""
+
+from typing import Annotated, Self
+
+from pydantic import BeforeValidator, ConfigDict, Field
+
+from ..wire import Address
+from .settings import (
+    AddressSettings,
+    LimitSettings,
+    LogSettings,
+    StrictModel,
+    load_model,
+)
+
+
+def _split_address(value: object) -> object:
+    if not isinstance(value, str):
+        return value
+    address = Address.parse(value)
+    return {"host": address.host, "port": address.port}
+
+
+AddressText = Annotated[AddressSettings, BeforeValidator(_split_address)]
+
+
+class RetrySettings(StrictModel):
+    """Bound on repeats of one service, for all entries together.
+
+    In any ``window_s`` there may be ``ratio`` times the requests, and ``slack`` more.
+    """
+
+    ratio: float = Field(default=0.2, ge=0)
+    window_s: float = Field(default=10.0, gt=0)
+    slack: float = Field(default=50.0, ge=0)
+
+
+class GatewaySettings(StrictModel):
+    """Everything that such an entry is told; see docs/CONFIGURATION.md.
+
+    ``entry_id`` is the IP number of the instance: all entries use the same ports, so
+    that a peer's addresses follow from its id.
+    """
+
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+    entry_id: str = Field(min_length=1, max_length=64)
+    node: str = ""
+    zone: str
+    front: AddressText
+    ready: AddressText
+    directory: AddressText
+    store: AddressText
+    peer_port: int = Field(ge=0, le=65535)
+    metrics_port: int = Field(default=9464, ge=0, le=65535)
+    seeds: tuple[str, ...] = ()
+    retry: RetrySettings = RetrySettings()
+    log: LogSettings = LogSettings(form="json")
+    limits: LimitSettings = LimitSettings(
+        head_bytes=32 * 1024, body_bytes=8 * 1024 * 1024
+    )
+    watch_wait_s: float = Field(default=1.5, gt=0)
+    entries_poll_every_s: float = Field(default=5.0, gt=0)
+    settings_poll_every_s: float = Field(default=1.0, gt=0)
+    heartbeat_every_s: float = Field(default=0.25, gt=0)
+    freshness_bound_s: float = Field(default=3.0, gt=0)
+    peers_max: int = Field(default=12, ge=2)
+    callers_keep_s: float = Field(default=1.5, gt=0)
+    stop_grace_s: float = Field(default=8.0, gt=0)
+    memory_mb: float = Field(default=300.0, gt=0)
+    descriptors: int = Field(default=4096, gt=0)
+    seed: int | None = None
+
+    @classmethod
+    def from_file(cls, path: str) -> Self:
+        """Read settings from ``path``; raises ConfigError."""
+        return load_model(cls, path)
+
+    @property
+    def peer_listen(self) -> AddressSettings:
+        """Address for heartbeats of peers."""
+        return AddressSettings(host=self.entry_id, port=self.peer_port)
+
+    @property
+    def metrics_listen(self) -> AddressSettings:
+        """Address of the metrics."""
+        return AddressSettings(host=self.entry_id, port=self.metrics_port)
--- /dev/null
+++ b/wisteriaarch/process/row_copy.py
@@ -0,0 +1,37 @@
+"""Rows as one entry passes them to another while the store is away."""
+
+import base64
+import json
+from dataclasses import dataclass
+
+from ..errors import ConfigError
+from .rows import StoredRow
+
+
+@dataclass(frozen=True)
+class RowCopy:
+    """All rows of a table; ``version`` is the store's version they are as of."""
+
+    rows: tuple[StoredRow, ...]
+    version: int
+
+    def encode(self) -> bytes:
+        """Return the copy as JSON."""
+        items = [
+            [row.key, row.version, base64.b64encode(row.value).decode()]
+            for row in self.rows
+        ]
+        return json.dumps({"version": self.version, "rows": items}).encode()
+
+    @classmethod
+    def decode(cls, data: bytes) -> "RowCopy":
+        """Read a copy; raises ConfigError."""
+        try:
+            content = json.loads(data)
+            rows = tuple(
+                StoredRow(str(key), int(version), base64.b64decode(value))
+                for key, version, value in content["rows"]
+            )
+            return cls(rows, int(content["version"]))
+        except (ValueError, KeyError, TypeError) as exc:
+            raise ConfigError(f"rows from a peer: {exc!r}") from exc
--- /dev/null
+++ b/wisteriaarch/process/row_watch.py
@@ -0,0 +1,157 @@
+"""Follows one table of the platform's store and never goes back to an older state."""
+
+import random
+from collections.abc import Callable
+
+import curio
+
+from ..errors import HistoryLost, StoreUnavailable
+from ..events import Event, EventLog
+from .backoff import Backoff
+from .clock import now_s
+from .row_copy import RowCopy
+from .rows import RowSource, RowsRead, RowTable, StoredRow
+
+RETRY_MIN_S = 0.15
+RETRY_MAX_S = 0.6
+START_JITTER_S = 0.1
+
+
+class RowWatch:
+    """Last known rows of a table; ``on_change`` is called after each change of them.
+
+    ``version`` is the store's version up to which changes are known, and
+    ``changed_version`` that of the newest change seen in this table.
+    ``confirmed_at_s`` is when the store was last asked successfully, ``regained_at_s``
+    when it answered again after it had not.
+    """
+
+    def __init__(
+        self,
+        source: RowSource,
+        table: RowTable,
+        wait_s: float,
+        log: EventLog,
+        on_change: Callable[[], None],
+        seed: int | None = None,
+    ):
+        self._source = source
+        self._table = table
+        self._wait_s = wait_s
+        self._log = log
+        self._on_change = on_change
+        self._rng = random.Random(seed)
+        self._backoff = Backoff(RETRY_MIN_S, RETRY_MAX_S, self._rng)
+        self._following = False
+        self._available = True
+        self.rows: dict[str, StoredRow] = {}
+        self.version = 0
+        self.changed_version = 0
+        self.confirmed_at_s: float | None = None
+        self.regained_at_s: float | None = None
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        await curio.sleep(self._rng.uniform(0, START_JITTER_S))
+        while True:
+            if not await self._step():
+                await curio.sleep(self._backoff.next_s(False))
+
+    async def _step(self) -> bool:
+        asked_at_s = now_s()
+        try:
+            if self._following:
+                await self._take_changes()
+            else:
+                await self._take_all()
+        except HistoryLost:
+            self._following = False
+            self._log.write(Event.WATCH_RESTARTED, table=self._table.value)
+            return True
+        except StoreUnavailable as exc:
+            self._note_unavailable(exc)
+            return False
+        self.confirmed_at_s = asked_at_s
+        self._note_available()
+        self._backoff.next_s(True)
+        return True
+
+    def has_contact(self, age_s: float) -> bool:
+        """Whether the store was asked successfully within the last ``age_s``."""
+        return self.confirmed_at_s is not None and now_s() - self.confirmed_at_s < age_s
+
+    async def refresh(self) -> None:
+        """Read all rows once more, beside the watch; failures are left to the watch."""
+        try:
+            await self._take_all()
+        except StoreUnavailable as exc:
+            self._log.write(
+                Event.STORE_UNAVAILABLE, table=self._table.value, error=str(exc)
+            )
+
+    async def _take_all(self) -> None:
+        read = await self._source.read_all(self._table)
+        if read.version < self.version:
+            raise StoreUnavailable(
+                f"the answer is of version {read.version}, older than {self.version}"
+            )
+        rows = {row.key: row for row in read.rows}
+        self._following = True
+        self.version = read.version
+        self._install(rows)
+
+    async def _take_changes(self) -> None:
+        read = await self._source.wait_for_changes(
+            self._table, self.version, self._wait_s
+        )
+        if read.version < self.version:
+            raise HistoryLost(f"the store went back to version {read.version}")
+        self._merge(read)
+
+    def _merge(self, read: RowsRead) -> None:
+        rows = dict(self.rows)
+        for row in read.rows:
+            known = rows.get(row.key)
+            if known is not None and known.version > row.version:
+                continue
+            self.changed_version = max(self.changed_version, row.version)
+            if row.deleted:
+                rows.pop(row.key, None)
+            else:
+                rows[row.key] = row
+        self.version = max(self.version, read.version)
+        self._install(rows)
+
+    def copy(self) -> RowCopy:
+        """Return the rows as a peer can take them over."""
+        return RowCopy(tuple(self.rows.values()), self.version)
+
+    def install_copy(self, copy: RowCopy) -> None:
+        """Take over a peer's rows where they are newer than what is known."""
+        if copy.version <= self.version:
+            return
+        self.version = copy.version
+        self._following = False
+        self._install({row.key: row for row in copy.rows})
+
+    def _install(self, rows: dict[str, StoredRow]) -> None:
+        newest = max((row.version for row in rows.values()), default=0)
+        self.changed_version = max(self.changed_version, newest)
+        if rows == self.rows:
+            return
+        self.rows = rows
+        self._on_change()
+
+    def _note_unavailable(self, exc: StoreUnavailable) -> None:
+        if self._available:
+            self._log.write(
+                Event.STORE_UNAVAILABLE, table=self._table.value, error=str(exc)
+            )
+        self._available = False
+
+    def _note_available(self) -> None:
+        if self._available:
+            return
+        self._available = True
+        self.regained_at_s = now_s()
+        self._log.write(Event.STORE_AVAILABLE, table=self._table.value)
--- a/wisteriaarch/process/signals.py
+++ b/wisteriaarch/process/signals.py
@@ -1,4 +1,4 @@
-"""Signals that ask the process to stop."""
+"""Signals that ask the process to stop or to read its settings again."""
 
 import signal
 import socket
@@ -8,6 +8,7 @@
 from curio.io import Socket
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 class StopSignals:
@@ -18,18 +19,20 @@
     the end further stop signals are ignored.
     """
 
+    signals: tuple[signal.Signals, ...] = STOP_SIGNALS
+
     def __init__(self):
         self._reader, self._writer = socket.socketpair()
         self._writer.setblocking(False)
 
     def __enter__(self) -> Self:
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
-        for number in STOP_SIGNALS:
+        for number in self.signals:
             signal.signal(number, _do_nothing)
         return self
 
     def __exit__(self, *exc_info) -> None:
-        for number in STOP_SIGNALS:
+        for number in self.signals:
             signal.signal(number, signal.SIG_IGN)
         signal.set_wakeup_fd(-1)
         self._writer.close()
@@ -39,6 +42,16 @@
         """Return once a stop signal has arrived."""
         await Socket(self._reader).recv(1)
 
+    async def next(self) -> int:
+        """Return the number of the next signal."""
+        return (await Socket(self._reader).recv(1))[0]
+
+
+class ProcessSignals(StopSignals):
+    """Stop signals and the one that asks for a reload."""
+
+    signals = (*STOP_SIGNALS, RELOAD_SIGNAL)
+
 
 def _do_nothing(_number: int, _frame: FrameType | None) -> None:
     return None
--- /dev/null
+++ b/wisteriaarch/process/upstreams.py
@@ -0,0 +1,99 @@
+"""Upstreams as they registered themselves, with a guard against lapsed entries."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+
+from ..events import Event, EventLog
+from ..wire import Address
+from .clock import now_s
+
+RETURN_GRACE_S = 2.5
+
+
+class Stage(StrEnum):
+    """Part of a completion that an engine is set to run."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """One incarnation of an upstream.
+
+    ``started_at_ms`` tells incarnations with the same id apart (Unix milliseconds).
+    ``stage`` is None for upstreams that aren't engines.
+    """
+
+    upstream_id: str
+    service: str
+    address: Address
+    zone: str
+    slots: int
+    leaving: bool = False
+    stage: Stage | None = None
+    cold_left_s: float = 0.0
+    started_at_ms: int = 0
+
+
+class UpstreamRegistry:
+    """Upstreams in use.
+
+    Registrations lapse while the store is away and return shortly after it. One that is
+    missing then is kept until ``RETURN_GRACE_S`` after the store's return.
+    """
+
+    def __init__(self, regained_at_s: Callable[[], float | None], log: EventLog):
+        self._regained_at_s = regained_at_s
+        self._log = log
+        self._listed: dict[str, Upstream] = {}
+        self._missing: dict[str, Upstream] = {}
+        self._by_service: dict[str, tuple[Upstream, ...]] = {}
+
+    def update(self, listed: Iterable[Upstream]) -> None:
+        """Take in all upstreams that are registered now."""
+        upstreams = {item.upstream_id: item for item in listed}
+        gone = self._listed.keys() - upstreams.keys()
+        self._missing = {
+            name: item
+            for name, item in self._missing.items()
+            if name not in upstreams and self._in_grace()
+        }
+        for name in gone:
+            self._note_gone(self._listed[name])
+        for name in upstreams.keys() - self._listed.keys():
+            self._log.write(
+                Event.UPSTREAM_LISTED, upstream=name, service=upstreams[name].service
+            )
+        self._listed = upstreams
+        self._index()
+
+    def _note_gone(self, upstream: Upstream) -> None:
+        held = self._in_grace() and not upstream.leaving
+        if held:
+            self._missing[upstream.upstream_id] = upstream
+        self._log.write(Event.UPSTREAM_GONE, upstream=upstream.upstream_id, kept=held)
+
+    def _in_grace(self) -> bool:
+        regained_at_s = self._regained_at_s()
+        return regained_at_s is not None and now_s() - regained_at_s < RETURN_GRACE_S
+
+    def _index(self) -> None:
+        by_service: dict[str, list[Upstream]] = {}
+        for item in (*self._listed.values(), *self._missing.values()):
+            by_service.setdefault(item.service, []).append(item)
+        self._by_service = {name: tuple(items) for name, items in by_service.items()}
+
+    def usable(self, service: str) -> tuple[Upstream, ...]:
+        """Return the upstreams of a service that take new work."""
+        if self._missing and not self._in_grace():
+            self._missing = {}
+            self._index()
+        return tuple(
+            item for item in self._by_service.get(service, ()) if not item.leaving
+        )
+
+    def all(self) -> tuple[Upstream, ...]:
+        """Return all known upstreams."""
+        return tuple(self._listed.values())
--- /dev/null
+++ b/wisteriaarch/request/call_runner.py
@@ -0,0 +1,342 @@
+"""Runs a call on a route to its final answer: placement, attempts and repeats."""
+
+import random
+from collections.abc import Callable
+
+import curio
+
+from ..connection.pool import UpstreamPool
+from ..errors import ErrorKind, Ran, RequestError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.upstream_loads import UpstreamLoads
+from ..process.upstreams import Upstream, UpstreamRegistry
+from ..version.route_table import RouteTable
+from .answer_relay import AnswerRelay, CallSink
+from .exchange import Exchange
+from .memory_keeper import MemoryKeeper
+from .outcomes import AttemptFailed, FailureReason, worse
+from .placement import (
+    Candidate,
+    Choice,
+    place_decode,
+    place_service_call,
+    plan_stages,
+)
+from .prefill_rate import PrefillRate
+from .retry_share import RetryShare
+from .routed_call import RoutedCall
+from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
+
+PLACEMENTS_MAX = 4
+REPEAT_WORTH_S = 0.05
+SILENT_SHARE = 0.45
+SILENT_MIN_S = 0.35
+RETRY_AFTER_S = 0.3
+SERVER_ERROR_STATUS = 500
+UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
+DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
+
+
+class CallRunner:
+    """Runs calls; one instance serves the whole entry."""
+
+    def __init__(
+        self,
+        zone: str,
+        protocol: UpstreamProtocol,
+        registry: UpstreamRegistry,
+        routes: Callable[[], RouteTable | None],
+        loads: UpstreamLoads,
+        pool: UpstreamPool,
+        retries: RetryShare,
+        log: EventLog,
+        seed: int | None = None,
+    ):
+        self._zone = zone
+        self._protocol = protocol
+        self._registry = registry
+        self._routes = routes
+        self._loads = loads
+        self._pool = pool
+        self._retries = retries
+        self._log = log
+        self._rng = random.Random(seed)
+        self._rate = PrefillRate()
+        self._memories = MemoryKeeper(pool, protocol, log)
+
+    async def run(self, call: RoutedCall, sink: CallSink) -> None:
+        """Answer the call; raises RequestError with what the caller must be told."""
+        self._retries.note_request(call.service)
+        relay = AnswerRelay(call, sink)
+        try:
+            async with curio.timeout_after(max(0.001, call.remaining_s())):
+                await self._run_attempts(call, relay)
+        except curio.TaskTimeout as exc:
+            raise _out_of_time(call) from exc
+
+    async def _run_attempts(self, call: RoutedCall, relay: AnswerRelay) -> None:
+        placements = 0
+        while True:
+            placements += 1
+            try:
+                await self._attempt(call, relay)
+                return
+            except AttemptFailed as exc:
+                call.ran = worse(call.ran, exc.ran)
+                self._log.write(
+                    Event.CALL_FAILED_ATTEMPT,
+                    request=call.call_id,
+                    attempt=placements,
+                    reason=exc.reason.value,
+                    detail=exc.detail,
+                    ran=call.ran.value,
+                )
+                self._check_repeat(call, relay, exc, placements)
+
+    def _check_repeat(
+        self, call: RoutedCall, relay: AnswerRelay, exc: AttemptFailed, placements: int
+    ) -> None:
+        """Raise the call's final error unless it is to be placed once more."""
+        if call.ran is not Ran.NO and not call.route.repeatable:
+            raise _failed(call, "the upstream broke off")
+        if relay.started and not relay.can_resume:
+            raise _failed(call, "the stream was cut")
+        if placements >= PLACEMENTS_MAX or call.attempts >= call.route.attempts_max:
+            raise _failed(call, str(exc))
+        if call.remaining_s() < REPEAT_WORTH_S:
+            raise _failed(call, "no time is left for another attempt")
+        if not self._retries.take(call.service):
+            raise _failed(call, "too many requests are being repeated")
+
+    async def _attempt(self, call: RoutedCall, relay: AnswerRelay) -> None:
+        candidates = self._candidates(call)
+        if not candidates:
+            raise RequestError(
+                ErrorKind.NO_UPSTREAM,
+                "no upstream of the service is left",
+                ran=call.ran,
+                retry_after_s=RETRY_AFTER_S,
+            )
+        if call.prompt is None or not self._has_engines(call):
+            choice = place_service_call(candidates, self._zone)
+            await self._run_on(call, choice, relay, RunOptions())
+            return
+        await self._run_completion(call, candidates, relay)
+
+    def _has_engines(self, call: RoutedCall) -> bool:
+        table = self._routes()
+        service = table.services.get(call.service) if table else None
+        return service is not None and service.engine is not None
+
+    async def _run_completion(
+        self, call: RoutedCall, candidates: list[Candidate], relay: AnswerRelay
+    ) -> None:
+        plan = plan_stages(candidates, call.prompt, self._rate.value, self._zone)
+        if plan.prefill is None and plan.decode is None:
+            raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
+        options = RunOptions(resume_after=relay.resume_after)
+        if plan.prefill is None:
+            tokens = call.prompt.input_tokens
+            await self._run_on(call, plan.decode, relay, options, tokens)
+            return
+        memory = await self._prefill(call, plan.prefill)
+        try:
+            await self._run_with_memory(call, memory, relay)
+        finally:
+            await self._memories.release_unused(call, memory)
+
+    async def _run_with_memory(
+        self, call: RoutedCall, memory: PromptMemory, relay: AnswerRelay
+    ) -> None:
+        decodes = [
+            item
+            for item in self._candidates(call)
+            if item.upstream.stage is not memory.upstream.stage
+        ]
+        choice = place_decode(decodes, memory.upstream.zone)
+        if choice is None:
+            raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
+        options = RunOptions(memory, relay.resume_after)
+        await self._run_on(call, choice, relay, options)
+
+    def _candidates(self, call: RoutedCall) -> list[Candidate]:
+        usable = self._registry.usable(call.service)
+        fresh = [item for item in usable if item.upstream_id not in call.tried]
+        return [self._candidate(item) for item in fresh or usable]
+
+    def _candidate(self, upstream: Upstream) -> Candidate:
+        name = upstream.upstream_id
+        load = self._loads.of(name)
+        now = now_s()
+        return Candidate(
+            upstream,
+            requests=self._loads.requests(name),
+            prompt_tokens=self._loads.prompt_tokens(name),
+            pace=load.pace.at(now),
+            failure_share=load.health.failure_share(now),
+            suspended=load.health.is_suspended(now),
+            full=load.health.is_full(now),
+        )
+
+    async def _prefill(self, call: RoutedCall, choice: Choice) -> PromptMemory:
+        """Have the prompt read; raises AttemptFailed, which never means that it ran."""
+        upstream = choice.candidate.upstream
+        self._note_placed(call, choice, "prefill")
+        tokens = choice.candidate.prompt_tokens
+        started_at_s = now_s()
+        with self._loads.sending(upstream.upstream_id, call.prompt.input_tokens):
+            async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
+                try:
+                    req = self._protocol.prefill_request(call, upstream)
+                    head = await exchange.send(req, self._silent_after_s(call))
+                    self._check_declined(head)
+                    body = await exchange.read_body()
+                    if head.status != 200:
+                        raise AttemptFailed(
+                            FailureReason.DECLINED, f"answered {head.status}"
+                        )
+                    memory = self._protocol.read_memory(upstream, body)
+                except AttemptFailed as exc:
+                    self._note_failure(call, upstream, exc)
+                    # The prompt was read at most; the request itself has not run.
+                    raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
+        elapsed_s = now_s() - started_at_s
+        load = self._loads.of(upstream.upstream_id)
+        load.health.note_success(now_s())
+        load.pace.note(elapsed_s, max(choice.cost_s, 0.02), now_s())
+        self._rate.note(call.prompt, tokens, elapsed_s)
+        return memory
+
+    async def _run_on(
+        self,
+        call: RoutedCall,
+        choice: Choice,
+        relay: AnswerRelay,
+        options: RunOptions,
+        prompt_tokens: int = 0,
+    ) -> None:
+        upstream = choice.candidate.upstream
+        self._note_placed(call, choice, "run")
+        started_at_s = now_s()
+        with self._loads.sending(upstream.upstream_id, prompt_tokens):
+            async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
+                try:
+                    req = self._protocol.run_request(call, upstream, options)
+                    call.offered = True
+                    head = await exchange.send(req, self._silent_after_s(call))
+                    self._check_declined(head)
+                    call.attempts += 1
+                    call.ran = Ran.YES
+                    self._check_failed(call, head, relay)
+                    await relay.relay(head, exchange)
+                except AttemptFailed as exc:
+                    if exc.ran is not Ran.NO:
+                        call.attempts += exc.ran is Ran.UNKNOWN and call.ran is Ran.NO
+                    self._note_failure(call, upstream, exc)
+                    raise
+        self._note_answered(call, upstream, relay, started_at_s)
+
+    def _silent_after_s(self, call: RoutedCall) -> float:
+        """Return how long to wait for an answer's head.
+
+        Only a call that may run again is given up before its deadline.
+        """
+        if not call.route.repeatable or call.attempts + 1 >= call.route.attempts_max:
+            return max(0.001, call.remaining_s())
+        return max(SILENT_MIN_S, SILENT_SHARE * call.remaining_s())
+
+    @staticmethod
+    def _check_declined(head) -> None:
+        if head.wrong_instance:
+            raise AttemptFailed(FailureReason.WRONG_INSTANCE, f"answered {head.status}")
+        if head.not_run:
+            raise AttemptFailed(FailureReason.DECLINED, f"answered {head.status}")
+
+    def _check_failed(self, call: RoutedCall, head, relay: AnswerRelay) -> None:
+        """Raise AttemptFailed for an upstream's error that a repeat may mend."""
+        may_repeat = (
+            call.route.repeatable
+            and call.attempts < call.route.attempts_max
+            and self._retries.left(call.service) > 0
+            and call.remaining_s() > REPEAT_WORTH_S
+        )
+        if head.status >= SERVER_ERROR_STATUS and may_repeat:
+            raise AttemptFailed(FailureReason.FAILED, f"answered {head.status}")
+
+    def _note_failure(
+        self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
+    ) -> None:
+        call.tried.add(upstream.upstream_id)
+        health = self._loads.of(upstream.upstream_id).health
+        suspended = False
+        if exc.reason in DECLINED:
+            health.note_full(now_s())
+        elif exc.reason is FailureReason.WRONG_INSTANCE:
+            health.note_replaced(now_s())
+        elif exc.reason in UNREACHED:
+            suspended = health.note_unreached(now_s())
+        else:
+            suspended = health.note_failure(now_s())
+        if suspended:
+            self._log.write(
+                Event.UPSTREAM_SUSPENDED,
+                upstream=upstream.upstream_id,
+                reason=exc.reason.value,
+            )
+
+    def _note_answered(
+        self,
+        call: RoutedCall,
+        upstream: Upstream,
+        relay: AnswerRelay,
+        started_at_s: float,
+    ) -> None:
+        load = self._loads.of(upstream.upstream_id)
+        if relay.status >= SERVER_ERROR_STATUS:
+            load.health.note_failure(now_s())
+        else:
+            load.health.note_success(now_s())
+        if relay.first_at_s is not None:
+            work = call.route.name
+            elapsed_s = relay.first_at_s - started_at_s
+            self._loads.note_time(upstream.upstream_id, work, elapsed_s)
+        self._log.write(
+            Event.CALL_ANSWERED,
+            request=call.call_id,
+            upstream=upstream.upstream_id,
+            status=relay.status,
+            seconds=now_s() - call.arrived_at_s,
+        )
+
+    def _note_placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
+        candidate = choice.candidate
+        self._log.write(
+            Event.CALL_PLACED,
+            request=call.call_id,
+            route=call.route.name,
+            stage=stage,
+            upstream=candidate.upstream.upstream_id,
+            cost_s=choice.cost_s,
+            requests=candidate.requests,
+            prompt_tokens=candidate.prompt_tokens,
+            left_s=call.remaining_s(),
+        )
+
+
+def _out_of_time(call: RoutedCall) -> RequestError:
+    if call.ran is Ran.NO and not call.offered:
+        return RequestError(
+            ErrorKind.UPSTREAM_OVERLOADED, "the deadline has passed", ran=Ran.NO
+        )
+    return RequestError(
+        ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed", ran=Ran.UNKNOWN
+    )
+
+
+def _failed(call: RoutedCall, detail: str) -> RequestError:
+    if call.ran is Ran.NO:
+        return RequestError(
+            ErrorKind.UPSTREAM_OVERLOADED, detail, retry_after_s=RETRY_AFTER_S
+        )
+    return RequestError(ErrorKind.UPSTREAM_FAILED, detail, ran=call.ran)
--- /dev/null
+++ b/wisteriaarch/request/event_stream.py
@@ -0,0 +1,36 @@
+"""Framing of server-sent events: only whole events are passed on."""
+
+EVENT_END = b"\n\n"
+ID_FIELD = b"id:"
+REST_MAX_BYTES = 1 << 20
+
+
+class EventFramer:
+    """Splits a stream into whole events; ``last_id`` is that of the last one."""
+
+    def __init__(self):
+        self._rest = b""
+        self.last_id: str | None = None
+
+    def feed(self, block: bytes) -> bytes:
+        """Return the whole events that have arrived; keeps the start of the next."""
+        data = self._rest + block
+        end = data.rfind(EVENT_END)
+        if end < 0:
+            self._rest = data
+            return b""
+        end += len(EVENT_END)
+        whole, self._rest = data[:end], data[end:]
+        self._note_id(whole)
+        return whole
+
+    @property
+    def has_rest(self) -> bool:
+        """Whether an event has begun that isn't whole."""
+        return bool(self._rest)
+
+    def _note_id(self, events: bytes) -> None:
+        for line in reversed(events.split(b"\n")):
+            if line.startswith(ID_FIELD):
+                self.last_id = line[len(ID_FIELD) :].strip().decode("latin-1")
+                return
--- /dev/null
+++ b/wisteriaarch/request/exchange.py
@@ -0,0 +1,115 @@
+"""One request to an upstream and its answer, over a pooled connection."""
+
+from typing import Self
+
+import curio
+
+from ..connection.pool import UpstreamPool
+from ..errors import ConnectionClosed, WireError
+from ..http_client import HttpClientConnection
+from ..process.upstreams import Upstream
+from .outcomes import AttemptFailed, FailureReason
+from .routed_call import RoutedCall
+from .upstream_protocol import OutgoingRequest, UpstreamHead, UpstreamProtocol
+
+CONNECT_TIMEOUT_S = 0.3
+FOREIGN_ANSWERS_MAX = 2
+
+
+class Exchange:
+    """Async context manager; a connection is kept only after a whole answer."""
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        protocol: UpstreamProtocol,
+        call: RoutedCall,
+        upstream: Upstream,
+    ):
+        self._pool = pool
+        self._protocol = protocol
+        self._call = call
+        self.upstream = upstream
+        self._conn: HttpClientConnection | None = None
+        self._complete = False
+        self._keep_s: float | None = None
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        if self._conn is None:
+            return
+        if self._complete:
+            await self._pool.release(self._conn, self._keep_s)
+        else:
+            await self._conn.close()
+
+    async def send(self, req: OutgoingRequest, silent_after_s: float) -> UpstreamHead:
+        """Send the request and return the head of its answer; raises AttemptFailed.
+
+        An upstream that sends nothing for ``silent_after_s`` is given up.
+        """
+        await self._connect()
+        try:
+            async with curio.timeout_after(silent_after_s):
+                return await self._send(req)
+        except curio.TaskTimeout as exc:
+            raise AttemptFailed(
+                FailureReason.SILENT, f"no answer after {silent_after_s:.3f} s"
+            ) from exc
+
+    async def _connect(self) -> None:
+        try:
+            self._conn = await self._pool.acquire(
+                self.upstream.address, fresh=False, timeout_s=CONNECT_TIMEOUT_S
+            )
+        except OSError as exc:
+            raise AttemptFailed(FailureReason.NOT_CONNECTED, str(exc)) from exc
+
+    async def _send(self, req: OutgoingRequest) -> UpstreamHead:
+        try:
+            await self._conn.send_request(req.method, req.target, req.headers, req.body)
+        except OSError:
+            # The upstream may have answered before it read a long body.
+            return await self._read_head(req)
+        return await self._read_head(req)
+
+    async def _read_head(self, req: OutgoingRequest) -> UpstreamHead:
+        for _ in range(FOREIGN_ANSWERS_MAX):
+            try:
+                raw = await self._conn.read_head()
+                head = self._protocol.read_head(self._call, raw)
+                if not head.foreign:
+                    self._keep_s = head.keep_s
+                    return head
+                await self._conn.read_body()
+            except (WireError, OSError) as exc:
+                raise _broken(exc) from exc
+            self._conn.expect_another_response(req.method)
+        raise AttemptFailed(
+            FailureReason.FOREIGN_ANSWER, "the answer belongs to another request"
+        )
+
+    async def read_block(self) -> bytes | None:
+        """Return what has arrived of the body; None at its end."""
+        try:
+            block = await self._conn.read_block()
+        except (WireError, OSError) as exc:
+            raise _broken(exc) from exc
+        if block is None:
+            self._complete = True
+        return block
+
+    async def read_body(self) -> bytes:
+        """Return the rest of the body; raises AttemptFailed where it is cut short."""
+        blocks = []
+        while (block := await self.read_block()) is not None:
+            blocks.append(block)
+        return b"".join(blocks)
+
+
+def _broken(exc: Exception) -> AttemptFailed:
+    if isinstance(exc, ConnectionClosed | OSError):
+        return AttemptFailed(FailureReason.CLOSED, str(exc))
+    return AttemptFailed(FailureReason.MALFORMED, str(exc))
--- /dev/null
+++ b/wisteriaarch/request/outcomes.py
@@ -0,0 +1,54 @@
+"""The one table that says whether a failed attempt may have run."""
+
+from enum import StrEnum
+
+from ..errors import Ran, UpstreamError
+
+
+class FailureReason(StrEnum):
+    """Every way in which an attempt on an upstream can end without an answer."""
+
+    NOT_CONNECTED = "not_connected"
+    NOTHING_SENT = "nothing_sent"
+    DECLINED = "declined"
+    WRONG_INSTANCE = "wrong_instance"
+    MEMORY_GONE = "memory_gone"
+    CLOSED = "closed"
+    SILENT = "silent"
+    MALFORMED = "malformed"
+    FOREIGN_ANSWER = "foreign_answer"
+    FAILED = "failed"
+
+
+RAN_AFTER: dict[FailureReason, Ran] = {
+    FailureReason.NOT_CONNECTED: Ran.NO,
+    FailureReason.NOTHING_SENT: Ran.NO,
+    FailureReason.DECLINED: Ran.NO,
+    FailureReason.WRONG_INSTANCE: Ran.NO,
+    FailureReason.MEMORY_GONE: Ran.NO,
+    FailureReason.CLOSED: Ran.UNKNOWN,
+    FailureReason.SILENT: Ran.UNKNOWN,
+    FailureReason.MALFORMED: Ran.UNKNOWN,
+    FailureReason.FOREIGN_ANSWER: Ran.UNKNOWN,
+    FailureReason.FAILED: Ran.YES,
+}
+
+
+class AttemptFailed(UpstreamError):
+    """An attempt ended without a usable answer."""
+
+    def __init__(self, reason: FailureReason, detail: str = ""):
+        super().__init__(f"{reason.value}: {detail}")
+        self.reason = reason
+        self.detail = detail
+
+    @property
+    def ran(self) -> Ran:
+        """Whether the upstream may have run the request."""
+        return RAN_AFTER[self.reason]
+
+
+def worse(known: Ran, new: Ran) -> Ran:
+    """Return what is known of a call after one more attempt of it."""
+    order = (Ran.NO, Ran.UNKNOWN, Ran.YES)
+    return max(known, new, key=order.index)
--- /dev/null
+++ b/wisteriaarch/request/placement.py
@@ -0,0 +1,179 @@
+"""Where a call is placed: pure decisions on what is known of the upstreams.
+
+All costs are in seconds until the call's first event, as far as they can be told.
+"""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from ..process.upstreams import Stage, Upstream
+from .routed_call import Prompt
+
+FULL_COST_S = 0.5
+FAILURE_COST_S = 2.0
+OTHER_ZONE_COST_S = 0.004
+REQUEST_COST_S = 0.02
+AFFINITY_GAIN_S = 0.03
+MOVE_COST_S = 0.02
+DIRECT_SLOWDOWN = 4.0
+DIRECT_ALWAYS_TOKENS = 1000
+DIRECT_MAX_TOKENS = 12000
+COLD_FACTOR = 1.5
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """Upstream with what is known of its load.
+
+    ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
+    much longer than others it takes, ``failure_share`` of recent attempts failed.
+    """
+
+    upstream: Upstream
+    requests: int = 0
+    prompt_tokens: int = 0
+    pace: float = 1.0
+    failure_share: float = 0.0
+    suspended: bool = False
+    full: bool = False
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Candidate with its predicted cost."""
+
+    candidate: Candidate
+    cost_s: float
+
+
+@dataclass(frozen=True)
+class StagePlan:
+    """Whether a prompt is read apart, and the prediction behind it."""
+
+    prefill: Choice | None
+    decode: Choice | None
+
+
+def place_service_call(candidates: Sequence[Candidate], zone: str) -> Choice | None:
+    """Return the upstream with the shortest expected wait.
+
+    Load pattern: many short calls on upstreams of few slots and unlike speeds.
+    """
+
+    def cost_s(item: Candidate) -> float:
+        share = (item.requests + 1) / max(1, item.upstream.slots)
+        return REQUEST_COST_S * item.pace * (1 + share)
+
+    return _cheapest(candidates, zone, cost_s)
+
+
+def place_prefill(
+    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
+) -> Choice | None:
+    """Return the engine that has read the prompt first; ``rate`` in tokens a second.
+
+    Load pattern: many long prompts that share long parts, more of these than one
+    engine's memory holds. All entries expect a shared part in the memory of the same
+    engine, and leave that one when its queue costs more than reading the part anew.
+    """
+    home = find_home(prompt.first_part, candidates)
+
+    def cost_s(item: Candidate) -> float:
+        is_home = item.upstream.upstream_id == home
+        tokens = prompt.own_tokens if is_home else prompt.input_tokens
+        return item.pace * (item.prompt_tokens + tokens) / rate
+
+    return _cheapest(candidates, zone, cost_s)
+
+
+def place_decode(candidates: Sequence[Candidate], zone: str) -> Choice | None:
+    """Return the engine that runs a prompt read elsewhere with the least delay."""
+
+    def cost_s(item: Candidate) -> float:
+        return REQUEST_COST_S * item.pace * (item.requests + 1)
+
+    return _cheapest(candidates, zone, cost_s)
+
+
+def place_direct(
+    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
+) -> Choice | None:
+    """Return the engine that both reads and runs a prompt with the least delay.
+
+    Load pattern: short prompts, which would wait behind long ones at the engines that
+    read prompts.
+    """
+    home = find_home(prompt.first_part, candidates)
+    direct_rate = rate / DIRECT_SLOWDOWN
+
+    def cost_s(item: Candidate) -> float:
+        gain_s = AFFINITY_GAIN_S if item.upstream.upstream_id == home else 0.0
+        reading_s = (item.prompt_tokens + prompt.input_tokens) / direct_rate
+        running_s = REQUEST_COST_S * (item.requests + 1)
+        return item.pace * (reading_s + running_s) - gain_s
+
+    return _cheapest(candidates, zone, cost_s)
+
+
+def plan_stages(
+    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
+) -> StagePlan:
+    """Decide whether a prompt is read apart, by which engine finishes first.
+
+    Load pattern: the mix swings from short to long prompts within seconds. Short ones
+    never queue behind long ones; long ones spill to the engines that run prompts only
+    when the engines that read them are further behind.
+    """
+    prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
+    decodes = [item for item in candidates if item.upstream.stage is not Stage.PREFILL]
+    direct = place_direct(decodes, prompt, rate, zone)
+    if prompt.input_tokens <= DIRECT_ALWAYS_TOKENS and direct is not None:
+        return StagePlan(None, direct)
+    apart = place_prefill(prefills, prompt, rate, zone)
+    if apart is None or direct is None:
+        return StagePlan(apart, direct)
+    if prompt.input_tokens > DIRECT_MAX_TOKENS:
+        return StagePlan(apart, direct)
+    if direct.cost_s < apart.cost_s + MOVE_COST_S:
+        return StagePlan(None, direct)
+    return StagePlan(apart, direct)
+
+
+def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
+    """Return the upstream that all entries expect to hold a shared prompt part.
+
+    Rendezvous hashing: where an upstream leaves, only its own parts move.
+    """
+    if not part_id:
+        return None
+
+    def rank(item: Candidate) -> bytes:
+        name = f"{part_id}@{item.upstream.upstream_id}"
+        return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+    usable = [item for item in candidates if not item.suspended]
+    best = max(usable, key=rank, default=None)
+    return best.upstream.upstream_id if best else None
+
+
+def _cheapest(candidates, zone: str, cost_s) -> Choice | None:
+    choices = [
+        Choice(item, cost_s(item) + _handicap_s(item, zone)) for item in candidates
+    ]
+    return min(
+        choices,
+        key=lambda choice: (choice.candidate.suspended, choice.cost_s),
+        default=None,
+    )
+
+
+def _handicap_s(item: Candidate, zone: str) -> float:
+    cost_s = FAILURE_COST_S * item.failure_share**2
+    if item.full:
+        cost_s += FULL_COST_S
+    if item.upstream.zone != zone:
+        cost_s += OTHER_ZONE_COST_S
+    if item.upstream.cold_left_s > 0:
+        cost_s *= COLD_FACTOR
+    return cost_s
--- /dev/null
+++ b/wisteriaarch/request/routed_call.py
@@ -0,0 +1,64 @@
+"""A call on a route, in the form that placement and retries work on."""
+
+from dataclasses import dataclass, field
+
+from ..errors import Ran
+from ..process.clock import now_s
+from ..version.route_table import Route
+from ..wire import Headers
+
+
+@dataclass(frozen=True)
+class PromptPart:
+    """Part of a prompt that other requests may share; ``part_id`` names its content."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class Prompt:
+    """What a completion reads and how much it may write, in tokens."""
+
+    input_tokens: int
+    output_tokens_max: int
+    parts: tuple[PromptPart, ...] = ()
+
+    @property
+    def first_part(self) -> str:
+        """Id of the part that most other requests share; empty where there is none."""
+        return self.parts[0].part_id if self.parts else ""
+
+    @property
+    def own_tokens(self) -> int:
+        """Tokens of the last part, which no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.input_tokens
+
+
+@dataclass
+class RoutedCall:
+    """One request of a caller.
+
+    ``headers`` are those that are passed on. ``resume_after`` is the last event that a
+    resuming caller has seen. ``ran`` and ``attempts`` are as of now.
+    """
+
+    call_id: str
+    route: Route
+    service: str
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_at_s: float
+    deadline_at_s: float
+    prompt: Prompt | None = None
+    resume_after: str | None = None
+    ran: Ran = Ran.NO
+    attempts: int = 0
+    offered: bool = False
+    tried: set[str] = field(default_factory=set)
+
+    def remaining_s(self) -> float:
+        """Return the time left until the deadline."""
+        return self.deadline_at_s - now_s()
--- /dev/null
+++ b/wisteriaarch/version/route_table.py
@@ -0,0 +1,107 @@
+"""Routes by host and path prefix, with the services that they lead to."""
+
+import random
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+
+class CallKind(StrEnum):
+    """What may be repeated, and the form of the answer."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True)
+class WeightedService:
+    """Service of a route and its share of the route's requests."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True)
+class Route:
+    """Rule for requests of one host whose path begins with ``prefix``.
+
+    ``attempts_max`` bounds the upstreams that one request may run on. ``objective_s``
+    is the time within which an answer (a stream's first event) is in time, ``pause_s``
+    the longest pause between events. ``priority`` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    priority: int = 0
+    attempts_max: int = 1
+    resumable: bool = False
+    pause_s: float | None = None
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request that may have run can be run again."""
+        return self.kind is CallKind.IDEMPOTENT or self.resumable
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """What all engines of a service have in common.
+
+    ``slots`` is the batch size and ``cache_tokens`` the memory of one engine.
+    """
+
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True)
+class ServiceSpec:
+    """Group of upstreams that run the same kind of work."""
+
+    name: str
+    connections_max: int
+    engine: EngineSpec | None = None
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """One version of the routing configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceSpec]
+    _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False)
+
+    def __post_init__(self):
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host.lower(), []).append(route)
+        longest_first = {
+            host: tuple(sorted(routes, key=lambda item: -len(item.prefix)))
+            for host, routes in by_host.items()
+        }
+        object.__setattr__(self, "_by_host", longest_first)
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of ``path`` among those of a host.
+
+        A port in ``host`` is left out.
+        """
+        name = host.rpartition(":")[0] if ":" in host else host
+        for route in self._by_host.get(name.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+def choose_service(route: Route, rng: random.Random) -> str:
+    """Draw one of the services of a route by their weights."""
+    if len(route.services) == 1:
+        return route.services[0].service
+    weights = [item.weight for item in route.services]
+    return rng.choices(route.services, weights)[0].service
