Copy shared prompt parts from the engine of the other stage

Change: runs of a shared part stay on one engine of the decode stage, and each prefill call names it as a source to copy from; an engine that reads a prompt itself copies from the engine that reads such prompts. Urgency of prefill calls by size.

--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -25,7 +25,7 @@
         self, call: RoutedCall, upstream: Upstream, options: RunOptions
     ) -> OutgoingRequest:
         """Return the request that runs a call."""
-        headers = _common_headers(call, upstream)
+        headers = _headers(call, upstream, options)
         resume_after = options.resume_after or call.resume_after
         if resume_after is not None:
             headers.append((names.LAST_EVENT_ID, resume_after))
@@ -33,13 +33,13 @@
             memory = options.memory
             source = f"{memory.upstream.address}/{memory.handle}"
             headers.append((names.KV_SOURCE, source))
-        if options.urgency is not None:
-            headers.append((names.URGENCY, str(options.urgency)))
         return OutgoingRequest(call.method, call.target, headers, call.body)
 
-    def prefill_request(self, call: RoutedCall, upstream: Upstream) -> OutgoingRequest:
+    def prefill_request(
+        self, call: RoutedCall, upstream: Upstream, options: RunOptions
+    ) -> OutgoingRequest:
         """Return the request that has the call's prompt read, and not run."""
-        headers = _common_headers(call, upstream)
+        headers = _headers(call, upstream, options)
         headers.append((names.STAGE, names.PREFILL))
         return OutgoingRequest(call.method, call.target, headers, call.body)
 
@@ -75,13 +75,18 @@
             raise WireError(f"no handle in {body[:SHOWN_BYTES]!r}") from exc
 
 
-def _common_headers(call: RoutedCall, upstream: Upstream) -> Headers:
+def _headers(call: RoutedCall, upstream: Upstream, options: RunOptions) -> Headers:
     remaining_ms = max(1, int(call.remaining_s() * names.MS_PER_S))
-    return [
+    headers = [
         *call.headers,
         (names.DEADLINE, str(remaining_ms)),
         (names.EXPECT_INSTANCE, upstream.upstream_id),
     ]
+    if options.urgency is not None:
+        headers.append((names.URGENCY, str(options.urgency)))
+    if options.fetch_from is not None:
+        headers.append((names.KV_FETCH, str(options.fetch_from.address)))
+    return headers
 
 
 def _keep_s(head: HttpResponse) -> float | None:
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -45,6 +45,8 @@
         self.started = False
         self.status = 0
         self.first_at_s: float | None = None
+        self.longest_pause_s = 0.0
+        self._last_at_s = 0.0
 
     @property
     def resume_after(self) -> str | None:
@@ -87,8 +89,12 @@
             self.started = True
             self.status = head.status
             await self._sink.start_stream(_unframed(head.headers))
+        now = now_s()
         if self.first_at_s is None:
-            self.first_at_s = now_s()
+            self.first_at_s = now
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now - self._last_at_s)
+        self._last_at_s = now
         await self._sink.send_block(events)
 
 
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -27,6 +27,7 @@
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
+from .urgency import urgency_of
 
 PLACEMENTS_MAX = 4
 REPEAT_WORTH_S = 0.05
@@ -135,9 +136,11 @@
         plan = plan_stages(candidates, call.prompt, self._rate.value, self._zone)
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
-        options = RunOptions(resume_after=relay.resume_after)
         if plan.prefill is None:
-            tokens = call.prompt.input_tokens
+            tokens = call.prompt.own_tokens
+            options = RunOptions(
+                fetch_from=plan.decode.fetch_from, resume_after=relay.resume_after
+            )
             await self._run_on(call, plan.decode, relay, options, tokens)
             return
         memory = await self._prefill(call, plan.prefill)
@@ -154,10 +157,10 @@
             for item in self._candidates(call)
             if item.upstream.stage is not memory.upstream.stage
         ]
-        choice = place_decode(decodes, memory.upstream.zone)
+        choice = place_decode(decodes, call.prompt, memory.upstream.zone)
         if choice is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
-        options = RunOptions(memory, relay.resume_after)
+        options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
     def _candidates(self, call: RoutedCall) -> list[Candidate]:
@@ -183,12 +186,15 @@
         """Have the prompt read; raises AttemptFailed, which never means that it ran."""
         upstream = choice.candidate.upstream
         self._note_placed(call, choice, "prefill")
+        options = RunOptions(
+            fetch_from=choice.fetch_from, urgency=urgency_of(call.prompt.own_tokens)
+        )
         tokens = choice.candidate.prompt_tokens
         started_at_s = now_s()
-        with self._loads.sending(upstream.upstream_id, call.prompt.input_tokens):
+        with self._loads.sending(upstream.upstream_id, call.prompt.own_tokens):
             async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
                 try:
-                    req = self._protocol.prefill_request(call, upstream)
+                    req = self._protocol.prefill_request(call, upstream, options)
                     head = await exchange.send(req, self._silent_after_s(call))
                     self._check_declined(head)
                     body = await exchange.read_body()
@@ -307,6 +313,8 @@
             upstream=upstream.upstream_id,
             status=relay.status,
             seconds=now_s() - call.arrived_at_s,
+            first_s=(relay.first_at_s or now_s()) - call.arrived_at_s,
+            longest_pause_s=relay.longest_pause_s,
         )
 
     def _note_placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
@@ -321,6 +329,8 @@
             requests=candidate.requests,
             prompt_tokens=candidate.prompt_tokens,
             left_s=call.remaining_s(),
+            input_tokens=call.prompt.input_tokens if call.prompt else 0,
+            own_tokens=call.prompt.own_tokens if call.prompt else 0,
         )
 
 
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -5,7 +5,7 @@
 
 import hashlib
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from ..process.upstreams import Stage, Upstream
 from .routed_call import Prompt
@@ -19,6 +19,7 @@
 DIRECT_SLOWDOWN = 4.0
 DIRECT_ALWAYS_TOKENS = 1000
 DIRECT_MAX_TOKENS = 12000
+FETCHED_SHARE = 0.25
 COLD_FACTOR = 1.5
 
 
@@ -41,15 +42,23 @@
 
 @dataclass(frozen=True)
 class Choice:
-    """Candidate with its predicted cost."""
+    """Candidate with its predicted cost.
+
+    ``fetch_from`` is an upstream whose cache probably holds the shared parts of the
+    prompt; copying them takes a fraction of reading them.
+    """
 
     candidate: Candidate
     cost_s: float
+    fetch_from: Upstream | None = None
 
 
 @dataclass(frozen=True)
 class StagePlan:
-    """Whether a prompt is read apart, and the prediction behind it."""
+    """Whether a prompt is read apart, and the prediction behind it.
+
+    With ``prefill`` set it is; otherwise ``decode`` reads it itself.
+    """
 
     prefill: Choice | None
     decode: Choice | None
@@ -80,18 +89,25 @@
     home = find_home(prompt.first_part, candidates)
 
     def cost_s(item: Candidate) -> float:
-        is_home = item.upstream.upstream_id == home
-        tokens = prompt.own_tokens if is_home else prompt.input_tokens
+        tokens = _tokens_to_read(prompt, item, home)
         return item.pace * (item.prompt_tokens + tokens) / rate
 
     return _cheapest(candidates, zone, cost_s)
 
 
-def place_decode(candidates: Sequence[Candidate], zone: str) -> Choice | None:
-    """Return the engine that runs a prompt read elsewhere with the least delay."""
+def place_decode(
+    candidates: Sequence[Candidate], prompt: Prompt, zone: str
+) -> Choice | None:
+    """Return the engine that runs a prompt read elsewhere with the least delay.
+
+    Load pattern: prompts whose shared parts come back. They are run where these parts
+    were run before, so that this engine can read such a prompt itself at a peak.
+    """
+    home = find_home(prompt.first_part, candidates)
 
     def cost_s(item: Candidate) -> float:
-        return REQUEST_COST_S * item.pace * (item.requests + 1)
+        gain_s = AFFINITY_GAIN_S if item.upstream.upstream_id == home else 0.0
+        return REQUEST_COST_S * item.pace * (item.requests + 1) - gain_s
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -108,10 +124,10 @@
     direct_rate = rate / DIRECT_SLOWDOWN
 
     def cost_s(item: Candidate) -> float:
-        gain_s = AFFINITY_GAIN_S if item.upstream.upstream_id == home else 0.0
-        reading_s = (item.prompt_tokens + prompt.input_tokens) / direct_rate
+        tokens = _tokens_to_read(prompt, item, home)
+        reading_s = (item.prompt_tokens + tokens) / direct_rate
         running_s = REQUEST_COST_S * (item.requests + 1)
-        return item.pace * (reading_s + running_s) - gain_s
+        return item.pace * (reading_s + running_s)
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -131,6 +147,8 @@
     if prompt.input_tokens <= DIRECT_ALWAYS_TOKENS and direct is not None:
         return StagePlan(None, direct)
     apart = place_prefill(prefills, prompt, rate, zone)
+    apart = _with_source(apart, prompt, decodes)
+    direct = _with_source(direct, prompt, prefills)
     if apart is None or direct is None:
         return StagePlan(apart, direct)
     if prompt.input_tokens > DIRECT_MAX_TOKENS:
@@ -140,6 +158,31 @@
     return StagePlan(apart, direct)
 
 
+def _with_source(
+    choice: Choice | None, prompt: Prompt, others: Sequence[Candidate]
+) -> Choice | None:
+    """Name the engine of the other stage that last ran or read the shared parts.
+
+    Load pattern: more shared parts than the engines of one stage can keep. Those of the
+    other stage have them as well, since every prompt goes through both.
+    """
+    if choice is None or len(prompt.parts) < 2:
+        return choice
+    home = find_home(prompt.first_part, others)
+    for item in others:
+        if item.upstream.upstream_id == home:
+            return replace(choice, fetch_from=item.upstream)
+    return choice
+
+
+def _tokens_to_read(prompt: Prompt, item: Candidate, home: str | None) -> float:
+    """Return how many tokens an engine is expected to read for a prompt."""
+    if item.upstream.upstream_id == home:
+        return prompt.own_tokens
+    shared_tokens = prompt.input_tokens - prompt.own_tokens
+    return prompt.own_tokens + FETCHED_SHARE * shared_tokens
+
+
 def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
     """Return the upstream that all entries expect to hold a shared prompt part.
 
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -31,11 +31,13 @@
 class RunOptions:
     """What the entry decided about one attempt.
 
-    ``memory`` is a prompt read elsewhere, ``resume_after`` the last event that the
-    caller has, ``urgency`` 0 (first) to 9 (last).
+    ``memory`` is a prompt read elsewhere, ``fetch_from`` an upstream whose cache may
+    hold parts of the prompt, ``resume_after`` the last event that the caller has,
+    ``urgency`` 0 (first) to 9 (last).
     """
 
     memory: PromptMemory | None = None
+    fetch_from: Upstream | None = None
     resume_after: str | None = None
     urgency: int | None = None
 
@@ -65,7 +67,9 @@
     ) -> OutgoingRequest:
         """Return the request that runs a call."""
 
-    def prefill_request(self, call: RoutedCall, upstream: Upstream) -> OutgoingRequest:
+    def prefill_request(
+        self, call: RoutedCall, upstream: Upstream, options: RunOptions
+    ) -> OutgoingRequest:
         """Return the request that has the call's prompt read, and not run."""
 
     def release_request(self, memory: PromptMemory) -> OutgoingRequest:
