--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -21,13 +21,9 @@
     Candidate,
     Choice,
     FleetPace,
-    expected_tokens,
-    find_home,
-    fits_pause,
     place_decode,
     place_service_call,
     plan_stages,
-    split_decodes,
 )
 from .prefill_rate import PrefillRate
 from .retry_share import RetryShare
@@ -143,13 +139,9 @@
     async def _run_completion(
         self, call: RoutedCall, candidates: list[Candidate], relay: AnswerRelay
     ) -> None:
-        prompt = call.prompt
-        if not fits_pause(prompt.own_tokens, self._rate.value, call.route.pause_s):
-            reading_s = expected_tokens(prompt) / self._rate.value
-            self._busyness.note_long_prompt(reading_s)
         plan = plan_stages(
             candidates,
-            prompt,
+            call.prompt,
             self._fleet_pace(candidates),
             self._zone,
             call.route.pause_s,
@@ -180,20 +172,18 @@
             self._rate.value,
             self._busyness.share(Stage.PREFILL, prefills),
             self._busyness.share(Stage.DECODE, decodes),
-            self._busyness.missing_engines(prefills),
         )
 
     async def _run_with_memory(
         self, call: RoutedCall, memory: PromptMemory, relay: AnswerRelay
     ) -> None:
-        candidates = self._candidates(call)
-        runners, helpers = split_decodes(candidates, self._fleet_pace(candidates))
+        decodes = [
+            item
+            for item in self._candidates(call)
+            if item.upstream.stage is not memory.upstream.stage
+        ]
         choice = place_decode(
-            runners,
-            call.prompt,
-            self._rate.value,
-            memory.upstream.zone,
-            find_home(call.prompt.first_part, [*runners, *helpers]),
+            decodes, call.prompt, self._rate.value, memory.upstream.zone
         )
         if choice is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -4,7 +4,6 @@
 """
 
 import hashlib
-import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
@@ -21,7 +20,6 @@
 DIRECT_SLOWDOWN = 2.0
 READING_SHARE_OF_PAUSE = 0.65
 FETCHED_SHARE = 0.25
-RUNNERS_MIN = 2
 COLD_FACTOR = 1.5
 
 
@@ -57,15 +55,11 @@
 
 @dataclass(frozen=True)
 class FleetPace:
-    """Speed at which engines read prompts (tokens a second) and how busy stages are.
-
-    ``missing_engines`` is how many engines that run prompts are needed to read some.
-    """
+    """Speed at which engines read prompts (tokens a second) and how busy stages are."""
 
     rate: float
     busy_prefill: float = 0.0
     busy_decode: float = 0.0
-    missing_engines: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -111,17 +105,14 @@
 
 
 def place_decode(
-    candidates: Sequence[Candidate],
-    prompt: Prompt,
-    rate: float,
-    zone: str,
-    home: str | None,
+    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
 ) -> Choice | None:
     """Return the engine that runs a prompt read elsewhere with the least delay.
 
     Load pattern: prompts whose shared parts come back. They are run where these parts
     were run before, so that this engine can pass them on, or read such a prompt itself.
     """
+    home = find_home(prompt.first_part, candidates)
     shared_tokens = prompt.input_tokens - prompt.own_tokens
     kept_gain_s = FETCHED_SHARE * shared_tokens / rate
 
@@ -133,24 +124,20 @@
 
 
 def place_direct(
-    candidates: Sequence[Candidate],
-    prompt: Prompt,
-    fleet: FleetPace,
-    zone: str,
-    home: str | None,
+    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
 ) -> Choice | None:
     """Return the engine that both reads and runs a prompt with the least delay.
 
     Load pattern: short prompts, which would wait behind long ones at the engines that
     read prompts.
     """
-    direct_rate = fleet.rate / DIRECT_SLOWDOWN
+    home = find_home(prompt.first_part, candidates)
+    direct_rate = rate / DIRECT_SLOWDOWN
 
     def cost_s(item: Candidate) -> float:
-        reading_s = _tokens_to_read(prompt, item, home) / direct_rate
-        queued_s = item.prompt_tokens / direct_rate
-        waited_s = waiting_s(reading_s, fleet.busy_decode)
-        return item.pace * (reading_s + queued_s + waited_s + _running_s(item))
+        tokens = _tokens_to_read(prompt, item, home)
+        reading_s = (item.prompt_tokens + tokens) / direct_rate
+        return item.pace * (reading_s + _running_s(item))
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -166,45 +153,22 @@
 
     Load pattern: the mix swings from short to long prompts within seconds. Each stage
     takes prompts while it is the less busy one. ``pause_s`` is the longest pause that
-    the streams of an engine bear: what it reads itself must fit into one, unless it is
-    one of those that read for the other stage.
+    the streams of an engine bear: what it reads itself must fit into one.
     """
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
-    runners, helpers = split_decodes(candidates, fleet)
-    apart = place_prefill(prefills, prompt, fleet.rate, zone)
-    all_decodes = [*runners, *helpers]
-    apart = _with_source(apart, prompt, all_decodes)
-    home = find_home(prompt.first_part, all_decodes)
-    if fits_pause(prompt.own_tokens, fleet.rate, pause_s):
-        decodes = [item for item in runners if _has_pause(item, prompt, fleet, pause_s)]
-    else:
-        decodes = helpers
-    if apart is None:
-        decodes = decodes or all_decodes
-    direct = place_direct(decodes, prompt, fleet, zone, home)
+    decodes = [item for item in candidates if item.upstream.stage is not Stage.PREFILL]
+    direct = place_direct(decodes, prompt, fleet.rate, zone)
     direct = _with_source(direct, prompt, prefills)
+    apart = place_prefill(prefills, prompt, fleet.rate, zone)
+    apart = _with_source(apart, prompt, decodes)
     if apart is None or direct is None:
         return StagePlan(apart, direct)
     reading_s = prompt.own_tokens / fleet.rate
+    direct_s = direct.cost_s + waiting_s(DIRECT_SLOWDOWN * reading_s, fleet.busy_decode)
     apart_s = apart.cost_s + waiting_s(reading_s, fleet.busy_prefill) + MOVE_COST_S
-    return StagePlan(None if direct.cost_s < apart_s else apart, direct)
-
-
-def split_decodes(
-    candidates: Iterable[Candidate], fleet: FleetPace
-) -> tuple[list[Candidate], list[Candidate]]:
-    """Return the engines that run prompts, and those that read long ones besides.
-
-    Load pattern: long prompts need more engines than the stage that reads them has, for
-    a few seconds, while the other stage has little to do. All entries take the same
-    engines for it, and place no other runs there, so that few streams are disturbed.
-    """
-    decodes = [item for item in candidates if item.upstream.stage is not Stage.PREFILL]
-    count = min(len(decodes) - RUNNERS_MIN, math.ceil(fleet.missing_engines))
-    if count <= 0:
-        return decodes, []
-    decodes.sort(key=lambda item: item.upstream.upstream_id)
-    return decodes[count:], decodes[:count]
+    if direct_s < apart_s and _fits_pause(direct, prompt, fleet.rate, pause_s):
+        return StagePlan(None, direct)
+    return StagePlan(apart, direct)
 
 
 def waiting_s(reading_s: float, busy: float) -> float:
@@ -215,19 +179,15 @@
     return reading_s * busy / (1 - busy)
 
 
-def fits_pause(tokens: float, rate: float, pause_s: float | None) -> bool:
-    """Whether an engine can read tokens between two events of the streams it runs."""
+def _fits_pause(
+    direct: Choice, prompt: Prompt, rate: float, pause_s: float | None
+) -> bool:
     if pause_s is None:
         return True
+    tokens = direct.candidate.prompt_tokens + prompt.own_tokens
     return tokens * DIRECT_SLOWDOWN / rate <= READING_SHARE_OF_PAUSE * pause_s
 
 
-def _has_pause(
-    item: Candidate, prompt: Prompt, fleet: FleetPace, pause_s: float | None
-) -> bool:
-    return fits_pause(item.prompt_tokens + prompt.own_tokens, fleet.rate, pause_s)
-
-
 def _with_source(
     choice: Choice | None, prompt: Prompt, others: Sequence[Candidate]
 ) -> Choice | None:
@@ -256,11 +216,6 @@
     """Return how many tokens an engine is expected to read for a prompt."""
     if item.upstream.upstream_id == home:
         return prompt.own_tokens
-    return expected_tokens(prompt)
-
-
-def expected_tokens(prompt: Prompt) -> float:
-    """Return the tokens to read where the shared parts are copied if they are found."""
     shared_tokens = prompt.input_tokens - prompt.own_tokens
     return prompt.own_tokens + FETCHED_SHARE * shared_tokens
 
--- a/wisteriaarch/request/stage_busyness.py
+++ b/wisteriaarch/request/stage_busyness.py
@@ -14,8 +14,6 @@
 
 REMEMBERED_S = 1.0
 BUSY_MAX = 0.95
-USABLE_SHARE = 0.7
-HALF_SPEED = 2.0
 
 
 @dataclass
@@ -42,22 +40,11 @@
         self._entries = entries
         self._clock = clock
         self._reading = {stage: DecayingSum() for stage in Stage}
-        self._long_prompts = DecayingSum()
 
     def note(self, stage: Stage, reading_s: float) -> None:
         """Take in that a prompt was placed which takes ``reading_s`` to read."""
         self._reading[stage].add(reading_s, self._clock())
 
-    def note_long_prompt(self, reading_s: float) -> None:
-        """Take in a prompt that streams can't run beside, wherever it is placed."""
-        self._long_prompts.add(reading_s, self._clock())
-
-    def missing_engines(self, engines: int) -> float:
-        """Return how many engines of half the speed the long prompts need besides."""
-        placed = self._long_prompts.read(self._clock()) / REMEMBERED_S
-        needed = placed * max(1, self._entries())
-        return max(0.0, HALF_SPEED * (needed - USABLE_SHARE * engines))
-
     def share(self, stage: Stage, engines: int) -> float:
         """Return the share of time, from 0 to ``BUSY_MAX``, of a stage's engines."""
         placed = self._reading[stage].read(self._clock()) / REMEMBERED_S
