Predict what must be read from what all entries placed

Cause: an entry took the expected home of a shared part to hold it.

Change: heartbeats carry the shared parts placed of late with the tokens that they added; every entry follows the memories of all engines as least recently used. Placement reads, copies or keeps by that; the home of a part nobody holds is still found by hashing.

--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -7,7 +7,13 @@
 import capnp
 
 from ..errors import FrameError
-from ..process.digest import CrashRecord, EntryRecord, PeerDigest, SentWork
+from ..process.digest import (
+    CrashRecord,
+    EntryRecord,
+    PeerDigest,
+    PlacedPart,
+    SentWork,
+)
 from ..version.publication import ManifestCopy
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "peer.capnp"
@@ -86,7 +92,12 @@
 
 
 def _digest_from_frame(digest) -> PeerDigest:
-    lists = (digest.others, digest.crashRecords, digest.sentWork)
+    lists = (
+        digest.others,
+        digest.crashRecords,
+        digest.sentWork,
+        digest.placedParts,
+    )
     if any(len(items) > MAX_RECORDS for items in lists):
         raise FrameError(f"more than {MAX_RECORDS} records in a frame")
     entry = _record_from_frame(digest.entry)
@@ -104,6 +115,10 @@
             for item in digest.sentWork
         ),
         needs_manifest=digest.needsManifest,
+        placed_parts=tuple(
+            PlacedPart(item.upstream, item.part, item.tokens)
+            for item in digest.placedParts
+        ),
     )
 
 
@@ -134,6 +149,10 @@
             for item in digest.sent_work
         ],
         "needsManifest": digest.needs_manifest,
+        "placedParts": [
+            {"upstream": item.upstream, "part": item.part_id, "tokens": item.tokens}
+            for item in digest.placed_parts
+        ],
     }
 
 
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -188,6 +188,7 @@
         self._membership.note(digest, conn.written_after_s(message))
         self.hooks.absorb_crash_records(digest.crash_records)
         self.hooks.absorb_sent_work(digest.entry.entry_id, digest.sent_work)
+        self.hooks.absorb_placed_parts(digest.entry.entry_id, digest.placed_parts)
         if message.manifest is not None:
             await self._install_copy(message)
         await self._watcher.learn(self._membership.highest_generation())
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -92,6 +92,8 @@
             self.log,
             settings.seed,
         )
+        self._peers.hooks.placed_parts = self._runner.cache.export
+        self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
         self._callers = CallerServer(partial(CallerConnection, app=self))
 
     async def __aenter__(self) -> "Gateway":
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -21,6 +21,18 @@
     prefill_tokens: int
 
 
+@dataclass(frozen=True)
+class PlacedPart:
+    """Shared part of a prompt that an engine was given.
+
+    ``tokens`` is how many tokens the whole prompt has added to the engine's memory.
+    """
+
+    upstream: str
+    part_id: str
+    tokens: int
+
+
 @dataclass(frozen=True)
 class EntryRecord:
     """State of one entry; the ages are as of when the message was written.
@@ -52,3 +64,4 @@
     crash_records: tuple[CrashRecord, ...] = ()
     sent_work: tuple[SentWork, ...] = ()
     needs_manifest: bool = False
+    placed_parts: tuple[PlacedPart, ...] = ()
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from .digest import CrashRecord, EntryRecord, PeerDigest, SentWork
+from .digest import CrashRecord, EntryRecord, PeerDigest, PlacedPart, SentWork
 from .member import Member
 from .membership import FORGET_AFTER_S, Membership
 
@@ -12,6 +12,7 @@
 CHANGED_MAX = OTHERS_MAX // 2
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
+PLACED_PARTS_MAX = 64
 
 
 def _nothing() -> tuple:
@@ -30,6 +31,8 @@
     absorb_crash_records: Callable[[Iterable[CrashRecord]], None] = _ignore
     sent_work: Callable[[], Iterable[SentWork]] = _nothing
     absorb_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
+    placed_parts: Callable[[], Iterable[PlacedPart]] = _nothing
+    absorb_placed_parts: Callable[[str, tuple[PlacedPart, ...]], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
             crash_records=tuple(islice(self._hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(self._hooks.sent_work(), SENT_WORK_MAX)),
             needs_manifest=needs_manifest,
+            placed_parts=tuple(islice(self._hooks.placed_parts(), PLACED_PARTS_MAX)),
         )
 
     def _others(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -8,7 +8,9 @@
 from ..connection.pool import UpstreamPool
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event, EventLog
+from ..process.cache_belief import PART_MIN_TOKENS, CacheBelief
 from ..process.clock import now_s
+from ..process.digest import PlacedPart
 from ..process.upstream_loads import UpstreamLoads
 from ..process.upstreams import Stage, Upstream, UpstreamRegistry
 from ..version.route_table import RouteTable
@@ -24,6 +26,7 @@
     place_decode,
     place_service_call,
     plan_stages,
+    tokens_to_read,
 )
 from .prefill_rate import PrefillRate
 from .retry_share import RetryShare
@@ -69,6 +72,7 @@
         self._log = log
         self._rng = random.Random(seed)
         self._rate = PrefillRate()
+        self.cache = CacheBelief()
         self._busyness = busyness
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -148,23 +152,39 @@
         )
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
+        copies = [item for item in candidates if item.holds_shared]
         if plan.prefill is None:
-            tokens = call.prompt.own_tokens
-            reading_s = DIRECT_SLOWDOWN * tokens / self._rate.value
-            self._busyness.note(Stage.DECODE, reading_s)
+            tokens = int(tokens_to_read(call.prompt, plan.decode.candidate, copies))
+            self._note_reading(call, plan.decode, Stage.DECODE, tokens)
             options = RunOptions(
                 fetch_from=plan.decode.fetch_from, resume_after=relay.resume_after
             )
             await self._run_on(call, plan.decode, relay, options, tokens)
             return
-        reading_s = call.prompt.own_tokens / self._rate.value
-        self._busyness.note(Stage.PREFILL, reading_s)
-        memory = await self._prefill(call, plan.prefill)
+        tokens = int(tokens_to_read(call.prompt, plan.prefill.candidate, copies))
+        self._note_reading(call, plan.prefill, Stage.PREFILL, tokens)
+        memory = await self._prefill(call, plan.prefill, tokens)
         try:
             await self._run_with_memory(call, memory, relay)
         finally:
             await self._memories.release_unused(call, memory)
 
+    def _note_reading(
+        self, call: RoutedCall, choice: Choice, stage: Stage, tokens: int
+    ) -> None:
+        slowdown = DIRECT_SLOWDOWN if stage is Stage.DECODE else 1.0
+        self._busyness.note(stage, slowdown * tokens / self._rate.value)
+        self._note_placed_part(call, choice.candidate, tokens)
+
+    def _note_placed_part(
+        self, call: RoutedCall, candidate: Candidate, tokens: int
+    ) -> None:
+        prompt = call.prompt
+        if prompt.shared_tokens < PART_MIN_TOKENS:
+            return
+        name = candidate.upstream.upstream_id
+        self.cache.note(PlacedPart(name, prompt.first_part, tokens))
+
     def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
@@ -187,15 +207,19 @@
         )
         if choice is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
+        moved = call.prompt.own_tokens
+        if not choice.candidate.holds_shared:
+            moved += call.prompt.shared_tokens
+        self._note_placed_part(call, choice.candidate, moved)
         options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
     def _candidates(self, call: RoutedCall) -> list[Candidate]:
         usable = self._registry.usable(call.service)
         fresh = [item for item in usable if item.upstream_id not in call.tried]
-        return [self._candidate(item) for item in fresh or usable]
+        return [self._candidate(item, call) for item in fresh or usable]
 
-    def _candidate(self, upstream: Upstream) -> Candidate:
+    def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
         name = upstream.upstream_id
         load = self._loads.of(name)
         now = now_s()
@@ -207,9 +231,21 @@
             failure_share=load.health.failure_share(now),
             suspended=load.health.is_suspended(now),
             full=load.health.is_full(now),
+            holds_shared=self._holds_shared(upstream, call),
         )
 
-    async def _prefill(self, call: RoutedCall, choice: Choice) -> PromptMemory:
+    def _holds_shared(self, upstream: Upstream, call: RoutedCall) -> bool:
+        prompt = call.prompt
+        table = self._routes()
+        service = table.services.get(call.service) if table else None
+        if prompt is None or service is None or service.engine is None:
+            return False
+        capacity = service.engine.cache_tokens
+        return self.cache.holds(upstream.upstream_id, prompt.first_part, capacity)
+
+    async def _prefill(
+        self, call: RoutedCall, choice: Choice, tokens_read: int
+    ) -> PromptMemory:
         """Have the prompt read; raises AttemptFailed, which never means that it ran."""
         upstream = choice.candidate.upstream
         self._note_placed(call, choice, "prefill")
@@ -218,7 +254,7 @@
         )
         tokens = choice.candidate.prompt_tokens
         started_at_s = now_s()
-        with self._loads.sending(upstream.upstream_id, call.prompt.own_tokens):
+        with self._loads.sending(upstream.upstream_id, tokens_read):
             async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
                 try:
                     req = self._protocol.prefill_request(call, upstream, options)
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -19,7 +19,9 @@
 MOVE_COST_S = 0.035
 DIRECT_SLOWDOWN = 2.0
 READING_SHARE_OF_PAUSE = 0.65
-FETCHED_SHARE = 0.25
+COPIED_SHARE = 0.25
+KEPT_GAIN_SHARE = 0.25
+HOME_GAIN_SHARE = 0.25
 COLD_FACTOR = 1.5
 
 
@@ -29,6 +31,7 @@
 
     ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
     much longer than others it takes, ``failure_share`` of recent attempts failed.
+    ``holds_shared`` says that its memory probably has the prompt's shared parts.
     """
 
     upstream: Upstream
@@ -38,6 +41,7 @@
     failure_share: float = 0.0
     suspended: bool = False
     full: bool = False
+    holds_shared: bool = False
 
 
 @dataclass(frozen=True)
@@ -87,19 +91,26 @@
 
 
 def place_prefill(
-    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    rate: float,
+    zone: str,
+    copies: Sequence[Candidate] = (),
 ) -> Choice | None:
     """Return the engine that has read the prompt first; ``rate`` in tokens a second.
 
     Load pattern: many long prompts that share long parts, more of these than one
-    engine's memory holds. All entries expect a shared part in the memory of the same
-    engine, and leave that one when its queue costs more than reading the part anew.
+    engine's memory holds. They go where these parts are, unless the queue there costs
+    more than copying or reading the parts elsewhere. What no engine holds goes where
+    all entries expect it.
     """
     home = find_home(prompt.first_part, candidates)
+    home_gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
 
     def cost_s(item: Candidate) -> float:
-        tokens = _tokens_to_read(prompt, item, home)
-        return item.pace * (item.prompt_tokens + tokens) / rate
+        tokens = tokens_to_read(prompt, item, copies)
+        gain_s = home_gain_s if item.upstream.upstream_id == home else 0.0
+        return item.pace * (item.prompt_tokens + tokens) / rate - gain_s
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -113,29 +124,34 @@
     were run before, so that this engine can pass them on, or read such a prompt itself.
     """
     home = find_home(prompt.first_part, candidates)
-    shared_tokens = prompt.input_tokens - prompt.own_tokens
-    kept_gain_s = FETCHED_SHARE * shared_tokens / rate
+    home_gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
+    kept_gain_s = KEPT_GAIN_SHARE * prompt.shared_tokens / rate
 
     def cost_s(item: Candidate) -> float:
-        gain_s = kept_gain_s if item.upstream.upstream_id == home else 0.0
+        is_home = item.upstream.upstream_id == home
+        gain_s = home_gain_s if is_home else 0.0
+        gain_s += kept_gain_s if item.holds_shared else 0.0
         return item.pace * (_running_s(item) + item.prompt_tokens / rate) - gain_s
 
     return _cheapest(candidates, zone, cost_s)
 
 
 def place_direct(
-    candidates: Sequence[Candidate], prompt: Prompt, rate: float, zone: str
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    rate: float,
+    zone: str,
+    copies: Sequence[Candidate] = (),
 ) -> Choice | None:
     """Return the engine that both reads and runs a prompt with the least delay.
 
     Load pattern: short prompts, which would wait behind long ones at the engines that
     read prompts.
     """
-    home = find_home(prompt.first_part, candidates)
     direct_rate = rate / DIRECT_SLOWDOWN
 
     def cost_s(item: Candidate) -> float:
-        tokens = _tokens_to_read(prompt, item, home)
+        tokens = tokens_to_read(prompt, item, copies)
         reading_s = (item.prompt_tokens + tokens) / direct_rate
         return item.pace * (reading_s + _running_s(item))
 
@@ -157,16 +173,21 @@
     """
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
     decodes = [item for item in candidates if item.upstream.stage is not Stage.PREFILL]
-    direct = place_direct(decodes, prompt, fleet.rate, zone)
-    direct = _with_source(direct, prompt, prefills)
-    apart = place_prefill(prefills, prompt, fleet.rate, zone)
-    apart = _with_source(apart, prompt, decodes)
+    copies = [item for item in candidates if item.holds_shared]
+    direct = place_direct(decodes, prompt, fleet.rate, zone, copies)
+    apart = place_prefill(prefills, prompt, fleet.rate, zone, copies)
     if apart is None or direct is None:
         return StagePlan(apart, direct)
-    reading_s = prompt.own_tokens / fleet.rate
-    direct_s = direct.cost_s + waiting_s(DIRECT_SLOWDOWN * reading_s, fleet.busy_decode)
-    apart_s = apart.cost_s + waiting_s(reading_s, fleet.busy_prefill) + MOVE_COST_S
-    if direct_s < apart_s and _fits_pause(direct, prompt, fleet.rate, pause_s):
+    apart = _with_source(apart, copies)
+    direct = _with_source(direct, copies)
+    direct_tokens = tokens_to_read(prompt, direct.candidate, copies)
+    apart_tokens = tokens_to_read(prompt, apart.candidate, copies)
+    direct_read_s = DIRECT_SLOWDOWN * direct_tokens / fleet.rate
+    direct_s = direct.cost_s + waiting_s(direct_read_s, fleet.busy_decode)
+    apart_s = apart.cost_s + MOVE_COST_S
+    apart_s += waiting_s(apart_tokens / fleet.rate, fleet.busy_prefill)
+    waiting_tokens = direct.candidate.prompt_tokens + direct_tokens
+    if direct_s < apart_s and _fits_pause(waiting_tokens, fleet.rate, pause_s):
         return StagePlan(None, direct)
     return StagePlan(apart, direct)
 
@@ -179,30 +200,22 @@
     return reading_s * busy / (1 - busy)
 
 
-def _fits_pause(
-    direct: Choice, prompt: Prompt, rate: float, pause_s: float | None
-) -> bool:
+def _fits_pause(tokens: float, rate: float, pause_s: float | None) -> bool:
     if pause_s is None:
         return True
-    tokens = direct.candidate.prompt_tokens + prompt.own_tokens
     return tokens * DIRECT_SLOWDOWN / rate <= READING_SHARE_OF_PAUSE * pause_s
 
 
-def _with_source(
-    choice: Choice | None, prompt: Prompt, others: Sequence[Candidate]
-) -> Choice | None:
-    """Name the engine of the other stage that last ran or read the shared parts.
-
-    Load pattern: more shared parts than the engines of one stage can keep. Those of the
-    other stage have them as well, since every prompt goes through both.
-    """
-    if choice is None or len(prompt.parts) < 2:
+def _with_source(choice: Choice, copies: Sequence[Candidate]) -> Choice:
+    """Name an engine to copy the shared parts from, where the chosen one lacks them."""
+    if choice.candidate.holds_shared:
+        return choice
+    others = [item for item in copies if not item.suspended]
+    if not others:
         return choice
-    home = find_home(prompt.first_part, others)
-    for item in others:
-        if item.upstream.upstream_id == home:
-            return replace(choice, fetch_from=item.upstream)
-    return choice
+    zone = choice.candidate.upstream.zone
+    source = min(others, key=lambda item: (item.upstream.zone != zone, item.requests))
+    return replace(choice, fetch_from=source.upstream)
 
 
 def _running_s(item: Candidate) -> float:
@@ -212,12 +225,15 @@
     return BATCHED_REQUEST_COST_S * item.requests + crowded_s
 
 
-def _tokens_to_read(prompt: Prompt, item: Candidate, home: str | None) -> float:
+def tokens_to_read(
+    prompt: Prompt, item: Candidate, copies: Sequence[Candidate]
+) -> float:
     """Return how many tokens an engine is expected to read for a prompt."""
-    if item.upstream.upstream_id == home:
+    if item.holds_shared:
         return prompt.own_tokens
-    shared_tokens = prompt.input_tokens - prompt.own_tokens
-    return prompt.own_tokens + FETCHED_SHARE * shared_tokens
+    if copies:
+        return prompt.own_tokens + COPIED_SHARE * prompt.shared_tokens
+    return prompt.input_tokens
 
 
 def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -34,6 +34,11 @@
         """Tokens of the last part, which no other request shares."""
         return self.parts[-1].tokens if self.parts else self.input_tokens
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the parts that other requests may share."""
+        return max(0, self.input_tokens - self.own_tokens)
+
 
 @dataclass
 class RoutedCall:
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -17,6 +17,7 @@
   crashRecords @2 :List(CrashRecord);
   sentWork @3 :List(SentWork);
   needsManifest @4 :Bool;        # behind, and the table can't be reached
+  placedParts @5 :List(PlacedPart);
 }
 
 struct EntryRecord {
@@ -41,6 +42,12 @@
   prefillTokens @2 :UInt64;
 }
 
+struct PlacedPart {
+  upstream @0 :Text;
+  part @1 :Text;                 # id of a shared part of a prompt
+  tokens @2 :UInt32;             # added to the upstream's memory by the prompt
+}
+
 struct Manifest {
   head @0 :Data;                 # value of the head row, JSON
   body @1 :Data;                 # canonical bytes of the manifest
