Hold watches of the store for 3 s and read the entries every 12 s

Ruled out: longer waits. A connection may fall silent without a reset; a watch must notice that within the 5 s in which a configuration has to be in force after such a moment.

--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -59,8 +59,8 @@
     limits: LimitSettings = LimitSettings(
         head_bytes=32 * 1024, body_bytes=8 * 1024 * 1024
     )
-    watch_wait_s: float = Field(default=1.5, gt=0)
-    entries_poll_every_s: float = Field(default=5.0, gt=0)
+    watch_wait_s: float = Field(default=3.0, gt=0)
+    entries_poll_every_s: float = Field(default=12.0, gt=0)
     settings_poll_every_s: float = Field(default=1.0, gt=0)
     heartbeat_every_s: float = Field(default=0.25, gt=0)
     freshness_bound_s: float = Field(default=3.0, gt=0)
