Add the platform's stand-ins and tests of the route path

The tests found three faults: a row or body of 50,000 brackets ended in RecursionError (500 with `ran: unknown` for a caller of the own interface), and an error repeated 2.5 KB of a malformed request.

Conclusion: each failure found from here on gets its test beside these.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from extras.cluster import wait_until
+from extras.cluster import request, wait_until
 from wisteriaarch.emulator.scheduler import expected_text
 
 from .support import AUTHORIZATION, MODEL, ClusterTestCase
@@ -77,6 +77,18 @@
         answer = self.complete(headers={"X-Deadline-Ms": "soon"})
         self.assertEqual(answer.json()["field"], "X-Deadline-Ms")
 
+    def test_deeply_nested_body_is_the_callers_fault(self):
+        path = "/v1/completions"
+        address = self.process("entry-1").address
+        answer = request(address, "POST", path, b"[" * 50_000, AUTHORIZATION)
+        self.assertEqual(answer.status, 400)
+        self.assertEqual(answer.json()["ran"], "no")
+
+    def test_error_repeats_little_of_a_malformed_request(self):
+        answer = self.exchange(b"GET /" + b" x" * 2000 + b" HTTP/1.1\r\n\r\n")
+        self.assertIn(b" 400 ", answer.partition(b"\r\n")[0])
+        self.assertLess(len(answer), 1000)
+
     def test_pipelined_and_chunked_requests_are_answered_in_order(self):
         body = json.dumps({"model": MODEL, "prompt": "third", "max_tokens": 3}).encode()
         chunked = b"POST /v1/completions HTTP/1.1\r\n" + HOST_LINE + AUTHORIZATION_LINE
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,248 @@
+"""Messages of the users' platform, as bytes, and malformed ones."""
+
+import base64
+import json
+import random
+import unittest
+
+from wisteriaarch.errors import ConfigError, RequestError, StoreUnavailable
+from wisteriaarch.platform.callers import decode_call
+from wisteriaarch.platform.rows import decode_configuration, decode_upstream
+from wisteriaarch.platform.store import _rows_read
+from wisteriaarch.platform.upstreams import PlatformUpstreams
+from wisteriaarch.process.rows import StoredRow
+from wisteriaarch.process.upstreams import Stage
+from wisteriaarch.request.upstream_protocol import PromptMemory, RunOptions
+from wisteriaarch.version.route_table import CallKind
+from wisteriaarch.wire import Address, HttpRequest, HttpResponse
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "split",
+            "host": "books.example",
+            "prefix": "/a/",
+            "kind": "stream",
+            "timeout-ms": 5000,
+            "slo-ms": 500,
+            "priority": 1,
+            "traffic-split": [
+                {"service": "one", "weight": 90},
+                {"service": "two", "weight": 10},
+            ],
+            "max-attempts": 1,
+            "sticky": True,
+            "resumable": False,
+            "gap-slo-ms": 150,
+        },
+        {
+            "name": "deep",
+            "host": "books.example",
+            "prefix": "/a/b/",
+            "kind": "non_idempotent",
+            "timeout-ms": 1000,
+            "slo-ms": 200,
+            "service": "two",
+        },
+    ],
+    "services": [
+        {"name": "one", "engine": {"slots": 48, "kv-capacity-tokens": 495_255}},
+        {"name": "two", "max-conns": 100},
+    ],
+    "limits": {},
+}
+SERVER = {
+    "service": "one",
+    "address": "10.128.0.9:8080",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 48,
+    "state": "ready",
+    "cold-left-ms": 0,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1_777_000_000_000,
+}
+HEADERS = [
+    ("Host", "books.example"),
+    ("Attempt-Id", "9c41"),
+    ("Model", "m"),
+    ("Token-Counts", "1460,80"),
+    ("Prefix-Hash", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    ("Deadline-Remaining", "3000"),
+]
+
+
+def row(content, key="i-1", version=3) -> StoredRow:
+    value = content if isinstance(content, bytes) else json.dumps(content).encode()
+    return StoredRow(key, version, value)
+
+
+def read_request(headers=None, target="/a/2f", method="POST") -> HttpRequest:
+    items = headers or HEADERS
+    by_name = {name.lower(): value for name, value in items}
+    return HttpRequest(method, target, by_name, b"body", items)
+
+
+def read_call(headers=None, target="/a/2f"):
+    table = decode_configuration(row(CONFIGURATION))
+    return decode_call(read_request(headers, target), table, random.Random(1))
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_routes_and_services(self):
+        table = decode_configuration(row(CONFIGURATION))
+        route = table.find("books.example:8080", "/a/x")
+        self.assertEqual((route.name, route.kind), ("split", CallKind.STREAM))
+        self.assertEqual((route.timeout_s, route.objective_s), (5.0, 0.5))
+        self.assertEqual(route.pause_s, 0.15)
+        self.assertEqual([item.weight for item in route.services], [90, 10])
+        self.assertEqual(table.services["one"].engine.cache_tokens, 495_255)
+
+    def test_longest_prefix_wins(self):
+        table = decode_configuration(row(CONFIGURATION))
+        self.assertEqual(table.find("books.example", "/a/b/c").name, "deep")
+        self.assertIsNone(table.find("books.example", "/ab"))
+        self.assertIsNone(table.find("other.example", "/a/b"))
+
+    def test_malformed_ones_name_the_row(self):
+        for content in (b"\xff", b"[]", b"{}", {"version": 1, "routes": [3]}):
+            with self.subTest(content=content), self.assertRaises(ConfigError):
+                decode_configuration(row(content))
+
+
+class UpstreamRowTest(unittest.TestCase):
+    def test_fields(self):
+        upstream = decode_upstream(row(SERVER))
+        self.assertEqual(upstream.address, Address("10.128.0.9", 8080))
+        self.assertEqual((upstream.stage, upstream.leaving), (Stage.DECODE, False))
+        self.assertEqual(upstream.started_at_ms, SERVER["born"])
+
+    def test_draining_is_leaving(self):
+        self.assertTrue(decode_upstream(row({**SERVER, "state": "draining"})).leaving)
+
+    def test_malformed_ones_name_no_server(self):
+        changes = {
+            "service": (None, 3, ""),
+            "address": ("nowhere", "1.2.3:4", "1.2.3.4:99999", "1.2.3.4", 7, None),
+            "zone": (None, []),
+            "slots": ("48", True, -1, 4.5, None),
+            "state": ("asleep", None, 1, {}),
+            "cold-left-ms": ("0", True),
+            "stage": ("both", 3),
+            "born": ("now", True, 1.5),
+        }
+        for name, values in changes.items():
+            for value in values:
+                with self.subTest(name=name, value=value):
+                    with self.assertRaises(ConfigError):
+                        decode_upstream(row({**SERVER, name: value}))
+
+    def test_missing_fields_and_unreadable_bytes(self):
+        for name in ("service", "address", "zone", "slots", "state"):
+            content = {key: value for key, value in SERVER.items() if key != name}
+            with self.subTest(name=name), self.assertRaises(ConfigError):
+                decode_upstream(row(content))
+        for value in (b"", b"\xff\x00", b"[]", b"null", b'"x"', b"[" * 50_000):
+            with self.subTest(value=value[:10]), self.assertRaises(ConfigError):
+                decode_upstream(row(value))
+
+
+class CallTest(unittest.TestCase):
+    def test_prompt_and_deadline(self):
+        call = read_call()
+        self.assertEqual(call.call_id, "9c41")
+        self.assertEqual(call.prompt.input_tokens, 1460)
+        self.assertEqual(call.prompt.first_part, "5c1e07a2")
+        self.assertEqual(
+            (call.prompt.own_tokens, call.prompt.shared_tokens), (250, 1210)
+        )
+        self.assertAlmostEqual(call.remaining_s(), 3.0, delta=0.2)
+
+    def test_deadline_is_bounded_by_the_route(self):
+        call = read_call([*HEADERS[:2], ("Deadline-Remaining", "60000")])
+        self.assertLess(call.remaining_s(), 5.01)
+        call = read_call([*HEADERS[:2], ("Deadline-Remaining", "soon")])
+        self.assertLess(call.remaining_s(), 5.01)
+
+    def test_system_headers_are_removed(self):
+        forged = [("stage", "prefill"), ("KV-SOURCE", "x"), ("Server-Seal", "y")]
+        names = {
+            name.lower() for name, _value in read_call([*HEADERS, *forged]).headers
+        }
+        self.assertEqual(names & {"stage", "kv-source", "server-seal"}, set())
+        self.assertLessEqual({"host", "attempt-id", "model", "token-counts"}, names)
+
+    def test_malformed_counts_are_refused(self):
+        for text in ("many", "1", "1,2,3", "1,x"):
+            with self.subTest(text=text), self.assertRaises(RequestError):
+                read_call([*HEADERS[:2], ("Token-Counts", text)])
+
+    def test_unknown_route(self):
+        with self.assertRaises(RequestError) as caught:
+            read_call(target="/" + "x" * 5000)
+        self.assertLess(len(caught.exception.value), 100)
+
+
+class ServerMessageTest(unittest.TestCase):
+    def setUp(self):
+        self.protocol = PlatformUpstreams()
+        self.upstream = decode_upstream(row(SERVER, "i-7"))
+
+    def sent(self, req) -> dict[str, str]:
+        return {name.lower(): value for name, value in req.headers}
+
+    def test_run_carries_deadline_instance_and_memory(self):
+        memory = PromptMemory(self.upstream, "3fa0", 1460)
+        options = RunOptions(memory, fetch_from=self.upstream, resume_after="4")
+        req = self.protocol.run_request(read_call(), self.upstream, options)
+        headers = self.sent(req)
+        self.assertEqual(headers["expect-instance"], "i-7")
+        self.assertEqual(headers["kv-source"], "10.128.0.9:8080/3fa0")
+        self.assertEqual(headers["kv-fetch"], "10.128.0.9:8080")
+        self.assertEqual(headers["last-event-id"], "4")
+        self.assertLessEqual(int(headers["deadline-remaining"]), 3000)
+        self.assertEqual((req.method, req.target, req.body), ("POST", "/a/2f", b"body"))
+
+    def test_prefill_carries_stage_and_urgency(self):
+        options = RunOptions(urgency=3)
+        req = self.protocol.prefill_request(read_call(), self.upstream, options)
+        headers = self.sent(req)
+        self.assertEqual(
+            (headers["stage"], headers["request-urgency"]), ("prefill", "3")
+        )
+
+    def head(self, status, *headers):
+        by_name = {name.lower(): value for name, value in headers}
+        response = HttpResponse(status, by_name, header_list=list(headers))
+        return self.protocol.read_head(read_call(), response)
+
+    def test_answers(self):
+        own = ("Attempt-Id", "9c41")
+        self.assertFalse(self.head(200, own).foreign)
+        self.assertTrue(self.head(200, ("Attempt-Id", "other")).foreign)
+        self.assertTrue(self.head(200).foreign)
+        self.assertTrue(self.head(503, ("Not-Executed", "1")).not_run)
+        self.assertFalse(self.head(503, own).not_run)
+        self.assertTrue(self.head(421).wrong_instance)
+        self.assertEqual(self.head(200, own, ("Keep-Alive", "timeout=5")).keep_s, 5.0)
+
+
+class StoreAnswerTest(unittest.TestCase):
+    def test_rows_and_removed_rows(self):
+        value = base64.b64encode(b"node-1").decode()
+        rows = [
+            {"table": "t", "part": "", "key": "a", "value": value, "ver": 4},
+            {"table": "t", "part": "", "key": "b", "ver": 5, "deleted": True},
+        ]
+        read = _rows_read({"rows": rows, "ver": 9, "now-ms": 1})
+        self.assertEqual(read.version, 9)
+        self.assertEqual(read.rows[0].value, b"node-1")
+        self.assertTrue(read.rows[1].deleted)
+
+    def test_malformed_answers(self):
+        for content in ([], {}, {"rows": [3], "ver": 1}, {"rows": [], "ver": "x"}):
+            with self.subTest(content=content), self.assertRaises(StoreUnavailable):
+                _rows_read(content)
--- /dev/null
+++ b/tests/test_route_decisions.py
@@ -0,0 +1,311 @@
+"""Decisions of the route path, apart from I/O, each on the load that it answers."""
+
+import unittest
+
+from wisteriaarch.errors import Ran
+from wisteriaarch.process.cache_belief import CacheBelief
+from wisteriaarch.process.digest import PlacedPart, SentWork
+from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
+from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
+from wisteriaarch.process.upstreams import Stage, Upstream
+from wisteriaarch.request.event_stream import EventFramer
+from wisteriaarch.request.outcomes import (
+    RAN_AFTER,
+    AttemptFailed,
+    FailureReason,
+    worse,
+)
+from wisteriaarch.request.placement import (
+    Candidate,
+    FleetPace,
+    find_home,
+    place_decode,
+    place_prefill,
+    place_service_call,
+    plan_stages,
+)
+from wisteriaarch.request.retry_share import RetryShare
+from wisteriaarch.request.routed_call import Prompt, PromptPart
+from wisteriaarch.request.stage_busyness import StageBusyness
+from wisteriaarch.request.urgency import urgency_of
+from wisteriaarch.wire import Address
+
+RATE = 40_000.0
+CALM = FleetPace(RATE)
+
+
+def upstream(name, stage=None, zone="z1", slots=8) -> Upstream:
+    return Upstream(name, "s", Address("10.0.0.1", 1), zone, slots, stage=stage)
+
+
+def candidate(name, stage=None, zone="z1", **more) -> Candidate:
+    return Candidate(upstream(name, stage, zone), **more)
+
+
+def prompt(tokens, shared=0, part="p") -> Prompt:
+    parts = (PromptPart(part, shared), PromptPart("own", tokens - shared))
+    return Prompt(tokens, 100, parts if shared else parts[1:])
+
+
+def fleet(prefills=2, decodes=3) -> list[Candidate]:
+    return [
+        *(candidate(f"p{n}", Stage.PREFILL) for n in range(prefills)),
+        *(candidate(f"d{n}", Stage.DECODE) for n in range(decodes)),
+    ]
+
+
+class ServicePlacementTest(unittest.TestCase):
+    def test_slow_and_failing_upstreams_get_less(self):
+        slow = candidate("a", pace=5.0)
+        failing = candidate("b", failure_share=0.5)
+        loaded = candidate("c", requests=6)
+        choice = place_service_call([slow, failing, loaded], "z1")
+        self.assertEqual(choice.candidate, loaded)
+
+    def test_suspended_one_is_the_last_resort(self):
+        suspended = candidate("a", suspended=True)
+        self.assertEqual(place_service_call([suspended], "z1").candidate, suspended)
+        full = candidate("b", full=True, requests=30)
+        self.assertEqual(place_service_call([suspended, full], "z1").candidate, full)
+
+    def test_own_zone_goes_before_an_equal_one(self):
+        items = [candidate("a", zone="z2"), candidate("b", zone="z1")]
+        self.assertEqual(place_service_call(items, "z1").candidate, items[1])
+
+    def test_no_upstream(self):
+        self.assertIsNone(place_service_call([], "z1"))
+
+
+class StagePlanTest(unittest.TestCase):
+    def test_short_prompt_is_not_behind_long_ones(self):
+        items = [
+            candidate("p0", Stage.PREFILL, prompt_tokens=40_000),
+            candidate("d0", Stage.DECODE, requests=4),
+        ]
+        plan = plan_stages(items, prompt(300), CALM, "z1", 0.15)
+        self.assertIsNone(plan.prefill)
+        self.assertEqual(plan.decode.candidate.upstream.upstream_id, "d0")
+
+    def test_long_prompt_is_read_apart_in_the_calm(self):
+        plan = plan_stages(fleet(), prompt(9000), CALM, "z1", 0.15)
+        self.assertIsNotNone(plan.prefill)
+
+    def test_short_prompts_leave_a_busy_decode_stage(self):
+        busy = FleetPace(RATE, busy_prefill=0.1, busy_decode=0.9)
+        plan = plan_stages(fleet(), prompt(600), busy, "z1", 0.15)
+        self.assertIsNotNone(plan.prefill)
+
+    def test_reading_never_holds_streams_longer_than_their_pause(self):
+        items = [
+            candidate("p0", Stage.PREFILL, prompt_tokens=400_000),
+            candidate("d0", Stage.DECODE),
+        ]
+        plan = plan_stages(items, prompt(9000), CALM, "z1", 0.15)
+        self.assertIsNotNone(plan.prefill)
+        plan = plan_stages(items, prompt(9000), CALM, "z1", None)
+        self.assertIsNone(plan.prefill)
+
+    def test_one_stage_missing(self):
+        decodes = [item for item in fleet() if item.upstream.stage is Stage.DECODE]
+        self.assertIsNone(plan_stages(decodes, prompt(9000), CALM, "z1", 0.15).prefill)
+        plan = plan_stages([], prompt(9000), CALM, "z1", 0.15)
+        self.assertIsNone(plan.prefill)
+        self.assertIsNone(plan.decode)
+
+    def test_shared_part_is_copied_from_its_holder(self):
+        items = fleet()
+        items[3] = candidate("d1", Stage.DECODE, holds_shared=True)
+        plan = plan_stages(items, prompt(17_000, 13_000), CALM, "z1", 0.15)
+        self.assertEqual(plan.prefill.fetch_from.upstream_id, "d1")
+
+    def test_holder_reads_by_itself_unless_its_queue_is_long(self):
+        holder = candidate("p0", Stage.PREFILL, holds_shared=True)
+        idle = candidate("p1", Stage.PREFILL)
+        long = prompt(17_000, 13_000)
+        self.assertEqual(
+            place_prefill([holder, idle], long, RATE, "z1").candidate, holder
+        )
+        queued = candidate("p0", Stage.PREFILL, holds_shared=True, prompt_tokens=60_000)
+        choice = place_prefill([queued, idle], long, RATE, "z1", [queued])
+        self.assertEqual(choice.candidate, idle)
+
+    def test_runs_stay_with_their_shared_part_until_the_engine_is_full(self):
+        home = candidate("d0", Stage.DECODE, requests=4, holds_shared=True)
+        other = candidate("d1", Stage.DECODE)
+        long = prompt(17_000, 13_000)
+        self.assertEqual(place_decode([home, other], long, RATE, "z1").candidate, home)
+        full = candidate("d0", Stage.DECODE, requests=8, holds_shared=True)
+        self.assertEqual(place_decode([full, other], long, RATE, "z1").candidate, other)
+
+    def test_homes_spread_and_move_only_with_their_engine(self):
+        items = fleet(prefills=0, decodes=6)
+        parts = [f"part-{number}" for number in range(300)]
+        homes = {part: find_home(part, items) for part in parts}
+        self.assertEqual(len(set(homes.values())), 6)
+        fewer = items[1:]
+        moved = [
+            part
+            for part in parts
+            if homes[part] != "d0" and find_home(part, fewer) != homes[part]
+        ]
+        self.assertEqual(moved, [])
+
+
+class UrgencyTest(unittest.TestCase):
+    def test_less_to_read_is_never_less_urgent(self):
+        levels = [urgency_of(tokens) for tokens in range(0, 200_000, 500)]
+        self.assertEqual(levels, sorted(levels))
+        self.assertGreaterEqual(min(levels), 0)
+        self.assertLessEqual(max(levels), 9)
+
+
+class BusynessTest(unittest.TestCase):
+    def test_swing_of_the_mix_is_seen_within_a_second(self):
+        now = [0.0]
+        busy = StageBusyness(lambda: 10, lambda: now[0])
+        for _ in range(20):
+            now[0] += 0.05
+            busy.note(Stage.DECODE, 0.01)
+        self.assertGreater(busy.share(Stage.DECODE, 3), 0.35)
+        self.assertEqual(busy.share(Stage.PREFILL, 3), 0.0)
+        now[0] += 2.0
+        self.assertLess(busy.share(Stage.DECODE, 3), 0.1)
+
+    def test_share_is_bounded(self):
+        busy = StageBusyness(lambda: 10, lambda: 0.0)
+        busy.note(Stage.PREFILL, 100.0)
+        self.assertLess(busy.share(Stage.PREFILL, 0), 1.0)
+
+
+class RetryShareTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+
+    def share(self, entries=5):
+        return RetryShare(0.2, 50, 10.0, lambda: entries, lambda: self.now)
+
+    def taken(self, share, times=1000) -> int:
+        return sum(share.take("s") for _ in range(times))
+
+    def test_entries_together_stay_below_the_bound(self):
+        shares = [self.share() for _ in range(5)]
+        for share in shares:
+            for _ in range(40):
+                share.note_request("s")
+        total = sum(self.taken(share) for share in shares)
+        self.assertLessEqual(total, 0.2 * 200 + 50)
+        self.assertGreater(total, 0.5 * (0.2 * 200 + 50))
+
+    def test_window_slides(self):
+        share = self.share()
+        used = self.taken(share)
+        self.now = 9.9
+        self.assertFalse(share.take("s"))
+        self.now = 10.1
+        self.assertEqual(self.taken(share), used)
+
+    def test_services_are_apart(self):
+        share = self.share()
+        self.taken(share)
+        self.assertTrue(share.take("other"))
+
+    def test_changed_bounds_hold_at_once(self):
+        share = self.share()
+        share.configure(0.0, 0.0, 10.0)
+        self.assertFalse(share.take("s"))
+
+
+class HealthTest(unittest.TestCase):
+    def test_unreached_upstream_is_left_out_for_longer_each_time(self):
+        health = UpstreamHealth()
+        health.note_unreached(0.0)
+        self.assertTrue(health.is_suspended(SUSPEND_MIN_S - 0.01))
+        self.assertFalse(health.is_suspended(SUSPEND_MIN_S + 0.01))
+        health.note_unreached(1.0)
+        self.assertTrue(health.is_suspended(1.0 + 2 * SUSPEND_MIN_S - 0.01))
+
+    def test_single_failure_does_not_suspend(self):
+        health = UpstreamHealth()
+        health.note_failure(0.0)
+        health.note_failure(0.1)
+        self.assertFalse(health.is_suspended(0.2))
+        health.note_failure(0.2)
+        self.assertTrue(health.is_suspended(0.3))
+
+    def test_failure_share_fades(self):
+        health = UpstreamHealth()
+        for number in range(10):
+            health.note_failure(number / 10)
+        self.assertGreater(health.failure_share(1.0), 0.5)
+        self.assertLess(health.failure_share(20.0), 0.05)
+
+
+class LoadsTest(unittest.TestCase):
+    def test_work_of_peers_counts_and_is_replaced(self):
+        loads = UpstreamLoads()
+        loads.absorb_sent("peer", (SentWork("u", 3, 1000),))
+        with loads.sending("u", 50):
+            self.assertEqual((loads.requests("u"), loads.prompt_tokens("u")), (4, 1050))
+            self.assertEqual(list(loads.export_sent()), [SentWork("u", 1, 50)])
+        loads.absorb_sent("peer", ())
+        self.assertEqual(loads.requests("u"), 0)
+
+    def test_pace_of_a_slow_upstream_rises_and_fades(self):
+        pace = Pace()
+        for number in range(10):
+            pace.note(0.5, 0.1, float(number) / 10)
+        self.assertGreater(pace.at(1.0), 3.0)
+        self.assertLess(pace.at(20.0), 1.1)
+
+
+class CacheBeliefTest(unittest.TestCase):
+    def test_peers_learn_each_part_once(self):
+        one, two = CacheBelief(), CacheBelief()
+        for number in range(3):
+            one.note(PlacedPart("u", f"p{number}", 100))
+            two.absorb("one", tuple(one.export()))
+        self.assertTrue(two.holds("u", "p0", 1000))
+        self.assertEqual(two._engines["u"].added_tokens, 300)
+
+    def test_least_recently_used_parts_yield(self):
+        belief = CacheBelief()
+        for number in range(5):
+            belief.note(PlacedPart("u", f"p{number}", 100))
+        self.assertFalse(belief.holds("u", "p0", 500))
+        self.assertTrue(belief.holds("u", "p4", 500))
+        belief.note(PlacedPart("u", "p3", 10))
+        self.assertTrue(belief.holds("u", "p3", 500))
+
+    def test_unknown_engine_holds_nothing(self):
+        self.assertFalse(CacheBelief().holds("u", "p", 1e9))
+
+
+class OutcomeTest(unittest.TestCase):
+    def test_each_reason_says_whether_it_ran(self):
+        not_run = {
+            FailureReason.NOT_CONNECTED,
+            FailureReason.NOTHING_SENT,
+            FailureReason.DECLINED,
+            FailureReason.WRONG_INSTANCE,
+            FailureReason.MEMORY_GONE,
+        }
+        self.assertEqual(set(RAN_AFTER), set(FailureReason))
+        for reason in FailureReason:
+            with self.subTest(reason=reason):
+                self.assertEqual(AttemptFailed(reason).ran is Ran.NO, reason in not_run)
+
+    def test_what_is_known_never_improves(self):
+        self.assertIs(worse(Ran.UNKNOWN, Ran.NO), Ran.UNKNOWN)
+        self.assertIs(worse(Ran.NO, Ran.UNKNOWN), Ran.UNKNOWN)
+        self.assertIs(worse(Ran.UNKNOWN, Ran.YES), Ran.YES)
+
+
+class EventFramerTest(unittest.TestCase):
+    def test_only_whole_events_pass_at_any_split(self):
+        stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+        for cut in range(len(stream)):
+            framer = EventFramer()
+            passed = framer.feed(stream[:cut]) + framer.feed(stream[cut:])
+            self.assertEqual(passed, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+            self.assertEqual(framer.last_id, "2")
+            self.assertTrue(framer.has_rest)
--- a/wisteriaarch/cli/commands.py
+++ b/wisteriaarch/cli/commands.py
@@ -9,6 +9,7 @@
 from ..errors import ConfigError
 from ..events import open_log
 from ..gateway import Gateway
+from ..log_output import DroppingStream
 from ..platform.adapter import Platform
 from ..process.gateway_settings import GatewaySettings
 from ..process.settings import EntrySettings, load_model
@@ -49,7 +50,8 @@
         async with Gateway(settings, platform) as gateway:
             await gateway.run(path)
 
-    with open_log(settings.log.form, settings.log.level, env.stdout).applicationbound():
+    output = DroppingStream.from_stream(env.stdout)
+    with open_log(settings.log.form, settings.log.level, output).applicationbound():
         curio.run(serve)
     return ExitStatus.SUCCESS
 
--- a/wisteriaarch/cli/emulation.py
+++ b/wisteriaarch/cli/emulation.py
@@ -15,6 +15,8 @@
 from ..emulator.proxy import run_proxy
 from ..emulator.service import run_service
 from ..environment import Environment
+from ..platform.server_emulator import run_server
+from ..platform.store_emulator import run_store
 from ..process.signals import StopSignals
 from ..status import ExitStatus
 from ..wire import Address
@@ -48,6 +50,10 @@
         return partial(run_platform, *at, announce)
     if options.kind == "service":
         return partial(run_service, *at, options.name, announce)
+    if options.kind == "store":
+        return partial(run_store, *at, announce)
+    if options.kind == "server":
+        return partial(run_server, *at, options.name, options.stage, announce)
     if options.kind == "proxy":
         return partial(run_proxy, *at, Address.parse(options.target), announce)
     return partial(run_engine, *at, _engine_emulator(options), announce)
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -28,6 +28,7 @@
 BODY_TIMEOUT_S = 30.0
 LINGER_TIMEOUT_S = 1.0
 PIPELINED_MAX_BYTES = 64 * 1024
+SHOWN_CHARS = 120
 
 
 @dataclass
@@ -237,10 +238,11 @@
             value=f"more than {max_head_bytes} bytes",
             expected=f"at most {max_head_bytes} bytes",
         )
+    shown = str(exc)[:SHOWN_CHARS]
     return RequestError(
         ErrorKind.MALFORMED_REQUEST,
-        f"the request is malformed: {exc}",
+        f"the request is malformed: {shown}",
         field="request",
-        value=str(exc),
+        value=shown,
         expected="a message of HTTP/1.1 (RFC 9112)",
     )
--- /dev/null
+++ b/wisteriaarch/log_output.py
@@ -0,0 +1,56 @@
+"""Log lines that never block the process: what can't be written is counted."""
+
+import os
+from typing import TextIO
+
+PENDING_MAX_BYTES = 64 * 1024
+
+
+class DroppingStream:
+    """Text stream over a descriptor that is written without waiting.
+
+    A reader that stops costs lines, not time. Once lines can be written again, one line
+    says how many were left out.
+    """
+
+    def __init__(self, descriptor: int):
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._pending = b""
+        self.dropped = 0
+
+    @classmethod
+    def from_stream(cls, stream: TextIO) -> "DroppingStream":
+        """Take over the descriptor of a stream; raises OSError where it has none."""
+        stream.flush()
+        return cls(stream.fileno())
+
+    def write(self, text: str) -> int:
+        """Write a line, or count it where the reader is too far behind."""
+        if len(self._pending) > PENDING_MAX_BYTES:
+            self._write_pending()
+        if len(self._pending) > PENDING_MAX_BYTES:
+            self.dropped += text.count("\n")
+            return len(text)
+        if self.dropped:
+            self._pending += f'{{"event": 119, "dropped": {self.dropped}}}\n'.encode()
+            self.dropped = 0
+        self._pending += text.encode()
+        self._write_pending()
+        return len(text)
+
+    def flush(self) -> None:
+        """Write what is pending, as far as that goes without waiting."""
+        self._write_pending()
+
+    def _write_pending(self) -> None:
+        try:
+            while self._pending:
+                written = os.write(self._descriptor, self._pending)
+                self._pending = self._pending[written:]
+        except BlockingIOError:
+            return
+        except OSError:
+            # Nobody can read the log any more; there is nowhere left to say so.
+            self.dropped += self._pending.count(b"\n")
+            self._pending = b""
--- a/wisteriaarch/platform/rows.py
+++ b/wisteriaarch/platform/rows.py
@@ -1,6 +1,5 @@
 """Rows of the platform's store, decoded into the types of the core."""
 
-import json
 from typing import Any
 
 from ..errors import ConfigError
@@ -14,7 +13,7 @@
     ServiceSpec,
     WeightedService,
 )
-from ..wire import Address
+from ..wire import Address, load_json
 from .names import MS_PER_S
 
 CONFIG_KEY = "config"
@@ -24,7 +23,7 @@
 def decode_configuration(row: StoredRow) -> RouteTable:
     """Return the routes of a configuration; raises ConfigError."""
     try:
-        content = json.loads(row.value)
+        content = load_json(row.value)
         services = (_service(item) for item in content["services"])
         return RouteTable(
             version=int(content["version"]),
@@ -68,7 +67,7 @@
 def decode_upstream(row: StoredRow) -> Upstream:
     """Return a registered upstream; raises ConfigError where a field can't be read."""
     try:
-        content = json.loads(row.value)
+        content = load_json(row.value)
         stage = content.get("stage")
         return Upstream(
             upstream_id=row.key,
--- /dev/null
+++ b/wisteriaarch/platform/store_emulator.py
@@ -0,0 +1,108 @@
+"""Stand-in of the platform's metadata store: rows in memory, changes by long polls."""
+
+import json
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+from urllib.parse import parse_qs
+
+import curio
+
+from ..emulator.server import respond_json, serve_http
+from ..http_server import HttpServerConnection
+from ..process.clock import now_s
+from ..wire import Address, HttpRequest
+from .names import MS_PER_S
+
+HISTORY_ROWS = 1000
+FAULT_PATH = "/emulate"
+
+
+@dataclass
+class StoreEmulator:
+    """Rows by table and key, with the history that watches read.
+
+    ``refuse`` is a status that all calls get, ``calls`` counts the calls of each path.
+    """
+
+    rows: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
+    history: list[dict[str, Any]] = field(default_factory=list)
+    version: int = 0
+    oldest: int = 0
+    refuse: int = 0
+    calls: dict[str, int] = field(default_factory=dict)
+    _changed: curio.Event = field(default_factory=curio.Event)
+
+    async def handle(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
+        """Answer one call."""
+        if req.path == FAULT_PATH:
+            return await self._set_faults(conn, req)
+        self.calls[req.path] = self.calls.get(req.path, 0) + 1
+        if self.refuse:
+            return await respond_json(conn, self.refuse, {})
+        query = {name: values[0] for name, values in parse_qs(_query(req)).items()}
+        if req.path == "/api/rows-get":
+            return await respond_json(conn, 200, self._get(query))
+        if req.path == "/api/rows-feed":
+            return await self._feed(conn, query)
+        if req.path == "/api/rows-tx":
+            return await self._transact(conn, json.loads(req.body))
+        return await respond_json(conn, 404, {})
+
+    async def _set_faults(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
+        faults = json.loads(req.body or b"{}")
+        self.refuse = faults.get("refuse", 0)
+        if faults.get("forget"):
+            self.history.clear()
+            self.oldest = self.version
+        return await respond_json(conn, 200, {"calls": self.calls})
+
+    def _get(self, query: dict[str, str]) -> dict[str, Any]:
+        rows = [row for row in self.rows.values() if row["table"] == query["table"]]
+        rows.sort(key=lambda row: row["key"])
+        return {"rows": rows, "has-more": False, **self._moment()}
+
+    async def _feed(self, conn: HttpServerConnection, query: dict[str, str]) -> bool:
+        after, table = int(query["after"]), query["table"]
+        if not self.oldest <= after <= self.version:
+            return await respond_json(conn, 410, {})
+        async with curio.ignore_after(int(query["wait-ms"]) / MS_PER_S):
+            while not self._changes(table, after):
+                await self._changed.wait()
+        content = {"rows": self._changes(table, after), **self._moment()}
+        return await respond_json(conn, 200, content)
+
+    def _changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        return [
+            row for row in self.history if row["table"] == table and row["ver"] > after
+        ]
+
+    async def _transact(self, conn: HttpServerConnection, content: Any) -> bool:
+        for row in content["if-rev"]:
+            known = self.rows.get((row["table"], row["key"]))
+            if (known["ver"] if known else 0) != row["ver"]:
+                return await respond_json(conn, 412, {"rows": [known] if known else []})
+        self.version += 1
+        for row in content["writes"]:
+            written = {**row, "ver": self.version}
+            self.rows[row["table"], row["key"]] = written
+            self.history.append(written)
+        for row in content["remove"]:
+            self.rows.pop((row["table"], row["key"]), None)
+            self.history.append({**row, "ver": self.version, "deleted": True})
+        del self.history[:-HISTORY_ROWS]
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+        return await respond_json(conn, 200, self._moment())
+
+    def _moment(self) -> dict[str, int]:
+        return {"ver": self.version, "now-ms": int(now_s() * MS_PER_S)}
+
+
+async def run_store(host: str, port: int, announce: Callable[[Address], None]) -> None:
+    """Serve a store until cancelled."""
+    await serve_http(host, port, StoreEmulator().handle, announce)
+
+
+def _query(req: HttpRequest) -> str:
+    return req.target.partition("?")[2]
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -1,7 +1,5 @@
 """Requests to the platform's servers and their answers."""
 
-import json
-
 from ..errors import WireError
 from ..process.upstreams import Upstream
 from ..request.routed_call import RoutedCall
@@ -11,7 +9,7 @@
     RunOptions,
     UpstreamHead,
 )
-from ..wire import Headers, HttpResponse, end_to_end_headers
+from ..wire import Headers, HttpResponse, end_to_end_headers, load_json
 from . import names
 
 MISDIRECTED_STATUS = 421
@@ -69,7 +67,7 @@
     def read_memory(self, upstream: Upstream, body: bytes) -> PromptMemory:
         """Interpret the answer to a prefill request; raises WireError."""
         try:
-            content = json.loads(body)
+            content = load_json(body)
             return PromptMemory(upstream, str(content["handle"]), content["tokens"])
         except (ValueError, KeyError, TypeError) as exc:
             raise WireError(f"no handle in {body[:SHOWN_BYTES]!r}") from exc
--- a/wisteriaarch/process/entry_list.py
+++ b/wisteriaarch/process/entry_list.py
@@ -5,7 +5,7 @@
 import curio
 
 from ..errors import StoreUnavailable
-from ..wire import Address
+from ..wire import Address, load_json
 from .rows import RowSource, RowTable
 from .store import Instance
 
@@ -78,6 +78,6 @@
 
 def _zone_of(value: bytes) -> str:
     try:
-        return str(json.loads(value)["zone"])
+        return str(load_json(value)["zone"])
     except (ValueError, KeyError, TypeError):
         return ""
--- a/wisteriaarch/process/row_copy.py
+++ b/wisteriaarch/process/row_copy.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..errors import ConfigError
+from ..wire import load_json
 from .rows import StoredRow
 
 
@@ -27,7 +28,7 @@
     def decode(cls, data: bytes) -> "RowCopy":
         """Read a copy; raises ConfigError."""
         try:
-            content = json.loads(data)
+            content = load_json(data)
             rows = tuple(
                 StoredRow(str(key), int(version), base64.b64decode(value))
                 for key, version, value in content["rows"]
--- a/wisteriaarch/request/body.py
+++ b/wisteriaarch/request/body.py
@@ -1,12 +1,12 @@
 """Bodies of completions, checked at the border."""
 
-import json
 from typing import Any
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import ErrorKind, RequestError
 from ..process.settings import describe_invalid
+from ..wire import load_json
 
 
 class CompletionBody(BaseModel):
@@ -62,7 +62,7 @@
 def parse_body(model: type[CompletionBody], body: bytes) -> Any:
     """Return the checked body; raises RequestError naming the field."""
     try:
-        content = json.loads(body)
+        content = load_json(body)
     except ValueError as exc:
         raise RequestError(
             ErrorKind.INVALID_JSON, f"the body is not valid JSON: {exc}", field="body"
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -20,7 +20,6 @@
 DIRECT_SLOWDOWN = 2.0
 READING_SHARE_OF_PAUSE = 0.65
 COPIED_SHARE = 0.25
-KEPT_GAIN_SHARE = 0.25
 HOME_GAIN_SHARE = 0.25
 COLD_FACTOR = 1.5
 
@@ -104,7 +103,7 @@
     more than copying or reading the parts elsewhere. What no engine holds goes where
     all entries expect it.
     """
-    home = find_home(prompt.first_part, candidates)
+    home = _home_of_unheld(prompt, candidates)
     home_gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
 
     def cost_s(item: Candidate) -> float:
@@ -123,15 +122,13 @@
     Load pattern: prompts whose shared parts come back. They are run where these parts
     were run before, so that this engine can pass them on, or read such a prompt itself.
     """
-    home = find_home(prompt.first_part, candidates)
-    home_gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
-    kept_gain_s = KEPT_GAIN_SHARE * prompt.shared_tokens / rate
+    home = _home_of_unheld(prompt, candidates)
+    gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
 
     def cost_s(item: Candidate) -> float:
-        is_home = item.upstream.upstream_id == home
-        gain_s = home_gain_s if is_home else 0.0
-        gain_s += kept_gain_s if item.holds_shared else 0.0
-        return item.pace * (_running_s(item) + item.prompt_tokens / rate) - gain_s
+        is_home = item.holds_shared or item.upstream.upstream_id == home
+        delay_s = item.pace * (_running_s(item) + item.prompt_tokens / rate)
+        return delay_s - gain_s if is_home else delay_s
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -236,6 +233,12 @@
     return prompt.input_tokens
 
 
+def _home_of_unheld(prompt: Prompt, candidates: Sequence[Candidate]) -> str | None:
+    if any(item.holds_shared for item in candidates):
+        return None
+    return find_home(prompt.first_part, candidates)
+
+
 def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
     """Return the upstream that all entries expect to hold a shared prompt part.
 
--- a/wisteriaarch/wire.py
+++ b/wisteriaarch/wire.py
@@ -73,11 +73,19 @@
     def json(self) -> Any:
         """Decode the body; raises WireError where it isn't JSON."""
         try:
-            return json.loads(self.body)
+            return load_json(self.body)
         except ValueError as exc:
             raise WireError(f"the response body is not JSON: {exc}") from exc
 
 
+def load_json(data: bytes | str) -> Any:
+    """Decode JSON; raises ValueError, also where it is nested too deeply."""
+    try:
+        return json.loads(data)
+    except RecursionError as exc:
+        raise ValueError("nested too deeply") from exc
+
+
 def decoded_headers(event: Any) -> dict[str, str]:
     """Return an h11 event's headers by lower-case name."""
     return {
