Let callers keep addresses for 1 s; weigh holders and homes of parts together

Change: addresses are kept for 1.0 s (was 1.5). The home of a shared part counts beside its holders, since without it parts spread over more engines at a peak.

--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -65,7 +65,7 @@
     heartbeat_every_s: float = Field(default=0.25, gt=0)
     freshness_bound_s: float = Field(default=3.0, gt=0)
     peers_max: int = Field(default=12, ge=2)
-    callers_keep_s: float = Field(default=1.5, gt=0)
+    callers_keep_s: float = Field(default=1.0, gt=0)
     stop_grace_s: float = Field(default=8.0, gt=0)
     memory_mb: float = Field(default=300.0, gt=0)
     descriptors: int = Field(default=4096, gt=0)
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -20,7 +20,8 @@
 DIRECT_SLOWDOWN = 2.0
 READING_SHARE_OF_PAUSE = 0.65
 COPIED_SHARE = 0.25
-HOME_GAIN_SHARE = 0.25
+HOLDER_GAIN_SHARE = 0.2
+HOME_GAIN_SHARE = 0.15
 COLD_FACTOR = 1.5
 
 
@@ -103,12 +104,11 @@
     more than copying or reading the parts elsewhere. What no engine holds goes where
     all entries expect it.
     """
-    home = _home_of_unheld(prompt, candidates)
-    home_gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
+    home = find_home(prompt.first_part, candidates)
 
     def cost_s(item: Candidate) -> float:
         tokens = tokens_to_read(prompt, item, copies)
-        gain_s = home_gain_s if item.upstream.upstream_id == home else 0.0
+        gain_s = _keeping_gain_s(prompt, item, home, rate)
         return item.pace * (item.prompt_tokens + tokens) / rate - gain_s
 
     return _cheapest(candidates, zone, cost_s)
@@ -122,13 +122,11 @@
     Load pattern: prompts whose shared parts come back. They are run where these parts
     were run before, so that this engine can pass them on, or read such a prompt itself.
     """
-    home = _home_of_unheld(prompt, candidates)
-    gain_s = HOME_GAIN_SHARE * prompt.shared_tokens / rate
+    home = find_home(prompt.first_part, candidates)
 
     def cost_s(item: Candidate) -> float:
-        is_home = item.holds_shared or item.upstream.upstream_id == home
         delay_s = item.pace * (_running_s(item) + item.prompt_tokens / rate)
-        return delay_s - gain_s if is_home else delay_s
+        return delay_s - _keeping_gain_s(prompt, item, home, rate)
 
     return _cheapest(candidates, zone, cost_s)
 
@@ -233,10 +231,14 @@
     return prompt.input_tokens
 
 
-def _home_of_unheld(prompt: Prompt, candidates: Sequence[Candidate]) -> str | None:
-    if any(item.holds_shared for item in candidates):
-        return None
-    return find_home(prompt.first_part, candidates)
+def _keeping_gain_s(
+    prompt: Prompt, item: Candidate, home: str | None, rate: float
+) -> float:
+    """Return what it is worth that the shared parts are kept on few engines."""
+    share = HOLDER_GAIN_SHARE if item.holds_shared else 0.0
+    if item.upstream.upstream_id == home:
+        share += HOME_GAIN_SHARE
+    return share * prompt.shared_tokens / rate
 
 
 def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
