Stop requests that crash upstreams at all entries, without the store

Ruled out: the own interface's quarantine, which writes the table for each crash and asks it for evidence; the store may be away here.

Change: an attempt that broke off counts as a crash where the upstream takes no connection after it; fingerprints with their crashes go round in heartbeats; from the third distinct crash without a success in between the request is answered 503 at once.

That an answer lost on a living server doesn't count is in the check by connection.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -2,12 +2,13 @@
 
 import unittest
 
-from wisteriaarch.errors import Ran
+from wisteriaarch.errors import Ran, RequestError
 from wisteriaarch.process.cache_belief import CacheBelief
 from wisteriaarch.process.digest import PlacedPart, SentWork
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
 from wisteriaarch.process.upstreams import Stage, Upstream
+from wisteriaarch.request.crash_ledger import CrashLedger
 from wisteriaarch.request.event_stream import EventFramer
 from wisteriaarch.request.outcomes import (
     RAN_AFTER,
@@ -25,9 +26,10 @@
     plan_stages,
 )
 from wisteriaarch.request.retry_share import RetryShare
-from wisteriaarch.request.routed_call import Prompt, PromptPart
+from wisteriaarch.request.routed_call import Prompt, PromptPart, RoutedCall
 from wisteriaarch.request.stage_busyness import StageBusyness
 from wisteriaarch.request.urgency import urgency_of
+from wisteriaarch.version.route_table import CallKind, Route
 from wisteriaarch.wire import Address
 
 RATE = 40_000.0
@@ -280,6 +282,46 @@
         self.assertFalse(CacheBelief().holds("u", "p", 1e9))
 
 
+class CrashLedgerTest(unittest.TestCase):
+    def call(self, body=b"x", path="/a"):
+        route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 1.0, 1.0)
+        return RoutedCall("id", route, "s", "POST", path, [], body, 0.0, 0.0)
+
+    def test_entries_together_stop_after_three_crashes(self):
+        ledgers = [CrashLedger() for _ in range(3)]
+        for number, ledger in enumerate(ledgers):
+            for other in ledgers:
+                other.check(self.call())
+            ledger.note_crash(self.call(), f"u{number}")
+            for other in ledgers:
+                other.absorb(tuple(ledger.export()))
+        for ledger in ledgers:
+            with self.assertRaises(RequestError):
+                ledger.check(self.call())
+            ledger.check(self.call(b"another body"))
+
+    def test_one_crash_seen_twice_counts_once(self):
+        ledger = CrashLedger()
+        for _ in range(5):
+            ledger.note_crash(self.call(), "u")
+        ledger.check(self.call())
+
+    def test_success_clears(self):
+        ledger = CrashLedger()
+        for number in range(3):
+            ledger.note_crash(self.call(), f"u{number}")
+        ledger.note_success(self.call())
+        ledger.check(self.call())
+
+    def test_old_crashes_do_not_count(self):
+        now = [0.0]
+        ledger = CrashLedger(lambda: now[0])
+        for number in range(3):
+            ledger.note_crash(self.call(), f"u{number}")
+        now[0] = 200.0
+        ledger.check(self.call())
+
+
 class OutcomeTest(unittest.TestCase):
     def test_each_reason_says_whether_it_ran(self):
         not_run = {
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -43,6 +43,7 @@
     NO_CONFIGURATION = "no_configuration"
     UNKNOWN_ROUTE = "unknown_route"
     UPSTREAM_OVERLOADED = "upstream_overloaded"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -97,6 +98,9 @@
     ErrorKind.UPSTREAM_OVERLOADED: ErrorAnswer(
         503, "The upstreams have no room for the request", 0.5
     ),
+    ErrorKind.CRASHES_UPSTREAMS: ErrorAnswer(
+        503, "The request was in flight at crashes of upstreams"
+    ),
     ErrorKind.STOPPING: ErrorAnswer(503, "This entry is stopping", 0.0),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error"),
 }
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -94,6 +94,8 @@
         )
         self._peers.hooks.placed_parts = self._runner.cache.export
         self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
+        self._peers.hooks.crash_records = self._runner.crashes.export
+        self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
         self._callers = CallerServer(partial(CallerConnection, app=self))
 
     async def __aenter__(self) -> "Gateway":
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -1,6 +1,7 @@
 """Stand-in of the platform's servers: whole answers, streams, prefill and faults."""
 
 import json
+import os
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -27,7 +28,8 @@
     ``fault`` is what happens to the next requests: shed (declined), close (the
     connection ends after the request was read), error (answered 500), silent (never
     answered), foreign (another request's answer goes first), cut (a stream ends within
-    its second event); ``fault_left`` counts them.
+    its second event); ``fault_left`` counts them. A request with a header ``Crash``
+    ends the process.
     """
 
     server_id: str
@@ -58,6 +60,9 @@
         if fault == "close":
             self.ran.append(_attempt(req))
             return False
+        if req.headers.get("crash"):
+            self.ran.append(_attempt(req))
+            os._exit(1)
         if fault == "silent":
             self.ran.append(_attempt(req))
             await curio.sleep(60.0)
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -15,7 +15,8 @@
 from ..process.upstreams import Stage, Upstream, UpstreamRegistry
 from ..version.route_table import RouteTable
 from .answer_relay import AnswerRelay, CallSink
-from .exchange import Exchange
+from .crash_ledger import CrashLedger
+from .exchange import Exchange, is_down
 from .memory_keeper import MemoryKeeper
 from .outcomes import AttemptFailed, FailureReason, worse
 from .placement import (
@@ -43,6 +44,7 @@
 RETRY_AFTER_S = 0.3
 SERVER_ERROR_STATUS = 500
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
+BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
 
 
@@ -73,6 +75,7 @@
         self._rng = random.Random(seed)
         self._rate = PrefillRate()
         self.cache = CacheBelief()
+        self.crashes = CrashLedger()
         self._busyness = busyness
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -90,6 +93,7 @@
         placements = 0
         while True:
             placements += 1
+            self.crashes.check(call)
             try:
                 await self._attempt(call, relay)
                 return
@@ -305,9 +309,10 @@
                     self._check_failed(call, head, relay)
                     await relay.relay(head, exchange)
                 except AttemptFailed as exc:
-                    if exc.ran is not Ran.NO:
-                        call.attempts += exc.ran is Ran.UNKNOWN and call.ran is Ran.NO
+                    if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
+                        call.attempts += 1
                     self._note_failure(call, upstream, exc)
+                    await self._note_crash(call, upstream, exc)
                     raise
         self._note_answered(call, upstream, relay, options, started_at_s)
 
@@ -359,6 +364,20 @@
                 reason=exc.reason.value,
             )
 
+    async def _note_crash(
+        self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
+    ) -> None:
+        if exc.reason not in BROKEN_OFF or not await is_down(upstream):
+            return
+        self._loads.of(upstream.upstream_id).health.note_unreached(now_s())
+        crashes = self.crashes.note_crash(call, upstream.upstream_id)
+        self._log.write(
+            Event.CRASH_NOTED,
+            request=call.call_id,
+            upstream=upstream.upstream_id,
+            crashes=crashes,
+        )
+
     def _note_answered(
         self,
         call: RoutedCall,
@@ -372,6 +391,7 @@
             load.health.note_failure(now_s())
         else:
             load.health.note_success(now_s())
+            self.crashes.note_success(call)
         if relay.first_at_s is not None:
             work = f"{call.route.name} {'apart' if options.memory else 'direct'}"
             elapsed_s = relay.first_at_s - started_at_s
--- /dev/null
+++ b/wisteriaarch/request/crash_ledger.py
@@ -0,0 +1,99 @@
+"""Requests that were in flight when upstreams crashed, known to all entries.
+
+Load pattern: a request crashes each upstream that begins to run it and is sent again,
+at any entry. What was in flight at ``CRASHES_MAX`` crashes without a success in between
+is answered at once. Entries learn of each other's crashes by heartbeats, so that it
+holds while the store is away.
+"""
+
+import hashlib
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from ..errors import ErrorKind, RequestError
+from ..process.clock import now_s
+from ..process.digest import CrashRecord
+from .routed_call import RoutedCall
+
+CRASHES_MAX = 3
+KEPT_S = 120.0
+RECORDS_MAX = 1024
+SEPARATOR = "@"
+
+
+def fingerprint_of(call: RoutedCall) -> str:
+    """Return a digest of what makes a request the same one when it comes again."""
+    digest = hashlib.blake2b(digest_size=12)
+    parts = [part.part_id for part in call.prompt.parts] if call.prompt else []
+    for text in (call.method, call.target, *parts):
+        digest.update(text.encode() + b"\0")
+    digest.update(call.body)
+    return digest.hexdigest()
+
+
+@dataclass
+class CrashedRequest:
+    """Crashes that one request was in flight at, by the upstream that crashed."""
+
+    crashes: dict[str, float] = field(default_factory=dict)
+
+
+class CrashLedger:
+    """Crashes by the fingerprint of the requests that were in flight."""
+
+    def __init__(self, clock: Callable[[], float] = now_s):
+        self._clock = clock
+        self._requests: dict[str, CrashedRequest] = {}
+
+    def check(self, call: RoutedCall) -> None:
+        """Raise RequestError where the call was in flight at too many crashes."""
+        if not self._requests:
+            return
+        known = self._requests.get(fingerprint_of(call))
+        if known is not None and self._count(known) >= CRASHES_MAX:
+            raise RequestError(
+                ErrorKind.CRASHES_UPSTREAMS,
+                "the request was in flight at several crashes of upstreams",
+                ran=call.ran,
+            )
+
+    def note_crash(self, call: RoutedCall, upstream_id: str) -> int:
+        """Record a crash and return how many the request was in flight at."""
+        known = self._request(fingerprint_of(call))
+        known.crashes[upstream_id] = self._clock()
+        return self._count(known)
+
+    def note_success(self, call: RoutedCall) -> None:
+        """Forget the crashes of a request that ran to its end."""
+        if self._requests:
+            self._requests.pop(fingerprint_of(call), None)
+
+    def export(self) -> Iterator[CrashRecord]:
+        """Return the records for the peers, the newest first."""
+        records = [
+            (at_s, f"{fingerprint}{SEPARATOR}{upstream_id}")
+            for fingerprint, known in self._requests.items()
+            for upstream_id, at_s in known.crashes.items()
+            if self._is_new(at_s)
+        ]
+        records.sort(reverse=True)
+        return (CrashRecord(name, 1, quarantined=False) for _at_s, name in records)
+
+    def absorb(self, records: tuple[CrashRecord, ...]) -> None:
+        """Take in what a peer knows; what is known already isn't renewed."""
+        for record in records:
+            fingerprint, _, upstream_id = record.fingerprint.partition(SEPARATOR)
+            known = self._request(fingerprint)
+            known.crashes.setdefault(upstream_id, self._clock())
+
+    def _request(self, fingerprint: str) -> CrashedRequest:
+        known = self._requests.setdefault(fingerprint, CrashedRequest())
+        while len(self._requests) > RECORDS_MAX:
+            del self._requests[next(iter(self._requests))]
+        return known
+
+    def _count(self, known: CrashedRequest) -> int:
+        return sum(self._is_new(at_s) for at_s in known.crashes.values())
+
+    def _is_new(self, at_s: float) -> bool:
+        return self._clock() - at_s < KEPT_S
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -8,6 +8,7 @@
 from ..errors import ConnectionClosed, WireError
 from ..http_client import HttpClientConnection
 from ..process.upstreams import Upstream
+from ..sockets import open_socket
 from .outcomes import AttemptFailed, FailureReason
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead, UpstreamProtocol
@@ -109,6 +110,16 @@
         return b"".join(blocks)
 
 
+async def is_down(upstream: Upstream) -> bool:
+    """Whether an upstream that broke off takes no connection any more."""
+    try:
+        sock = await open_socket(upstream.address, CONNECT_TIMEOUT_S)
+    except OSError:
+        return True
+    await sock.close()
+    return False
+
+
 def _broken(exc: Exception) -> AttemptFailed:
     if isinstance(exc, ConnectionClosed | OSError):
         return AttemptFailed(FailureReason.CLOSED, str(exc))
