Compare paces with the best of the stage; bound busyness at 0.85

Change: paces are divided by the lowest of the stage; the estimate of busyness is bounded at 0.85, since at 0.95 a small error of it multiplies the expected wait.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -24,6 +24,7 @@
     place_prefill,
     place_service_call,
     plan_stages,
+    relative_paces,
 )
 from wisteriaarch.request.retry_share import RetryShare
 from wisteriaarch.request.routed_call import Prompt, PromptPart, RoutedCall
@@ -153,6 +154,18 @@
         self.assertEqual(moved, [])
 
 
+class RelativePaceTest(unittest.TestCase):
+    def test_a_peak_makes_no_upstream_a_slow_one(self):
+        items = [candidate("a", pace=4.0), candidate("b", pace=5.0)]
+        items += [candidate("p", Stage.PREFILL, pace=1.0)]
+        paces = [item.pace for item in relative_paces(items)]
+        self.assertEqual(paces, [1.0, 1.25, 1.0])
+
+    def test_a_fast_upstream_does_not_make_the_others_slow(self):
+        items = [candidate("a", pace=0.5), candidate("b", pace=1.0)]
+        self.assertEqual([item.pace for item in relative_paces(items)], [0.5, 1.0])
+
+
 class UrgencyTest(unittest.TestCase):
     def test_less_to_read_is_never_less_urgent(self):
         levels = [urgency_of(tokens) for tokens in range(0, 200_000, 500)]
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -27,6 +27,7 @@
     place_decode,
     place_service_call,
     plan_stages,
+    relative_paces,
     tokens_to_read,
 )
 from .prefill_rate import PrefillRate
@@ -221,7 +222,7 @@
     def _candidates(self, call: RoutedCall) -> list[Candidate]:
         usable = self._registry.usable(call.service)
         fresh = [item for item in usable if item.upstream_id not in call.tried]
-        return [self._candidate(item, call) for item in fresh or usable]
+        return relative_paces([self._candidate(item, call) for item in fresh or usable])
 
     def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
         name = upstream.upstream_id
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -77,6 +77,22 @@
     decode: Choice | None
 
 
+def relative_paces(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates with paces against the best one of each stage.
+
+    Load pattern: at a peak all upstreams take longer than usual. That makes none of
+    them a slow one, and says nothing about another stage.
+    """
+    best: dict[Stage | None, float] = {}
+    for item in candidates:
+        stage = item.upstream.stage
+        best[stage] = min(item.pace, best.get(stage, item.pace))
+    return [
+        replace(item, pace=item.pace / max(1.0, best[item.upstream.stage]))
+        for item in candidates
+    ]
+
+
 def place_service_call(candidates: Sequence[Candidate], zone: str) -> Choice | None:
     """Return the upstream with the shortest expected wait.
 
--- a/wisteriaarch/request/stage_busyness.py
+++ b/wisteriaarch/request/stage_busyness.py
@@ -13,7 +13,7 @@
 from ..process.upstreams import Stage
 
 REMEMBERED_S = 1.0
-BUSY_MAX = 0.95
+BUSY_MAX = 0.85
 
 
 @dataclass
