--- a/wisteriaarch/request/urgency.py
+++ b/wisteriaarch/request/urgency.py
@@ -10,11 +10,12 @@
 MOST_URGENT = 1
 LEAST_URGENT = 8
 SMALLEST_TOKENS = 512
+SIZE_STEP = 4
 
 
 def urgency_of(tokens: int) -> int:
     """Return the urgency of work that reads ``tokens``: 0 is first, 9 is last."""
     if tokens <= SMALLEST_TOKENS:
         return MOST_URGENT
-    doublings = math.ceil(math.log2(tokens / SMALLEST_TOKENS))
-    return min(LEAST_URGENT, MOST_URGENT + doublings)
+    steps = math.ceil(math.log(tokens / SMALLEST_TOKENS, SIZE_STEP))
+    return min(LEAST_URGENT, MOST_URGENT + steps)
