--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 
 demo: install
 	$(RUN) -m extras.demo
+	$(RUN) -m extras.gateway_demo
 
 model: install
 	$(RUN) -m extras.model_check
--- a/extras/demo.py
+++ b/extras/demo.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 
 from extras.cluster import Cluster, Process, request, wait_until
@@ -166,22 +166,27 @@
         ]
 
 
+def run_steps(name: str, steps: Iterable[Callable[[], None]]) -> int:
+    """Run steps until one fails, print each outcome and return the exit code."""
+    passed = failed = 0
+    for step in steps:
+        try:
+            step()
+        except STEP_FAILURES:
+            failed += 1
+            print(f"FAILED  {step.__doc__}")
+            traceback.print_exc()
+            break
+        passed += 1
+        print(f"ok      {step.__doc__}")
+    print(f"{name}: {passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
 def main() -> int:
     """Run the demo and return its exit code."""
-    passed = failed = 0
     with Cluster() as cluster:
-        for step in Demo(cluster).steps():
-            try:
-                step()
-            except STEP_FAILURES:
-                failed += 1
-                print(f"FAILED  {step.__doc__}")
-                traceback.print_exc()
-                break
-            passed += 1
-            print(f"ok      {step.__doc__}")
-    print(f"demo: {passed} passed, {failed} failed")
-    return 1 if failed else 0
+        return run_steps("demo", Demo(cluster).steps())
 
 
 if __name__ == "__main__":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,13 +7,13 @@
 import unittest
 
 from extras.cluster import request, wait_until
-from tests.gateway_support import (
+from extras.gateway_cluster import (
     GatewayCluster,
-    GatewayTestCase,
     configuration,
     is_ready,
     route_row,
 )
+from tests.gateway_support import GatewayTestCase
 
 APPS = ("app-1", "app-2")
 DECODERS = ("dec-1", "dec-2")
