--- a/extras/gateway_cluster.py
+++ b/extras/gateway_cluster.py
@@ -69,7 +69,6 @@
 class GatewayProcess(Process):
     """An entry that serves routes.
 
-
     ``control_address`` answers whether the entry is ready. ``ports`` are those of
     callers, readiness, addresses, peers and metrics.
     """
