--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -104,6 +104,25 @@
         self.assertEqual(self.send("GET", "/nowhere/", "u1").status, 404)
 
 
+class ExplainTest(GatewayTestCase):
+    def test_story_of_a_refused_request_names_each_attempt(self):
+        self.fail_next(APPS, "shed", 9)
+        self.assertEqual(self.send("POST", "/post/x", "why1").status, 503)
+        log = str(self.gateway.log_path)
+        done = self.cluster.run_cli("explain", "why1", log)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        lines = done.stdout.splitlines()
+        self.assertIn("[310] attempt placed on an upstream", lines[0])
+        self.assertTrue(any("[311] attempt failed" in line for line in lines))
+        self.assertIn("kind=upstream_overloaded ran=no", lines[-1])
+        self.assertIn("answered 503", lines[-1])
+
+    def test_unknown_request_is_said(self):
+        done = self.cluster.run_cli("explain", "nobody", str(self.gateway.log_path))
+        self.assertNotEqual(done.returncode, 0)
+        self.assertIn("not in the logs", done.stderr)
+
+
 class StreamTest(GatewayTestCase):
     def test_long_prompt_is_read_apart(self):
         answer = self.send_prompt("/chat/x", "long1", 12_000)
@@ -326,3 +345,5 @@
         self.assertEqual(self.status(gateway, "/get/x"), 200)
         answer = request(gateway.metrics_address, "GET", "/metrics")
         self.assertIn(b"wisteriaarch_requests_answered_total", answer.body)
+        self.assertIn(b"wisteriaarch_configuration_version 1\n", answer.body)
+        self.assertIn(b'wisteriaarch_retries_left{label="app"}', answer.body)
--- /dev/null
+++ b/tests/test_log_output.py
@@ -0,0 +1,55 @@
+"""Log lines never wait for their reader."""
+
+import os
+import time
+import unittest
+
+from wisteriaarch.log_output import PENDING_MAX_BYTES, DroppingStream
+
+
+class DroppingStreamTest(unittest.TestCase):
+    def setUp(self):
+        self.reader, self.writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.stream = DroppingStream(self.writer)
+
+    def tearDown(self):
+        os.close(self.writer)
+
+    def read(self) -> bytes:
+        return os.read(self.reader, 1 << 20)
+
+    def test_lines_pass_while_they_are_read(self):
+        self.stream.write("one\n")
+        self.stream.write("two\n")
+        self.assertEqual(self.read(), b"one\ntwo\n")
+
+    def test_reader_that_stops_costs_lines_and_not_time(self):
+        line = "x" * 99 + "\n"
+        started_at_s = time.monotonic()
+        for _ in range(20_000):
+            self.stream.write(line)
+        self.assertLess(time.monotonic() - started_at_s, 2.0)
+        self.assertGreater(self.stream.dropped, 10_000)
+        self.assertLessEqual(len(self.stream._pending), PENDING_MAX_BYTES + len(line))
+
+    def test_left_out_lines_are_counted_once_the_reader_is_back(self):
+        for _ in range(20_000):
+            self.stream.write("x" * 99 + "\n")
+        dropped = self.stream.dropped
+        received = b""
+        for _ in range(10):
+            received += self.read()
+            self.stream.write("back\n")
+        self.stream.flush()
+        received += self.read()
+        self.assertIn(f'"dropped": {dropped}'.encode(), received)
+        self.assertIn(b"back\n", received)
+
+    def test_closed_reader_is_no_error(self):
+        reader, writer = os.pipe()
+        stream = DroppingStream(writer)
+        os.close(reader)
+        stream.write("one\n")
+        os.close(writer)
+        self.assertEqual(stream.dropped, 1)
--- a/wisteriaarch/cli/commands.py
+++ b/wisteriaarch/cli/commands.py
@@ -21,6 +21,7 @@
     "replace": "marks",
     "withdraw": "marks",
     "emulate": "emulation",
+    "explain": "explaining",
 }
 _FUNCTIONS = {"status": "show_status"}
 
--- a/wisteriaarch/cli/definition.py
+++ b/wisteriaarch/cli/definition.py
@@ -30,6 +30,7 @@
     _add_status(commands)
     _add_marks(commands)
     _add_emulate(commands)
+    _add_explain(commands)
     return parser
 
 
@@ -87,6 +88,15 @@
     _add_platform(parser)
 
 
+def _add_explain(commands) -> None:
+    parser = commands.add_parser("explain", help="tell the story of one request")
+    parser.add_argument("request", metavar="ID")
+    parser.add_argument(
+        "files", nargs="*", metavar="FILE", help="logs; left out, standard input"
+    )
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
 def _add_platform(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("--platform", required=True, metavar="HOST:PORT")
     parser.add_argument("--json", action="store_true", help="print JSON")
--- a/wisteriaarch/connection/caller.py
+++ b/wisteriaarch/connection/caller.py
@@ -130,6 +130,7 @@
     async def _refuse(self, path: str, exc: RequestError) -> None:
         self._app.log.write(
             Event.REQUEST_REFUSED,
+            request=exc.request_id,
             path=path,
             kind=exc.kind.value,
             ran=exc.ran.value,
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -140,6 +140,7 @@
         self.value = value
         self.expected = expected
         self.retry_after_s = retry_after_s
+        self.request_id = ""
 
 
 class WireError(WisteriaError):
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -23,7 +23,7 @@
 from .process.fleet_state import FleetState
 from .process.gateway_settings import GatewaySettings
 from .process.membership import Membership
-from .process.metrics import Metrics
+from .process.metrics import Gauge, Metrics
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
@@ -181,7 +181,11 @@
                 ErrorKind.NO_CONFIGURATION, "no configuration was read yet"
             )
         call = self._adapter.decode_call(req, table, self._rng)
-        await self._runner.run(call, conn)
+        try:
+            await self._runner.run(call, conn)
+        except RequestError as exc:
+            exc.request_id = call.call_id
+            raise
 
     @property
     def is_ready(self) -> bool:
@@ -213,7 +217,27 @@
         return [self._entries.instance(name).address for name in sorted(names)]
 
     def _answer_metrics(self, _req: HttpRequest) -> InfoAnswer:
-        return InfoAnswer(200, self.metrics.render().encode(), TEXT_HEADERS)
+        text = self.metrics.render(self._gauges())
+        return InfoAnswer(200, text.encode(), TEXT_HEADERS)
+
+    def _gauges(self) -> dict[Gauge, dict[str, float]]:
+        table = self.state.routes
+        services = table.services if table else {}
+        age_s = self.state.age_s()
+        return {
+            Gauge.CONFIGURATION_VERSION: {"": table.version if table else 0},
+            Gauge.CONFIGURATION_AGE_SECONDS: {"": -1.0 if age_s is None else age_s},
+            Gauge.ENTRIES: {"": self._count_entries()},
+            Gauge.RETRIES_LEFT: {name: self.retries.left(name) for name in services},
+            Gauge.REQUESTS_IN_FLIGHT: {
+                item.upstream_id: self.loads.requests(item.upstream_id)
+                for item in self.state.registry.all()
+            },
+            Gauge.PROMPT_TOKENS_IN_FLIGHT: {
+                item.upstream_id: self.loads.prompt_tokens(item.upstream_id)
+                for item in self.state.registry.all()
+            },
+        }
 
     def _own_record(self) -> EntryRecord:
         confirmed_at_s = self.state.confirmed_at_s
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -29,6 +29,17 @@
     WHOLE_ANSWER = "Seconds from a request's arrival to the end of its answer"
 
 
+class Gauge(Enum):
+    """Values as of now; the value is the help text."""
+
+    CONFIGURATION_VERSION = "Version of the configuration in force; 0 for none"
+    CONFIGURATION_AGE_SECONDS = "Seconds since the store confirmed it; -1 for never"
+    ENTRIES = "Entries known, this one included"
+    RETRIES_LEFT = "Repeats that this entry may still send, by service"
+    REQUESTS_IN_FLIGHT = "Requests of all entries in flight, by upstream"
+    PROMPT_TOKENS_IN_FLIGHT = "Prompt tokens being read for all entries, by upstream"
+
+
 class DurationRecorder:
     """Histogram of durations with their sum."""
 
@@ -71,13 +82,18 @@
         histogram = self._recorders[name].histogram
         return histogram.get_value_at_percentile(quantile * 100) / US_PER_S
 
-    def render(self) -> str:
-        """Return everything in the Prometheus text format."""
+    def render(self, gauges: dict[Gauge, dict[str, float]] | None = None) -> str:
+        """Return everything in the Prometheus text format.
+
+        ``gauges`` are values as of now by their label.
+        """
         lines = []
         for count in Count:
             lines += self._render_count(count)
         for duration in Duration:
             lines += self._render_duration(duration)
+        for gauge, values in (gauges or {}).items():
+            lines += _render_gauge(gauge, values)
         return "\n".join(lines) + "\n"
 
     def _render_count(self, count: Count) -> list[str]:
@@ -102,3 +118,12 @@
         total = recorder.histogram.get_total_count()
         lines.append(f"{name}_count {total}")
         return lines
+
+
+def _render_gauge(gauge: Gauge, values: dict[str, float]) -> list[str]:
+    name = f"{PREFIX}{gauge.name.lower()}"
+    lines = [f"# HELP {name} {gauge.value}", f"# TYPE {name} gauge"]
+    for label, value in sorted(values.items()):
+        labels = f'{{label="{label}"}}' if label else ""
+        lines.append(f"{name}{labels} {value:g}")
+    return lines
