Note the store's return before its rows are taken

Cause: registrations that lapse while the store is away come back up to two seconds after it; they are to be kept for that time.

Ruled out: a late answer of the store; the same answer brought the removal and the return.

Change: the return is noted between the answer and its rows. Tests of the watch and of the registry; the first was seen failing.

--- /dev/null
+++ b/tests/test_row_watch.py
@@ -0,0 +1,146 @@
+"""Watches of the store's rows, against a scripted store."""
+
+import unittest
+
+import curio
+
+from wisteriaarch.errors import HistoryLost, StoreUnavailable
+from wisteriaarch.events import EventLog
+from wisteriaarch.process import upstreams as upstreams_module
+from wisteriaarch.process.row_copy import RowCopy
+from wisteriaarch.process.row_watch import RowWatch
+from wisteriaarch.process.rows import RowsRead, RowTable, StoredRow
+from wisteriaarch.process.upstreams import Upstream, UpstreamRegistry
+from wisteriaarch.wire import Address
+
+
+def row(key, version, value=b"x", *, deleted=False) -> StoredRow:
+    return StoredRow(key, version, value, deleted)
+
+
+class ScriptedRows:
+    """Gives the answers of a list in order; an exception is raised."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked = []
+
+    async def read_all(self, _table):
+        return self._next("all")
+
+    async def wait_for_changes(self, _table, after, _wait_s):
+        return self._next(after)
+
+    def _next(self, asked):
+        self.asked.append(asked)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+class RowWatchTest(unittest.TestCase):
+    def watch(self, *answers, on_change=lambda: None) -> RowWatch:
+        self.source = ScriptedRows(*answers)
+        log = EventLog("test")
+        return RowWatch(self.source, RowTable.UPSTREAMS, 1.0, log, on_change)
+
+    def play(self, watch, steps=None):
+        async def run():
+            for _ in range(steps or len(self.source.answers)):
+                await watch._step()
+
+        curio.run(run)
+
+    def test_changes_are_merged(self):
+        watch = self.watch(
+            RowsRead((row("a", 1), row("b", 2)), 5),
+            RowsRead((row("a", 7, b"y"), row("b", 8, deleted=True)), 9),
+        )
+        self.play(watch)
+        self.assertEqual(watch.rows, {"a": row("a", 7, b"y")})
+        self.assertEqual((watch.version, watch.changed_version), (9, 8))
+        self.assertEqual(self.source.asked, ["all", 5])
+
+    def test_lost_history_is_read_anew(self):
+        watch = self.watch(
+            RowsRead((row("a", 1),), 5), HistoryLost("x"), RowsRead((row("c", 6),), 7)
+        )
+        self.play(watch)
+        self.assertEqual(list(watch.rows), ["c"])
+
+    def test_older_answers_are_not_taken(self):
+        watch = self.watch(
+            RowsRead((row("a", 4),), 5), HistoryLost("x"), RowsRead((), 3)
+        )
+        self.play(watch)
+        self.assertEqual(list(watch.rows), ["a"])
+
+    def test_late_row_does_not_replace_a_newer_one(self):
+        watch = self.watch(
+            RowsRead((row("a", 4, b"new"),), 5), RowsRead((row("a", 3, b"old"),), 6)
+        )
+        self.play(watch)
+        self.assertEqual(watch.rows["a"].value, b"new")
+
+    def test_copy_of_a_peer_is_taken_only_where_it_is_newer(self):
+        watch = self.watch(RowsRead((row("a", 4),), 5))
+        self.play(watch)
+        watch.install_copy(RowCopy((row("b", 3),), 4))
+        self.assertEqual(list(watch.rows), ["a"])
+        copy = RowCopy.decode(RowCopy((row("b", 8),), 9).encode())
+        watch.install_copy(copy)
+        self.assertEqual(list(watch.rows), ["b"])
+
+    def test_return_of_the_store_is_known_when_its_rows_are_taken(self):
+        seen = []
+        watch = self.watch(
+            RowsRead((row("a", 1),), 5),
+            StoreUnavailable("x"),
+            RowsRead((row("a", 6, deleted=True),), 7),
+            on_change=lambda: seen.append(watch.regained_at_s),
+        )
+        self.play(watch)
+        self.assertIsNone(seen[0])
+        self.assertIsNotNone(seen[1])
+
+
+class UpstreamRegistryTest(unittest.TestCase):
+    def setUp(self):
+        self.regained_at_s = None
+        self.now = 100.0
+        self.addCleanup(setattr, upstreams_module, "now_s", upstreams_module.now_s)
+        upstreams_module.now_s = lambda: self.now
+        self.registry = UpstreamRegistry(lambda: self.regained_at_s, EventLog("test"))
+
+    def upstream(self, name, **more):
+        return Upstream(name, "s", Address("10.0.0.1", 1), "z", 4, **more)
+
+    def usable(self):
+        return sorted(item.upstream_id for item in self.registry.usable("s"))
+
+    def test_lapsed_registration_is_kept_for_a_while_after_the_return(self):
+        self.registry.update([self.upstream("a"), self.upstream("b")])
+        self.regained_at_s = self.now
+        self.registry.update([self.upstream("b")])
+        self.assertEqual(self.usable(), ["a", "b"])
+        self.now += upstreams_module.RETURN_GRACE_S + 0.1
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_removed_registration_is_gone_at_once_otherwise(self):
+        self.registry.update([self.upstream("a"), self.upstream("b")])
+        self.registry.update([self.upstream("b")])
+        self.assertEqual(self.usable(), ["b"])
+
+    def test_leaving_one_is_not_kept(self):
+        self.registry.update([self.upstream("a", leaving=True)])
+        self.regained_at_s = self.now
+        self.registry.update([])
+        self.assertEqual(self.usable(), [])
+
+    def test_kept_one_that_comes_back_counts_once(self):
+        self.registry.update([self.upstream("a")])
+        self.regained_at_s = self.now
+        self.registry.update([])
+        self.registry.update([self.upstream("a")])
+        self.assertEqual(self.usable(), ["a"])
--- a/wisteriaarch/process/row_watch.py
+++ b/wisteriaarch/process/row_watch.py
@@ -72,7 +72,6 @@
             self._note_unavailable(exc)
             return False
         self.confirmed_at_s = asked_at_s
-        self._note_available()
         self._backoff.next_s(True)
         return True
 
@@ -95,6 +94,7 @@
             raise StoreUnavailable(
                 f"the answer is of version {read.version}, older than {self.version}"
             )
+        self._note_available()
         rows = {row.key: row for row in read.rows}
         self._following = True
         self.version = read.version
@@ -106,6 +106,7 @@
         )
         if read.version < self.version:
             raise HistoryLost(f"the store went back to version {read.version}")
+        self._note_available()
         self._merge(read)
 
     def _merge(self, read: RowsRead) -> None:
@@ -150,6 +151,7 @@
         self._available = False
 
     def _note_available(self) -> None:
+        """Note the store's return, before its rows are taken: some may have lapsed."""
         if self._available:
             return
         self._available = True
