Don't take busy engines for dead; wait shortly for returning registrations

Change: an engine that answered anything since is busy, not silent; prompts wait 1 s at least; nothing is read while no engine runs prompts; an entry that has just started, or whose store is just back, waits up to 0.6 s for registrations; 0.95 instead of 0.85 of an entry's share of repeats. Tests: busy server (seen failing without the change), caller before the registrations, nothing read without an engine to run it.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -5,6 +5,7 @@
 import signal
 import time
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from extras.cluster import request, wait_until
 from extras.gateway_cluster import (
@@ -12,6 +13,7 @@
     configuration,
     is_ready,
     route_row,
+    server_row,
 )
 from tests.gateway_support import GatewayTestCase
 
@@ -23,6 +25,13 @@
 
 
 class WholeAnswerTest(GatewayTestCase):
+    def setUp(self):
+        self.suspended_before = [
+            line
+            for line in self.gateway.log_path.read_text().splitlines()
+            if '"event": 223' in line and "silent" in line
+        ]
+
     def test_answer_and_seal_are_those_of_the_server(self):
         answer = self.send("GET", "/get/a?b=c", "w1")
         self.assertEqual(answer.status, 200)
@@ -100,6 +109,23 @@
         for number in range(3):
             self.assertEqual(self.send("GET", "/get/x", f"q{number}").status, 200)
 
+    def test_busy_server_is_not_taken_for_a_dead_one(self):
+        """Load: answers slower than the patience of repeatable calls, at a peak."""
+        self.fail_next(APPS, "silent", 1)
+        with ThreadPoolExecutor(12) as pool:
+            answers = [
+                pool.submit(self.send, "GET", "/get/x", f"busy{number}")
+                for number in range(12)
+            ]
+            for answer in answers:
+                self.assertEqual(answer.result().status, 200)
+        suspended = [
+            line
+            for line in self.gateway.log_path.read_text().splitlines()
+            if '"event": 223' in line and "silent" in line
+        ]
+        self.assertEqual(suspended, self.suspended_before)
+
     def test_unknown_route_is_404(self):
         self.assertEqual(self.send("GET", "/nowhere/", "u1").status, 404)
 
@@ -237,6 +263,20 @@
         self.cluster.remove("servers", "app-1")
         wait_until(lambda: self.status(gateway, "/get/x") == 503, 1.0)
 
+    def test_caller_before_the_registrations_is_served(self):
+        gateway = self.start()
+        wait_until(lambda: self.status(gateway, "/get/x") == 200)
+        self.cluster.remove("servers", "app-1")
+        time.sleep(0.1)
+        again = self.cluster.start_gateway(3, ports=gateway.ports)
+        wait_until(lambda: is_ready(again))
+        with ThreadPoolExecutor(1) as pool:
+            waiting = pool.submit(self.status, again, "/get/x", "early")
+            time.sleep(0.2)
+            row = server_row(self.cluster.processes["app-1"], "app")
+            self.cluster.write("servers", "app-1", row)
+            self.assertEqual(waiting.result(), 200)
+
     def test_older_configuration_never_comes_back(self):
         gateway = self.start()
         added = route_row("new", "/new/", "idempotent", "app")
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -115,6 +115,12 @@
         self.assertIsNone(plan.prefill)
         self.assertIsNone(plan.decode)
 
+    def test_nothing_is_read_while_no_engine_runs_prompts(self):
+        prefills = [item for item in fleet() if item.upstream.stage is Stage.PREFILL]
+        plan = plan_stages(prefills, prompt(9000), CALM, "z1", 0.15)
+        self.assertIsNone(plan.prefill)
+        self.assertIsNone(plan.decode)
+
     def test_shared_part_is_copied_from_its_holder(self):
         items = fleet()
         items[3] = candidate("d1", Stage.DECODE, holds_shared=True)
--- a/tests/test_row_watch.py
+++ b/tests/test_row_watch.py
@@ -144,3 +144,12 @@
         self.registry.update([])
         self.registry.update([self.upstream("a")])
         self.assertEqual(self.usable(), ["a"])
+
+    def test_registry_settles_after_the_start_and_after_a_return(self):
+        self.assertTrue(self.registry.is_settling())
+        self.registry.update([])
+        self.assertTrue(self.registry.is_settling())
+        self.now += upstreams_module.RETURN_GRACE_S + 0.1
+        self.assertFalse(self.registry.is_settling())
+        self.regained_at_s = self.now
+        self.assertTrue(self.registry.is_settling())
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -40,10 +40,14 @@
 
 @dataclass
 class UpstreamLoad:
-    """What this entry has in flight on one upstream, and what it saw of it."""
+    """What this entry has in flight on one upstream, and what it saw of it.
+
+    ``heard_at_s`` is when the upstream last answered anything here.
+    """
 
     requests: int = 0
     prompt_tokens: int = 0
+    heard_at_s: float = 0.0
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     pace: Pace = field(default_factory=Pace)
 
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -50,9 +50,12 @@
         self._listed: dict[str, Upstream] = {}
         self._missing: dict[str, Upstream] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
+        self._first_listed_at_s: float | None = None
 
     def update(self, listed: Iterable[Upstream]) -> None:
         """Take in all upstreams that are registered now."""
+        if self._first_listed_at_s is None:
+            self._first_listed_at_s = now_s()
         upstreams = {item.upstream_id: item for item in listed}
         gone = self._listed.keys() - upstreams.keys()
         self._missing = {
@@ -79,6 +82,12 @@
         regained_at_s = self._regained_at_s()
         return regained_at_s is not None and now_s() - regained_at_s < RETURN_GRACE_S
 
+    def is_settling(self) -> bool:
+        """Whether registrations may be about to come: just started, or store back."""
+        started_at_s = self._first_listed_at_s
+        is_new = started_at_s is None or now_s() - started_at_s < RETURN_GRACE_S
+        return is_new or self._in_grace()
+
     def _index(self) -> None:
         by_service: dict[str, list[Upstream]] = {}
         for item in (*self._listed.values(), *self._missing.values()):
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -24,6 +24,7 @@
     Candidate,
     Choice,
     FleetPace,
+    can_run,
     place_decode,
     place_service_call,
     plan_stages,
@@ -34,14 +35,23 @@
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .stage_busyness import StageBusyness
-from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
+from .upstream_protocol import (
+    OutgoingRequest,
+    PromptMemory,
+    RunOptions,
+    UpstreamHead,
+    UpstreamProtocol,
+)
 from .urgency import urgency_of
 
 PLACEMENTS_MAX = 4
 PREFILL_OVERHEAD_S = 0.03
 REPEAT_WORTH_S = 0.05
+SETTLING_WAIT_S = 0.6
+SETTLING_POLL_S = 0.05
 SILENT_SHARE = 0.45
 SILENT_MIN_S = 0.35
+SILENT_PROMPT_MIN_S = 1.0
 RETRY_AFTER_S = 0.3
 SERVER_ERROR_STATUS = 500
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
@@ -126,8 +136,8 @@
             raise _failed(call, "too many requests are being repeated")
 
     async def _attempt(self, call: RoutedCall, relay: AnswerRelay) -> None:
-        candidates = self._candidates(call)
-        if not candidates:
+        candidates = await self._find_candidates(call)
+        if not any(can_run(item) for item in candidates):
             raise RequestError(
                 ErrorKind.NO_UPSTREAM,
                 "no upstream of the service is left",
@@ -219,6 +229,22 @@
         options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
+    async def _find_candidates(self, call: RoutedCall) -> list[Candidate]:
+        """Return the candidates; waits a little where registrations are returning.
+
+        Load pattern: all entries start again, or the store is back, and callers are
+        there before the upstreams' registrations.
+        """
+        waited_s = 0.0
+        while True:
+            candidates = self._candidates(call)
+            if any(can_run(item) for item in candidates):
+                return candidates
+            if waited_s >= SETTLING_WAIT_S or not self._registry.is_settling():
+                return candidates
+            await curio.sleep(SETTLING_POLL_S)
+            waited_s += SETTLING_POLL_S
+
     def _candidates(self, call: RoutedCall) -> list[Candidate]:
         usable = self._registry.usable(call.service)
         fresh = [item for item in usable if item.upstream_id not in call.tried]
@@ -263,7 +289,7 @@
             async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
                 try:
                     req = self._protocol.prefill_request(call, upstream, options)
-                    head = await exchange.send(req, self._silent_after_s(call))
+                    head = await self._send(exchange, req, call)
                     self._check_declined(head)
                     body = await exchange.read_body()
                     if head.status != 200:
@@ -272,7 +298,7 @@
                         )
                     memory = self._protocol.read_memory(upstream, body)
                 except AttemptFailed as exc:
-                    self._note_failure(call, upstream, exc)
+                    self._note_failure(call, upstream, exc, started_at_s)
                     # The prompt was read at most; the request itself has not run.
                     raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
         elapsed_s = now_s() - started_at_s
@@ -303,7 +329,7 @@
                 try:
                     req = self._protocol.run_request(call, upstream, options)
                     call.offered = True
-                    head = await exchange.send(req, self._silent_after_s(call))
+                    head = await self._send(exchange, req, call)
                     self._check_declined(head)
                     call.attempts += 1
                     call.ran = Ran.YES
@@ -312,11 +338,18 @@
                 except AttemptFailed as exc:
                     if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                         call.attempts += 1
-                    self._note_failure(call, upstream, exc)
+                    self._note_failure(call, upstream, exc, started_at_s)
                     await self._note_crash(call, upstream, exc)
                     raise
         self._note_answered(call, upstream, relay, options, started_at_s)
 
+    async def _send(
+        self, exchange: Exchange, req: OutgoingRequest, call: RoutedCall
+    ) -> UpstreamHead:
+        head = await exchange.send(req, self._silent_after_s(call))
+        self._loads.of(exchange.upstream.upstream_id).heard_at_s = now_s()
+        return head
+
     def _silent_after_s(self, call: RoutedCall) -> float:
         """Return how long to wait for an answer's head.
 
@@ -324,7 +357,8 @@
         """
         if not call.route.repeatable or call.attempts + 1 >= call.route.attempts_max:
             return max(0.001, call.remaining_s())
-        return max(SILENT_MIN_S, SILENT_SHARE * call.remaining_s())
+        least_s = SILENT_MIN_S if call.prompt is None else SILENT_PROMPT_MIN_S
+        return max(least_s, SILENT_SHARE * call.remaining_s())
 
     @staticmethod
     def _check_declined(head) -> None:
@@ -345,12 +379,18 @@
             raise AttemptFailed(FailureReason.FAILED, f"answered {head.status}")
 
     def _note_failure(
-        self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
+        self,
+        call: RoutedCall,
+        upstream: Upstream,
+        exc: AttemptFailed,
+        started_at_s: float,
     ) -> None:
         call.tried.add(upstream.upstream_id)
-        health = self._loads.of(upstream.upstream_id).health
+        load = self._loads.of(upstream.upstream_id)
+        health = load.health
         suspended = False
-        if exc.reason in DECLINED:
+        is_busy = exc.reason is FailureReason.SILENT and load.heard_at_s > started_at_s
+        if is_busy or exc.reason in DECLINED:
             health.note_full(now_s())
         elif exc.reason is FailureReason.WRONG_INSTANCE:
             health.note_replaced(now_s())
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -70,13 +70,19 @@
 class StagePlan:
     """Whether a prompt is read apart, and the prediction behind it.
 
-    With ``prefill`` set it is; otherwise ``decode`` reads it itself.
+    With ``prefill`` set it is; otherwise ``decode`` reads it itself. Without any engine
+    that runs prompts both are None: nothing is read in vain.
     """
 
     prefill: Choice | None
     decode: Choice | None
 
 
+def can_run(item: Candidate) -> bool:
+    """Whether an upstream runs calls itself, and not only reads prompts."""
+    return item.upstream.stage is not Stage.PREFILL
+
+
 def relative_paces(candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the candidates with paces against the best one of each stage.
 
@@ -183,12 +189,14 @@
     the streams of an engine bear: what it reads itself must fit into one.
     """
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
-    decodes = [item for item in candidates if item.upstream.stage is not Stage.PREFILL]
+    decodes = [item for item in candidates if can_run(item)]
     copies = [item for item in candidates if item.holds_shared]
     direct = place_direct(decodes, prompt, fleet.rate, zone, copies)
     apart = place_prefill(prefills, prompt, fleet.rate, zone, copies)
-    if apart is None or direct is None:
-        return StagePlan(apart, direct)
+    if direct is None:
+        return StagePlan(None, None)
+    if apart is None:
+        return StagePlan(None, direct)
     apart = _with_source(apart, copies)
     direct = _with_source(direct, copies)
     direct_tokens = tokens_to_read(prompt, direct.candidate, copies)
--- a/wisteriaarch/request/retry_share.py
+++ b/wisteriaarch/request/retry_share.py
@@ -11,7 +11,7 @@
 
 from ..process.clock import now_s
 
-SAFETY = 0.85
+SAFETY = 0.95
 
 
 @dataclass
