--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -39,6 +39,7 @@
 TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 KEPT_TIMES = 3
 STOP_MARGIN_S = 0.5
+FIRST_ROUTES_WAIT_S = 0.3
 
 
 class Gateway:
@@ -175,7 +176,7 @@
 
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
-        table = self.state.routes
+        table = await self.state.wait_for_routes(FIRST_ROUTES_WAIT_S)
         if table is None:
             raise RequestError(
                 ErrorKind.NO_CONFIGURATION, "no configuration was read yet"
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -21,6 +21,7 @@
 
 LEARN_PATIENCE_S = 0.4
 CONTACT_WAITS = 2
+FIRST_ROUTES_POLL_S = 0.02
 
 
 class FleetState:
@@ -74,6 +75,13 @@
         """When the store last confirmed the configuration; None for never."""
         return self._configuration.confirmed_at_s
 
+    async def wait_for_routes(self, timeout_s: float) -> RouteTable | None:
+        """Return the routes in force; waits for the first ones after a start."""
+        give_up_at_s = now_s() + timeout_s
+        while self.routes is None and now_s() < give_up_at_s:
+            await curio.sleep(FIRST_ROUTES_POLL_S)
+        return self.routes
+
     def has_contact(self) -> bool:
         """Whether both tables were read not long ago."""
         age_s = CONTACT_WAITS * self._wait_s
