Split the runner of calls; never say "not run" of a call that may have run

Reading it showed two faults: the second attempt of a call that may have run could end in 503 (no upstream left, or stopped after crashes), and an answer to a prefill call that can't be read ended in an internal error.

Change: candidates.py finds the upstreams, attempt_notes.py sends and notes, prompt_reader.py has prompts read, call_runner.py decides on attempts. Such a second attempt ends in 502; an unreadable handle is a malformed answer. Settings that nothing read are gone.

--- /dev/null
+++ b/tests/test_call_runner.py
@@ -0,0 +1,46 @@
+"""Errors that a call on a route ends with, without upstreams."""
+
+import unittest
+
+import curio
+
+from wisteriaarch.errors import ErrorKind, Ran, RequestError
+from wisteriaarch.events import EventLog
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.upstream_loads import UpstreamLoads
+from wisteriaarch.process.upstreams import UpstreamRegistry
+from wisteriaarch.request.call_runner import CallRunner
+from wisteriaarch.request.retry_share import RetryShare
+from wisteriaarch.request.routed_call import RoutedCall
+from wisteriaarch.request.stage_busyness import StageBusyness
+from wisteriaarch.version.route_table import CallKind, Route
+
+
+class FinalErrorTest(unittest.TestCase):
+    def end(self, ran: Ran) -> RequestError:
+        log = EventLog("test")
+        runner = CallRunner(
+            "z1",
+            None,
+            UpstreamRegistry(lambda: None, log),
+            lambda: None,
+            UpstreamLoads(),
+            None,
+            RetryShare(0.2, 50, 10.0, lambda: 1),
+            StageBusyness(lambda: 1),
+            log,
+        )
+        route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 5.0, 1.0)
+        now = now_s()
+        call = RoutedCall("id", route, "s", "GET", "/", [], b"", now, now + 5, ran=ran)
+        with self.assertRaises(RequestError) as caught:
+            curio.run(runner.run, call, None)
+        return caught.exception
+
+    def test_without_upstreams_a_call_has_not_run(self):
+        exc = self.end(Ran.NO)
+        self.assertEqual((exc.kind, exc.ran), (ErrorKind.NO_UPSTREAM, Ran.NO))
+
+    def test_call_that_may_have_run_is_never_said_not_to_have(self):
+        exc = self.end(Ran.UNKNOWN)
+        self.assertEqual((exc.kind, exc.ran), (ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN))
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -91,7 +91,6 @@
             self.retries,
             StageBusyness(self._count_entries),
             self.log,
-            settings.seed,
         )
         self._peers.hooks.placed_parts = self._runner.cache.export
         self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -67,8 +67,6 @@
     peers_max: int = Field(default=12, ge=2)
     callers_keep_s: float = Field(default=1.0, gt=0)
     stop_grace_s: float = Field(default=8.0, gt=0)
-    memory_mb: float = Field(default=300.0, gt=0)
-    descriptors: int = Field(default=4096, gt=0)
     seed: int | None = None
 
     @classmethod
--- /dev/null
+++ b/wisteriaarch/request/attempt_notes.py
@@ -0,0 +1,98 @@
+"""What an attempt on an upstream teaches: log lines, health and patience."""
+
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.upstream_loads import UpstreamLoads
+from ..process.upstreams import Upstream
+from .exchange import Exchange
+from .outcomes import AttemptFailed, FailureReason
+from .placement import Choice
+from .routed_call import RoutedCall
+from .upstream_protocol import OutgoingRequest, UpstreamHead
+
+SILENT_SHARE = 0.45
+SILENT_MIN_S = 0.35
+SILENT_PROMPT_MIN_S = 1.0
+UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
+DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
+
+
+class AttemptNotes:
+    """Sends the requests of attempts and notes how they went."""
+
+    def __init__(self, loads: UpstreamLoads, log: EventLog):
+        self._loads = loads
+        self._log = log
+
+    def placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
+        """Log where an attempt goes, with what decided it."""
+        candidate = choice.candidate
+        self._log.write(
+            Event.CALL_PLACED,
+            request=call.call_id,
+            route=call.route.name,
+            stage=stage,
+            upstream=candidate.upstream.upstream_id,
+            cost_s=choice.cost_s,
+            requests=candidate.requests,
+            prompt_tokens=candidate.prompt_tokens,
+            left_s=call.remaining_s(),
+            input_tokens=call.prompt.input_tokens if call.prompt else 0,
+            own_tokens=call.prompt.own_tokens if call.prompt else 0,
+        )
+
+    async def send(
+        self, exchange: Exchange, req: OutgoingRequest, call: RoutedCall
+    ) -> UpstreamHead:
+        """Return the head of a wanted answer; raises AttemptFailed."""
+        head = await exchange.send(req, silent_after_s(call))
+        self._loads.of(exchange.upstream.upstream_id).heard_at_s = now_s()
+        check_declined(head)
+        return head
+
+    def failed(
+        self,
+        call: RoutedCall,
+        upstream: Upstream,
+        exc: AttemptFailed,
+        started_at_s: float,
+    ) -> None:
+        """Take in how an attempt failed that was started at a time."""
+        call.tried.add(upstream.upstream_id)
+        load = self._loads.of(upstream.upstream_id)
+        health = load.health
+        suspended = False
+        is_busy = exc.reason is FailureReason.SILENT and load.heard_at_s > started_at_s
+        if is_busy or exc.reason in DECLINED:
+            health.note_full(now_s())
+        elif exc.reason is FailureReason.WRONG_INSTANCE:
+            health.note_replaced(now_s())
+        elif exc.reason in UNREACHED:
+            suspended = health.note_unreached(now_s())
+        else:
+            suspended = health.note_failure(now_s())
+        if suspended:
+            self._log.write(
+                Event.UPSTREAM_SUSPENDED,
+                upstream=upstream.upstream_id,
+                reason=exc.reason.value,
+            )
+
+
+def silent_after_s(call: RoutedCall) -> float:
+    """Return how long to wait for an answer's head.
+
+    Only a call that may run again is given up before its deadline.
+    """
+    if not call.route.repeatable or call.attempts + 1 >= call.route.attempts_max:
+        return max(0.001, call.remaining_s())
+    least_s = SILENT_MIN_S if call.prompt is None else SILENT_PROMPT_MIN_S
+    return max(least_s, SILENT_SHARE * call.remaining_s())
+
+
+def check_declined(head: UpstreamHead) -> None:
+    """Raise AttemptFailed where the upstream says that it has not run the request."""
+    if head.wrong_instance:
+        raise AttemptFailed(FailureReason.WRONG_INSTANCE, f"answered {head.status}")
+    if head.not_run:
+        raise AttemptFailed(FailureReason.DECLINED, f"answered {head.status}")
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -1,6 +1,5 @@
 """Runs a call on a route to its final answer: placement, attempts and repeats."""
 
-import random
 from collections.abc import Callable
 
 import curio
@@ -15,6 +14,8 @@
 from ..process.upstreams import Stage, Upstream, UpstreamRegistry
 from ..version.route_table import RouteTable
 from .answer_relay import AnswerRelay, CallSink
+from .attempt_notes import AttemptNotes
+from .candidates import CandidateFinder
 from .crash_ledger import CrashLedger
 from .exchange import Exchange, is_down
 from .memory_keeper import MemoryKeeper
@@ -28,35 +29,23 @@
     place_decode,
     place_service_call,
     plan_stages,
-    relative_paces,
     tokens_to_read,
 )
-from .prefill_rate import PrefillRate
+from .prompt_reader import PromptReader
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .stage_busyness import StageBusyness
 from .upstream_protocol import (
-    OutgoingRequest,
     PromptMemory,
     RunOptions,
-    UpstreamHead,
     UpstreamProtocol,
 )
-from .urgency import urgency_of
 
 PLACEMENTS_MAX = 4
-PREFILL_OVERHEAD_S = 0.03
 REPEAT_WORTH_S = 0.05
-SETTLING_WAIT_S = 0.6
-SETTLING_POLL_S = 0.05
-SILENT_SHARE = 0.45
-SILENT_MIN_S = 0.35
-SILENT_PROMPT_MIN_S = 1.0
 RETRY_AFTER_S = 0.3
 SERVER_ERROR_STATUS = 500
-UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
 BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
-DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
 
 
 class CallRunner:
@@ -73,20 +62,18 @@
         retries: RetryShare,
         busyness: StageBusyness,
         log: EventLog,
-        seed: int | None = None,
     ):
         self._zone = zone
         self._protocol = protocol
-        self._registry = registry
-        self._routes = routes
         self._loads = loads
         self._pool = pool
         self._retries = retries
         self._log = log
-        self._rng = random.Random(seed)
-        self._rate = PrefillRate()
         self.cache = CacheBelief()
         self.crashes = CrashLedger()
+        self._finder = CandidateFinder(registry, routes, loads, self.cache)
+        self._notes = AttemptNotes(loads, log)
+        self._reader = PromptReader(pool, protocol, loads, self._notes)
         self._busyness = busyness
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -104,10 +91,14 @@
         placements = 0
         while True:
             placements += 1
-            self.crashes.check(call)
             try:
+                self.crashes.check(call)
                 await self._attempt(call, relay)
                 return
+            except RequestError as exc:
+                if call.ran is Ran.NO:
+                    raise
+                raise _failed(call, exc.detail) from exc
             except AttemptFailed as exc:
                 call.ran = worse(call.ran, exc.ran)
                 self._log.write(
@@ -136,7 +127,7 @@
             raise _failed(call, "too many requests are being repeated")
 
     async def _attempt(self, call: RoutedCall, relay: AnswerRelay) -> None:
-        candidates = await self._find_candidates(call)
+        candidates = await self._finder.find(call)
         if not any(can_run(item) for item in candidates):
             raise RequestError(
                 ErrorKind.NO_UPSTREAM,
@@ -144,17 +135,12 @@
                 ran=call.ran,
                 retry_after_s=RETRY_AFTER_S,
             )
-        if call.prompt is None or not self._has_engines(call):
+        if call.prompt is None or self._finder.engine_of(call.service) is None:
             choice = place_service_call(candidates, self._zone)
             await self._run_on(call, choice, relay, RunOptions())
             return
         await self._run_completion(call, candidates, relay)
 
-    def _has_engines(self, call: RoutedCall) -> bool:
-        table = self._routes()
-        service = table.services.get(call.service) if table else None
-        return service is not None and service.engine is not None
-
     async def _run_completion(
         self, call: RoutedCall, candidates: list[Candidate], relay: AnswerRelay
     ) -> None:
@@ -178,7 +164,7 @@
             return
         tokens = int(tokens_to_read(call.prompt, plan.prefill.candidate, copies))
         self._note_reading(call, plan.prefill, Stage.PREFILL, tokens)
-        memory = await self._prefill(call, plan.prefill, tokens)
+        memory = await self._reader.read(call, plan.prefill, tokens)
         try:
             await self._run_with_memory(call, memory, relay)
         finally:
@@ -188,7 +174,7 @@
         self, call: RoutedCall, choice: Choice, stage: Stage, tokens: int
     ) -> None:
         slowdown = DIRECT_SLOWDOWN if stage is Stage.DECODE else 1.0
-        self._busyness.note(stage, slowdown * tokens / self._rate.value)
+        self._busyness.note(stage, slowdown * tokens / self._reader.rate)
         self._note_placed_part(call, choice.candidate, tokens)
 
     def _note_placed_part(
@@ -204,7 +190,7 @@
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
         return FleetPace(
-            self._rate.value,
+            self._reader.rate,
             self._busyness.share(Stage.PREFILL, prefills),
             self._busyness.share(Stage.DECODE, decodes),
         )
@@ -214,11 +200,11 @@
     ) -> None:
         decodes = [
             item
-            for item in self._candidates(call)
+            for item in self._finder.now(call)
             if item.upstream.stage is not memory.upstream.stage
         ]
         choice = place_decode(
-            decodes, call.prompt, self._rate.value, memory.upstream.zone
+            decodes, call.prompt, self._reader.rate, memory.upstream.zone
         )
         if choice is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
@@ -229,90 +215,6 @@
         options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
-    async def _find_candidates(self, call: RoutedCall) -> list[Candidate]:
-        """Return the candidates; waits a little where registrations are returning.
-
-        Load pattern: all entries start again, or the store is back, and callers are
-        there before the upstreams' registrations.
-        """
-        waited_s = 0.0
-        while True:
-            candidates = self._candidates(call)
-            if any(can_run(item) for item in candidates):
-                return candidates
-            if waited_s >= SETTLING_WAIT_S or not self._registry.is_settling():
-                return candidates
-            await curio.sleep(SETTLING_POLL_S)
-            waited_s += SETTLING_POLL_S
-
-    def _candidates(self, call: RoutedCall) -> list[Candidate]:
-        usable = self._registry.usable(call.service)
-        fresh = [item for item in usable if item.upstream_id not in call.tried]
-        return relative_paces([self._candidate(item, call) for item in fresh or usable])
-
-    def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
-        name = upstream.upstream_id
-        load = self._loads.of(name)
-        now = now_s()
-        return Candidate(
-            upstream,
-            requests=self._loads.requests(name),
-            prompt_tokens=self._loads.prompt_tokens(name),
-            pace=load.pace.at(now),
-            failure_share=load.health.failure_share(now),
-            suspended=load.health.is_suspended(now),
-            full=load.health.is_full(now),
-            holds_shared=self._holds_shared(upstream, call),
-        )
-
-    def _holds_shared(self, upstream: Upstream, call: RoutedCall) -> bool:
-        prompt = call.prompt
-        table = self._routes()
-        service = table.services.get(call.service) if table else None
-        if prompt is None or service is None or service.engine is None:
-            return False
-        capacity = service.engine.cache_tokens
-        return self.cache.holds(upstream.upstream_id, prompt.first_part, capacity)
-
-    async def _prefill(
-        self, call: RoutedCall, choice: Choice, tokens_read: int
-    ) -> PromptMemory:
-        """Have the prompt read; raises AttemptFailed, which never means that it ran."""
-        upstream = choice.candidate.upstream
-        self._note_placed(call, choice, "prefill")
-        options = RunOptions(
-            fetch_from=choice.fetch_from, urgency=urgency_of(call.prompt.own_tokens)
-        )
-        tokens = choice.candidate.prompt_tokens
-        started_at_s = now_s()
-        with self._loads.sending(upstream.upstream_id, tokens_read):
-            async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
-                try:
-                    req = self._protocol.prefill_request(call, upstream, options)
-                    head = await self._send(exchange, req, call)
-                    self._check_declined(head)
-                    body = await exchange.read_body()
-                    if head.status != 200:
-                        raise AttemptFailed(
-                            FailureReason.DECLINED, f"answered {head.status}"
-                        )
-                    memory = self._protocol.read_memory(upstream, body)
-                except AttemptFailed as exc:
-                    self._note_failure(call, upstream, exc, started_at_s)
-                    # The prompt was read at most; the request itself has not run.
-                    raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
-        elapsed_s = now_s() - started_at_s
-        load = self._loads.of(upstream.upstream_id)
-        load.health.note_success(now_s())
-        # Whether shared parts were in memory isn't known: slow is only what takes
-        # longer than reading all of the prompt.
-        whole_s = PREFILL_OVERHEAD_S + (
-            (tokens + call.prompt.input_tokens) / self._rate.value
-        )
-        load.pace.note(max(elapsed_s, whole_s), whole_s, now_s())
-        self._rate.note(call.prompt, tokens, elapsed_s)
-        return memory
-
     async def _run_on(
         self,
         call: RoutedCall,
@@ -322,15 +224,14 @@
         prompt_tokens: int = 0,
     ) -> None:
         upstream = choice.candidate.upstream
-        self._note_placed(call, choice, "run")
+        self._notes.placed(call, choice, "run")
         started_at_s = now_s()
         with self._loads.sending(upstream.upstream_id, prompt_tokens):
             async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
                 try:
                     req = self._protocol.run_request(call, upstream, options)
                     call.offered = True
-                    head = await self._send(exchange, req, call)
-                    self._check_declined(head)
+                    head = await self._notes.send(exchange, req, call)
                     call.attempts += 1
                     call.ran = Ran.YES
                     self._check_failed(call, head, relay)
@@ -338,35 +239,11 @@
                 except AttemptFailed as exc:
                     if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                         call.attempts += 1
-                    self._note_failure(call, upstream, exc, started_at_s)
+                    self._notes.failed(call, upstream, exc, started_at_s)
                     await self._note_crash(call, upstream, exc)
                     raise
         self._note_answered(call, upstream, relay, options, started_at_s)
 
-    async def _send(
-        self, exchange: Exchange, req: OutgoingRequest, call: RoutedCall
-    ) -> UpstreamHead:
-        head = await exchange.send(req, self._silent_after_s(call))
-        self._loads.of(exchange.upstream.upstream_id).heard_at_s = now_s()
-        return head
-
-    def _silent_after_s(self, call: RoutedCall) -> float:
-        """Return how long to wait for an answer's head.
-
-        Only a call that may run again is given up before its deadline.
-        """
-        if not call.route.repeatable or call.attempts + 1 >= call.route.attempts_max:
-            return max(0.001, call.remaining_s())
-        least_s = SILENT_MIN_S if call.prompt is None else SILENT_PROMPT_MIN_S
-        return max(least_s, SILENT_SHARE * call.remaining_s())
-
-    @staticmethod
-    def _check_declined(head) -> None:
-        if head.wrong_instance:
-            raise AttemptFailed(FailureReason.WRONG_INSTANCE, f"answered {head.status}")
-        if head.not_run:
-            raise AttemptFailed(FailureReason.DECLINED, f"answered {head.status}")
-
     def _check_failed(self, call: RoutedCall, head, relay: AnswerRelay) -> None:
         """Raise AttemptFailed for an upstream's error that a repeat may mend."""
         may_repeat = (
@@ -378,33 +255,6 @@
         if head.status >= SERVER_ERROR_STATUS and may_repeat:
             raise AttemptFailed(FailureReason.FAILED, f"answered {head.status}")
 
-    def _note_failure(
-        self,
-        call: RoutedCall,
-        upstream: Upstream,
-        exc: AttemptFailed,
-        started_at_s: float,
-    ) -> None:
-        call.tried.add(upstream.upstream_id)
-        load = self._loads.of(upstream.upstream_id)
-        health = load.health
-        suspended = False
-        is_busy = exc.reason is FailureReason.SILENT and load.heard_at_s > started_at_s
-        if is_busy or exc.reason in DECLINED:
-            health.note_full(now_s())
-        elif exc.reason is FailureReason.WRONG_INSTANCE:
-            health.note_replaced(now_s())
-        elif exc.reason in UNREACHED:
-            suspended = health.note_unreached(now_s())
-        else:
-            suspended = health.note_failure(now_s())
-        if suspended:
-            self._log.write(
-                Event.UPSTREAM_SUSPENDED,
-                upstream=upstream.upstream_id,
-                reason=exc.reason.value,
-            )
-
     async def _note_crash(
         self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
     ) -> None:
@@ -447,22 +297,6 @@
             longest_pause_s=relay.longest_pause_s,
         )
 
-    def _note_placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
-        candidate = choice.candidate
-        self._log.write(
-            Event.CALL_PLACED,
-            request=call.call_id,
-            route=call.route.name,
-            stage=stage,
-            upstream=candidate.upstream.upstream_id,
-            cost_s=choice.cost_s,
-            requests=candidate.requests,
-            prompt_tokens=candidate.prompt_tokens,
-            left_s=call.remaining_s(),
-            input_tokens=call.prompt.input_tokens if call.prompt else 0,
-            own_tokens=call.prompt.own_tokens if call.prompt else 0,
-        )
-
 
 def _out_of_time(call: RoutedCall) -> RequestError:
     if call.ran is Ran.NO and not call.offered:
--- /dev/null
+++ b/wisteriaarch/request/candidates.py
@@ -0,0 +1,83 @@
+"""Upstreams that may take a call now, with what is known of their load."""
+
+from collections.abc import Callable
+
+import curio
+
+from ..process.cache_belief import CacheBelief
+from ..process.clock import now_s
+from ..process.upstream_loads import UpstreamLoads
+from ..process.upstreams import Upstream, UpstreamRegistry
+from ..version.route_table import EngineSpec, RouteTable
+from .placement import Candidate, can_run, relative_paces
+from .routed_call import RoutedCall
+
+SETTLING_WAIT_S = 0.6
+SETTLING_POLL_S = 0.05
+
+
+class CandidateFinder:
+    """Puts together registrations, loads and beliefs about caches."""
+
+    def __init__(
+        self,
+        registry: UpstreamRegistry,
+        routes: Callable[[], RouteTable | None],
+        loads: UpstreamLoads,
+        cache: CacheBelief,
+    ):
+        self._registry = registry
+        self._routes = routes
+        self._loads = loads
+        self._cache = cache
+
+    def engine_of(self, service: str) -> EngineSpec | None:
+        """Return what the engines of a service have in common; None without any."""
+        table = self._routes()
+        spec = table.services.get(service) if table else None
+        return spec.engine if spec else None
+
+    async def find(self, call: RoutedCall) -> list[Candidate]:
+        """Return the candidates; waits a little where registrations are returning.
+
+        Load pattern: all entries start again, or the store is back, and callers are
+        there before the upstreams' registrations.
+        """
+        waited_s = 0.0
+        while True:
+            candidates = self.now(call)
+            if any(can_run(item) for item in candidates):
+                return candidates
+            if waited_s >= SETTLING_WAIT_S or not self._registry.is_settling():
+                return candidates
+            await curio.sleep(SETTLING_POLL_S)
+            waited_s += SETTLING_POLL_S
+
+    def now(self, call: RoutedCall) -> list[Candidate]:
+        """Return the candidates as of now, untried ones where there are any."""
+        usable = self._registry.usable(call.service)
+        fresh = [item for item in usable if item.upstream_id not in call.tried]
+        return relative_paces([self._candidate(item, call) for item in fresh or usable])
+
+    def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
+        name = upstream.upstream_id
+        load = self._loads.of(name)
+        now = now_s()
+        return Candidate(
+            upstream,
+            requests=self._loads.requests(name),
+            prompt_tokens=self._loads.prompt_tokens(name),
+            pace=load.pace.at(now),
+            failure_share=load.health.failure_share(now),
+            suspended=load.health.is_suspended(now),
+            full=load.health.is_full(now),
+            holds_shared=self._holds_shared(upstream, call),
+        )
+
+    def _holds_shared(self, upstream: Upstream, call: RoutedCall) -> bool:
+        engine = self.engine_of(call.service)
+        if call.prompt is None or engine is None:
+            return False
+        return self._cache.holds(
+            upstream.upstream_id, call.prompt.first_part, engine.cache_tokens
+        )
--- /dev/null
+++ b/wisteriaarch/request/prompt_reader.py
@@ -0,0 +1,85 @@
+"""Has prompts read apart, by engines of the stage that does nothing else."""
+
+from ..connection.pool import UpstreamPool
+from ..errors import WireError
+from ..process.clock import now_s
+from ..process.upstream_loads import UpstreamLoads
+from .attempt_notes import AttemptNotes
+from .exchange import Exchange
+from .outcomes import AttemptFailed, FailureReason
+from .placement import Choice
+from .prefill_rate import PrefillRate
+from .routed_call import RoutedCall
+from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
+from .urgency import urgency_of
+
+PREFILL_OVERHEAD_S = 0.03
+SUCCESS_STATUS = 200
+
+
+class PromptReader:
+    """Runs prefill calls, and learns the engines' speed from them."""
+
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        protocol: UpstreamProtocol,
+        loads: UpstreamLoads,
+        notes: AttemptNotes,
+    ):
+        self._pool = pool
+        self._protocol = protocol
+        self._loads = loads
+        self._notes = notes
+        self._rate = PrefillRate()
+
+    @property
+    def rate(self) -> float:
+        """Tokens that an engine reads in a second."""
+        return self._rate.value
+
+    async def read(
+        self, call: RoutedCall, choice: Choice, tokens_read: int
+    ) -> PromptMemory:
+        """Return the memory of a prompt; raises AttemptFailed, always for "not run".
+
+        ``tokens_read`` is how many tokens the engine is expected to read.
+        """
+        upstream = choice.candidate.upstream
+        self._notes.placed(call, choice, "prefill")
+        started_at_s = now_s()
+        try:
+            with self._loads.sending(upstream.upstream_id, tokens_read):
+                memory = await self._exchange(call, choice)
+        except AttemptFailed as exc:
+            self._notes.failed(call, upstream, exc, started_at_s)
+            # The prompt was read at most; the request itself has not run.
+            raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
+        self._note_time(call, choice, now_s() - started_at_s)
+        return memory
+
+    async def _exchange(self, call: RoutedCall, choice: Choice) -> PromptMemory:
+        upstream = choice.candidate.upstream
+        urgency = urgency_of(call.prompt.own_tokens)
+        options = RunOptions(fetch_from=choice.fetch_from, urgency=urgency)
+        req = self._protocol.prefill_request(call, upstream, options)
+        async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
+            head = await self._notes.send(exchange, req, call)
+            body = await exchange.read_body()
+            if head.status != SUCCESS_STATUS:
+                raise AttemptFailed(FailureReason.DECLINED, f"answered {head.status}")
+            try:
+                return self._protocol.read_memory(upstream, body)
+            except WireError as exc:
+                raise AttemptFailed(FailureReason.MALFORMED, str(exc)) from exc
+
+    def _note_time(self, call: RoutedCall, choice: Choice, elapsed_s: float) -> None:
+        load = self._loads.of(choice.candidate.upstream.upstream_id)
+        load.health.note_success(now_s())
+        # Whether shared parts were in memory isn't known: slow is only what takes
+        # longer than reading all of the prompt.
+        queued_tokens = choice.candidate.prompt_tokens
+        tokens = queued_tokens + call.prompt.input_tokens
+        whole_s = PREFILL_OVERHEAD_S + tokens / self.rate
+        load.pace.note(max(elapsed_s, whole_s), whole_s, now_s())
+        self._rate.note(call.prompt, queued_tokens, elapsed_s)
