Forget what is known of an upstream that is gone or has restarted

Cause: a server may start again under its id with nothing in its memory; entries went on to believe in its cache, and loads of upstreams that are gone were kept for ever. The functions that forget were there and not called (found by reading).

Change: the registry tells of gone and restarted upstreams (another start time); cache belief and loads drop them. Tests of both.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -297,6 +297,12 @@
         belief.note(PlacedPart("u", "p3", 10))
         self.assertTrue(belief.holds("u", "p3", 500))
 
+    def test_restarted_engine_holds_nothing(self):
+        belief = CacheBelief()
+        belief.note(PlacedPart("u", "p", 10))
+        belief.forget("u")
+        self.assertFalse(belief.holds("u", "p", 1e9))
+
     def test_unknown_engine_holds_nothing(self):
         self.assertFalse(CacheBelief().holds("u", "p", 1e9))
 
--- a/tests/test_row_watch.py
+++ b/tests/test_row_watch.py
@@ -145,6 +145,17 @@
         self.registry.update([self.upstream("a")])
         self.assertEqual(self.usable(), ["a"])
 
+    def test_restart_under_the_same_id_is_noticed(self):
+        lost = []
+        self.registry.on_lost = lost.append
+        self.registry.update([self.upstream("a", started_at_ms=1)])
+        self.registry.update([self.upstream("a", started_at_ms=1)])
+        self.assertEqual(lost, [])
+        self.registry.update([self.upstream("a", started_at_ms=2)])
+        self.assertEqual(lost, ["a"])
+        self.registry.update([])
+        self.assertEqual(lost, ["a", "a"])
+
     def test_registry_settles_after_the_start_and_after_a_return(self):
         self.assertTrue(self.registry.is_settling())
         self.registry.update([])
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -96,6 +96,7 @@
         self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
         self._peers.hooks.crash_records = self._runner.crashes.export
         self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
+        self.state.registry.on_lost = self._forget_upstream
         self._callers = CallerServer(partial(CallerConnection, app=self))
 
     async def __aenter__(self) -> "Gateway":
@@ -173,6 +174,10 @@
         retry = settings.retry
         self.retries.configure(retry.ratio, retry.slack, retry.window_s)
 
+    def _forget_upstream(self, upstream_id: str) -> None:
+        self._runner.cache.forget(upstream_id)
+        self.loads.forget(upstream_id)
+
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
         table = await self.state.wait_for_routes(FIRST_ROUTES_WAIT_S)
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -137,9 +137,9 @@
                 work.requests, work.prefill_tokens, heard_at_s
             )
 
-    def forget_except(self, upstream_ids: set[str]) -> None:
-        """Drop what is known of upstreams that are gone and have nothing in flight."""
-        for upstream_id in list(self._loads):
-            load = self._loads[upstream_id]
-            if upstream_id not in upstream_ids and not load.requests:
-                del self._loads[upstream_id]
+    def forget(self, upstream_id: str) -> None:
+        """Drop what is known of an upstream, unless something is in flight there."""
+        load = self._loads.get(upstream_id)
+        if load is not None and not load.requests:
+            del self._loads[upstream_id]
+            self._peers.pop(upstream_id, None)
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -42,9 +42,16 @@
 
     Registrations lapse while the store is away and return shortly after it. One that is
     missing then is kept until ``RETURN_GRACE_S`` after the store's return.
+    ``on_lost`` is called with the id of an upstream that is gone or has restarted.
     """
 
-    def __init__(self, regained_at_s: Callable[[], float | None], log: EventLog):
+    def __init__(
+        self,
+        regained_at_s: Callable[[], float | None],
+        log: EventLog,
+        on_lost: Callable[[str], None] = lambda _upstream_id: None,
+    ):
+        self.on_lost = on_lost
         self._regained_at_s = regained_at_s
         self._log = log
         self._listed: dict[str, Upstream] = {}
@@ -69,6 +76,8 @@
             self._log.write(
                 Event.UPSTREAM_LISTED, upstream=name, service=upstreams[name].service
             )
+        for name in upstreams.keys() & self._listed.keys():
+            self._note_restart(self._listed[name], upstreams[name])
         self._listed = upstreams
         self._index()
 
@@ -76,8 +85,16 @@
         held = self._in_grace() and not upstream.leaving
         if held:
             self._missing[upstream.upstream_id] = upstream
+        else:
+            self.on_lost(upstream.upstream_id)
         self._log.write(Event.UPSTREAM_GONE, upstream=upstream.upstream_id, kept=held)
 
+    def _note_restart(self, known: Upstream, new: Upstream) -> None:
+        if known.started_at_ms == new.started_at_ms:
+            return
+        self.on_lost(new.upstream_id)
+        self._log.write(Event.ENGINE_RESTARTED, upstream=new.upstream_id)
+
     def _in_grace(self) -> bool:
         regained_at_s = self._regained_at_s()
         return regained_at_s is not None and now_s() - regained_at_s < RETURN_GRACE_S
