Let a call wait for reports that are due before it is refused

Change: Router.awaits_news tells whether an engine of the call was not asked since the configuration came into force, or for 2 s; such a call waits for at most 1 s. An engine that was asked and does not answer is no reason to wait: refused at once as before.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -4,7 +4,13 @@
 from wisteriaarch.emulator.scheduler import expected_text
 from wisteriaarch.events import Event
 
-from .support import ClusterTestCase, caller_spec, manifest_content
+from .support import (
+    AUTHORIZATION,
+    MODEL,
+    ClusterTestCase,
+    caller_spec,
+    manifest_content,
+)
 
 
 class PathTest(ClusterTestCase):
@@ -19,6 +25,17 @@
         self.assertTrue(answer.body.endswith(b"data: [DONE]\n\n"))
         self.assertEqual(answer.body.count(b"\n\n"), 5)
 
+    def test_first_call_of_a_new_entry_waits_for_its_first_reports(self):
+        """Its list of engines is there before it has asked any of them."""
+        self.cluster.start_entry("entry-new", load_poll_every_s=0.5)
+        process = self.process("entry-new")
+        body = {"model": MODEL, "prompt": "first", "max_tokens": 1}
+        while True:
+            answer = process.request("POST", "/v1/completions", body, AUTHORIZATION)
+            if answer.status != 503 or answer.json()["kind"] != "stale_manifest":
+                break
+        self.assertEqual(answer.status, 200, answer.body)
+
     def test_unknown_model_is_named(self):
         problem = self.complete({"model": "absent"}).json()
         self.assertEqual(problem["kind"], "unknown_model")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -7,11 +7,12 @@
 
 from wisteriaarch.errors import RequestError
 from wisteriaarch.events import EventLog
+from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.digest import SentWork
 from wisteriaarch.process.loads import LoadBoard, choose_subset
 from wisteriaarch.process.work import SentRequest
 from wisteriaarch.request.prediction import PercentilePredictor
-from wisteriaarch.request.routing import Router
+from wisteriaarch.request.routing import ASKED_LATELY_S, Router
 from wisteriaarch.request.scoring import PredictedScorer
 from wisteriaarch.version.head import Head
 from wisteriaarch.version.manifest import GroupSpec
@@ -131,6 +132,23 @@
             views[0].report = None
             self.choose(views)
 
+    def test_news_are_awaited_where_engines_were_not_asked_lately(self):
+        views = make_views(2)
+        fleet = ListedFleet(views)
+        router, directive, call = make_router(fleet), fleet.directive(), make_call()
+        for view in views:
+            view.report = None
+        self.assertTrue(router.awaits_news(call, directive), "never asked")
+        for view in views:
+            view.asked_at_s = now_s()
+        self.assertFalse(router.awaits_news(call, directive), "asked just now")
+        later = Directive(directive.head, directive.manifest)
+        self.assertTrue(router.awaits_news(call, later), "another configuration")
+        for view in views:
+            view.asked_at_s = now_s() - 2 * ASKED_LATELY_S
+        before = Directive(directive.head, directive.manifest, since_s=0.0)
+        self.assertTrue(router.awaits_news(call, before), "paused since")
+
     def test_decision_at_64_candidates_meets_its_target(self):
         fleet = ListedFleet(make_views(64, running=3, prefill=200))
         router, directive = make_router(fleet), fleet.directive()
--- a/wisteriaarch/process/loads.py
+++ b/wisteriaarch/process/loads.py
@@ -108,12 +108,14 @@
 
     async def _poll(self, instance: Instance) -> None:
         view = self.view(instance)
+        asked_at_s = now_s()
         try:
             async with curio.timeout_after(POLL_TIMEOUT_S):
                 view.take_report(view.reader.read(await _fetch_load(view)))
         except (curio.TaskTimeout, OSError, WireError, KeyError):
             view.report = None
             await _close_poll_conn(view)
+        view.asked_at_s = asked_at_s
 
 
 def _is_active(view: UpstreamView) -> bool:
--- a/wisteriaarch/process/upstream_view.py
+++ b/wisteriaarch/process/upstream_view.py
@@ -52,6 +52,7 @@
     prefill_per_step: float = 0.0
     report_valid_s: float = MAX_REPORT_AGE_S
     last_sent_s: float = NEVER_S
+    asked_at_s: float = NEVER_S
     _sent_at_report: LoadEstimate = field(default_factory=LoadEstimate)
     _sent_at_poll: LoadEstimate = field(default_factory=LoadEstimate)
 
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -1,11 +1,12 @@
 """Choice of the upstream for one attempt."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from functools import singledispatch, singledispatchmethod
 
 from ..errors import ErrorKind, RequestError
 from ..events import Event, EventLog
+from ..process.clock import now_s
 from ..process.fleet import Fleet
 from ..process.loads import LoadBoard
 from ..process.upstream_view import UpstreamView
@@ -19,6 +20,8 @@
 SAMPLE_MAX = 10
 CANDIDATES_LOGGED = 4
 TIE_SHARE = 0.05
+ENGINE_KIND = "engine"
+ASKED_LATELY_S = 2.0
 
 
 class Router:
@@ -72,6 +75,21 @@
         candidates.sort(key=lambda candidate: candidate.score)
         return candidates
 
+    def awaits_news(self, call: Call, directive: Directive) -> bool:
+        """Whether a report that is due may show an upstream that can run the call.
+
+        So it is just after a start, a pause of this process, or a change of the
+        configuration: upstreams were not asked since then.
+        """
+        oldest_s = max(directive.since_s, now_s() - ASKED_LATELY_S)
+        return any(
+            instance is not None
+            and instance.kind == ENGINE_KIND
+            and not instance.leaving
+            and self._loads.view(instance).asked_at_s < oldest_s
+            for instance in map(self._fleet.get, _names(call, directive))
+        )
+
     def _pick(self, candidates: list[Candidate]) -> Candidate:
         """Pick at random among near ties, so that entries don't all pick the same."""
         bound = candidates[0].score * (1 + TIE_SHARE)
@@ -91,13 +109,12 @@
                 return False
             return _serves(view, call)
 
-        group = directive.manifest.groups_by_name[call.model.group]
         owner = self._owners.find(call.prefixes)
-        return self._sampled(group.upstreams, head, excluded, is_fit, owner)
+        return self._sampled(_names(call, directive), head, excluded, is_fit, owner)
 
     @_views.register
     def _(self, call: ServiceCall, directive, excluded) -> list[UpstreamView]:
-        names = call.service.upstreams
+        names = _names(call, directive)
         return self._sampled(names, directive.head, excluded, lambda _view: True)
 
     def _sampled(
@@ -133,6 +150,22 @@
         yield from names
 
 
+@singledispatch
+def _names(call: Call, directive: Directive) -> Sequence[str]:
+    """Return the upstreams that the call's target has."""
+    raise TypeError(f"calls of type {type(call).__name__} can't be routed")
+
+
+@_names.register
+def _(call: CompletionCall, directive: Directive) -> Sequence[str]:
+    return directive.manifest.groups_by_name[call.model.group].upstreams
+
+
+@_names.register
+def _(call: ServiceCall, directive: Directive) -> Sequence[str]:
+    return call.service.upstreams
+
+
 @singledispatch
 def _note_version(call: Call, view: UpstreamView) -> None:
     """Note which version the attempt on ``view`` asks for."""
--- a/wisteriaarch/request/runner.py
+++ b/wisteriaarch/request/runner.py
@@ -32,6 +32,7 @@
 RETRY_AFTER_S = 1.0
 UPSTREAM_WAIT_S = 5.0
 UPSTREAM_POLL_S = 0.1
+NEWS_WAIT_S = 1.0
 
 
 class RequestRunner:
@@ -142,13 +143,20 @@
     async def _choose(
         self, call: Call, excluded: ExcludedUpstreams, wait_s: float
     ) -> UpstreamView:
-        """Choose an upstream, waiting for one where the call has been under way."""
-        give_up_at_s = now_s() + wait_s
+        """Choose an upstream; waits where one may show itself soon.
+
+        That is the case for a call that has been under way, and while this entry's
+        knowledge of the upstreams is older than its configuration.
+        """
+        began_at_s = now_s()
         while True:
+            directive = self._directive()
             try:
-                return self._router.choose(call, self._directive(), excluded.names())
+                return self._router.choose(call, directive, excluded.names())
             except RequestError:
-                if now_s() >= give_up_at_s:
+                news = self._router.awaits_news(call, directive)
+                limit_s = max(wait_s, NEWS_WAIT_S if news else 0.0)
+                if now_s() - began_at_s >= limit_s:
                     raise
             await curio.sleep(UPSTREAM_POLL_S)
 
--- a/wisteriaarch/version/publication.py
+++ b/wisteriaarch/version/publication.py
@@ -1,9 +1,10 @@
 """Publication of manifests and upstream marks by one conditional write each."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..errors import ConfigError, WriteConflict
+from ..process.clock import now_s
 from ..process.store import InstanceList, ObjectStore, TableStore
 from ..steps import Step, reach
 from .head import HEAD_KEY, HEAD_TABLE, Head, UpstreamMark
@@ -18,10 +19,11 @@
 
 @dataclass(frozen=True)
 class Directive:
-    """What is in force: a head and its manifest."""
+    """What is in force, and since when here: a head and its manifest."""
 
     head: Head
     manifest: Manifest
+    since_s: float = field(default_factory=now_s, compare=False)
 
 
 @dataclass(frozen=True)
