Tell neighbours at once of long prompts that are placed

Change: connection/peer_news.py, one task and one connection for each neighbour, sends work in flight, placed parts and crashes when a prompt of 2,048 tokens or more begins or ends to be read, and at a crash; no answer is expected. Placements carry a number, so that they are counted once in whatever order messages come.

--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -30,6 +30,7 @@
             None,
             RetryShare(0.2, 50, 10.0, lambda: 1),
             StageBusyness(lambda: 1),
+            None,
             log,
         )
         route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 5.0, 1.0)
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -4,7 +4,7 @@
 
 from wisteriaarch.errors import Ran, RequestError
 from wisteriaarch.process.cache_belief import CacheBelief
-from wisteriaarch.process.digest import PlacedPart, SentWork
+from wisteriaarch.process.digest import SentWork
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
 from wisteriaarch.process.upstreams import Stage, Upstream
@@ -294,7 +294,7 @@
     def test_peers_learn_each_part_once(self):
         one, two = CacheBelief(), CacheBelief()
         for number in range(3):
-            one.note(PlacedPart("u", f"p{number}", 100))
+            one.note("u", f"p{number}", 100)
             two.absorb("one", tuple(one.export()))
         self.assertTrue(two.holds("u", "p0", 1000))
         self.assertEqual(two._engines["u"].added_tokens, 300)
@@ -302,15 +302,15 @@
     def test_least_recently_used_parts_yield(self):
         belief = CacheBelief()
         for number in range(5):
-            belief.note(PlacedPart("u", f"p{number}", 100))
+            belief.note("u", f"p{number}", 100)
         self.assertFalse(belief.holds("u", "p0", 500))
         self.assertTrue(belief.holds("u", "p4", 500))
-        belief.note(PlacedPart("u", "p3", 10))
+        belief.note("u", "p3", 10)
         self.assertTrue(belief.holds("u", "p3", 500))
 
     def test_restarted_engine_holds_nothing(self):
         belief = CacheBelief()
-        belief.note(PlacedPart("u", "p", 10))
+        belief.note("u", "p", 10)
         belief.forget("u")
         self.assertFalse(belief.holds("u", "p", 1e9))
 
--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -33,11 +33,15 @@
 
 
 class MessageKind(IntEnum):
-    """What a message is; a reader answers an unknown kind with its heartbeat."""
+    """What a message is; a reader answers an unknown kind with its heartbeat.
+
+    NEWS isn't answered. Its digest leaves out what is known of other entries.
+    """
 
     HEARTBEAT = 1
     MANIFEST_QUERY = 2
     MANIFEST = 3
+    NEWS = 4
 
 
 @dataclass(frozen=True)
@@ -131,7 +135,7 @@
         ),
         needs_manifest=digest.needsManifest,
         placed_parts=tuple(
-            PlacedPart(item.upstream, item.part, item.tokens)
+            PlacedPart(item.upstream, item.part, item.tokens, item.number)
             for item in digest.placedParts
         ),
     )
@@ -165,7 +169,12 @@
         ],
         "needsManifest": digest.needs_manifest,
         "placedParts": [
-            {"upstream": item.upstream, "part": item.part_id, "tokens": item.tokens}
+            {
+                "upstream": item.upstream,
+                "part": item.part_id,
+                "tokens": item.tokens,
+                "number": item.number,
+            }
             for item in digest.placed_parts
         ],
     }
--- a/wisteriaarch/connection/peer.py
+++ b/wisteriaarch/connection/peer.py
@@ -50,6 +50,10 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the socket."""
         await self._sock.close()
 
     async def send(
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -9,6 +9,7 @@
 from ..events import Event, EventLog
 from ..process.backoff import Backoff
 from ..process.clock import now_s
+from ..process.digest import PeerDigest
 from ..process.fleet import Fleet
 from ..process.heartbeat import DigestHooks, HeartbeatComposer
 from ..process.membership import Membership
@@ -20,12 +21,12 @@
 from ..wire import Address
 from .codec import MessageKind, PeerMessage
 from .peer import PeerConnection
+from .peer_news import PeerNews
 
 RETRY_MAX_S = 1.0
 MIN_EXCHANGE_TIMEOUT_S = 2.0
 SILENT_HEARTBEATS = 8
 DIAL_AFTER_HEARTBEATS = 4
-ANNOUNCE_GAP_S = 0.05
 
 
 class PeerNetwork:
@@ -52,7 +53,7 @@
         self._connected: set[Instance] = set()
         self._rng = random.Random(settings.seed)
         self._tasks: dict[Instance, curio.Task] = {}
-        self._news = curio.Event()
+        self._news = PeerNews(self._compose_news, log)
 
     async def run(self) -> None:
         """Accept peers and keep a task for each neighbour, for ever."""
@@ -62,31 +63,13 @@
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(serve_clients, sock, self._serve_peer)
                 await group.spawn(self._follow_neighbours)
-                await group.spawn(self._tell_news)
         finally:
             for task in self._tasks.values():
                 await task.cancel()
 
     async def announce(self) -> None:
-        """Let the neighbours know at once what heartbeats carry, beside those."""
-        await self._news.set()
-
-    async def _tell_news(self) -> None:
-        while True:
-            await self._news.wait()
-            self._news.clear()
-            async with curio.TaskGroup() as group:
-                for peer in self._tasks:
-                    await group.spawn(self._tell, peer)
-            await curio.sleep(ANNOUNCE_GAP_S)
-
-    async def _tell(self, peer: Instance) -> None:
-        try:
-            async with await PeerConnection.connect(peer.peer_address) as conn:
-                composer = HeartbeatComposer(self._membership, self.hooks)
-                await self._ask(conn, composer, peer.instance_id)
-        except (OSError, WisteriaError) as exc:
-            self._log.write(Event.PEER_NOT_TOLD, peer=peer.instance_id, error=str(exc))
+        """Let the neighbours know at once of work, placed parts and crashes."""
+        await self._news.announce()
 
     async def _follow_neighbours(self) -> None:
         while True:
@@ -112,6 +95,11 @@
         return {entries[name] for name in names}
 
     async def _follow_peer(self, peer: Instance) -> None:
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._keep_heartbeats, peer)
+            await group.spawn(self._news.follow, peer)
+
+    async def _keep_heartbeats(self, peer: Instance) -> None:
         backoff = Backoff(self._every_s, RETRY_MAX_S, self._rng)
         lost = False
         while True:
@@ -177,6 +165,9 @@
         try:
             while True:
                 message = await conn.receive(self._timeout_s)
+                if message.kind == MessageKind.NEWS:
+                    self._absorb(message.digest)
+                    continue
                 if peer_id is None:
                     peer_id = message.digest.entry.entry_id
                     self._accepted[peer_id] += 1
@@ -210,13 +201,19 @@
     async def _take_in(self, conn: PeerConnection, message: PeerMessage) -> None:
         digest = message.digest
         self._membership.note(digest, conn.written_after_s(message))
-        self.hooks.absorb_crash_records(digest.crash_records)
-        self.hooks.absorb_sent_work(digest.entry.entry_id, digest.sent_work)
-        self.hooks.absorb_placed_parts(digest.entry.entry_id, digest.placed_parts)
+        self._absorb(digest)
         if message.manifest is not None:
             await self._install_copy(message)
         await self._watcher.learn(self._membership.highest_generation())
 
+    def _absorb(self, digest: PeerDigest) -> None:
+        self.hooks.absorb_crash_records(digest.crash_records)
+        self.hooks.absorb_sent_work(digest.entry.entry_id, digest.sent_work)
+        self.hooks.absorb_placed_parts(digest.entry.entry_id, digest.placed_parts)
+
+    def _compose_news(self) -> PeerDigest:
+        return HeartbeatComposer(self._membership, self.hooks).compose_news()
+
     async def _install_copy(self, message: PeerMessage) -> None:
         try:
             await self._watcher.install_copy(message.manifest)
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -90,13 +90,13 @@
             self._pool,
             self.retries,
             StageBusyness(self._count_entries),
+            self._peers.announce,
             self.log,
         )
         self._peers.hooks.placed_parts = self._runner.cache.export
         self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
         self._peers.hooks.crash_records = self._runner.crashes.export
         self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
-        self._runner.on_crash = self._peers.announce
         self.state.registry.on_lost = self._forget_upstream
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -6,9 +6,12 @@
 know, without asking any engine.
 """
 
+import itertools
+import random
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import partial
 
 from .clock import now_s
 from .digest import PlacedPart
@@ -17,6 +20,8 @@
 USABLE_SHARE = 0.5
 TOLD_FOR_S = 0.8
 PARTS_KEPT = 4096
+NUMBERS_KEPT = 256
+NUMBER_BITS = 62
 
 
 @dataclass
@@ -53,11 +58,15 @@
         self._clock = clock
         self._engines: dict[str, EngineMemory] = defaultdict(EngineMemory)
         self._told: deque[tuple[float, PlacedPart]] = deque()
-        self._heard: dict[str, deque[PlacedPart]] = {}
+        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
+        self._heard: dict[str, deque[int]] = defaultdict(
+            partial(deque, maxlen=NUMBERS_KEPT)
+        )
 
-    def note(self, placed: PlacedPart) -> None:
+    def note(self, upstream_id: str, part_id: str, tokens: int) -> None:
         """Take in a prompt that this entry placed; peers are told of it."""
-        self._engines[placed.upstream].note(placed.part_id, placed.tokens)
+        placed = PlacedPart(upstream_id, part_id, tokens, next(self._numbers))
+        self._engines[upstream_id].note(part_id, tokens)
         self._told.append((self._clock(), placed))
 
     def holds(self, upstream_id: str, part_id: str, capacity_tokens: float) -> bool:
@@ -76,21 +85,12 @@
 
     def absorb(self, peer_id: str, parts: tuple[PlacedPart, ...]) -> None:
         """Take in what a peer placed, where it wasn't told before."""
-        known = self._heard.get(peer_id, deque())
-        repeated = _overlap(known, parts)
-        for placed in parts[repeated:]:
-            self._engines[placed.upstream].note(placed.part_id, placed.tokens)
-        self._heard[peer_id] = deque(parts)
+        heard = self._heard[peer_id]
+        for placed in parts:
+            if placed.number not in heard:
+                heard.append(placed.number)
+                self._engines[placed.upstream].note(placed.part_id, placed.tokens)
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an engine that has restarted or is gone."""
         self._engines.pop(upstream_id, None)
-
-
-def _overlap(known: deque[PlacedPart], parts: tuple[PlacedPart, ...]) -> int:
-    """Return how many of the first ``parts`` are the last ones of ``known``."""
-    known_list = list(known)
-    for length in range(min(len(known_list), len(parts)), 0, -1):
-        if known_list[-length:] == list(parts[:length]):
-            return length
-    return 0
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -26,11 +26,13 @@
     """Shared part of a prompt that an engine was given.
 
     ``tokens`` is how many tokens the whole prompt has added to the engine's memory.
+    ``number`` tells it apart from others of the same entry, as it is told repeatedly.
     """
 
     upstream: str
     part_id: str
     tokens: int
+    number: int = 0
 
 
 @dataclass(frozen=True)
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -1,7 +1,7 @@
 """Composition of heartbeats, with a bound on what one carries."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 
 from .digest import CrashRecord, EntryRecord, PeerDigest, PlacedPart, SentWork
@@ -57,13 +57,20 @@
 
     def compose(self, receiver_id: str | None, needs_manifest: bool) -> PeerDigest:
         """Return the digest to send now."""
-        return PeerDigest(
-            entry=self._membership.own(),
+        return replace(
+            self.compose_news(),
             others=self._others(receiver_id),
-            crash_records=tuple(islice(self._hooks.crash_records(), CRASH_RECORDS_MAX)),
-            sent_work=tuple(islice(self._hooks.sent_work(), SENT_WORK_MAX)),
             needs_manifest=needs_manifest,
-            placed_parts=tuple(islice(self._hooks.placed_parts(), PLACED_PARTS_MAX)),
+        )
+
+    def compose_news(self) -> PeerDigest:
+        """Return what all neighbours are told at once: nothing of other entries."""
+        hooks = self._hooks
+        return PeerDigest(
+            entry=self._membership.own(),
+            crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
+            sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
+            placed_parts=tuple(islice(hooks.placed_parts(), PLACED_PARTS_MAX)),
         )
 
     def _others(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -1,6 +1,6 @@
 """Runs a call on a route to its final answer: placement, attempts and repeats."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import curio
 
@@ -9,7 +9,6 @@
 from ..events import Event, EventLog
 from ..process.cache_belief import PART_MIN_TOKENS, CacheBelief
 from ..process.clock import now_s
-from ..process.digest import PlacedPart
 from ..process.upstream_loads import UpstreamLoads
 from ..process.upstreams import Stage, Upstream, UpstreamRegistry
 from ..version.route_table import RouteTable
@@ -31,7 +30,7 @@
     plan_stages,
     tokens_to_read,
 )
-from .prompt_reader import PromptReader
+from .prompt_reader import LONG_READING_TOKENS, Announce, PromptReader
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .stage_busyness import StageBusyness
@@ -61,6 +60,7 @@
         pool: UpstreamPool,
         retries: RetryShare,
         busyness: StageBusyness,
+        announce: Announce,
         log: EventLog,
     ):
         self._zone = zone
@@ -71,10 +71,10 @@
         self._log = log
         self.cache = CacheBelief()
         self.crashes = CrashLedger()
-        self.on_crash: Callable[[], Awaitable[None]] | None = None
+        self._announce = announce
         self._finder = CandidateFinder(registry, routes, loads, self.cache)
         self._notes = AttemptNotes(loads, log)
-        self._reader = PromptReader(pool, protocol, loads, self._notes)
+        self._reader = PromptReader(pool, protocol, loads, self._notes, announce)
         self._busyness = busyness
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -188,7 +188,7 @@
         if prompt.shared_tokens < PART_MIN_TOKENS:
             return
         name = candidate.upstream.upstream_id
-        self.cache.note(PlacedPart(name, prompt.first_part, tokens))
+        self.cache.note(name, prompt.first_part, tokens)
 
     def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
@@ -231,6 +231,8 @@
         self._notes.placed(call, choice, "run")
         started_at_s = now_s()
         with self._loads.sending(upstream.upstream_id, prompt_tokens):
+            if prompt_tokens >= LONG_READING_TOKENS:
+                await self._announce()
             async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
                 try:
                     req = self._protocol.run_request(call, upstream, options)
@@ -272,8 +274,7 @@
             upstream=upstream.upstream_id,
             crashes=crashes,
         )
-        if self.on_crash is not None:
-            await self.on_crash()
+        await self._announce()
 
     def _note_answered(
         self,
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -1,5 +1,7 @@
 """Has prompts read apart, by engines of the stage that does nothing else."""
 
+from collections.abc import Awaitable, Callable
+
 from ..connection.pool import UpstreamPool
 from ..errors import WireError
 from ..process.clock import now_s
@@ -13,7 +15,11 @@
 from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
 from .urgency import urgency_of
 
+Announce = Callable[[], Awaitable[None]]
+
 PREFILL_OVERHEAD_S = 0.03
+# Reading takes longer than it takes the peers to hear of it.
+LONG_READING_TOKENS = 2048
 SUCCESS_STATUS = 200
 
 
@@ -26,11 +32,13 @@
         protocol: UpstreamProtocol,
         loads: UpstreamLoads,
         notes: AttemptNotes,
+        announce: Announce,
     ):
         self._pool = pool
         self._protocol = protocol
         self._loads = loads
         self._notes = notes
+        self._announce = announce
         self._rate = PrefillRate()
 
     @property
@@ -50,11 +58,15 @@
         started_at_s = now_s()
         try:
             with self._loads.sending(upstream.upstream_id, tokens_read):
+                if tokens_read >= LONG_READING_TOKENS:
+                    await self._announce()
                 memory = await self._exchange(call, choice)
         except AttemptFailed as exc:
             self._notes.failed(call, upstream, exc, started_at_s)
             # The prompt was read at most; the request itself has not run.
             raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
+        if tokens_read >= LONG_READING_TOKENS:
+            await self._announce()
         call.prompts_read += 1
         self._note_time(call, choice, now_s() - started_at_s)
         return memory
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -4,7 +4,7 @@
 
 struct Message {
   version @0 :UInt16;
-  kind @1 :UInt16;               # 1 heartbeat, 2 manifest query, 3 manifest
+  kind @1 :UInt16;               # 1 heartbeat, 2 manifest query, 3 manifest, 4 news
   sequence @2 :UInt64;           # grows with each heartbeat of the sender
   echo @3 :UInt64;               # last sequence received from the receiver; 0 for none
   digest @4 :Digest;
@@ -46,6 +46,7 @@
   upstream @0 :Text;
   part @1 :Text;                 # id of a shared part of a prompt
   tokens @2 :UInt32;             # added to the upstream's memory by the prompt
+  number @3 :UInt64;             # tells placements of the sender apart
 }
 
 struct Manifest {
