Tell read parts from those being read, and ask whoever may hold one

Change: a belief is NONE, MAYBE, READING or HELD. Parts become HELD when the engine's answer is there, told to the peers as well. Only HELD ones lower the cost of reading elsewhere; MAYBE ones are named as source all the same, since asking in vain costs nothing. In the first 20 s of an entry the homes of a part count as MAYBE. The share of memory that parts stay in is taken as 0.7, from 0.5.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -3,7 +3,7 @@
 import unittest
 
 from wisteriaarch.errors import Ran, RequestError
-from wisteriaarch.process.cache_belief import CacheBelief
+from wisteriaarch.process.cache_belief import CacheBelief, Holding
 from wisteriaarch.process.digest import SentWork
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
@@ -123,27 +123,29 @@
 
     def test_shared_part_is_copied_from_its_holder(self):
         items = fleet()
-        items[3] = candidate("d1", Stage.DECODE, holds_shared=True)
+        items[3] = candidate("d1", Stage.DECODE, holding=Holding.HELD)
         plan = plan_stages(items, prompt(17_000, 13_000), CALM, "z1", 0.15)
         self.assertEqual(plan.prefill.fetch_from.upstream_id, "d1")
 
     def test_holder_reads_by_itself_unless_its_queue_is_long(self):
-        holder = candidate("p0", Stage.PREFILL, holds_shared=True)
+        holder = candidate("p0", Stage.PREFILL, holding=Holding.HELD)
         idle = candidate("p1", Stage.PREFILL)
         long = prompt(17_000, 13_000)
         self.assertEqual(
             place_prefill([holder, idle], long, RATE, "z1").candidate, holder
         )
-        queued = candidate("p0", Stage.PREFILL, holds_shared=True, prompt_tokens=60_000)
+        queued = candidate(
+            "p0", Stage.PREFILL, holding=Holding.HELD, prompt_tokens=60_000
+        )
         choice = place_prefill([queued, idle], long, RATE, "z1", [queued])
         self.assertEqual(choice.candidate, idle)
 
     def test_runs_stay_with_their_shared_part_until_the_engine_is_full(self):
-        home = candidate("d0", Stage.DECODE, requests=4, holds_shared=True)
+        home = candidate("d0", Stage.DECODE, requests=4, holding=Holding.HELD)
         other = candidate("d1", Stage.DECODE)
         long = prompt(17_000, 13_000)
         self.assertEqual(place_decode([home, other], long, RATE, "z1").candidate, home)
-        full = candidate("d0", Stage.DECODE, requests=8, holds_shared=True)
+        full = candidate("d0", Stage.DECODE, requests=8, holding=Holding.HELD)
         self.assertEqual(place_decode([full, other], long, RATE, "z1").candidate, other)
 
     def test_homes_spread_and_move_only_with_their_engine(self):
@@ -296,26 +298,35 @@
         for number in range(3):
             one.note("u", f"p{number}", 100)
             two.absorb("one", tuple(one.export()))
-        self.assertTrue(two.holds("u", "p0", 1000))
+        before = tuple(one.export())
+        two.absorb("one", before[:1])
+        self.assertEqual(two.holding("u", "p0", 1000), Holding.READING)
         self.assertEqual(two._engines["u"].added_tokens, 300)
 
     def test_least_recently_used_parts_yield(self):
         belief = CacheBelief()
         for number in range(5):
-            belief.note("u", f"p{number}", 100)
-        self.assertFalse(belief.holds("u", "p0", 500))
-        self.assertTrue(belief.holds("u", "p4", 500))
-        belief.note("u", "p3", 10)
-        self.assertTrue(belief.holds("u", "p3", 500))
+            belief.note("u", f"p{number}", 100, ready=True)
+        self.assertEqual(belief.holding("u", "p0", 500), Holding.MAYBE)
+        self.assertEqual(belief.holding("u", "p4", 500), Holding.HELD)
+        belief.note("u", "p1", 10)
+        self.assertEqual(belief.holding("u", "p1", 500), Holding.HELD)
+
+    def test_part_is_held_once_it_was_read(self):
+        belief = CacheBelief()
+        belief.note("u", "p", 100)
+        self.assertEqual(belief.holding("u", "p", 500), Holding.READING)
+        belief.note("u", "p", 0, ready=True)
+        self.assertEqual(belief.holding("u", "p", 500), Holding.HELD)
 
     def test_restarted_engine_holds_nothing(self):
         belief = CacheBelief()
-        belief.note("u", "p", 10)
+        belief.note("u", "p", 10, ready=True)
         belief.forget("u")
-        self.assertFalse(belief.holds("u", "p", 1e9))
+        self.assertEqual(belief.holding("u", "p", 1e9), Holding.NONE)
 
     def test_unknown_engine_holds_nothing(self):
-        self.assertFalse(CacheBelief().holds("u", "p", 1e9))
+        self.assertEqual(CacheBelief().holding("u", "p", 1e9), Holding.NONE)
 
 
 class CrashLedgerTest(unittest.TestCase):
--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -135,7 +135,7 @@
         ),
         needs_manifest=digest.needsManifest,
         placed_parts=tuple(
-            PlacedPart(item.upstream, item.part, item.tokens, item.number)
+            PlacedPart(item.upstream, item.part, item.tokens, item.number, item.ready)
             for item in digest.placedParts
         ),
     )
@@ -174,6 +174,7 @@
                 "part": item.part_id,
                 "tokens": item.tokens,
                 "number": item.number,
+                "ready": item.ready,
             }
             for item in digest.placed_parts
         ],
--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -11,44 +11,69 @@
 from collections import defaultdict, deque
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from enum import IntEnum
 from functools import partial
 
 from .clock import now_s
 from .digest import PlacedPart
 
 PART_MIN_TOKENS = 512
-USABLE_SHARE = 0.5
+USABLE_SHARE = 0.7
+YOUNG_S = 20.0
 TOLD_FOR_S = 0.8
 PARTS_KEPT = 4096
 NUMBERS_KEPT = 256
 NUMBER_BITS = 62
 
 
+class Holding(IntEnum):
+    """What is believed of a prompt part at one engine, from the least to the most.
+
+    MAYBE is one that was there and may have yielded since, READING one that the engine
+    has begun to read or will read before anything that is placed on it now.
+    """
+
+    NONE = 0
+    MAYBE = 1
+    READING = 2
+    HELD = 3
+
+
+@dataclass
+class PartUse:
+    """Last use of a part: tokens ever added by then, and whether it was read."""
+
+    added_tokens: int
+    ready: bool
+
+
 @dataclass
 class EngineMemory:
     """Least recently used parts yield: a part goes once enough others came after it.
 
-    ``added_tokens`` counts all tokens ever added, ``used_at`` its value at the last use
-    of each part.
+    ``added_tokens`` counts all tokens ever added.
     """
 
     added_tokens: int = 0
-    used_at: dict[str, int] = field(default_factory=dict)
+    uses: dict[str, PartUse] = field(default_factory=dict)
 
-    def note(self, part_id: str, tokens: int) -> None:
+    def note(self, part_id: str, tokens: int, ready: bool) -> None:
         """Take in the use of a part by a prompt that added ``tokens``."""
         self.added_tokens += tokens
-        self.used_at.pop(part_id, None)
-        self.used_at[part_id] = self.added_tokens
-        if len(self.used_at) > PARTS_KEPT:
-            del self.used_at[next(iter(self.used_at))]
-
-    def holds(self, part_id: str, capacity_tokens: float) -> bool:
-        """Whether a part is probably still there."""
-        used_at = self.used_at.get(part_id)
-        if used_at is None:
-            return False
-        return self.added_tokens - used_at < capacity_tokens
+        known = self.uses.pop(part_id, None)
+        ready = ready or (known is not None and known.ready)
+        self.uses[part_id] = PartUse(self.added_tokens, ready)
+        if len(self.uses) > PARTS_KEPT:
+            del self.uses[next(iter(self.uses))]
+
+    def holding(self, part_id: str, capacity_tokens: float) -> Holding:
+        """Return what is believed of a part."""
+        use = self.uses.get(part_id)
+        if use is None:
+            return Holding.NONE
+        if self.added_tokens - use.added_tokens >= capacity_tokens:
+            return Holding.MAYBE
+        return Holding.HELD if use.ready else Holding.READING
 
 
 class CacheBelief:
@@ -56,6 +81,7 @@
 
     def __init__(self, clock: Callable[[], float] = now_s):
         self._clock = clock
+        self._started_at_s = clock()
         self._engines: dict[str, EngineMemory] = defaultdict(EngineMemory)
         self._told: deque[tuple[float, PlacedPart]] = deque()
         self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
@@ -63,18 +89,27 @@
             partial(deque, maxlen=NUMBERS_KEPT)
         )
 
-    def note(self, upstream_id: str, part_id: str, tokens: int) -> None:
+    def is_young(self) -> bool:
+        """Whether engines may hold much that was placed before this entry started."""
+        return self._clock() - self._started_at_s < YOUNG_S
+
+    def note(
+        self, upstream_id: str, part_id: str, tokens: int, ready: bool = False
+    ) -> None:
         """Take in a prompt that this entry placed; peers are told of it."""
-        placed = PlacedPart(upstream_id, part_id, tokens, next(self._numbers))
-        self._engines[upstream_id].note(part_id, tokens)
+        number = next(self._numbers)
+        placed = PlacedPart(upstream_id, part_id, tokens, number, ready)
+        self._engines[upstream_id].note(part_id, tokens, ready)
         self._told.append((self._clock(), placed))
 
-    def holds(self, upstream_id: str, part_id: str, capacity_tokens: float) -> bool:
-        """Whether an engine probably holds a part."""
+    def holding(
+        self, upstream_id: str, part_id: str, capacity_tokens: float
+    ) -> Holding:
+        """Return what is believed of a part at an engine."""
         memory = self._engines.get(upstream_id)
         if memory is None:
-            return False
-        return memory.holds(part_id, USABLE_SHARE * capacity_tokens)
+            return Holding.NONE
+        return memory.holding(part_id, USABLE_SHARE * capacity_tokens)
 
     def export(self) -> Iterator[PlacedPart]:
         """Return what was placed of late; each part is told several times."""
@@ -89,7 +124,8 @@
         for placed in parts:
             if placed.number not in heard:
                 heard.append(placed.number)
-                self._engines[placed.upstream].note(placed.part_id, placed.tokens)
+                memory = self._engines[placed.upstream]
+                memory.note(placed.part_id, placed.tokens, placed.ready)
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an engine that has restarted or is gone."""
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -27,12 +27,14 @@
 
     ``tokens`` is how many tokens the whole prompt has added to the engine's memory.
     ``number`` tells it apart from others of the same entry, as it is told repeatedly.
+    With ``ready`` the part has been read; before, the engine has begun or will begin.
     """
 
     upstream: str
     part_id: str
     tokens: int
     number: int = 0
+    ready: bool = False
 
 
 @dataclass(frozen=True)
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -25,6 +25,7 @@
     Choice,
     FleetPace,
     can_run,
+    holders_of,
     place_decode,
     place_service_call,
     plan_stages,
@@ -154,7 +155,7 @@
         )
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
-        copies = [item for item in candidates if item.holds_shared]
+        copies = holders_of(candidates)
         reads_apart = plan.prefill is not None and self._retries.take_for_reading(
             call.service, call.prompts_read
         )
@@ -169,6 +170,9 @@
         tokens = int(tokens_to_read(call.prompt, plan.prefill.candidate, copies))
         self._note_reading(call, plan.prefill, Stage.PREFILL, tokens)
         memory = await self._reader.read(call, plan.prefill, tokens)
+        self._note_part(call, memory.upstream, 0, ready=True)
+        if tokens >= LONG_READING_TOKENS:
+            await self._announce()
         try:
             await self._run_with_memory(call, memory, relay)
         finally:
@@ -179,16 +183,15 @@
     ) -> None:
         slowdown = DIRECT_SLOWDOWN if stage is Stage.DECODE else 1.0
         self._busyness.note(stage, slowdown * tokens / self._reader.rate)
-        self._note_placed_part(call, choice.candidate, tokens)
+        self._note_part(call, choice.candidate.upstream, tokens, ready=False)
 
-    def _note_placed_part(
-        self, call: RoutedCall, candidate: Candidate, tokens: int
+    def _note_part(
+        self, call: RoutedCall, upstream: Upstream, tokens: int, ready: bool
     ) -> None:
         prompt = call.prompt
-        if prompt.shared_tokens < PART_MIN_TOKENS:
+        if prompt is None or prompt.shared_tokens < PART_MIN_TOKENS:
             return
-        name = candidate.upstream.upstream_id
-        self.cache.note(name, prompt.first_part, tokens)
+        self.cache.note(upstream.upstream_id, prompt.first_part, tokens, ready)
 
     def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
@@ -215,7 +218,7 @@
         moved = call.prompt.own_tokens
         if not choice.candidate.holds_shared:
             moved += call.prompt.shared_tokens
-        self._note_placed_part(call, choice.candidate, moved)
+        self._note_part(call, choice.candidate.upstream, moved, ready=False)
         options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
@@ -290,6 +293,7 @@
         else:
             load.health.note_success(now_s())
             self.crashes.note_success(call)
+            self._note_part(call, upstream, 0, ready=True)
         if relay.first_at_s is not None:
             work = f"{call.route.name} {'apart' if options.memory else 'direct'}"
             elapsed_s = relay.first_at_s - started_at_s
--- a/wisteriaarch/request/candidates.py
+++ b/wisteriaarch/request/candidates.py
@@ -4,12 +4,12 @@
 
 import curio
 
-from ..process.cache_belief import CacheBelief
+from ..process.cache_belief import PART_MIN_TOKENS, CacheBelief, Holding
 from ..process.clock import now_s
 from ..process.upstream_loads import UpstreamLoads
 from ..process.upstreams import Upstream, UpstreamRegistry
 from ..version.route_table import EngineSpec, RouteTable
-from .placement import Candidate, can_run, relative_paces
+from .placement import Candidate, can_run, guess_holders, relative_paces
 from .routed_call import RoutedCall
 
 SETTLING_WAIT_S = 0.6
@@ -57,7 +57,10 @@
         """Return the candidates as of now, untried ones where there are any."""
         usable = self._registry.usable(call.service)
         fresh = [item for item in usable if item.upstream_id not in call.tried]
-        return relative_paces([self._candidate(item, call) for item in fresh or usable])
+        candidates = [self._candidate(item, call) for item in fresh or usable]
+        if self._cache.is_young() and _shares_much(call):
+            candidates = guess_holders(candidates, call.prompt)
+        return relative_paces(candidates)
 
     def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
         name = upstream.upstream_id
@@ -71,13 +74,17 @@
             failure_share=load.health.failure_share(now),
             suspended=load.health.is_suspended(now),
             full=load.health.is_full(now),
-            holds_shared=self._holds_shared(upstream, call),
+            holding=self._holding(upstream, call),
         )
 
-    def _holds_shared(self, upstream: Upstream, call: RoutedCall) -> bool:
+    def _holding(self, upstream: Upstream, call: RoutedCall) -> Holding:
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
-            return False
-        return self._cache.holds(
+            return Holding.NONE
+        return self._cache.holding(
             upstream.upstream_id, call.prompt.first_part, engine.cache_tokens
         )
+
+
+def _shares_much(call: RoutedCall) -> bool:
+    return call.prompt is not None and call.prompt.shared_tokens >= PART_MIN_TOKENS
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
 
+from ..process.cache_belief import Holding
 from ..process.upstreams import Stage, Upstream
 from .routed_call import Prompt
 
@@ -31,7 +32,7 @@
 
     ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
     much longer than others it takes, ``failure_share`` of recent attempts failed.
-    ``holds_shared`` says that its memory probably has the prompt's shared parts.
+    ``holding`` is what is believed of the prompt's shared parts in its memory.
     """
 
     upstream: Upstream
@@ -41,7 +42,12 @@
     failure_share: float = 0.0
     suspended: bool = False
     full: bool = False
-    holds_shared: bool = False
+    holding: Holding = Holding.NONE
+
+    @property
+    def holds_shared(self) -> bool:
+        """Whether it need not read the shared parts for a prompt placed on it now."""
+        return self.holding >= Holding.READING
 
 
 @dataclass(frozen=True)
@@ -83,6 +89,36 @@
     return item.upstream.stage is not Stage.PREFILL
 
 
+def holders_of(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return those that others can copy the shared parts from."""
+    return [item for item in candidates if item.holding is Holding.HELD]
+
+
+def guess_holders(
+    candidates: Sequence[Candidate], prompt: Prompt
+) -> Sequence[Candidate]:
+    """Take the homes of a prompt for engines that may hold its shared parts.
+
+    Load pattern: entries start again, know nothing of what was placed before, and would
+    have all prompts read anew.
+    """
+    if any(item.holding for item in candidates):
+        return candidates
+    homes = {
+        find_home(prompt.first_part, group)
+        for group in (
+            [item for item in candidates if not can_run(item)],
+            [item for item in candidates if can_run(item)],
+        )
+    }
+    return [
+        replace(item, holding=Holding.MAYBE)
+        if item.upstream.upstream_id in homes
+        else item
+        for item in candidates
+    ]
+
+
 def relative_paces(candidates: Sequence[Candidate]) -> list[Candidate]:
     """Return the candidates with paces against the best one of each stage.
 
@@ -190,15 +226,15 @@
     """
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
     decodes = [item for item in candidates if can_run(item)]
-    copies = [item for item in candidates if item.holds_shared]
+    copies = holders_of(candidates)
     direct = place_direct(decodes, prompt, fleet.rate, zone, copies)
     apart = place_prefill(prefills, prompt, fleet.rate, zone, copies)
     if direct is None:
         return StagePlan(None, None)
     if apart is None:
         return StagePlan(None, direct)
-    apart = _with_source(apart, copies)
-    direct = _with_source(direct, copies)
+    apart = _with_source(apart, candidates)
+    direct = _with_source(direct, candidates)
     direct_tokens = tokens_to_read(prompt, direct.candidate, copies)
     apart_tokens = tokens_to_read(prompt, apart.candidate, copies)
     direct_read_s = DIRECT_SLOWDOWN * direct_tokens / fleet.rate
@@ -225,15 +261,25 @@
     return tokens * DIRECT_SLOWDOWN / rate <= READING_SHARE_OF_PAUSE * pause_s
 
 
-def _with_source(choice: Choice, copies: Sequence[Candidate]) -> Choice:
-    """Name an engine to copy the shared parts from, where the chosen one lacks them."""
+def _with_source(choice: Choice, candidates: Sequence[Candidate]) -> Choice:
+    """Name an engine to copy the shared parts from, where the chosen one lacks them.
+
+    One that may hold them is asked as well: where it doesn't, nothing is lost.
+    """
     if choice.candidate.holds_shared:
         return choice
-    others = [item for item in copies if not item.suspended]
-    if not others:
+    sources = [
+        item
+        for item in candidates
+        if item.holding in (Holding.HELD, Holding.MAYBE) and not item.suspended
+    ]
+    if not sources:
         return choice
     zone = choice.candidate.upstream.zone
-    source = min(others, key=lambda item: (item.upstream.zone != zone, item.requests))
+    source = min(
+        sources,
+        key=lambda item: (-item.holding, item.upstream.zone != zone, item.requests),
+    )
     return replace(choice, fetch_from=source.upstream)
 
 
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -65,8 +65,6 @@
             self._notes.failed(call, upstream, exc, started_at_s)
             # The prompt was read at most; the request itself has not run.
             raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
-        if tokens_read >= LONG_READING_TOKENS:
-            await self._announce()
         call.prompts_read += 1
         self._note_time(call, choice, now_s() - started_at_s)
         return memory
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -47,6 +47,7 @@
   part @1 :Text;                 # id of a shared part of a prompt
   tokens @2 :UInt32;             # added to the upstream's memory by the prompt
   number @3 :UInt64;             # tells placements of the sender apart
+  ready @4 :Bool;                # the part has been read
 }
 
 struct Manifest {
