Let late long prompts wait at their entry, so that fresh ones find short queues

Change: request/reading_turn.py decides, request/planner.py carries it out (it took the planning out of call_runner). A prompt of 2,048 tokens or more goes at once where it can be in time or its engine has under 0.08 s of work; else it waits until then, at the longest until it must start to reach a caller who leaves after 2 s, four objectives or eight pauses. Ruled out: the engines' own urgency, which orders admission only.

What binds in the long run is that three or four of twelve engines read while the others are nearly idle: stages have to follow the mix (not built).

--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -67,6 +67,9 @@
     CALL_WAITED_FOR_PART = EventKind(
         314, logbook.INFO, "call waited for a prompt part that was being read"
     )
+    CALL_DEFERRED = EventKind(
+        315, logbook.INFO, "call waited until engines could read its prompt"
+    )
     MEMORY_NOT_RELEASED = EventKind(313, logbook.INFO, "unused memory can't be freed")
     REQUEST_ROUTED = EventKind(300, logbook.INFO, "request routed")
     REQUEST_RETRIED = EventKind(301, logbook.INFO, "attempt failed; trying another")
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -1,7 +1,6 @@
 """Runs a call on a route to its final answer: placement, attempts and repeats."""
 
 from collections.abc import Callable
-from functools import partial
 
 import curio
 
@@ -22,20 +21,16 @@
 from .outcomes import AttemptFailed, FailureReason, worse
 from .placement import (
     DIRECT_SLOWDOWN,
-    Candidate,
     Choice,
-    FleetPace,
     can_run,
-    holders_of,
     place_decode,
     place_service_call,
-    plan_stages,
-    tokens_to_read,
 )
-from .prompt_reader import LONG_READING_TOKENS, Announce, PromptReader
+from .planner import CompletionPlanner
+from .prompt_reader import Announce, PromptReader
+from .reading_turn import LONG_READING_TOKENS
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
-from .shared_reading import wait_for_part
 from .stage_busyness import StageBusyness
 from .upstream_protocol import (
     PromptMemory,
@@ -79,6 +74,9 @@
         self._notes = AttemptNotes(loads, log)
         self._reader = PromptReader(pool, protocol, loads, self._notes, announce)
         self._busyness = busyness
+        self._planner = CompletionPlanner(
+            zone, self._finder, busyness, lambda: self._reader.rate, log
+        )
         self._memories = MemoryKeeper(pool, protocol, log)
 
     async def run(self, call: RoutedCall, sink: CallSink) -> None:
@@ -143,36 +141,24 @@
             choice = place_service_call(candidates, self._zone)
             await self._run_on(call, choice, relay, RunOptions())
             return
-        candidates = await wait_for_part(
-            call, partial(self._finder.now, call), self._reader.rate, self._log
-        )
-        await self._run_completion(call, candidates, relay)
+        await self._run_completion(call, relay)
 
-    async def _run_completion(
-        self, call: RoutedCall, candidates: list[Candidate], relay: AnswerRelay
-    ) -> None:
-        plan = plan_stages(
-            candidates,
-            call.prompt,
-            self._fleet_pace(candidates),
-            self._zone,
-            call.route.pause_s,
-        )
+    async def _run_completion(self, call: RoutedCall, relay: AnswerRelay) -> None:
+        plan = await self._planner.plan(call)
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
-        copies = holders_of(candidates)
         reads_apart = plan.prefill is not None and self._retries.take_for_reading(
             call.service, call.prompts_read
         )
         if not reads_apart:
-            tokens = int(tokens_to_read(call.prompt, plan.decode.candidate, copies))
+            tokens = plan.decode.tokens
             self._note_reading(call, plan.decode, Stage.DECODE, tokens)
             options = RunOptions(
                 fetch_from=plan.decode.fetch_from, resume_after=relay.resume_after
             )
             await self._run_on(call, plan.decode, relay, options, tokens)
             return
-        tokens = int(tokens_to_read(call.prompt, plan.prefill.candidate, copies))
+        tokens = plan.prefill.tokens
         self._note_reading(call, plan.prefill, Stage.PREFILL, tokens)
         memory = await self._reader.read(call, plan.prefill, tokens)
         self._note_part(call, memory.upstream, 0, ready=True)
@@ -198,15 +184,6 @@
             return
         self.cache.note(upstream.upstream_id, prompt.first_part, tokens, ready)
 
-    def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
-        prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
-        decodes = len(candidates) - prefills
-        return FleetPace(
-            self._reader.rate,
-            self._busyness.share(Stage.PREFILL, prefills),
-            self._busyness.share(Stage.DECODE, decodes),
-        )
-
     async def _run_with_memory(
         self, call: RoutedCall, memory: PromptMemory, relay: AnswerRelay
     ) -> None:
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -55,12 +55,14 @@
     """Candidate with its predicted cost.
 
     ``fetch_from`` is an upstream whose cache probably holds the shared parts of the
-    prompt; copying them takes a fraction of reading them.
+    prompt; copying them takes a fraction of reading them. ``tokens`` is how many tokens
+    it is expected to read.
     """
 
     candidate: Candidate
     cost_s: float
     fetch_from: Upstream | None = None
+    tokens: int = 0
 
 
 @dataclass(frozen=True)
@@ -231,17 +233,15 @@
     apart = place_prefill(prefills, prompt, fleet.rate, zone, copies)
     if direct is None:
         return StagePlan(None, None)
+    direct = _with_source(direct, prompt, candidates)
     if apart is None:
         return StagePlan(None, direct)
-    apart = _with_source(apart, candidates)
-    direct = _with_source(direct, candidates)
-    direct_tokens = tokens_to_read(prompt, direct.candidate, copies)
-    apart_tokens = tokens_to_read(prompt, apart.candidate, copies)
-    direct_read_s = DIRECT_SLOWDOWN * direct_tokens / fleet.rate
+    apart = _with_source(apart, prompt, candidates)
+    direct_read_s = DIRECT_SLOWDOWN * direct.tokens / fleet.rate
     direct_s = direct.cost_s + waiting_s(direct_read_s, fleet.busy_decode)
     apart_s = apart.cost_s + MOVE_COST_S
-    apart_s += waiting_s(apart_tokens / fleet.rate, fleet.busy_prefill)
-    waiting_tokens = direct.candidate.prompt_tokens + direct_tokens
+    apart_s += waiting_s(apart.tokens / fleet.rate, fleet.busy_prefill)
+    waiting_tokens = direct.candidate.prompt_tokens + direct.tokens
     if direct_s < apart_s and _fits_pause(waiting_tokens, fleet.rate, pause_s):
         return StagePlan(None, direct)
     return StagePlan(apart, direct)
@@ -261,11 +261,16 @@
     return tokens * DIRECT_SLOWDOWN / rate <= READING_SHARE_OF_PAUSE * pause_s
 
 
-def _with_source(choice: Choice, candidates: Sequence[Candidate]) -> Choice:
+def _with_source(
+    choice: Choice, prompt: Prompt, candidates: Sequence[Candidate]
+) -> Choice:
     """Name an engine to copy the shared parts from, where the chosen one lacks them.
 
     One that may hold them is asked as well: where it doesn't, nothing is lost.
     """
+    copies = holders_of(candidates)
+    tokens = int(tokens_to_read(prompt, choice.candidate, copies))
+    choice = replace(choice, tokens=tokens)
     if choice.candidate.holds_shared:
         return choice
     sources = [
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -11,6 +11,7 @@
 from .outcomes import AttemptFailed, FailureReason
 from .placement import Choice
 from .prefill_rate import PrefillRate
+from .reading_turn import LONG_READING_TOKENS
 from .routed_call import RoutedCall
 from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
 from .urgency import urgency_of
@@ -18,8 +19,6 @@
 Announce = Callable[[], Awaitable[None]]
 
 PREFILL_OVERHEAD_S = 0.03
-# Reading takes longer than it takes the peers to hear of it.
-LONG_READING_TOKENS = 2048
 SUCCESS_STATUS = 200
 
 
