--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -13,6 +13,7 @@
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
 from wisteriaarch.process.upstreams import Stage, Upstream
+from wisteriaarch.request.candidate import Candidate, find_home, relative_paces
 from wisteriaarch.request.crash_ledger import CrashLedger
 from wisteriaarch.request.event_stream import EventFramer
 from wisteriaarch.request.outcomes import (
@@ -22,20 +23,16 @@
     worse,
 )
 from wisteriaarch.request.placement import (
-    Candidate,
-    FleetPace,
-    find_home,
     place_decode,
     place_prefill,
     place_service_call,
-    plan_stages,
-    relative_paces,
 )
 from wisteriaarch.request.reading_turn import ReadingForecast, Turn, choose_turn
 from wisteriaarch.request.retry_share import RetryShare
 from wisteriaarch.request.routed_call import Prompt, PromptPart, RoutedCall
 from wisteriaarch.request.shared_reading import wait_for_part, wait_limit_s
 from wisteriaarch.request.stage_busyness import StageBusyness
+from wisteriaarch.request.stage_plan import FleetPace, plan_stages
 from wisteriaarch.request.urgency import urgency_of
 from wisteriaarch.version.route_table import CallKind, Route
 from wisteriaarch.wire import Address
--- a/wisteriaarch/request/attempt_notes.py
+++ b/wisteriaarch/request/attempt_notes.py
@@ -4,9 +4,9 @@
 from ..process.clock import now_s
 from ..process.upstream_loads import UpstreamLoads
 from ..process.upstreams import Upstream
+from .candidate import Choice
 from .exchange import Exchange
 from .outcomes import AttemptFailed, FailureReason
-from .placement import Choice
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -14,18 +14,13 @@
 from ..version.route_table import RouteTable
 from .answer_relay import AnswerRelay, CallSink
 from .attempt_notes import AttemptNotes
-from .candidates import CandidateFinder
+from .candidate import Choice, can_run
+from .candidate_finder import CandidateFinder
 from .crash_ledger import CrashLedger
 from .exchange import Exchange, is_down
 from .memory_keeper import MemoryKeeper
 from .outcomes import AttemptFailed, FailureReason, worse
-from .placement import (
-    DIRECT_SLOWDOWN,
-    Choice,
-    can_run,
-    place_decode,
-    place_service_call,
-)
+from .placement import DIRECT_SLOWDOWN, place_decode, place_service_call
 from .planner import CompletionPlanner
 from .prompt_reader import Announce, PromptReader
 from .reading_turn import LONG_READING_TOKENS
--- /dev/null
+++ b/wisteriaarch/request/candidate.py
@@ -0,0 +1,130 @@
+"""Upstreams that may take a call, with what is known of them."""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
+
+from ..process.cache_belief import Holding
+from ..process.upstreams import Stage, Upstream
+from .routed_call import Prompt
+
+# Copying shared parts takes at most this share of reading them.
+COPIED_SHARE = 0.25
+
+
+@dataclass(frozen=True)
+class Candidate:
+    """Upstream with what is known of its load.
+
+    ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
+    much longer than others it takes, ``failure_share`` of recent attempts failed.
+    ``holding`` is what is believed of the prompt's shared parts in its memory.
+    """
+
+    upstream: Upstream
+    requests: int = 0
+    prompt_tokens: int = 0
+    pace: float = 1.0
+    failure_share: float = 0.0
+    suspended: bool = False
+    full: bool = False
+    holding: Holding = Holding.NONE
+
+    @property
+    def holds_shared(self) -> bool:
+        """Whether it need not read the shared parts of a prompt."""
+        return self.holding is Holding.HELD
+
+
+@dataclass(frozen=True)
+class Choice:
+    """Candidate with its predicted cost.
+
+    ``fetch_from`` is an upstream whose cache probably holds the shared parts of the
+    prompt; copying them takes a fraction of reading them. ``tokens`` is how many tokens
+    it is expected to read.
+    """
+
+    candidate: Candidate
+    cost_s: float
+    fetch_from: Upstream | None = None
+    tokens: int = 0
+
+
+def can_run(item: Candidate) -> bool:
+    """Whether an upstream runs calls itself, and not only reads prompts."""
+    return item.upstream.stage is not Stage.PREFILL
+
+
+def holders_of(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return those that others can copy the shared parts from."""
+    return [item for item in candidates if item.holds_shared]
+
+
+def guess_holders(
+    candidates: Sequence[Candidate], prompt: Prompt
+) -> Sequence[Candidate]:
+    """Take the homes of a prompt for engines that may hold its shared parts.
+
+    Load pattern: entries start again, know nothing of what was placed before, and would
+    have all prompts read anew.
+    """
+    if any(item.holding for item in candidates):
+        return candidates
+    homes = {
+        find_home(prompt.first_part, group)
+        for group in (
+            [item for item in candidates if not can_run(item)],
+            [item for item in candidates if can_run(item)],
+        )
+    }
+    return [
+        replace(item, holding=Holding.MAYBE)
+        if item.upstream.upstream_id in homes
+        else item
+        for item in candidates
+    ]
+
+
+def relative_paces(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the candidates with paces against the best one of each stage.
+
+    Load pattern: at a peak all upstreams take longer than usual. That makes none of
+    them a slow one, and says nothing about another stage.
+    """
+    best: dict[Stage | None, float] = {}
+    for item in candidates:
+        stage = item.upstream.stage
+        best[stage] = min(item.pace, best.get(stage, item.pace))
+    return [
+        replace(item, pace=item.pace / max(1.0, best[item.upstream.stage]))
+        for item in candidates
+    ]
+
+
+def tokens_to_read(
+    prompt: Prompt, item: Candidate, copies: Sequence[Candidate]
+) -> float:
+    """Return how many tokens an engine is expected to read for a prompt."""
+    if item.holds_shared:
+        return prompt.own_tokens
+    if copies:
+        return prompt.own_tokens + COPIED_SHARE * prompt.shared_tokens
+    return prompt.input_tokens
+
+
+def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
+    """Return the upstream that all entries expect to hold a shared prompt part.
+
+    Rendezvous hashing: where an upstream leaves, only its own parts move.
+    """
+    if not part_id:
+        return None
+
+    def rank(item: Candidate) -> bytes:
+        name = f"{part_id}@{item.upstream.upstream_id}"
+        return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+    usable = [item for item in candidates if not item.suspended]
+    best = max(usable, key=rank, default=None)
+    return best.upstream.upstream_id if best else None
--- a/wisteriaarch/request/candidates.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -9,7 +9,7 @@
 from ..process.upstream_loads import UpstreamLoads
 from ..process.upstreams import Upstream, UpstreamRegistry
 from ..version.route_table import EngineSpec, RouteTable
-from .placement import Candidate, can_run, guess_holders, relative_paces
+from .candidate import Candidate, can_run, guess_holders, relative_paces
 from .routed_call import RoutedCall
 
 SETTLING_WAIT_S = 0.6
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -7,9 +7,9 @@
 from ..process.clock import now_s
 from ..process.upstream_loads import UpstreamLoads
 from .attempt_notes import AttemptNotes
+from .candidate import Choice
 from .exchange import Exchange
 from .outcomes import AttemptFailed, FailureReason
-from .placement import Choice
 from .prefill_rate import PrefillRate
 from .reading_turn import LONG_READING_TOKENS
 from .routed_call import RoutedCall
--- a/wisteriaarch/request/shared_reading.py
+++ b/wisteriaarch/request/shared_reading.py
@@ -12,7 +12,7 @@
 from ..events import Event, EventLog
 from ..process.cache_belief import Holding
 from ..process.clock import now_s
-from .placement import Candidate
+from .candidate import Candidate
 from .routed_call import Prompt, RoutedCall
 
 WAIT_POLL_S = 0.02
