Wait for a shared part as long as its engine's queue takes

Cause: a call waited for a part that is being read for 1.5 times its own reading, while the first reader itself stood in a queue of up to 3 s; it then went to the engines and had the part read again.

Change: the wait may take 1.5 times what waits at the reading engine, still at most 0.3 of the time left.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -290,6 +290,13 @@
         self.assertGreater(limit_s, 13_000 / RATE)
         self.assertLess(limit_s, 2 * 13_000 / RATE)
 
+    def test_part_behind_a_queue_is_waited_for_longer(self):
+        items = fleet()
+        items[0] = candidate(
+            "p0", Stage.PREFILL, holding=Holding.READING, prompt_tokens=50_000
+        )
+        self.assertGreater(wait_limit_s(items, self.LONG, RATE), 50_000 / RATE)
+
     def test_no_wait_where_it_saves_nothing(self):
         items = fleet()
         self.assertEqual(wait_limit_s(items, self.LONG, RATE), 0.0)
--- a/wisteriaarch/request/shared_reading.py
+++ b/wisteriaarch/request/shared_reading.py
@@ -16,7 +16,7 @@
 from .routed_call import Prompt, RoutedCall
 
 WAIT_POLL_S = 0.02
-# How much longer than reading the part oneself the wait may take.
+# How much longer than predicted the wait may take.
 PATIENCE = 1.5
 WAIT_SHARE_OF_TIME_LEFT = 0.3
 SHARED_MIN_TOKENS = 2048
@@ -25,15 +25,17 @@
 def wait_limit_s(candidates: Sequence[Candidate], prompt: Prompt, rate: float) -> float:
     """Return how long to wait for a part that is being read; 0 where it doesn't pay.
 
-    ``rate`` is how many tokens an engine reads in a second.
+    The part is there once its engine has read all that waits there. ``rate`` is how
+    many tokens an engine reads in a second.
     """
     if prompt.shared_tokens < SHARED_MIN_TOKENS:
         return 0.0
     if any(item.holds_shared for item in candidates):
         return 0.0
-    if not any(_is_reading(item) for item in candidates):
+    queues = [item.prompt_tokens for item in candidates if _is_reading(item)]
+    if not queues:
         return 0.0
-    return PATIENCE * prompt.shared_tokens / rate
+    return PATIENCE * max(prompt.shared_tokens, *queues) / rate
 
 
 async def wait_for_part(
