--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -115,6 +115,7 @@
                 stderr=log,
                 env={**os.environ, **(variables or {})},
                 text=True,
+                start_new_session=True,
             )
         line = popen.stdout.readline()
         if not line.startswith("listening on "):
@@ -247,6 +248,7 @@
             stderr=subprocess.PIPE,
             env={**os.environ, **(variables or {})},
             text=True,
+            start_new_session=True,
         )
 
     def apply(self, manifest: dict, *options: str) -> subprocess.CompletedProcess:
--- a/extras/gateway_cluster.py
+++ b/extras/gateway_cluster.py
@@ -143,7 +143,10 @@
         command = [sys.executable, "-m", "wisteriaarch", "gateway", "--config"]
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
-                [*command, str(path)], stdout=log, stderr=subprocess.STDOUT
+                [*command, str(path)],
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                start_new_session=True,
             )
         # The cluster closes what it read from; the log is read by its path.
         popen.stdout = log_path.open("rb")
--- a/wisteriaarch/request/shared_reading.py
+++ b/wisteriaarch/request/shared_reading.py
@@ -5,7 +5,7 @@
 once it was read whole; at a peak this takes a sixth of all reading.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 import curio
 
@@ -43,9 +43,11 @@
     find: Callable[[], list[Candidate]],
     rate: float,
     log: EventLog,
+    clock: Callable[[], float] = now_s,
+    sleep: Callable[[float], Awaitable] = curio.sleep,
 ) -> list[Candidate]:
     """Return the candidates once no part that the call needs is worth waiting for."""
-    began_at_s = now_s()
+    began_at_s = clock()
     left_s = WAIT_SHARE_OF_TIME_LEFT * call.remaining_s()
     waited_s = 0.0
     while True:
@@ -53,8 +55,8 @@
         limit_s = min(left_s, wait_limit_s(candidates, call.prompt, rate))
         if waited_s >= limit_s:
             break
-        await curio.sleep(WAIT_POLL_S)
-        waited_s = now_s() - began_at_s
+        await sleep(min(WAIT_POLL_S, limit_s - waited_s))
+        waited_s = clock() - began_at_s
     if waited_s:
         log.write(Event.CALL_WAITED_FOR_PART, request=call.call_id, seconds=waited_s)
     return candidates
