--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -7,7 +7,33 @@
 from extras.gateway_cluster import HOST, GatewayCluster, is_ready
 
 
-class GatewayTestCase(unittest.TestCase):
+class RouteCluster(unittest.TestCase):
+    """Asks entries of a cluster, each of which the test starts."""
+
+    @classmethod
+    def ask(cls, method, path, attempt, entry, body=None, **headers):
+        all_headers = {
+            "Host": HOST,
+            "Attempt-Id": attempt,
+            "Deadline-Remaining": "1500",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        return request(entry.address, method, path, body, all_headers)
+
+    @classmethod
+    def ask_prompt(cls, path, attempt, tokens, entry, **headers):
+        shared = tokens // 2
+        parts = f"ab12:{shared},{attempt.encode().hex()[:16]}:{tokens - shared}"
+        headers = {
+            "Model": "m",
+            "Token_Counts": f"{tokens},40",
+            "Prefix_Hash": parts,
+            **headers,
+        }
+        return cls.ask("POST", path, attempt, entry, b"{}", **headers)
+
+
+class GatewayTestCase(RouteCluster):
     """One entry before two plain servers, an engine of each stage and a spare."""
 
     @classmethod
@@ -26,26 +52,12 @@
 
     @classmethod
     def send(cls, method, path, attempt, body=None, gateway=None, **headers):
-        all_headers = {
-            "Host": HOST,
-            "Attempt-Id": attempt,
-            "Deadline-Remaining": "1500",
-            **{name.replace("_", "-"): value for name, value in headers.items()},
-        }
-        address = (gateway or cls.gateway).address
-        return request(address, method, path, body, all_headers)
+        entry = gateway or cls.gateway
+        return cls.ask(method, path, attempt, entry, body, **headers)
 
     @classmethod
     def send_prompt(cls, path, attempt, tokens, **headers):
-        shared = tokens // 2
-        parts = f"ab12:{shared},{attempt.encode().hex()[:8]}:{tokens - shared}"
-        headers = {
-            "Model": "m",
-            "Token_Counts": f"{tokens},40",
-            "Prefix_Hash": parts,
-            **headers,
-        }
-        return cls.send("POST", path, attempt, b"{}", **headers)
+        return cls.ask_prompt(path, attempt, tokens, cls.gateway, **headers)
 
     def ran(self, attempt) -> list[str]:
         """Return the servers that ran a request, once for each run."""
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -7,13 +7,12 @@
 from wisteriaarch.errors import ErrorKind, Ran, RequestError
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.clock import now_s
-from wisteriaarch.process.upstream_loads import UpstreamLoads
+from wisteriaarch.process.fleet_knowledge import FleetKnowledge
 from wisteriaarch.process.upstreams import Upstream, UpstreamRegistry
 from wisteriaarch.request.call_runner import CallRunner
 from wisteriaarch.request.exchange import is_down
 from wisteriaarch.request.retry_share import RetryShare
 from wisteriaarch.request.routed_call import RoutedCall
-from wisteriaarch.request.stage_busyness import StageBusyness
 from wisteriaarch.version.route_table import CallKind, Route
 from wisteriaarch.wire import Address
 
@@ -24,12 +23,12 @@
         runner = CallRunner(
             "z1",
             None,
-            UpstreamRegistry(lambda: None, log),
+            FleetKnowledge.from_registry(
+                UpstreamRegistry(lambda: None, log), lambda: 1
+            ),
             lambda: None,
-            UpstreamLoads(),
             None,
             RetryShare(0.2, 50, 10.0, lambda: 1),
-            StageBusyness(lambda: 1),
             None,
             log,
         )
--- /dev/null
+++ b/tests/test_gateway_stages.py
@@ -0,0 +1,116 @@
+"""Stages that follow the demand, with real entries and the platform's stand-ins."""
+
+import signal
+import threading
+import time
+
+from extras.cluster import request, wait_until
+from extras.gateway_cluster import GatewayCluster, server_row
+from tests.gateway_support import RouteCluster
+
+DECODERS = tuple(f"dec-{number}" for number in range(1, 7))
+LEASE_TERM_MS = 800
+TOKENS = 12_000
+CALLERS = 4
+ORDER_WAIT_S = 20.0
+
+
+class StagesTest(RouteCluster):
+    """Two entries, one engine that reads prompts and six that run them."""
+
+    def setUp(self):
+        self.cluster = self.enterContext(GatewayCluster())
+        self.cluster.start_store()
+        for name in ("app-1", "app-2"):
+            self.cluster.start_server(name, "app")
+        self.cluster.start_server("pre-1", "llm", "prefill")
+        for name in DECODERS:
+            self.cluster.start_server(name, "llm", "decode")
+        first = self.start_entry(2)
+        self.entries = [first, self.start_entry(3, first.ports)]
+        for entry in self.entries:
+            wait_until(lambda entry=entry: self.send_prompt("/chat/w", "w", 9, entry))
+        self.statuses = []
+        self.loading = threading.Event()
+
+    def start_entry(self, number, ports=None):
+        return self.cluster.start_gateway(number, ports, lease_term_ms=LEASE_TERM_MS)
+
+    def load(self, *entries):
+        """Have long prompts sent to entries until the test ends."""
+        self.loading.set()
+        threads = [
+            threading.Thread(target=self.send_prompts, args=(entry, number))
+            for entry in entries
+            for number in range(CALLERS)
+        ]
+        for thread in threads:
+            thread.start()
+            self.addCleanup(thread.join)
+        self.addCleanup(self.loading.clear)
+
+    def send_prompts(self, entry, number):
+        count = 0
+        while self.loading.is_set():
+            count += 1
+            attempt = f"{entry.name}{number}x{count}"
+            self.statuses.append(self.send_prompt("/chat/x", attempt, TOKENS, entry))
+
+    def send_prompt(self, path, attempt, tokens, entry):
+        try:
+            return self.ask_prompt(path, attempt, tokens, entry).status
+        except OSError:
+            return 0
+
+    def orders(self):
+        """Return the orders that engines accepted, with the engines' names."""
+        return [
+            (name, order)
+            for name in DECODERS
+            for order in self.cluster.control(name)["orders"]
+        ]
+
+    def register_changes(self):
+        """Write the stages that engines have into their rows, as they do themselves."""
+        for name, order in self.orders():
+            row = server_row(self.cluster.processes[name], "llm", order["stage"])
+            self.cluster.write("servers", name, row)
+
+    def test_lasting_demand_for_reading_changes_a_stage_and_cuts_no_call(self):
+        self.load(*self.entries)
+        wait_until(self.orders, ORDER_WAIT_S)
+        self.register_changes()
+        time.sleep(1.0)
+        self.loading.clear()
+        (_name, order), *_more = self.orders()
+        self.assertEqual((order["op"], order["stage"]), ("stage", "prefill"))
+        self.assertEqual(order["if-rev"], 0)
+        self.assertEqual(set(self.statuses), {200})
+
+    def test_frozen_holder_is_followed_a_term_later_and_never_orders_again(self):
+        self.load(*self.entries)
+        wait_until(self.orders, ORDER_WAIT_S)
+        holder = self.orders()[0][1]["holder"]
+        frozen = next(item for item in self.entries if item.address.startswith(holder))
+        frozen.send_signal(signal.SIGSTOP)
+        self.addCleanup(frozen.send_signal, signal.SIGCONT)
+        frozen_at = time.monotonic()
+        before = len(self.orders())
+        wait_until(lambda: len(self.orders()) > before, ORDER_WAIT_S)
+        self.assertGreater(time.monotonic() - frozen_at, LEASE_TERM_MS / 1000)
+        frozen.send_signal(signal.SIGCONT)
+        time.sleep(1.0)
+        tokens = {}
+        for _name, order in self.orders():
+            tokens.setdefault(order["fencing-token"], set()).add(order["holder"])
+        self.assertGreater(len(tokens), 1)
+        self.assertTrue(all(len(holders) == 1 for holders in tokens.values()))
+
+    def test_stage_is_kept_while_the_store_is_away(self):
+        self.cluster.processes["store"].request("POST", "/emulate", {"refuse": 503})
+        self.load(*self.entries)
+        time.sleep(4.0)
+        self.loading.clear()
+        self.assertEqual(self.orders(), [])
+        answer = request(self.entries[0].metrics_address, "GET", "/metrics")
+        self.assertEqual(answer.status, 200)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,14 +7,14 @@
 import curio
 
 from extras.cluster import wait_until
-from wisteriaarch.errors import LeaseLost, WriteConflict
+from wisteriaarch.errors import LeaseLost
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.lease import CONTENDERS_MAX, Contender, Lease
 from wisteriaarch.process.settings import LeaseSettings
-from wisteriaarch.process.store import Row
 from wisteriaarch.steps import Step
 
 from .control_support import GROUP, LEASE, ControlTestCase, control_manifest
+from .lease_support import FakeTable
 
 PAIR = ("entry-1", "entry-2")
 LONG_LEASE = {**LEASE, "term_s": 30.0}
@@ -97,28 +97,6 @@
         self.assertEqual(self.epoch(), 2)
 
 
-class FakeTable:
-    """Rows in memory; each write takes ``write_s`` on the test's clock."""
-
-    def __init__(self):
-        self.now_s = 100.0
-        self.write_s = 0.0
-        self.rows = {}
-
-    async def read(self, table, key):
-        return self.rows.get((table, key), Row(table, key, 0, None))
-
-    async def write(self, transaction):
-        for item in (*transaction.puts, *transaction.checks):
-            row = await self.read(item.table, item.key)
-            if row.version != item.expected_version:
-                raise WriteConflict(item.key)
-        for put in transaction.puts:
-            version = put.expected_version + 1
-            self.rows[put.table, put.key] = Row(put.table, put.key, version, put.value)
-        self.now_s += self.write_s
-
-
 class LeaseTimeTest(unittest.TestCase):
     """The margins of time, on a clock that the test sets."""
 
@@ -160,6 +138,35 @@
         self.assertFalse(holder.is_held())
         self.assertEqual(contender.tenure.epoch, 2)
 
+    def test_successor_orders_a_term_after_the_last_order_that_was_possible(self):
+        """Holders must not give orders by turns within a term."""
+        holder, contender = self.lease("a"), self.lease("b")
+        self.advance(holder)
+        self.advance(contender)
+        holder_ends_at_s = holder.tenure.expires_at_s
+        self.advance(contender, 3.3)
+        self.assertTrue(contender.is_held())
+        self.table.now_s = holder_ends_at_s + 2.9
+        self.advance(contender)
+        self.assertFalse(contender.may_order())
+        self.table.now_s = holder_ends_at_s + 3.1
+        self.assertTrue(contender.may_order())
+
+    def test_successor_of_one_that_gave_it_up_orders_at_once(self):
+        holder, successor = self.lease("a"), self.lease("b")
+        self.advance(holder)
+        curio.run(holder.release)
+        self.advance(successor)
+        self.assertTrue(successor.may_order())
+
+    def test_restarted_holder_orders_as_soon_as_it_has_the_lease(self):
+        self.advance(self.lease("a"))
+        again = self.lease("a")
+        again._contender = Contender("a", "a-2")
+        self.advance(again)
+        self.advance(again, 3.3)
+        self.assertTrue(again.may_order())
+
     def test_few_of_many_entries_read_the_lease(self):
         names = [f"entry-{number}" for number in range(400)]
         readers = set()
--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -3,6 +3,8 @@
 import unittest
 
 from wisteriaarch.process.cache_belief import Holding
+from wisteriaarch.process.digest import ReadingDemand
+from wisteriaarch.process.stage_busyness import StageBusyness
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.candidate import find_home, relative_paces
 from wisteriaarch.request.placement import (
@@ -10,7 +12,6 @@
     place_prefill,
     place_service_call,
 )
-from wisteriaarch.request.stage_busyness import StageBusyness
 from wisteriaarch.request.stage_plan import FleetPace, plan_stages
 from wisteriaarch.request.urgency import urgency_of
 
@@ -156,6 +157,21 @@
         now[0] += 2.0
         self.assertLess(busy.share(Stage.DECODE, 3), 0.1)
 
+    def test_what_peers_place_counts_and_fades(self):
+        now = [0.0]
+        busy = StageBusyness(lambda: 3, lambda: now[0])
+        for peer in ("one", "two"):
+            busy.absorb(peer, ReadingDemand(prefill=0.9))
+        self.assertAlmostEqual(busy.engines_needed(Stage.PREFILL), 1.8)
+        now[0] = 2.0
+        self.assertEqual(busy.engines_needed(Stage.PREFILL), 0.0)
+
+    def test_entries_that_are_not_heard_are_taken_to_place_as_much(self):
+        busy = StageBusyness(lambda: 6, lambda: 0.0)
+        busy.note(Stage.DECODE, 0.1)
+        busy.absorb("one", ReadingDemand(decode=0.3))
+        self.assertAlmostEqual(busy.engines_needed(Stage.DECODE), 1.2)
+
     def test_share_is_bounded(self):
         busy = StageBusyness(lambda: 10, lambda: 0.0)
         busy.note(Stage.PREFILL, 100.0)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -5,17 +5,32 @@
 import random
 import unittest
 
-from wisteriaarch.errors import ConfigError, RequestError, StoreUnavailable
+import curio
+
+from extras.gateway_cluster import GatewayCluster
+from wisteriaarch.errors import (
+    ConfigError,
+    RequestError,
+    StoreUnavailable,
+    WireError,
+    WriteConflict,
+    WriteOutcomeUnknown,
+)
 from wisteriaarch.platform.callers import decode_call
+from wisteriaarch.platform.orders import PlatformOrders
 from wisteriaarch.platform.rows import decode_configuration, decode_upstream
-from wisteriaarch.platform.store import _rows_read
+from wisteriaarch.platform.store import PlatformStore, _rows_read
 from wisteriaarch.platform.upstreams import PlatformUpstreams
 from wisteriaarch.process.rows import StoredRow
+from wisteriaarch.process.store import Put, Transaction
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.upstream_protocol import PromptMemory, RunOptions
 from wisteriaarch.version.route_table import CallKind
+from wisteriaarch.version.stage_orders import EngineReport, StageOrder
 from wisteriaarch.wire import Address, HttpRequest, HttpResponse
 
+from .route_support import upstream
+
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -246,3 +261,77 @@
         for content in ([], {}, {"rows": [3], "ver": 1}, {"rows": [], "ver": "x"}):
             with self.subTest(content=content), self.assertRaises(StoreUnavailable):
                 _rows_read(content)
+
+
+class OrderMessageTest(unittest.TestCase):
+    def setUp(self):
+        self.orders = PlatformOrders()
+        self.engine = upstream("i-1", Stage.DECODE)
+
+    def test_order_carries_instance_token_and_last_order(self):
+        order = StageOrder(self.engine, Stage.PREFILL, "10.0.0.9", 41, 2)
+        req = self.orders.order_request(order)
+        self.assertEqual((req.method, req.target), ("POST", "/api/order"))
+        self.assertIn(("Expect-Instance", "i-1"), req.headers)
+        content = {
+            "op": "stage",
+            "stage": "prefill",
+            "holder": "10.0.0.9",
+            "fencing-token": 41,
+            "if-rev": 2,
+        }
+        self.assertEqual(json.loads(req.body), content)
+
+    def test_report(self):
+        body = b'{"stage":"decode","busy":false,"seq":2,"num-waiting":1}'
+        report = self.orders.read_report(body)
+        self.assertEqual(report, EngineReport(Stage.DECODE, False, 2))
+
+    def test_malformed_reports(self):
+        for body in (b"", b"[]", b"{}", b'{"stage":"x","busy":0,"seq":1}', b"\xff"):
+            with self.subTest(body=body), self.assertRaises(WireError):
+                self.orders.read_report(body)
+
+    def test_only_two_answers_accept_an_order(self):
+        for status in (200, 202, 400, 409, 412, 421, 503):
+            accepted = self.orders.is_accepted(HttpResponse(status, {}))
+            self.assertEqual(accepted, status in (200, 202))
+
+
+class StoreWriteTest(unittest.TestCase):
+    """Conditional writes against the stand-in of the store."""
+
+    def setUp(self):
+        cluster = self.enterContext(GatewayCluster())
+        cluster.start_store()
+        self.process = cluster.processes["store"]
+        self.store = PlatformStore(Address.parse(self.process.address))
+
+    def write(self, value, version):
+        put = Put("leases", "llm", value, version)
+        curio.run(self.store.write, Transaction((put,)))
+
+    def read(self):
+        return curio.run(self.store.read, "leases", "llm")
+
+    def test_row_is_written_on_its_condition_alone(self):
+        self.assertFalse(self.read().exists)
+        self.write({"holder": "a"}, 0)
+        row = self.read()
+        self.assertEqual(row.value, {"holder": "a"})
+        with self.assertRaises(WriteConflict):
+            self.write({"holder": "b"}, 0)
+        self.write({"holder": "c"}, row.version)
+        self.assertEqual(self.read().value, {"holder": "c"})
+        self.write(None, self.read().version)
+        self.assertFalse(self.read().exists)
+
+    def test_refused_write_is_told_from_a_lost_answer(self):
+        for refuse, error in ((503, StoreUnavailable), (500, WriteOutcomeUnknown)):
+            self.process.request("POST", "/emulate", {"refuse": refuse})
+            with self.subTest(refuse=refuse), self.assertRaises(error):
+                self.write({}, 0)
+        self.process.popen.kill()
+        self.process.wait()
+        with self.assertRaises(StoreUnavailable):
+            self.write({}, 0)
--- /dev/null
+++ b/tests/test_stage_control.py
@@ -0,0 +1,215 @@
+"""Orders that change stages: the lease, the fencing token and unanswered orders."""
+
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+import curio
+
+from wisteriaarch.errors import LeaseLost, OrderError, OrderRefused, OrderUnconfirmed
+from wisteriaarch.process.lease import Contender, Lease
+from wisteriaarch.process.settings import LeaseSettings
+from wisteriaarch.process.stage_changes import StageChanges
+from wisteriaarch.process.upstreams import Stage
+from wisteriaarch.version.stage_control import (
+    DECIDE_EVERY_S,
+    ORDER_TRIES,
+    REFUSED_PAUSE_S,
+    UNSETTLED_S,
+    StageControl,
+    StageView,
+)
+from wisteriaarch.version.stage_orders import EngineReport
+from wisteriaarch.version.stage_policy import StageDemand
+
+from .lease_support import FakeTable
+from .test_stage_decisions import engines
+
+TERM_S = 3.0
+SETTINGS = LeaseSettings(term_s=TERM_S, renew_every_s=0.75, drift_margin_s=0.3)
+SHORT = StageDemand(prefill=4.0, decode=0.5)
+CALM = StageDemand(prefill=0.5, decode=0.5)
+
+
+class FakeOrders:
+    """Engines that report and take orders; ``failure`` is raised by the next ones."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.given = []
+        self.failure = None
+        self.busy = False
+
+    async def report(self, upstream):
+        return EngineReport(upstream.stage, self.busy, 4)
+
+    async def deliver(self, order, lease):
+        lease.require(0.0)
+        self.given.append((self.clock(), order))
+        if self.failure is not None:
+            raise self.failure
+
+
+class Entry:
+    """Control of one entry on the clock of the table."""
+
+    def __init__(self, table, name, names, orders):
+        self.table = table
+        self.log = mock.Mock()
+        self.lease = Lease(
+            "llm", Contender(name, "1"), table, SETTINGS, lambda: names, self.log
+        )
+        self.changes = StageChanges(lambda: table.now_s)
+        self.engines = engines(1, 8)
+        self.demand = SHORT
+        self.orders = orders
+        self.announced = 0
+        self.control = StageControl(
+            "llm",
+            name,
+            self.lease,
+            self.view,
+            orders,
+            self.changes,
+            self.announce,
+            self.log,
+        )
+
+    def view(self):
+        engines = (
+            replace(item, stage=self.changes.target(item.upstream) or item.stage)
+            for item in self.engines
+        )
+        return StageView(tuple(engines), self.demand)
+
+    async def announce(self):
+        self.announced += 1
+
+    def events(self):
+        return [call.args[0].name for call in self.log.write.call_args_list]
+
+
+class StageControlTest(unittest.TestCase):
+    def setUp(self):
+        self.table = FakeTable()
+        for module in ("process.lease", "version.stage_control"):
+            clock = mock.patch(f"wisteriaarch.{module}.now_s", lambda: self.table.now_s)
+            self.enterContext(clock)
+        self.orders = FakeOrders(lambda: self.table.now_s)
+        self.names = ["entry-1", "entry-2"]
+        entries = [
+            Entry(self.table, name, self.names, self.orders) for name in self.names
+        ]
+        self.first, self.second = sorted(entries, key=lambda item: item.lease.rank)
+
+    def play(self, seconds, *entries):
+        """Let entries decide for some time; returns the orders given meanwhile."""
+        before = len(self.orders.given)
+
+        async def steps():
+            for entry in entries:
+                await entry.control.step()
+
+        for _ in range(round(seconds / DECIDE_EVERY_S)):
+            self.table.now_s += DECIDE_EVERY_S
+            curio.run(steps)
+        return self.orders.given[before:]
+
+    def test_nothing_is_written_in_the_calm(self):
+        self.first.demand = CALM
+        self.play(30.0, self.first)
+        self.assertEqual(self.table.rows, {})
+
+    def test_order_names_the_token_and_the_last_order_after_peers_were_told(self):
+        order = self.play(1.2, self.first)[0][1]
+        self.assertEqual((order.epoch, order.after_order), (1, 4))
+        self.assertEqual(order.holder, self.first.control._holder)
+        self.assertIs(self.first.changes.target(order.upstream), Stage.PREFILL)
+        self.assertGreaterEqual(self.first.announced, 1)
+
+    def test_entry_that_is_not_first_leaves_the_lease_to_the_first(self):
+        self.assertTrue(self.play(4.0, self.first, self.second))
+        self.assertFalse(self.second.lease.is_held())
+
+    def test_entry_that_is_not_first_acts_where_the_first_does_not(self):
+        self.assertTrue(self.play(4.0, self.second))
+
+    def test_lease_is_given_up_a_term_after_the_last_order(self):
+        self.play(1.2, self.first)
+        self.first.demand = CALM
+        self.play(TERM_S - 0.6, self.first)
+        self.assertTrue(self.first.lease.is_held())
+        self.play(3.0, self.first)
+        self.assertIn("LEASE_RELEASED", self.first.events())
+
+    def test_successor_of_one_that_gave_it_up_orders_with_a_higher_token(self):
+        self.play(1.2, self.first)
+        self.first.demand = CALM
+        self.play(6.0, self.first)
+        order = self.play(3.0, self.second)[0][1]
+        self.assertEqual(order.epoch, 2)
+
+    def test_successor_of_a_killed_holder_waits_for_a_term(self):
+        last_at_s = self.play(2.0, self.first, self.second)[-1][0]
+        first_at_s, order = self.play(12.0, self.second)[0]
+        self.assertGreater(first_at_s - last_at_s, TERM_S)
+        self.assertEqual(order.epoch, 2)
+
+    def test_holder_that_was_frozen_gives_no_order_with_its_former_token(self):
+        self.play(1.2, self.first)
+        self.play(12.0, self.second)
+        given = self.play(4.0, self.first)
+        self.assertTrue(all(order.epoch > 2 for _at_s, order in given))
+
+    def test_unanswered_order_is_sent_again_as_it_was(self):
+        """Load: workers leave orders unanswered and carry them out late."""
+        self.orders.failure = OrderUnconfirmed("no answer")
+        given = [order for _at_s, order in self.play(0.9, self.first)]
+        self.assertEqual(given, [given[0]] * ORDER_TRIES)
+
+    def test_unanswered_order_that_was_accepted_is_not_sent_again(self):
+        async def deliver(order, _lease):
+            self.orders.given.append((self.table.now_s, order))
+            self.orders.busy = True
+            raise OrderUnconfirmed("no answer")
+
+        self.orders.deliver = deliver
+        self.assertEqual(len(self.play(0.9, self.first)), 1)
+        self.assertIn("ORDER_ACCEPTED", self.first.events())
+
+    def test_unanswered_order_leaves_its_engine_alone_until_it_is_settled(self):
+        self.orders.failure = OrderUnconfirmed("no answer")
+        first = self.play(1.2, self.first)[0][1]
+        later = self.play(UNSETTLED_S - 1.0, self.first)
+        self.assertNotIn(first.upstream, [order.upstream for _at_s, order in later])
+        self.assertIsNone(self.first.changes.target(first.upstream))
+        self.assertIn("ORDER_UNCONFIRMED", self.first.events())
+
+    def test_refused_order_ends_the_change(self):
+        self.orders.failure = OrderRefused("409")
+        order = self.play(1.2, self.first)[0][1]
+        self.assertIsNone(self.first.changes.target(order.upstream))
+        again = self.play(REFUSED_PAUSE_S - 0.4, self.first)
+        self.assertNotIn(order.upstream, [item.upstream for _at_s, item in again])
+
+    def test_busy_engine_gets_no_order(self):
+        self.orders.busy = True
+        self.assertEqual(self.play(3.0, self.first), [])
+
+    def test_order_is_not_sent_once_the_lease_is_lost(self):
+        async def lose(_upstream):
+            self.table.now_s += 2 * TERM_S
+            return EngineReport(Stage.DECODE, False, 0)
+
+        self.orders.report = lose
+        self.assertEqual(self.play(1.2, self.first), [])
+        self.assertIn("ORDER_ABANDONED", self.first.events())
+
+    def test_engine_that_does_not_report_gets_no_order(self):
+        self.orders.report = mock.AsyncMock(side_effect=OrderError("no report"))
+        self.assertEqual(self.play(3.0, self.first), [])
+
+    def test_lost_lease_is_told_apart_from_a_refusal(self):
+        self.orders.failure = LeaseLost("taken over")
+        self.play(1.2, self.first)
+        self.assertIn("ORDER_ABANDONED", self.first.events())
--- /dev/null
+++ b/tests/test_stage_decisions.py
@@ -0,0 +1,148 @@
+"""When engines change their stage, and who knows of it, without I/O."""
+
+import unittest
+
+from wisteriaarch.process.digest import StageNotice
+from wisteriaarch.process.stage_changes import CHANGE_KEPT_S, StageChanges
+from wisteriaarch.process.upstreams import Stage
+from wisteriaarch.version.stage_policy import EngineLoad, StageDemand, StagePolicy
+
+from .route_support import upstream
+
+STEP_S = 0.2
+CALM = StageDemand(prefill=0.8, decode=1.0)
+LONG_PROMPTS = StageDemand(prefill=2.4, decode=1.0)
+LONG_ANSWERS = StageDemand(prefill=0.4, decode=4.5)
+
+
+def engines(prefills, decodes, **more):
+    stages = [Stage.PREFILL] * prefills + [Stage.DECODE] * decodes
+    return [
+        EngineLoad(upstream(f"e{number}", stage, f"z{number % 3}"), stage, **more)
+        for number, stage in enumerate(stages)
+    ]
+
+
+class Fleet:
+    """Engines that carry each change out, with the policy on a clock of its own."""
+
+    def __init__(self, prefills, decodes):
+        self.engines = engines(prefills, decodes)
+        self.policy = StagePolicy()
+        self.now = 0.0
+        self.changes = []
+
+    def play(self, demand, seconds):
+        """Let a demand last; returns the changes made meanwhile."""
+        before = len(self.changes)
+        for _ in range(round(seconds / STEP_S)):
+            self.now += STEP_S
+            change = self.policy.decide(self.engines, demand, self.now)
+            if change is not None:
+                self.carry_out(change)
+        return self.changes[before:]
+
+    def carry_out(self, change):
+        self.changes.append(change)
+        self.policy.note_changed(change.stage, self.now)
+        self.engines = [
+            EngineLoad(item.upstream, change.stage)
+            if item.upstream == change.upstream
+            else item
+            for item in self.engines
+        ]
+
+    def count(self, stage):
+        return sum(item.stage is stage for item in self.engines)
+
+
+class StagePolicyTest(unittest.TestCase):
+    def test_calm_changes_nothing(self):
+        self.assertEqual(Fleet(3, 6).play(CALM, 60.0), [])
+
+    def test_lasting_swing_to_long_prompts_is_followed_soon(self):
+        fleet = Fleet(2, 7)
+        fleet.play(CALM, 10.0)
+        fleet.play(LONG_PROMPTS, 4.0)
+        self.assertGreaterEqual(fleet.count(Stage.PREFILL), 4)
+        self.assertEqual(fleet.play(LONG_PROMPTS, 60.0), [])
+
+    def test_lost_engines_of_a_stage_are_made_up_for(self):
+        fleet = Fleet(3, 6)
+        fleet.play(CALM, 10.0)
+        fleet.engines = fleet.engines[2:]
+        fleet.play(CALM, 4.0)
+        self.assertEqual(fleet.count(Stage.PREFILL), 2)
+
+    def test_swing_back_is_followed_too(self):
+        fleet = Fleet(5, 4)
+        fleet.play(LONG_ANSWERS, 20.0)
+        self.assertGreaterEqual(fleet.count(Stage.DECODE), 7)
+
+    def test_short_peak_changes_nothing(self):
+        fleet = Fleet(2, 7)
+        fleet.play(CALM, 10.0)
+        self.assertEqual(fleet.play(LONG_PROMPTS, 0.4), [])
+
+    def test_mix_that_swings_all_the_time_costs_few_changes(self):
+        fleet = Fleet(3, 6)
+        for _ in range(10):
+            fleet.play(LONG_PROMPTS, 5.0)
+            fleet.play(LONG_ANSWERS, 5.0)
+        self.assertLessEqual(len(fleet.changes), 40)
+
+    def test_no_stage_takes_an_engine_that_the_other_needs(self):
+        both = StageDemand(prefill=2.5, decode=4.0)
+        self.assertEqual(Fleet(3, 6).play(both, 20.0), [])
+
+    def test_last_engine_of_a_stage_stays(self):
+        fleet = Fleet(1, 1)
+        self.assertEqual(fleet.play(LONG_PROMPTS, 20.0), [])
+
+    def test_full_batches_keep_their_engines(self):
+        fleet = Fleet(2, 4)
+        fleet.engines = engines(2, 4, requests=8)
+        self.assertEqual(fleet.play(LONG_PROMPTS, 5.0), [])
+
+    def test_idle_engine_goes_first_and_the_last_of_a_zone_at_need_only(self):
+        fleet = Fleet(1, 0)
+        names = (("a", "z1", 0), ("b", "z2", 1), ("c", "z2", 2))
+        fleet.engines += [
+            EngineLoad(upstream(name, Stage.DECODE, zone), Stage.DECODE, requests)
+            for name, zone, requests in names
+        ]
+        changes = fleet.play(StageDemand(prefill=2.4, decode=0.3), 20.0)
+        self.assertEqual(changes[0].upstream.upstream_id, "b")
+
+
+class StageChangesTest(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.changes = StageChanges(lambda: self.now)
+        self.engine = upstream("e", Stage.DECODE)
+
+    def test_change_ends_with_the_registration_of_the_new_stage(self):
+        self.changes.begin("e", Stage.PREFILL)
+        self.assertIs(self.changes.target(self.engine), Stage.PREFILL)
+        self.assertIsNone(self.changes.target(upstream("e", Stage.PREFILL)))
+        self.assertIsNone(self.changes.target(self.engine))
+
+    def test_change_that_is_never_seen_is_forgotten(self):
+        self.changes.begin("e", Stage.PREFILL)
+        self.now = CHANGE_KEPT_S
+        self.assertIsNone(self.changes.target(self.engine))
+
+    def test_peers_learn_of_it_and_passing_it_on_does_not_renew_it(self):
+        self.changes.begin("e", Stage.PREFILL)
+        self.now = 2.0
+        peer = StageChanges(lambda: self.now)
+        peer.absorb(self.changes.export())
+        self.assertIs(peer.target(self.engine), Stage.PREFILL)
+        self.now = 4.0
+        self.changes.absorb(peer.export())
+        self.now = CHANGE_KEPT_S
+        self.assertIsNone(self.changes.target(self.engine))
+
+    def test_unknown_stage_of_a_later_version_is_left_out(self):
+        self.changes.absorb([StageNotice("e", "other", 0.0)])
+        self.assertIsNone(self.changes.target(self.engine))
--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -5,10 +5,12 @@
 from typing import Protocol
 
 from .process.rows import RowSource, StoredRow
+from .process.store import RowStore
 from .process.upstreams import Upstream
 from .request.routed_call import RoutedCall
 from .request.upstream_protocol import UpstreamProtocol
 from .version.route_table import RouteTable
+from .version.stage_orders import OrderProtocol
 from .wire import Address, HttpRequest
 
 
@@ -16,7 +18,9 @@
     """Translates between a platform's messages and the types of the core."""
 
     rows: RowSource
+    table: RowStore
     upstreams: UpstreamProtocol
+    orders: OrderProtocol
     configuration_key: str
 
     def decode_call(
--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -4,6 +4,7 @@
 the process where packed bytes are cut short.
 """
 
+import math
 import zlib
 from dataclasses import dataclass
 from enum import IntEnum
@@ -17,7 +18,9 @@
     EntryRecord,
     PeerDigest,
     PlacedPart,
+    ReadingDemand,
     SentWork,
+    StageNotice,
 )
 from ..version.publication import ManifestCopy
 
@@ -116,6 +119,7 @@
         digest.crashRecords,
         digest.sentWork,
         digest.placedParts,
+        digest.stageNotices,
     )
     if any(len(items) > MAX_RECORDS for items in lists):
         raise FrameError(f"more than {MAX_RECORDS} records in a frame")
@@ -138,9 +142,21 @@
             PlacedPart(item.upstream, item.part, item.tokens, item.number, item.ready)
             for item in digest.placedParts
         ),
+        reading=_reading_from_frame(digest),
+        stage_notices=tuple(
+            StageNotice(item.upstream, item.stage, item.ageMs / 1000)
+            for item in digest.stageNotices
+        ),
     )
 
 
+def _reading_from_frame(digest) -> ReadingDemand:
+    values = (digest.readingPrefill, digest.readingDecode)
+    if not all(math.isfinite(value) and value >= 0 for value in values):
+        raise FrameError(f"expected shares of reading, got {values}")
+    return ReadingDemand(*values)
+
+
 def _record_from_frame(item) -> EntryRecord:
     age_ms = item.confirmedAgeMs
     return EntryRecord(
@@ -178,6 +194,16 @@
             }
             for item in digest.placed_parts
         ],
+        "readingPrefill": digest.reading.prefill,
+        "readingDecode": digest.reading.decode,
+        "stageNotices": [
+            {
+                "upstream": item.upstream,
+                "stage": item.stage,
+                "ageMs": _age_ms(item.age_s),
+            }
+            for item in digest.stage_notices
+        ],
     }
 
 
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -210,6 +210,8 @@
         self.hooks.absorb_crash_records(digest.crash_records)
         self.hooks.absorb_sent_work(digest.entry.entry_id, digest.sent_work)
         self.hooks.absorb_placed_parts(digest.entry.entry_id, digest.placed_parts)
+        self.hooks.absorb_reading(digest.entry.entry_id, digest.reading)
+        self.hooks.absorb_stage_notices(digest.stage_notices)
 
     def _compose_news(self) -> PeerDigest:
         return HeartbeatComposer(self._membership, self.hooks).compose_news()
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -20,18 +20,19 @@
 from .process.digest import EntryRecord
 from .process.entry_list import EntryList
 from .process.fleet import Fleet
+from .process.fleet_knowledge import FleetKnowledge
 from .process.fleet_state import FleetState
 from .process.gateway_settings import GatewaySettings
+from .process.lease import Contender
 from .process.membership import Membership
 from .process.metrics import Gauge, Metrics
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
-from .process.upstream_loads import UpstreamLoads
 from .request.call_runner import CallRunner
 from .request.retry_share import RetryShare
-from .request.stage_busyness import StageBusyness
 from .sockets import listen_on
+from .version.stage_controls import StageControls
 from .wire import Address, HttpRequest
 
 INCARNATION_BITS = 63
@@ -71,9 +72,10 @@
         self._peers = PeerNetwork(
             settings, self._fleet, self.membership, self.state, self.log
         )
-        self.loads = UpstreamLoads()
-        self._peers.hooks.sent_work = self.loads.export_sent
-        self._peers.hooks.absorb_sent_work = self.loads.absorb_sent
+        self.knowledge = FleetKnowledge.from_registry(
+            self.state.registry, self._count_entries
+        )
+        self.knowledge.add_to(self._peers.hooks)
         self._pool = UpstreamPool()
         self.retries = RetryShare(
             settings.retry.ratio,
@@ -84,22 +86,32 @@
         self._runner = CallRunner(
             settings.zone,
             adapter.upstreams,
-            self.state.registry,
+            self.knowledge,
             lambda: self.state.routes,
-            self.loads,
             self._pool,
             self.retries,
-            StageBusyness(self._count_entries),
             self._peers.announce,
             self.log,
         )
-        self._peers.hooks.placed_parts = self._runner.cache.export
-        self._peers.hooks.absorb_placed_parts = self._runner.cache.absorb
         self._peers.hooks.crash_records = self._runner.crashes.export
         self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
-        self.state.registry.on_lost = self._forget_upstream
+        self._stages = self._build_stage_controls()
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
+    def _build_stage_controls(self) -> StageControls:
+        return StageControls(
+            Contender(self.settings.entry_id, str(self._incarnation)),
+            self._adapter.table,
+            self.settings.lease,
+            self._adapter.orders,
+            self.knowledge,
+            lambda: self.state.routes,
+            lambda: [self.settings.entry_id, *self.membership.known()],
+            self._peers.announce,
+            lambda: self.closing,
+            self.log,
+        )
+
     async def __aenter__(self) -> "Gateway":
         return self
 
@@ -138,6 +150,7 @@
             self._fleet.run,
             self._peers.run,
             *self.state.task_mains(),
+            *([self._stages.run] if settings.change_stages else ()),
             InfoServer("ready", settings.ready.address(), self._answer_info).run,
             InfoServer(
                 "directory", settings.directory.address(), self._answer_info
@@ -175,10 +188,6 @@
         retry = settings.retry
         self.retries.configure(retry.ratio, retry.slack, retry.window_s)
 
-    def _forget_upstream(self, upstream_id: str) -> None:
-        self._runner.cache.forget(upstream_id)
-        self.loads.forget(upstream_id)
-
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
         table = await self.state.wait_for_routes(FIRST_ROUTES_WAIT_S)
@@ -236,11 +245,11 @@
             Gauge.ENTRIES: {"": self._count_entries()},
             Gauge.RETRIES_LEFT: {name: self.retries.left(name) for name in services},
             Gauge.REQUESTS_IN_FLIGHT: {
-                item.upstream_id: self.loads.requests(item.upstream_id)
+                item.upstream_id: self.knowledge.loads.requests(item.upstream_id)
                 for item in self.state.registry.all()
             },
             Gauge.PROMPT_TOKENS_IN_FLIGHT: {
-                item.upstream_id: self.loads.prompt_tokens(item.upstream_id)
+                item.upstream_id: self.knowledge.loads.prompt_tokens(item.upstream_id)
                 for item in self.state.registry.all()
             },
         }
--- a/wisteriaarch/platform/adapter.py
+++ b/wisteriaarch/platform/adapter.py
@@ -9,6 +9,7 @@
 from ..version.route_table import RouteTable
 from ..wire import Address, HttpRequest
 from . import callers, directory, rows
+from .orders import PlatformOrders
 from .store import PlatformStore
 from .upstreams import PlatformUpstreams
 
@@ -19,8 +20,9 @@
     configuration_key = rows.CONFIG_KEY
 
     def __init__(self, store: Address):
-        self.rows = PlatformStore(store)
+        self.rows = self.table = PlatformStore(store)
         self.upstreams = PlatformUpstreams()
+        self.orders = PlatformOrders()
 
     def decode_call(
         self, req: HttpRequest, table: RouteTable, rng: random.Random
--- a/wisteriaarch/platform/names.py
+++ b/wisteriaarch/platform/names.py
@@ -14,6 +14,10 @@
 PREFIX_HASH = "prefix-hash"
 
 PREFILL = "prefill"
+STAGES = frozenset((PREFILL, "decode"))
+
+REPORT_PATH = "/api/report"
+ORDER_PATH = "/api/order"
 
 # Set by the system alone; a caller's value never reaches an upstream.
 SYSTEM_HEADERS = frozenset(
--- /dev/null
+++ b/wisteriaarch/platform/orders.py
@@ -0,0 +1,54 @@
+"""Reports of the platform's servers, and orders to them."""
+
+import json
+
+from ..errors import WireError
+from ..process.upstreams import Stage, Upstream
+from ..version.stage_orders import EngineReport, StageOrder
+from ..wire import HttpResponse, OutgoingRequest, load_json
+from . import names
+
+# 200: what the order asks for holds already; 202: it is being carried out.
+ACCEPTED_STATUSES = frozenset((200, 202))
+SHOWN_BYTES = 80
+
+
+class PlatformOrders:
+    """Order side of the protocol of the platform's servers."""
+
+    def report_request(self, upstream: Upstream) -> OutgoingRequest:
+        """Return the request for a server's report."""
+        headers = [(names.EXPECT_INSTANCE, upstream.upstream_id)]
+        return OutgoingRequest("GET", names.REPORT_PATH, headers)
+
+    def read_report(self, body: bytes) -> EngineReport:
+        """Interpret a report; raises WireError."""
+        try:
+            content = load_json(body)
+            return EngineReport(
+                stage=Stage(content["stage"]),
+                busy=bool(content["busy"]),
+                last_order=int(content["seq"]),
+            )
+        except (ValueError, KeyError, TypeError) as exc:
+            raise WireError(f"no report in {body[:SHOWN_BYTES]!r}") from exc
+
+    def order_request(self, order: StageOrder) -> OutgoingRequest:
+        """Return the request that carries an order."""
+        headers = [
+            (names.EXPECT_INSTANCE, order.upstream.upstream_id),
+            ("Content-Type", "application/json"),
+        ]
+        content = {
+            "op": "stage",
+            "stage": order.stage.value,
+            "holder": order.holder,
+            "fencing-token": order.epoch,
+            "if-rev": order.after_order,
+        }
+        body = json.dumps(content).encode()
+        return OutgoingRequest("POST", names.ORDER_PATH, headers, body)
+
+    def is_accepted(self, head: HttpResponse) -> bool:
+        """Whether a server carries the order out, or has done so before."""
+        return head.status in ACCEPTED_STATUSES
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -13,7 +13,9 @@
 from ..http_server import HttpServerConnection
 from ..wire import Address, Headers, HttpRequest
 from . import names
+from .order_emulator import OrderEmulator
 
+SILENT_S = 60.0
 EVENTS = 4
 EVENT_INTERVAL_S = 0.01
 TOKENS_PER_S = 50_000
@@ -39,6 +41,10 @@
     ran: list[str] = field(default_factory=list)
     seen: list[dict[str, str]] = field(default_factory=list)
     handles: set[str] = field(default_factory=set)
+    orders: OrderEmulator = field(init=False)
+
+    def __post_init__(self):
+        self.orders = OrderEmulator(self.stage)
 
     async def handle(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
         """Answer one request."""
@@ -47,6 +53,10 @@
         if req.path.startswith("/api/kv-handle/"):
             self.handles.discard(req.path.rpartition("/")[2])
             return await respond_json(conn, 200, {})
+        if req.path == names.REPORT_PATH:
+            return await respond_json(conn, 200, self.orders.report())
+        if req.path == names.ORDER_PATH:
+            return await self._order(conn, req)
         self.seen.append(
             {"target": req.target, "body": req.body.decode(), **req.headers}
         )
@@ -54,7 +64,7 @@
             await conn.send_response(421, [("Instance-Id", self.server_id)])
             return True
         fault = self._next_fault()
-        if fault == "shed":
+        if fault == "shed" or self.orders.is_busy:
             await conn.send_response(503, REFUSED)
             return True
         if fault == "close":
@@ -65,12 +75,21 @@
             os._exit(1)
         if fault == "silent":
             self.ran.append(_attempt(req))
-            await curio.sleep(60.0)
+            await curio.sleep(SILENT_S)
             return False
         if req.headers.get("stage") == names.PREFILL:
             return await self._prefill(conn, req)
         return await self._run(conn, req, fault)
 
+    async def _order(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
+        if req.headers.get("expect-instance", self.server_id) != self.server_id:
+            return await respond_json(conn, 421, {})
+        status = self.orders.order(req)
+        if self._next_fault() == "silent":
+            await curio.sleep(SILENT_S)
+            return False
+        return await respond_json(conn, status, {})
+
     async def _control(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
         content = json.loads(req.body or b"{}")
         self.fault = content.get("fault", self.fault)
@@ -79,6 +98,7 @@
             "ran": self.ran,
             "seen": self.seen,
             "handles": sorted(self.handles),
+            "orders": self.orders.taken,
         }
         return await respond_json(conn, 200, state)
 
--- a/wisteriaarch/platform/store.py
+++ b/wisteriaarch/platform/store.py
@@ -5,16 +5,26 @@
 from typing import Any
 from urllib.parse import urlencode
 
-from ..errors import HistoryLost, StoreUnavailable, WireError
+from ..errors import (
+    HistoryLost,
+    StoreUnavailable,
+    WireError,
+    WriteConflict,
+    WriteOutcomeUnknown,
+)
 from ..http_client import fetch
 from ..process.rows import RowsRead, RowTable, StoredRow
-from ..wire import Address, HttpResponse
+from ..process.store import NO_VERSION, Check, Put, Row, Transaction, encode_json
+from ..wire import Address, HttpResponse, load_json
 from .names import MS_PER_S
 
 READ_TIMEOUT_S = 1.0
 FEED_EXTRA_S = 0.7
 PAGE_ROWS = 500
 GONE_STATUS = 410
+CONFLICT_STATUS = 412
+# Answers that say that nothing was done.
+REFUSED_STATUSES = frozenset((429, 503))
 TABLE_NAMES = {
     RowTable.CONFIGURATION: "op",
     RowTable.UPSTREAMS: "servers",
@@ -54,36 +64,79 @@
 
     async def put(self, table: RowTable, key: str, value: bytes) -> None:
         """Write a row unconditionally; raises StoreUnavailable."""
-        row = {
-            "table": TABLE_NAMES[table],
-            "part": "",
-            "key": key,
-            "value": base64.b64encode(value).decode(),
-        }
-        body = json.dumps({"if-rev": [], "writes": [row], "remove": []}).encode()
-        await self._call("POST", "/api/rows-tx", body, READ_TIMEOUT_S)
+        row = _address_of(TABLE_NAMES[table], key) | _value_of(value)
+        try:
+            await self._transact([], [row], [])
+        except (WriteConflict, WriteOutcomeUnknown) as exc:
+            raise StoreUnavailable(str(exc)) from exc
+
+    async def read(self, table: str, key: str) -> Row:
+        """Return a row of a table of our own; raises StoreUnavailable."""
+        query = {"table": table, "part": "", "from": key, "to": f"{key}\0"}
+        read = _rows_read(await self._get("/api/rows-get", query, READ_TIMEOUT_S))
+        if not read.rows:
+            return Row(table, key, NO_VERSION, None)
+        row = read.rows[0]
+        try:
+            return Row(table, key, row.version, load_json(row.value))
+        except ValueError as exc:
+            raise StoreUnavailable(f"{table}/{key} can't be read: {exc}") from exc
+
+    async def write(self, transaction: Transaction) -> None:
+        """Apply a transaction; see ``TableStore.write``.
+
+        It is sent once: where its answer is lost, it may still take effect later, if
+        its conditions hold then.
+        """
+        conditions: list[Put | Check] = [*transaction.checks]
+        conditions += [
+            put for put in transaction.puts if put.expected_version is not None
+        ]
+        await self._transact(
+            [
+                _address_of(item.table, item.key) | {"ver": item.expected_version}
+                for item in conditions
+            ],
+            [
+                _address_of(put.table, put.key) | _value_of(encode_json(put.value))
+                for put in transaction.puts
+                if put.value is not None
+            ],
+            [
+                _address_of(put.table, put.key)
+                for put in transaction.puts
+                if put.value is None
+            ],
+        )
+
+    async def _transact(self, conditions: list, writes: list, removals: list) -> None:
+        content = {"if-rev": conditions, "writes": writes, "remove": removals}
+        target = "/api/rows-tx"
+        body = json.dumps(content).encode()
+        try:
+            response = await self._fetch("POST", target, body, READ_TIMEOUT_S)
+        except ConnectionRefusedError as exc:
+            raise StoreUnavailable(f"{target}: {exc}") from exc
+        except (OSError, WireError) as exc:
+            raise WriteOutcomeUnknown(f"{target}: {exc}") from exc
+        if response.status == CONFLICT_STATUS:
+            raise WriteConflict(f"{target}: a row has another version")
+        if response.status in REFUSED_STATUSES:
+            raise StoreUnavailable(f"{target}: answered {response.status}")
+        if response.status != 200:
+            raise WriteOutcomeUnknown(f"{target}: answered {response.status}")
 
     async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> Any:
         target = f"{path}?{urlencode(query)}"
-        response = await self._call("GET", target, b"", timeout_s)
+        response = await self._read(target, timeout_s)
         try:
             return response.json()
         except WireError as exc:
             raise StoreUnavailable(str(exc)) from exc
 
-    async def _call(
-        self, method: str, target: str, body: bytes, timeout_s: float
-    ) -> HttpResponse:
-        headers = [("Content-Type", "application/json")] if body else []
+    async def _read(self, target: str, timeout_s: float) -> HttpResponse:
         try:
-            response = await fetch(
-                self.address,
-                method,
-                target,
-                headers=headers,
-                body=body,
-                timeout_s=timeout_s,
-            )
+            response = await self._fetch("GET", target, b"", timeout_s)
         except (OSError, WireError) as exc:
             raise StoreUnavailable(f"{target}: {exc}") from exc
         if response.status == GONE_STATUS:
@@ -92,6 +145,27 @@
             raise StoreUnavailable(f"{target}: answered {response.status}")
         return response
 
+    async def _fetch(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> HttpResponse:
+        headers = [("Content-Type", "application/json")] if body else []
+        return await fetch(
+            self.address,
+            method,
+            target,
+            headers=headers,
+            body=body,
+            timeout_s=timeout_s,
+        )
+
+
+def _address_of(table: str, key: str) -> dict[str, Any]:
+    return {"table": table, "part": "", "key": key}
+
+
+def _value_of(value: bytes) -> dict[str, Any]:
+    return {"value": base64.b64encode(value).decode()}
+
 
 def _rows_read(content: Any) -> RowsRead:
     try:
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -37,6 +37,29 @@
     ready: bool = False
 
 
+@dataclass(frozen=True)
+class ReadingDemand:
+    """Reading of prompts that one entry places on the engines of each stage.
+
+    In engines that it keeps busy, that is, seconds of reading a second.
+    """
+
+    prefill: float = 0.0
+    decode: float = 0.0
+
+
+@dataclass(frozen=True)
+class StageNotice:
+    """Engine that is about to change its stage or is doing so.
+
+    ``age_s`` is how long ago that began, as of when the message was written.
+    """
+
+    upstream: str
+    stage: str
+    age_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class EntryRecord:
     """State of one entry; the ages are as of when the message was written.
@@ -69,3 +92,5 @@
     sent_work: tuple[SentWork, ...] = ()
     needs_manifest: bool = False
     placed_parts: tuple[PlacedPart, ...] = ()
+    reading: ReadingDemand = ReadingDemand()
+    stage_notices: tuple[StageNotice, ...] = ()
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -7,12 +7,17 @@
 from ..wire import Address
 from .settings import (
     AddressSettings,
+    LeaseSettings,
     LimitSettings,
     LogSettings,
     StrictModel,
     load_model,
 )
 
+MS_PER_S = 1000
+LEASE_RENEW_SHARE = 0.25
+LEASE_DRIFT_SHARE = 0.1
+
 
 def _split_address(value: object) -> object:
     if not isinstance(value, str):
@@ -67,6 +72,8 @@
     peers_max: int = Field(default=12, ge=2)
     callers_keep_s: float = Field(default=1.0, gt=0)
     stop_grace_s: float = Field(default=8.0, gt=0)
+    change_stages: bool = True
+    lease_term_ms: float = Field(default=3000.0, gt=0)
     seed: int | None = None
 
     @classmethod
@@ -74,6 +81,16 @@
         """Read settings from ``path``; raises ConfigError."""
         return load_model(cls, path)
 
+    @property
+    def lease(self) -> LeaseSettings:
+        """Times of the lease under which stages are changed."""
+        term_s = self.lease_term_ms / MS_PER_S
+        return LeaseSettings(
+            term_s=term_s,
+            renew_every_s=term_s * LEASE_RENEW_SHARE,
+            drift_margin_s=term_s * LEASE_DRIFT_SHARE,
+        )
+
     @property
     def peer_listen(self) -> AddressSettings:
         """Address for heartbeats of peers."""
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -4,7 +4,15 @@
 from dataclasses import dataclass, replace
 from itertools import islice
 
-from .digest import CrashRecord, EntryRecord, PeerDigest, PlacedPart, SentWork
+from .digest import (
+    CrashRecord,
+    EntryRecord,
+    PeerDigest,
+    PlacedPart,
+    ReadingDemand,
+    SentWork,
+    StageNotice,
+)
 from .member import Member
 from .membership import FORGET_AFTER_S, Membership
 
@@ -13,6 +21,7 @@
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
 PLACED_PARTS_MAX = 64
+STAGE_NOTICES_MAX = 32
 
 
 def _nothing() -> tuple:
@@ -33,6 +42,10 @@
     absorb_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
     placed_parts: Callable[[], Iterable[PlacedPart]] = _nothing
     absorb_placed_parts: Callable[[str, tuple[PlacedPart, ...]], None] = _ignore
+    reading: Callable[[], ReadingDemand] = ReadingDemand
+    absorb_reading: Callable[[str, ReadingDemand], None] = _ignore
+    stage_notices: Callable[[], Iterable[StageNotice]] = _nothing
+    absorb_stage_notices: Callable[[Iterable[StageNotice]], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +84,8 @@
             crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
             placed_parts=tuple(islice(hooks.placed_parts(), PLACED_PARTS_MAX)),
+            reading=hooks.reading(),
+            stage_notices=tuple(islice(hooks.stage_notices(), STAGE_NOTICES_MAX)),
         )
 
     def _others(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -19,7 +19,7 @@
 from ..steps import Step, reach
 from .clock import now_s
 from .settings import LeaseSettings
-from .store import Check, Put, Row, TableStore, Transaction
+from .store import Check, Put, Row, RowStore, Transaction
 
 LEASE_TABLE = "leases"
 EPOCH_TABLE = "epochs"
@@ -57,12 +57,17 @@
 
 @dataclass
 class Tenure:
-    """Time of one holder; ``since_s`` is when it learnt that it took the lease."""
+    """Time of one holder; ``since_s`` is when it learnt that it took the lease.
+
+    Orders may be given from ``orders_from_s`` on, a whole term after any order of a
+    former holder.
+    """
 
     epoch: int
     epoch_row_version: int
     since_s: float
     expires_at_s: float
+    orders_from_s: float
 
 
 class Lease:
@@ -76,7 +81,7 @@
         self,
         group: str,
         contender: Contender,
-        table: TableStore,
+        table: RowStore,
         settings: LeaseSettings,
         candidates: Callable[[], Iterable[str]],
         log: EventLog,
@@ -90,6 +95,7 @@
         self._log = log
         self._watched: LeaseRecord | None = None
         self._watched_since_s = 0.0
+        self._orders_from_s = 0.0
         self._changing = curio.Lock()
 
     @property
@@ -97,9 +103,35 @@
         """Bound on how far two instances' clocks drift apart within a term."""
         return self._settings.drift_margin_s
 
+    @property
+    def term_s(self) -> float:
+        """Time for which a renewal keeps the lease."""
+        return self._settings.term_s
+
+    @property
+    def renew_every_s(self) -> float:
+        """Time between two tries to take or renew the lease."""
+        return self._settings.renew_every_s
+
+    @property
+    def rank(self) -> int:
+        """How many other entries are to try before this one."""
+        own_score = _score(self.group, self._contender.entry_id)
+        return sum(_score(self.group, name) > own_score for name in self._candidates())
+
     def is_held(self) -> bool:
         """Whether this process holds the lease now."""
-        return self.tenure is not None and now_s() < self.tenure.expires_at_s
+        return self.has_left(0.0)
+
+    def has_left(self, share: float) -> bool:
+        """Whether the lease is held, with more than a share of its term left."""
+        if self.tenure is None:
+            return False
+        return self.tenure.expires_at_s - now_s() > share * self._settings.term_s
+
+    def may_order(self) -> bool:
+        """Whether the lease is held and no former holder's orders are too recent."""
+        return self.is_held() and now_s() >= self.tenure.orders_from_s
 
     def require(self, left_s: float) -> Tenure:
         """Return the tenure if more than ``left_s`` of it is left; raises LeaseLost."""
@@ -149,7 +181,7 @@
 
         Entries beyond the first CONTENDERS_MAX do not even read the row.
         """
-        if self.tenure is None and self._rank() >= CONTENDERS_MAX:
+        if self.tenure is None and self.rank >= CONTENDERS_MAX:
             return
         try:
             row = await self._table.read(LEASE_TABLE, self.group)
@@ -173,15 +205,11 @@
             self._watched_since_s = now_s()
 
     def _may_take(self, record: LeaseRecord) -> bool:
-        wait_s = min(self._rank() * self._settings.renew_every_s, self._settings.term_s)
+        wait_s = min(self.rank * self._settings.renew_every_s, self._settings.term_s)
         if record.holder != NO_HOLDER:
             wait_s += record.term_s + self._settings.drift_margin_s
         return now_s() - self._watched_since_s >= wait_s
 
-    def _rank(self) -> int:
-        own_score = _score(self.group, self._contender.entry_id)
-        return sum(_score(self.group, name) > own_score for name in self._candidates())
-
     async def _renew(self, row: Row, record: LeaseRecord) -> None:
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
@@ -194,6 +222,7 @@
         epoch_row = await self._table.read(EPOCH_TABLE, self.group)
         epoch = epoch_row.value["epoch"] + 1 if epoch_row.exists else 1
         value = {"epoch": epoch, **asdict(self._contender)}
+        self._orders_from_s = now_s() + self._quiet_s(record)
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
         put = self._put(row, 0)
@@ -202,6 +231,17 @@
         await self._extend(sent_at_s)
         await reach(Step.LEASE_RENEWED)
 
+    def _quiet_s(self, record: LeaseRecord) -> float:
+        """Return how long no order may be given after taking over from a holder.
+
+        It gave none after the end of its term, which began before its last renewal was
+        seen here. One that released the lease did so a term after its last order.
+        """
+        if record.holder in (NO_HOLDER, self._contender.entry_id):
+            return 0.0
+        watched_s = now_s() - self._watched_since_s
+        return max(0.0, record.term_s + self._settings.term_s - watched_s)
+
     def _put(self, row: Row, renewals: int) -> Put:
         record = LeaseRecord(
             self._contender.entry_id,
@@ -220,12 +260,18 @@
         row = await self._table.read(EPOCH_TABLE, self.group)
         if not row.exists or row.value["incarnation"] != self._contender.incarnation:
             return
-        self.tenure = Tenure(row.value["epoch"], row.version, now_s(), expires_at_s)
+        self.tenure = Tenure(
+            row.value["epoch"],
+            row.version,
+            now_s(),
+            expires_at_s,
+            self._orders_from_s,
+        )
         self._log.write(
             Event.LEASE_TAKEN,
             group=self.group,
             epoch=self.tenure.epoch,
-            rank=self._rank(),
+            rank=self.rank,
         )
 
     def _lose(self, record: LeaseRecord) -> None:
--- a/wisteriaarch/process/store.py
+++ b/wisteriaarch/process/store.py
@@ -55,12 +55,23 @@
     checks: tuple[Check, ...] = ()
 
 
-class TableStore(Protocol):
-    """Transactional rows."""
+class RowStore(Protocol):
+    """Rows that are written under conditions."""
 
     async def read(self, table: str, key: str) -> Row:
         """Return a row; raises StoreUnavailable."""
 
+    async def write(self, transaction: Transaction) -> None:
+        """Apply a transaction once or not at all.
+
+        Raises WriteConflict (not applied), StoreUnavailable (not applied) or
+        WriteOutcomeUnknown.
+        """
+
+
+class TableStore(RowStore, Protocol):
+    """Transactional rows that can be listed."""
+
     async def scan(
         self,
         table: str,
@@ -75,13 +86,6 @@
         ``limit`` of them.
         """
 
-    async def write(self, transaction: Transaction) -> None:
-        """Apply a transaction exactly once.
-
-        Raises WriteConflict (not applied), StoreUnavailable (not applied) or
-        WriteOutcomeUnknown.
-        """
-
 
 class ObjectStore(Protocol):
     """Bodies that don't change, each under a name of its own."""
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -100,6 +100,11 @@
             load.requests -= 1
             load.prompt_tokens -= prompt_tokens
 
+    def is_suspended(self, upstream_id: str) -> bool:
+        """Whether an upstream is left out while others can take the work."""
+        load = self._loads.get(upstream_id)
+        return load is not None and load.health.is_suspended(now_s())
+
     def note_time(self, upstream_id: str, work: str, observed_s: float) -> None:
         """Compare how long a kind of work took with what it takes elsewhere."""
         expected_s = self._typical[work].note(observed_s)
--- a/wisteriaarch/request/attempt_notes.py
+++ b/wisteriaarch/request/attempt_notes.py
@@ -1,27 +1,43 @@
 """What an attempt on an upstream teaches: log lines, health and patience."""
 
+from collections.abc import Awaitable, Callable
+
 from ..events import Event, EventLog
+from ..process.cache_belief import PART_MIN_TOKENS
 from ..process.clock import now_s
-from ..process.upstream_loads import UpstreamLoads
+from ..process.fleet_knowledge import FleetKnowledge
 from ..process.upstreams import Upstream
+from .answer_relay import AnswerRelay
 from .candidate import Choice
-from .exchange import Exchange
+from .crash_ledger import CrashLedger
+from .exchange import Exchange, is_down
 from .outcomes import AttemptFailed, FailureReason
 from .routed_call import RoutedCall
-from .upstream_protocol import OutgoingRequest, UpstreamHead
+from .upstream_protocol import OutgoingRequest, RunOptions, UpstreamHead
 
 SILENT_SHARE = 0.45
 SILENT_MIN_S = 0.35
 SILENT_PROMPT_MIN_S = 1.0
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
+SERVER_ERROR_STATUS = 500
+BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
 
 
 class AttemptNotes:
     """Sends the requests of attempts and notes how they went."""
 
-    def __init__(self, loads: UpstreamLoads, log: EventLog):
-        self._loads = loads
+    def __init__(
+        self,
+        knowledge: FleetKnowledge,
+        crashes: CrashLedger,
+        announce: Callable[[], Awaitable[None]],
+        log: EventLog,
+    ):
+        self._loads = knowledge.loads
+        self._cache = knowledge.cache
+        self._crashes = crashes
+        self._announce = announce
         self._log = log
 
     def placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
@@ -80,6 +96,61 @@
                 reason=exc.reason.value,
             )
 
+    def part_placed(
+        self, call: RoutedCall, upstream: Upstream, tokens: int, ready: bool
+    ) -> None:
+        """Take in that an engine was given, or with ``ready`` has, a shared part."""
+        prompt = call.prompt
+        if prompt is None or prompt.shared_tokens < PART_MIN_TOKENS:
+            return
+        self._cache.note(upstream.upstream_id, prompt.first_part, tokens, ready)
+
+    async def crashed_if_down(
+        self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
+    ) -> None:
+        """Take in a crash, where the upstream that broke off is down."""
+        if exc.reason not in BROKEN_OFF or not await is_down(upstream):
+            return
+        self._loads.of(upstream.upstream_id).health.note_unreached(now_s())
+        crashes = self._crashes.note_crash(call, upstream.upstream_id)
+        self._log.write(
+            Event.CRASH_NOTED,
+            request=call.call_id,
+            upstream=upstream.upstream_id,
+            crashes=crashes,
+        )
+        await self._announce()
+
+    def answered(
+        self,
+        call: RoutedCall,
+        upstream: Upstream,
+        relay: AnswerRelay,
+        options: RunOptions,
+        started_at_s: float,
+    ) -> None:
+        """Take in an answer to an attempt that was started at a time."""
+        load = self._loads.of(upstream.upstream_id)
+        if relay.status >= SERVER_ERROR_STATUS:
+            load.health.note_failure(now_s())
+        else:
+            load.health.note_success(now_s())
+            self._crashes.note_success(call)
+            self.part_placed(call, upstream, 0, ready=True)
+        if relay.first_at_s is not None:
+            work = f"{call.route.name} {'apart' if options.memory else 'direct'}"
+            elapsed_s = relay.first_at_s - started_at_s
+            self._loads.note_time(upstream.upstream_id, work, elapsed_s)
+        self._log.write(
+            Event.CALL_ANSWERED,
+            request=call.call_id,
+            upstream=upstream.upstream_id,
+            status=relay.status,
+            seconds=now_s() - call.arrived_at_s,
+            first_s=(relay.first_at_s or now_s()) - call.arrived_at_s,
+            longest_pause_s=relay.longest_pause_s,
+        )
+
 
 def silent_after_s(call: RoutedCall) -> float:
     """Return how long to wait for an answer's head.
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -7,17 +7,16 @@
 from ..connection.pool import UpstreamPool
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event, EventLog
-from ..process.cache_belief import PART_MIN_TOKENS, CacheBelief
 from ..process.clock import now_s
-from ..process.upstream_loads import UpstreamLoads
-from ..process.upstreams import Stage, Upstream, UpstreamRegistry
+from ..process.fleet_knowledge import FleetKnowledge
+from ..process.upstreams import Stage
 from ..version.route_table import RouteTable
 from .answer_relay import AnswerRelay, CallSink
-from .attempt_notes import AttemptNotes
+from .attempt_notes import SERVER_ERROR_STATUS, AttemptNotes
 from .candidate import Choice, can_run
 from .candidate_finder import CandidateFinder
 from .crash_ledger import CrashLedger
-from .exchange import Exchange, is_down
+from .exchange import Exchange
 from .memory_keeper import MemoryKeeper
 from .outcomes import AttemptFailed, FailureReason, worse
 from .placement import DIRECT_SLOWDOWN, place_decode, place_service_call
@@ -26,7 +25,6 @@
 from .reading_turn import LONG_READING_TOKENS
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
-from .stage_busyness import StageBusyness
 from .upstream_protocol import (
     PromptMemory,
     RunOptions,
@@ -36,8 +34,6 @@
 PLACEMENTS_MAX = 4
 REPEAT_WORTH_S = 0.05
 RETRY_AFTER_S = 0.3
-SERVER_ERROR_STATUS = 500
-BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
 
 class CallRunner:
@@ -47,30 +43,28 @@
         self,
         zone: str,
         protocol: UpstreamProtocol,
-        registry: UpstreamRegistry,
+        knowledge: FleetKnowledge,
         routes: Callable[[], RouteTable | None],
-        loads: UpstreamLoads,
         pool: UpstreamPool,
         retries: RetryShare,
-        busyness: StageBusyness,
         announce: Announce,
         log: EventLog,
     ):
         self._zone = zone
         self._protocol = protocol
-        self._loads = loads
+        self._loads = knowledge.loads
         self._pool = pool
         self._retries = retries
         self._log = log
-        self.cache = CacheBelief()
+        self._cache = knowledge.cache
         self.crashes = CrashLedger()
         self._announce = announce
-        self._finder = CandidateFinder(registry, routes, loads, self.cache)
-        self._notes = AttemptNotes(loads, log)
-        self._reader = PromptReader(pool, protocol, loads, self._notes, announce)
-        self._busyness = busyness
+        self._finder = CandidateFinder(knowledge, routes)
+        self._notes = AttemptNotes(knowledge, self.crashes, announce, log)
+        self._reader = PromptReader(pool, protocol, self._loads, self._notes, announce)
+        self._busyness = knowledge.busyness
         self._planner = CompletionPlanner(
-            zone, self._finder, busyness, lambda: self._reader.rate, log
+            zone, self._finder, self._busyness, lambda: self._reader.rate, log
         )
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -156,7 +150,7 @@
         tokens = plan.prefill.tokens
         self._note_reading(call, plan.prefill, Stage.PREFILL, tokens)
         memory = await self._reader.read(call, plan.prefill, tokens)
-        self._note_part(call, memory.upstream, 0, ready=True)
+        self._notes.part_placed(call, memory.upstream, 0, ready=True)
         if tokens >= LONG_READING_TOKENS:
             await self._announce()
         try:
@@ -169,15 +163,8 @@
     ) -> None:
         slowdown = DIRECT_SLOWDOWN if stage is Stage.DECODE else 1.0
         self._busyness.note(stage, slowdown * tokens / self._reader.rate)
-        self._note_part(call, choice.candidate.upstream, tokens, ready=False)
-
-    def _note_part(
-        self, call: RoutedCall, upstream: Upstream, tokens: int, ready: bool
-    ) -> None:
-        prompt = call.prompt
-        if prompt is None or prompt.shared_tokens < PART_MIN_TOKENS:
-            return
-        self.cache.note(upstream.upstream_id, prompt.first_part, tokens, ready)
+        upstream = choice.candidate.upstream
+        self._notes.part_placed(call, upstream, tokens, ready=False)
 
     async def _run_with_memory(
         self, call: RoutedCall, memory: PromptMemory, relay: AnswerRelay
@@ -195,7 +182,8 @@
         moved = call.prompt.own_tokens
         if not choice.candidate.holds_shared:
             moved += call.prompt.shared_tokens
-        self._note_part(call, choice.candidate.upstream, moved, ready=False)
+        upstream = choice.candidate.upstream
+        self._notes.part_placed(call, upstream, moved, ready=False)
         options = RunOptions(memory, resume_after=relay.resume_after)
         await self._run_on(call, choice, relay, options)
 
@@ -226,9 +214,9 @@
                     if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                         call.attempts += 1
                     self._notes.failed(call, upstream, exc, started_at_s)
-                    await self._note_crash(call, upstream, exc)
+                    await self._notes.crashed_if_down(call, upstream, exc)
                     raise
-        self._note_answered(call, upstream, relay, options, started_at_s)
+        self._notes.answered(call, upstream, relay, options, started_at_s)
 
     def _check_failed(self, call: RoutedCall, head, relay: AnswerRelay) -> None:
         """Raise AttemptFailed for an upstream's error that a repeat may mend."""
@@ -241,50 +229,6 @@
         if head.status >= SERVER_ERROR_STATUS and may_repeat:
             raise AttemptFailed(FailureReason.FAILED, f"answered {head.status}")
 
-    async def _note_crash(
-        self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
-    ) -> None:
-        if exc.reason not in BROKEN_OFF or not await is_down(upstream):
-            return
-        self._loads.of(upstream.upstream_id).health.note_unreached(now_s())
-        crashes = self.crashes.note_crash(call, upstream.upstream_id)
-        self._log.write(
-            Event.CRASH_NOTED,
-            request=call.call_id,
-            upstream=upstream.upstream_id,
-            crashes=crashes,
-        )
-        await self._announce()
-
-    def _note_answered(
-        self,
-        call: RoutedCall,
-        upstream: Upstream,
-        relay: AnswerRelay,
-        options: RunOptions,
-        started_at_s: float,
-    ) -> None:
-        load = self._loads.of(upstream.upstream_id)
-        if relay.status >= SERVER_ERROR_STATUS:
-            load.health.note_failure(now_s())
-        else:
-            load.health.note_success(now_s())
-            self.crashes.note_success(call)
-            self._note_part(call, upstream, 0, ready=True)
-        if relay.first_at_s is not None:
-            work = f"{call.route.name} {'apart' if options.memory else 'direct'}"
-            elapsed_s = relay.first_at_s - started_at_s
-            self._loads.note_time(upstream.upstream_id, work, elapsed_s)
-        self._log.write(
-            Event.CALL_ANSWERED,
-            request=call.call_id,
-            upstream=upstream.upstream_id,
-            status=relay.status,
-            seconds=now_s() - call.arrived_at_s,
-            first_s=(relay.first_at_s or now_s()) - call.arrived_at_s,
-            longest_pause_s=relay.longest_pause_s,
-        )
-
 
 def _out_of_time(call: RoutedCall) -> RequestError:
     if call.ran is Ran.NO and not call.offered:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -4,10 +4,10 @@
 
 import curio
 
-from ..process.cache_belief import PART_MIN_TOKENS, CacheBelief, Holding
+from ..process.cache_belief import PART_MIN_TOKENS, Holding
 from ..process.clock import now_s
-from ..process.upstream_loads import UpstreamLoads
-from ..process.upstreams import Upstream, UpstreamRegistry
+from ..process.fleet_knowledge import FleetKnowledge
+from ..process.upstreams import Upstream
 from ..version.route_table import EngineSpec, RouteTable
 from .candidate import Candidate, can_run, guess_holders, relative_paces
 from .routed_call import RoutedCall
@@ -20,16 +20,13 @@
     """Puts together registrations, loads and beliefs about caches."""
 
     def __init__(
-        self,
-        registry: UpstreamRegistry,
-        routes: Callable[[], RouteTable | None],
-        loads: UpstreamLoads,
-        cache: CacheBelief,
+        self, knowledge: FleetKnowledge, routes: Callable[[], RouteTable | None]
     ):
-        self._registry = registry
+        self._registry = knowledge.registry
         self._routes = routes
-        self._loads = loads
-        self._cache = cache
+        self._loads = knowledge.loads
+        self._cache = knowledge.cache
+        self._stage_changes = knowledge.changes
 
     def engine_of(self, service: str) -> EngineSpec | None:
         """Return what the engines of a service have in common; None without any."""
@@ -66,13 +63,14 @@
         name = upstream.upstream_id
         load = self._loads.of(name)
         now = now_s()
+        is_changing = self._stage_changes.target(upstream) is not None
         return Candidate(
             upstream,
             requests=self._loads.requests(name),
             prompt_tokens=self._loads.prompt_tokens(name),
             pace=load.pace.at(now),
             failure_share=load.health.failure_share(now),
-            suspended=load.health.is_suspended(now),
+            suspended=is_changing or load.health.is_suspended(now),
             full=load.health.is_full(now),
             holding=self._holding(upstream, call),
         )
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -8,13 +8,13 @@
 
 from ..events import Event, EventLog
 from ..process.clock import now_s
+from ..process.stage_busyness import StageBusyness
 from ..process.upstreams import Stage
 from .candidate import Candidate, Choice
 from .candidate_finder import CandidateFinder
 from .reading_turn import LONG_READING_TOKENS, ReadingForecast, Turn, choose_turn
 from .routed_call import RoutedCall
 from .shared_reading import wait_for_part
-from .stage_busyness import StageBusyness
 from .stage_plan import MOVE_COST_S, FleetPace, StagePlan, plan_stages
 
 POLL_MIN_S = 0.01
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -4,20 +4,10 @@
 from typing import Protocol
 
 from ..process.upstreams import Upstream
-from ..wire import Headers, HttpResponse
+from ..wire import Headers, HttpResponse, OutgoingRequest
 from .routed_call import RoutedCall
 
 
-@dataclass(frozen=True)
-class OutgoingRequest:
-    """Request as it is written to an upstream."""
-
-    method: str
-    target: str
-    headers: Headers
-    body: bytes = b""
-
-
 @dataclass(frozen=True)
 class PromptMemory:
     """Memory of a prompt that an engine has read, kept for one later use."""
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -18,6 +18,9 @@
   sentWork @3 :List(SentWork);
   needsManifest @4 :Bool;        # behind, and the table can't be reached
   placedParts @5 :List(PlacedPart);
+  readingPrefill @6 :Float32;    # seconds of reading placed a second, by stage
+  readingDecode @7 :Float32;
+  stageNotices @8 :List(StageNotice);
 }
 
 struct EntryRecord {
@@ -50,6 +53,12 @@
   ready @4 :Bool;                # the part has been read
 }
 
+struct StageNotice {
+  upstream @0 :Text;             # engine whose stage is being changed
+  stage @1 :Text;                # stage that it is to have
+  ageMs @2 :UInt32;
+}
+
 struct Manifest {
   head @0 :Data;                 # value of the head row, JSON
   body @1 :Data;                 # canonical bytes of the manifest
--- /dev/null
+++ b/wisteriaarch/version/stage_control.py
@@ -0,0 +1,197 @@
+"""Changes stages of one service's engines, as the holder of its lease.
+
+Every entry decides by itself whether a change pays; only one that finds so competes for
+the lease, and the one that is first by rendezvous hashing tries first. So nothing is
+written to the store in the calm.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import curio
+
+from ..errors import LeaseLost, OrderError, OrderUnconfirmed
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.lease import Lease
+from ..process.stage_changes import StageChanges
+from .stage_orders import StageOrder, StageOrders
+from .stage_policy import EngineLoad, StageChange, StageDemand, StagePolicy
+
+DECIDE_EVERY_S = 0.2
+# How much longer each further entry waits before it competes.
+CONTEND_STEP_S = 1.0
+RENEW_WITH_LEFT_SHARE = 0.5
+# What the peers are told reaches them before the order reaches the engine.
+TELL_PEERS_S = 0.05
+# An order without an answer may be carried out as late as this.
+UNSETTLED_S = 12.0
+REFUSED_PAUSE_S = 2.0
+ORDER_TRIES = 3
+# Reports tell of an order that was accepted as long ago as this.
+REPORTED_AFTER_S = 0.25
+
+
+@dataclass(frozen=True)
+class StageView:
+    """What an entry knows of a service's engines now."""
+
+    engines: tuple[EngineLoad, ...]
+    demand: StageDemand
+
+
+class StageControl:
+    """Runs at every entry, once for each service with engines."""
+
+    def __init__(
+        self,
+        service: str,
+        holder: str,
+        lease: Lease,
+        observe: Callable[[], StageView],
+        orders: StageOrders,
+        changes: StageChanges,
+        announce: Callable[[], Awaitable[None]],
+        log: EventLog,
+    ):
+        self._service = service
+        self._holder = holder
+        self._lease = lease
+        self._observe = observe
+        self._orders = orders
+        self._changes = changes
+        self._announce = announce
+        self._log = log
+        self._policy = StagePolicy()
+        self._wanted_since_s: float | None = None
+        self._advanced_at_s = float("-inf")
+        self._ordered_at_s = float("-inf")
+        self._left_alone_until_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Decide and give orders for ever."""
+        while True:
+            await curio.sleep(DECIDE_EVERY_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Decide once; give at most one order."""
+        view = self._observe()
+        engines = tuple(item for item in view.engines if not self._is_left_alone(item))
+        change = self._policy.decide(engines, view.demand, now_s())
+        if change is None:
+            self._wanted_since_s = None
+            await self._keep_or_release()
+        elif await self._may_order():
+            await self._carry_out(change)
+
+    async def _keep_or_release(self) -> None:
+        """Hold the lease for a term after the last order; then give it up.
+
+        A successor may give orders at once then.
+        """
+        if not self._lease.is_held():
+            return
+        if self._order_age_s() >= self._lease.term_s:
+            await self._lease.release()
+        elif not self._lease.has_left(RENEW_WITH_LEFT_SHARE):
+            await self._lease.advance()
+
+    async def close(self) -> None:
+        """Give up a lease that is held, a term after the last order."""
+        if self._lease.is_held():
+            await curio.sleep(max(0.0, self._lease.term_s - self._order_age_s()))
+            await self._lease.release()
+
+    def _order_age_s(self) -> float:
+        return now_s() - self._ordered_at_s
+
+    def _is_left_alone(self, engine: EngineLoad) -> bool:
+        until_s = self._left_alone_until_s.get(engine.upstream.upstream_id, 0.0)
+        return now_s() < until_s
+
+    async def _may_order(self) -> bool:
+        """Take or renew the lease as needed; True where orders may be given now."""
+        now = now_s()
+        if self._wanted_since_s is None:
+            self._wanted_since_s = now
+        wanted_for_s = now - self._wanted_since_s
+        is_due = now - self._advanced_at_s >= self._lease.renew_every_s
+        if not self._lease.has_left(RENEW_WITH_LEFT_SHARE) and is_due:
+            if wanted_for_s < self._lease.rank * CONTEND_STEP_S:
+                return False
+            self._advanced_at_s = now
+            await self._lease.advance()
+        return self._lease.may_order()
+
+    async def _carry_out(self, change: StageChange) -> None:
+        upstream = change.upstream
+        self._write(Event.ROLE_CHANGE_DECIDED, change)
+        try:
+            report = await self._orders.report(upstream)
+            if report.busy or report.stage is change.stage:
+                raise OrderError("the engine is changing or has changed already")
+            self._changes.begin(upstream.upstream_id, change.stage)
+            await self._announce()
+            await curio.sleep(TELL_PEERS_S)
+            epoch = await self._order(change, report.last_order)
+        except OrderUnconfirmed as exc:
+            self._end(Event.ORDER_UNCONFIRMED, change, UNSETTLED_S, exc)
+        except (OrderError, LeaseLost) as exc:
+            self._end(Event.ORDER_ABANDONED, change, REFUSED_PAUSE_S, exc)
+        else:
+            self._policy.note_changed(change.stage, now_s())
+            self._write(Event.ORDER_ACCEPTED, change, epoch=epoch)
+
+    async def _order(self, change: StageChange, last_order: int) -> int:
+        """Have an order accepted; returns its fencing token.
+
+        One that isn't answered is sent again as it was: an engine that carries out one
+        of them accepts no other after the same order.
+        """
+        tries = 0
+        while True:
+            tries += 1
+            epoch = self._lease.require(0.0).epoch
+            order = StageOrder(
+                change.upstream, change.stage, self._holder, epoch, last_order
+            )
+            self._ordered_at_s = now_s()
+            try:
+                await self._orders.deliver(order, self._lease)
+                return epoch
+            except OrderUnconfirmed:
+                if await self._was_accepted(change):
+                    return epoch
+                if tries >= ORDER_TRIES:
+                    raise
+
+    async def _was_accepted(self, change: StageChange) -> bool:
+        """Whether an engine reports that it carries out an order without an answer."""
+        await curio.sleep(REPORTED_AFTER_S)
+        try:
+            report = await self._orders.report(change.upstream)
+        except OrderError as exc:
+            self._write(Event.ENGINE_UNREACHABLE, change, error=str(exc))
+            return False
+        return report.busy or report.stage is change.stage
+
+    def _end(
+        self, event: Event, change: StageChange, pause_s: float, exc: Exception
+    ) -> None:
+        """Take in that a change doesn't take place now; its engine is used on."""
+        name = change.upstream.upstream_id
+        self._changes.cancel(name)
+        self._left_alone_until_s[name] = now_s() + pause_s
+        self._write(event, change, error=str(exc))
+
+    def _write(self, event: Event, change: StageChange, **fields) -> None:
+        self._log.write(
+            event,
+            group=self._service,
+            upstream=change.upstream.upstream_id,
+            role=change.stage.value,
+            busy_share=change.busy_share,
+            spare_share=change.spare_share,
+            **fields,
+        )
--- a/wisteriaarch/wire.py
+++ b/wisteriaarch/wire.py
@@ -58,6 +58,16 @@
         return target.partition("?")[0]
 
 
+@dataclass(frozen=True)
+class OutgoingRequest:
+    """Request as it is written to an upstream."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes = b""
+
+
 @dataclass
 class HttpResponse:
     """Head of a received response, with the body where it was read whole.
