Keep engines for each stage, count slow ones as a part, and ask tried ones again

Two changes in a row were decided while two engines were slow and the demand on the other stage was rising; the way back was closed for 6 s. 98 calls ended with 'no upstream of the service is left': each had been on that engine once, and was not sent there again.

Change: a stage keeps 0.2 (reading) or 0.3 (running) of all engines; a slow engine counts as a part of one; the last value of the other stage's share counts where it is higher than the average; an overloaded stage gets engines back after 1.5 s; a call may go back to an engine that it was on where no other can run it (seen red).

--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -1,12 +1,15 @@
 """Where calls are placed and who reads a prompt, without I/O."""
 
 import unittest
+from unittest import mock
 
 from wisteriaarch.process.cache_belief import Holding
 from wisteriaarch.process.digest import ReadingDemand
+from wisteriaarch.process.fleet_knowledge import FleetKnowledge
 from wisteriaarch.process.stage_busyness import StageBusyness
-from wisteriaarch.process.upstreams import Stage
+from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
 from wisteriaarch.request.candidate import find_home, relative_paces
+from wisteriaarch.request.candidate_finder import CandidateFinder
 from wisteriaarch.request.placement import (
     place_decode,
     place_prefill,
@@ -15,7 +18,7 @@
 from wisteriaarch.request.stage_plan import FleetPace, plan_stages
 from wisteriaarch.request.urgency import urgency_of
 
-from .route_support import RATE, candidate, fleet, prompt
+from .route_support import RATE, candidate, fleet, prompt, upstream
 
 CALM = FleetPace(RATE)
 
@@ -42,6 +45,28 @@
         self.assertIsNone(place_service_call([], "z1"))
 
 
+class CandidateFinderTest(unittest.TestCase):
+    """Load: at a peak few engines run prompts, and a call was on all of them."""
+
+    def setUp(self):
+        log = mock.Mock()
+        registry = UpstreamRegistry(lambda: None, log)
+        registry.update([upstream("p", Stage.PREFILL), upstream("d", Stage.DECODE)])
+        knowledge = FleetKnowledge.from_registry(registry, lambda: 1)
+        self.finder = CandidateFinder(knowledge, lambda: None)
+
+    def find(self, *tried):
+        call = mock.Mock(service="s", prompt=None, tried=set(tried))
+        found = self.finder.now(call)
+        return {item.upstream.upstream_id for item in found}
+
+    def test_tried_one_is_left_out_while_another_can_run_the_call(self):
+        self.assertEqual(self.find("p"), {"d"})
+
+    def test_tried_one_is_asked_again_where_no_other_can_run_the_call(self):
+        self.assertEqual(self.find("d"), {"p", "d"})
+
+
 class StagePlanTest(unittest.TestCase):
     def test_short_prompt_is_not_behind_long_ones(self):
         items = [
--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -1,6 +1,7 @@
 """When engines change their stage, and who knows of it, without I/O."""
 
 import unittest
+from dataclasses import replace
 
 from wisteriaarch.process.digest import StageNotice
 from wisteriaarch.process.stage_changes import CHANGE_KEPT_S, StageChanges
@@ -91,6 +92,29 @@
             fleet.play(LONG_ANSWERS, 5.0)
         self.assertLessEqual(len(fleet.changes), 40)
 
+    def test_slow_engines_count_as_a_part_of_one(self):
+        """Load: a peak of both kinds while two engines that run prompts are slow."""
+        fleet = Fleet(3, 5)
+        fleet.engines[-2:] = [replace(item, pace=5.0) for item in fleet.engines[-2:]]
+        demand = StageDemand(prefill=2.4, decode=1.4)
+        self.assertEqual(fleet.play(demand, 5.0), [])
+        fleet.engines[-2:] = [replace(item, pace=1.0) for item in fleet.engines[-2:]]
+        self.assertNotEqual(fleet.play(demand, 5.0), [])
+
+    def test_rise_of_the_other_demand_counts_at_once(self):
+        fleet = Fleet(2, 5)
+        fleet.play(StageDemand(prefill=1.5, decode=1.7), 10.0)
+        before = len(fleet.changes)
+        self.assertEqual(fleet.play(StageDemand(1.5, decode=2.6), 0.2), [])
+        self.assertEqual(len(fleet.changes), before)
+
+    def test_mistaken_change_is_turned_back_within_seconds(self):
+        """Load: the other stage falls short right after it gave an engine away."""
+        fleet = Fleet(2, 7)
+        fleet.play(LONG_PROMPTS, 3.0)
+        fleet.play(StageDemand(prefill=0.8, decode=5.0), 6.0)
+        self.assertGreaterEqual(fleet.count(Stage.DECODE), 7)
+
     def test_no_stage_takes_an_engine_that_the_other_needs(self):
         both = StageDemand(prefill=2.5, decode=4.0)
         self.assertEqual(Fleet(3, 6).play(both, 20.0), [])
@@ -99,6 +123,14 @@
         fleet = Fleet(1, 1)
         self.assertEqual(fleet.play(LONG_PROMPTS, 20.0), [])
 
+    def test_each_stage_keeps_its_part_of_the_engines(self):
+        """Load: one kind of prompt alone, and then the loss of an engine."""
+        fleet = Fleet(3, 6)
+        fleet.play(StageDemand(prefill=9.0, decode=0.1), 60.0)
+        self.assertEqual(fleet.count(Stage.DECODE), 3)
+        fleet.play(StageDemand(prefill=0.1, decode=9.0), 60.0)
+        self.assertEqual(fleet.count(Stage.PREFILL), 2)
+
     def test_full_batches_keep_their_engines(self):
         fleet = Fleet(2, 4)
         fleet.engines = engines(2, 4, requests=8)
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -7,7 +7,7 @@
 from ..process.cache_belief import PART_MIN_TOKENS, Holding
 from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
-from ..process.upstreams import Upstream
+from ..process.upstreams import Stage, Upstream
 from ..version.route_table import EngineSpec, RouteTable
 from .candidate import Candidate, can_run, guess_holders, relative_paces
 from .routed_call import RoutedCall
@@ -51,10 +51,15 @@
             waited_s += SETTLING_POLL_S
 
     def now(self, call: RoutedCall) -> list[Candidate]:
-        """Return the candidates as of now, untried ones where there are any."""
+        """Return the candidates as of now, untried ones where any of these can run it.
+
+        Load pattern: at a peak few engines run prompts, and a call was on all of them.
+        """
         usable = self._registry.usable(call.service)
         fresh = [item for item in usable if item.upstream_id not in call.tried]
-        candidates = [self._candidate(item, call) for item in fresh or usable]
+        if all(item.stage is Stage.PREFILL for item in fresh):
+            fresh = usable
+        candidates = [self._candidate(item, call) for item in fresh]
         if self._cache.is_young() and _shares_much(call):
             candidates = guess_holders(candidates, call.prompt)
         return relative_paces(candidates)
--- a/wisteriaarch/version/stage_controls.py
+++ b/wisteriaarch/version/stage_controls.py
@@ -6,6 +6,7 @@
 import curio
 
 from ..events import EventLog
+from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
 from ..process.lease import Contender, Lease
 from ..process.settings import LeaseSettings
@@ -35,12 +36,14 @@
 
 
 def _load_of(knowledge: FleetKnowledge, upstream: Upstream) -> EngineLoad:
+    name = upstream.upstream_id
     target = knowledge.changes.target(upstream)
     return EngineLoad(
         upstream,
         target or upstream.stage,
-        knowledge.loads.requests(upstream.upstream_id),
-        knowledge.loads.prompt_tokens(upstream.upstream_id),
+        knowledge.loads.requests(name),
+        knowledge.loads.prompt_tokens(name),
+        knowledge.loads.of(name).pace.at(now_s()),
         changing=target is not None,
     )
 
--- a/wisteriaarch/version/stage_policy.py
+++ b/wisteriaarch/version/stage_policy.py
@@ -13,24 +13,31 @@
 from ..process.upstreams import Stage, Upstream
 
 SHORT_SHARE = 0.55
-SPARE_SHARE = 0.45
+SPARE_SHARE = 0.42
 SLOTS_SHARE = 0.8
+# Part of all engines that a stage keeps, so that the loss of one is borne. Those that
+# run prompts can read them too, but not the other way round.
+FLOOR_SHARES = {Stage.PREFILL: 0.2, Stage.DECODE: 0.3}
 SMOOTHED_S = 1.0
 SHORT_FOR_S = 0.5
-TURN_BACK_AFTER_S = 6.0
+OVERLOAD_SHARE = 1.2
+TURN_BACK_AFTER_S = 5.0
+OVERLOADED_TURN_BACK_AFTER_S = 1.5
 
 
 @dataclass(frozen=True)
 class EngineLoad:
     """Engine with what all entries have in flight there.
 
-    ``stage`` is the one that it has, or is changing to.
+    ``stage`` is the one that it has, or is changing to, ``pace`` how much longer than
+    expected it takes.
     """
 
     upstream: Upstream
     stage: Stage
     requests: int = 0
     prompt_tokens: int = 0
+    pace: float = 1.0
     changing: bool = False
 
 
@@ -68,14 +75,13 @@
         self, engines: Sequence[EngineLoad], demand: StageDemand, now: float
     ) -> StageChange | None:
         """Return a change that pays, if there is one; called several times a second."""
-        counts = {
-            stage: sum(item.stage is stage for item in engines) for stage in Stage
+        stages = {
+            stage: [item for item in engines if item.stage is stage] for stage in Stage
         }
+        for stage, items in stages.items():
+            self._shares[stage].note(_taken_share(items, stage, demand), now)
         for stage in Stage:
-            share = self._share(engines, demand, stage, counts[stage])
-            self._shares[stage].note(share, now)
-        for stage in Stage:
-            change = self._consider(engines, counts, stage, now)
+            change = self._consider(stages, stage, now)
             if change is not None:
                 return change
         return None
@@ -85,48 +91,49 @@
         self._changed_at_s[stage] = now
         self._short_since_s.pop(stage, None)
 
-    def _share(self, engines, demand: StageDemand, stage: Stage, count: int) -> float:
-        """Return how much of a stage is taken; 1 where all of it is."""
-        reading = demand.of(stage) / max(1, count)
-        if stage is Stage.PREFILL:
-            return reading
-        items = [item for item in engines if item.stage is stage]
-        slots = sum(item.upstream.slots for item in items)
-        running = sum(item.requests for item in items)
-        return max(reading, SHORT_SHARE / SLOTS_SHARE * running / max(1, slots))
-
     def _consider(
-        self, engines, counts: dict[Stage, int], stage: Stage, now: float
+        self, stages: dict[Stage, list[EngineLoad]], stage: Stage, now: float
     ) -> StageChange | None:
         source = _other(stage)
         busy = self._shares[stage].value
-        left = counts[source] - 1
-        spare = self._shares[source].value * counts[source] / max(1, left)
-        is_short = busy > SHORT_SHARE and spare < min(SPARE_SHARE, busy) and left > 0
-        if not is_short or self._turned_lately(source, now):
+        left = len(stages[source]) - 1
+        spare = self._shares[source].highest * len(stages[source]) / max(1, left)
+        floor = math.ceil(FLOOR_SHARES[source] * sum(map(len, stages.values())))
+        can_spare = left >= floor and spare < min(SPARE_SHARE, busy)
+        turn_back_after_s = (
+            OVERLOADED_TURN_BACK_AFTER_S if busy > OVERLOAD_SHARE else TURN_BACK_AFTER_S
+        )
+        is_short = busy > SHORT_SHARE and can_spare
+        if not is_short or self._was_changed(source, turn_back_after_s, now):
             self._short_since_s.pop(stage, None)
             return None
         since_s = self._short_since_s.setdefault(stage, now)
         if now - since_s < SHORT_FOR_S:
             return None
-        engine = _least_needed(engines, source)
+        engine = _least_needed(stages[source])
         if engine is None:
             return None
         return StageChange(engine.upstream, stage, busy, spare)
 
-    def _turned_lately(self, stage: Stage, now: float) -> bool:
-        """Whether an engine was changed to a stage not long ago, and so stays there."""
+    def _was_changed(self, stage: Stage, within_s: float, now: float) -> bool:
+        """Whether an engine was changed to a stage lately, and so stays there."""
         changed_at_s = self._changed_at_s.get(stage)
-        return changed_at_s is not None and now - changed_at_s < TURN_BACK_AFTER_S
+        return changed_at_s is not None and now - changed_at_s < within_s
 
 
 @dataclass
 class SmoothedShare:
-    """Moving average with a time constant of ``SMOOTHED_S``."""
+    """Moving average with a time constant of ``SMOOTHED_S``, and the last value."""
 
     value: float = 0.0
+    last: float = 0.0
     at_s: float | None = None
 
+    @property
+    def highest(self) -> float:
+        """The average, or the last value where that is higher."""
+        return max(self.value, self.last)
+
     def note(self, value: float, at_s: float) -> None:
         """Take in a value at a time."""
         if self.at_s is None:
@@ -134,6 +141,7 @@
         else:
             weight = 1 - math.exp(-max(0.0, at_s - self.at_s) / SMOOTHED_S)
             self.value += weight * (value - self.value)
+        self.last = value
         self.at_s = at_s
 
 
@@ -141,9 +149,26 @@
     return Stage.DECODE if stage is Stage.PREFILL else Stage.PREFILL
 
 
-def _least_needed(engines: Sequence[EngineLoad], source: Stage) -> EngineLoad | None:
+def _taken_share(
+    engines: Sequence[EngineLoad], stage: Stage, demand: StageDemand
+) -> float:
+    """Return how much of a stage is taken; 1 where all of it is.
+
+    An engine that is slower than the best of its stage counts as a part of one.
+    """
+    best = min((item.pace for item in engines), default=1.0)
+    capacity = sum(best / item.pace for item in engines)
+    reading = demand.of(stage) / max(1.0, capacity)
+    if stage is Stage.PREFILL:
+        return reading
+    slots = sum(item.upstream.slots for item in engines)
+    running = sum(item.requests for item in engines)
+    return max(reading, SHORT_SHARE / SLOTS_SHARE * running / max(1, slots))
+
+
+def _least_needed(engines: Sequence[EngineLoad]) -> EngineLoad | None:
     """Return the engine with the least to end; the last of its zone only at need."""
-    items = [item for item in engines if item.stage is source and not item.changing]
+    items = [item for item in engines if not item.changing]
 
     def is_last_of_zone(engine: EngineLoad) -> bool:
         zone = engine.upstream.zone
