Wait for all engines before an order is held in the test of moves

Seen: test_order_of_the_former_group_is_waited_for_or_never_sent failed in 1 of 8 runs side by side beside 6 busy processes with one order where the check asks for two (held 2.2 s), and in 1 of 12 with three where it asks for one (held 30 s). Cause: the set-up waited for two of the three engines. Where the order to the third was still under way, its record was held in the place of that to the engine that moves, which then moved before or after the former group's orders as it happened. Ruled out: a lease or window that ran out on the busy machine (no such event was logged; a check that allowed for it was tried and left out). Change: the set-up waits for the third engine.

--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -10,14 +10,14 @@
 from wisteriaarch.errors import UpstreamMoved, WriteConflict
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.lease import Contender, Lease
-from wisteriaarch.process.settings import LeaseSettings
+from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.steps import Step
 from wisteriaarch.version.order_window import SEND_WITHIN_S
 from wisteriaarch.version.orders import OrderAction, OrderBook, OrderRequest
 
 from .control_support import GROUP, ControlTestCase, control_manifest
+from .lease_support import FakeTable
 from .support import MODEL, caller_spec
-from .test_lease import FakeTable
 
 OTHER = "medellin"
 OTHER_MODEL = "citation-small"
@@ -53,6 +53,9 @@
         self.apply(two_groups(*names, checks=checks))
         self.wait_for_models(MOVING, {MODEL: "v1"})
         self.wait_for_models("engine-2", {MODEL: "v1"})
+        # An order to engine-3 that is still under way would be held in the place of
+        # one to the engine that moves.
+        self.wait_for_models("engine-3", {OTHER_MODEL: "w1"})
 
     def wait_for_models(self, name, models):
         wait_until(lambda: self.engine_state(name)["models"] == models, 40.0)
