Let an entry on the platform load no module of the own interface

Cause: after all entries lose power their start is a good part of the time in which no call is answered (0.5 s of it imports), and 'wisteriaarch gateway' loaded manifests, load reports and the settings of the own interface for the sake of types. Change: process/settings_models.py (models and reading that both kinds of settings share), manifest_copy.py and peer_settings.py (what heartbeats need of an entry). No change of behaviour; tests of settings, membership, manifests and the command line: 44 passed.

--- a/extras/control_cost.py
+++ b/extras/control_cost.py
@@ -10,7 +10,7 @@
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.http_store import HttpTableStore
 from wisteriaarch.process.lease import Contender, Lease
-from wisteriaarch.process.settings import LeaseSettings
+from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.process.store import Instance
 from wisteriaarch.version.order_window import deliver_order
 from wisteriaarch.version.orders import (
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -10,7 +10,7 @@
 from wisteriaarch.errors import LeaseLost
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.lease import CONTENDERS_MAX, Contender, Lease
-from wisteriaarch.process.settings import LeaseSettings
+from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.steps import Step
 
 from .control_support import GROUP, LEASE, ControlTestCase, control_manifest
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -17,12 +17,13 @@
 from wisteriaarch.errors import ConfigError
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.http_store import HttpTableStore
+from wisteriaarch.process.manifest_copy import ManifestCopy
 from wisteriaarch.process.store import NO_VERSION, Row
 from wisteriaarch.status import ExitStatus
 from wisteriaarch.steps import Step
 from wisteriaarch.version.head import Head
 from wisteriaarch.version.manifest import Manifest
-from wisteriaarch.version.publication import ManifestCopy, read_head
+from wisteriaarch.version.publication import read_head
 from wisteriaarch.version.watcher import ManifestWatcher
 from wisteriaarch.wire import Address
 
--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 from extras.reference_tables import RENDERERS
-from wisteriaarch.process.settings import EntrySettings, load_model
+from wisteriaarch.process.settings import EntrySettings
+from wisteriaarch.process.settings_models import load_model
 from wisteriaarch.version.manifest import Manifest
 
 EXAMPLES = Path("extras/examples")
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -4,7 +4,8 @@
 import unittest
 
 from wisteriaarch.errors import ConfigError
-from wisteriaarch.process.settings import EntrySettings, parse_model
+from wisteriaarch.process.settings import EntrySettings
+from wisteriaarch.process.settings_models import parse_model
 
 REQUIRED = {
     "entry_id": "entry-1",
--- a/wisteriaarch/cli/checking.py
+++ b/wisteriaarch/cli/checking.py
@@ -3,7 +3,8 @@
 import argparse
 
 from ..environment import Environment
-from ..process.settings import EntrySettings, load_model
+from ..process.settings import EntrySettings
+from ..process.settings_models import load_model
 from ..status import ExitStatus
 from ..version.manifest import Manifest
 from .output import print_result
--- a/wisteriaarch/cli/publication.py
+++ b/wisteriaarch/cli/publication.py
@@ -7,7 +7,7 @@
 from ..environment import Environment
 from ..process.entry_status import EntryStatus
 from ..process.http_store import HttpInstanceList, HttpObjectStore, HttpTableStore
-from ..process.settings import load_model
+from ..process.settings_models import load_model
 from ..status import ExitStatus
 from ..version.manifest import Manifest
 from ..version.placement import check_placeable
--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -22,7 +22,7 @@
     SentWork,
     StageNotice,
 )
-from ..version.publication import ManifestCopy
+from ..process.manifest_copy import ManifestCopy
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "peer.capnp"
 PROTOCOL_VERSION = 1
--- a/wisteriaarch/connection/peer.py
+++ b/wisteriaarch/connection/peer.py
@@ -9,8 +9,8 @@
 from ..errors import ConnectionClosed, FrameError
 from ..process.clock import now_s
 from ..process.digest import PeerDigest
+from ..process.manifest_copy import ManifestCopy
 from ..sockets import open_socket
-from ..version.publication import ManifestCopy
 from ..wire import Address
 from .codec import MessageKind, PeerMessage, decode_message, encode_message
 
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -12,12 +12,12 @@
 from ..process.digest import PeerDigest
 from ..process.fleet import Fleet
 from ..process.heartbeat import DigestHooks, HeartbeatComposer
+from ..process.manifest_copy import CopySource
 from ..process.membership import Membership
 from ..process.neighbours import choose_neighbours, is_initiator
-from ..process.settings import EntrySettings
+from ..process.peer_settings import PeerSettings
 from ..process.store import Instance
 from ..sockets import listen_on, serve_clients
-from ..version.watcher import ManifestWatcher
 from ..wire import Address
 from .codec import MessageKind, PeerMessage
 from .peer import PeerConnection
@@ -34,10 +34,10 @@
 
     def __init__(
         self,
-        settings: EntrySettings,
+        settings: PeerSettings,
         fleet: Fleet,
         membership: Membership,
-        watcher: ManifestWatcher,
+        watcher: CopySource,
         log: EventLog,
         hooks: DigestHooks | None = None,
     ):
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -11,9 +11,9 @@
 from ..adapter import PlatformAdapter
 from ..errors import ConfigError
 from ..events import Event, EventLog
-from ..version.publication import ManifestCopy
 from ..version.route_table import RouteTable
 from .clock import now_s
+from .manifest_copy import ManifestCopy
 from .row_copy import RowCopy
 from .row_watch import RowWatch
 from .rows import RowTable, StoredRow
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -5,7 +5,7 @@
 from pydantic import BeforeValidator, ConfigDict, Field
 
 from ..wire import Address
-from .settings import (
+from .settings_models import (
     AddressSettings,
     LeaseSettings,
     LimitSettings,
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -18,7 +18,7 @@
 from ..events import Event, EventLog
 from ..steps import Step, reach
 from .clock import now_s
-from .settings import LeaseSettings
+from .settings_models import LeaseSettings
 from .store import Check, Put, Row, RowStore, Transaction
 
 LEASE_TABLE = "leases"
--- a/wisteriaarch/process/membership.py
+++ b/wisteriaarch/process/membership.py
@@ -8,7 +8,7 @@
 from .clock import now_s
 from .digest import EntryRecord, PeerDigest
 from .member import NEVER_S, Member
-from .settings import EntrySettings
+from .peer_settings import PeerSettings
 
 ALIVE_HEARTBEATS = 6
 SPREAD_HEARTBEATS = 4
@@ -41,7 +41,7 @@
     @classmethod
     def from_config(
         cls,
-        settings: EntrySettings,
+        settings: PeerSettings,
         listed: Callable[[], Iterable[str]],
         own: Callable[[], EntryRecord],
     ) -> Self:
--- a/wisteriaarch/process/settings.py
+++ b/wisteriaarch/process/settings.py
@@ -1,59 +1,19 @@
 """Settings of an entry, read from a JSON file and checked."""
 
-import json
-from pathlib import Path
-from typing import Literal, Self, TypeVar
-
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
-
-from ..errors import ConfigError
-from ..wire import Address
+from typing import Literal, Self
+
+from pydantic import Field, model_validator
+
+from .settings_models import (
+    AddressSettings,
+    LeaseSettings,
+    LimitSettings,
+    LogSettings,
+    StrictModel,
+    load_model,
+)
 from .settings_relations import check_relations
 
-ModelT = TypeVar("ModelT", bound=BaseModel)
-
-
-class StrictModel(BaseModel):
-    """Model that refuses unknown fields and can't be changed."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class AddressSettings(StrictModel):
-    """IP number and port; port 0 takes a free one."""
-
-    host: str = "127.0.0.1"
-    port: int = Field(ge=0, le=65535)
-
-    def address(self) -> Address:
-        """Return the plain address."""
-        return Address(self.host, self.port)
-
-
-class LogSettings(StrictModel):
-    """Form and level of the log on standard error."""
-
-    form: Literal["human", "json"] = "human"
-    level: Literal["debug", "info", "warning", "error"] = "info"
-
-
-class LeaseSettings(StrictModel):
-    """Times of the leases of upstream groups."""
-
-    term_s: float = Field(default=3.0, gt=0)
-    renew_every_s: float = Field(default=0.75, gt=0)
-    drift_margin_s: float = Field(default=0.25, gt=0)
-
-
-class LimitSettings(StrictModel):
-    """Bounds on what one caller connection or request may use."""
-
-    head_bytes: int = Field(default=32 * 1024, ge=1024)
-    body_bytes: int = Field(default=16 * 1024 * 1024, ge=1024)
-    requests_in_flight: int = Field(default=2000, ge=1)
-    idle_timeout_s: float = Field(default=60.0, gt=0)
-
-
 PolicyName = Literal["predicted", "random", "least_load", "static_split", "reactive"]
 PolicyPart = Literal[
     "admission",
@@ -109,38 +69,3 @@
     def _check_relations(self) -> Self:
         check_relations(self)
         return self
-
-
-def load_model(model: type[ModelT], path: str) -> ModelT:
-    """Read a JSON file into ``model``; raises ConfigError."""
-    try:
-        text = Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise ConfigError(f"{path}: can't be read: {exc}") from exc
-    return parse_model(model, text, path)
-
-
-def parse_model(model: type[ModelT], text: str | bytes, origin: str) -> ModelT:
-    """Check JSON text against ``model``; raises ConfigError naming ``origin``."""
-    try:
-        return model.model_validate(json.loads(text))
-    except ValueError as exc:
-        raise ConfigError(f"{origin}: {describe_invalid(exc)}") from exc
-
-
-def describe_invalid(exc: ValueError) -> str:
-    """Put a validation failure in words: field, value and expectation of each error."""
-    if not isinstance(exc, ValidationError):
-        return f"not valid JSON: {exc}"
-    return "; ".join(_describe_error(error) for error in exc.errors())
-
-
-def _describe_error(error) -> str:
-    if error["type"] == "value_error" and not error["loc"]:
-        return str(error["ctx"]["error"])
-    name = ".".join(str(part) for part in error["loc"]) or "(document)"
-    if error["type"] == "extra_forbidden":
-        return f"field {name!r}: unknown field; expected only documented fields"
-    if error["type"] == "missing":
-        return f"field {name!r}: is missing; expected a value"
-    return f"field {name!r}: got {error['input']!r}; expected: {error['msg']}"
--- a/wisteriaarch/request/body.py
+++ b/wisteriaarch/request/body.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..errors import ErrorKind, RequestError
-from ..process.settings import describe_invalid
+from ..process.settings_models import describe_invalid
 from ..wire import load_json
 
 
--- a/wisteriaarch/version/manifest.py
+++ b/wisteriaarch/version/manifest.py
@@ -7,7 +7,7 @@
 
 from pydantic import Field, model_validator
 
-from ..process.settings import StrictModel, parse_model
+from ..process.settings_models import StrictModel, parse_model
 
 Name = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")
 
--- a/wisteriaarch/version/publication.py
+++ b/wisteriaarch/version/publication.py
@@ -26,19 +26,6 @@
     since_s: float = field(default_factory=now_s, compare=False)
 
 
-@dataclass(frozen=True)
-class ManifestCopy:
-    """A directive as one entry passes it on to another.
-
-    ``head`` is the value of the head row as JSON and ``body`` the manifest's canonical
-    bytes; ``row_version`` is the version of the row.
-    """
-
-    head: bytes
-    body: bytes
-    row_version: int
-
-
 async def read_head(table: TableStore) -> Head:
     """Read the head row; raises StoreUnavailable."""
     return Head.from_row(await table.read(HEAD_TABLE, HEAD_KEY))
--- a/wisteriaarch/version/stage_controls.py
+++ b/wisteriaarch/version/stage_controls.py
@@ -9,7 +9,7 @@
 from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
 from ..process.lease import Contender, Lease
-from ..process.settings import LeaseSettings
+from ..process.settings_models import LeaseSettings
 from ..process.store import RowStore
 from ..process.supervision import run_supervised
 from ..process.upstreams import Stage, Upstream
--- a/wisteriaarch/version/watcher.py
+++ b/wisteriaarch/version/watcher.py
@@ -9,11 +9,12 @@
 from ..events import Event, EventLog
 from ..process.backoff import Backoff
 from ..process.clock import now_s
+from ..process.manifest_copy import ManifestCopy
 from ..process.store import ObjectStore, TableStore, encode_json
 from ..steps import Step, reach
 from .head import Head
 from .manifest import Manifest
-from .publication import Directive, ManifestCopy, read_head, read_manifest
+from .publication import Directive, read_head, read_manifest
 
 RETRY_MAX_S = 2.0
 WAKE_JITTER_MAX_S = 0.25
