Change stages from a share of 0.45 on, and measure anew after each change

Cause: bursts of 8 s were half over before the second engine had changed; with averages that still held what came before, a change was followed by one too many. Change: short from 0.45 (0.55), for 0.3 s (0.5), averages of 0.7 s (1.0) that start anew after a change; from 0.9 on a stage counts as overloaded and gets engines back after 2 s.

--- a/wisteriaarch/version/stage_policy.py
+++ b/wisteriaarch/version/stage_policy.py
@@ -12,17 +12,17 @@
 
 from ..process.upstreams import Stage, Upstream
 
-SHORT_SHARE = 0.55
+SHORT_SHARE = 0.45
 SPARE_SHARE = 0.42
 SLOTS_SHARE = 0.8
 # Part of all engines that a stage keeps, so that the loss of one is borne. Those that
 # run prompts can read them too, but not the other way round.
 FLOOR_SHARES = {Stage.PREFILL: 0.2, Stage.DECODE: 0.3}
-SMOOTHED_S = 1.0
-SHORT_FOR_S = 0.5
-OVERLOAD_SHARE = 1.2
-TURN_BACK_AFTER_S = 5.0
-OVERLOADED_TURN_BACK_AFTER_S = 1.5
+SMOOTHED_S = 0.7
+SHORT_FOR_S = 0.3
+OVERLOAD_SHARE = 0.9
+TURN_BACK_AFTER_S = 6.0
+OVERLOADED_TURN_BACK_AFTER_S = 2.0
 
 
 @dataclass(frozen=True)
@@ -90,6 +90,8 @@
         """Take in that an engine was told to change to a stage."""
         self._changed_at_s[stage] = now
         self._short_since_s.pop(stage, None)
+        for share in self._shares.values():
+            share.restart()
 
     def _consider(
         self, stages: dict[Stage, list[EngineLoad]], stage: Stage, now: float
@@ -134,6 +136,10 @@
         """The average, or the last value where that is higher."""
         return max(self.value, self.last)
 
+    def restart(self) -> None:
+        """Forget what came before, for example since there are other engines now."""
+        self.at_s = None
+
     def note(self, value: float, at_s: float) -> None:
         """Take in a value at a time."""
         if self.at_s is None:
