Read prompts elsewhere where no answer comes, and refuse hopeless ones at once

Reading runs nothing, so that it may be repeated for any call. Such a call was told 503 at its deadline (seen red in the new test). Change: request/patience.py: an engine has twice the predicted time and 0.5 s to read a prompt, where repeats and time are left. request/reading_turn.py: a long prompt whose first event would come 1.3 times later than its caller leaves is refused, with the queue's time as Retry-After.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -73,6 +73,18 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(len(self.ran("n1")), 1)
 
+    def test_prompt_is_read_elsewhere_where_its_reading_is_not_answered(self):
+        """Load: engines that read prompts go dark, and no call on the route repeats."""
+        self.fail_next(("pre-1",), "silent", 1)
+        started_at_s = time.monotonic()
+        answer = self.send_prompt(
+            "/chat/dark", "dark1", 9000, Deadline_Remaining="1900"
+        )
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.body, WHOLE_STREAM)
+        self.assertLess(time.monotonic() - started_at_s, 1.7)
+        self.assertEqual(len(self.ran("dark1")), 1)
+
     def test_declined_call_goes_to_another_server(self):
         self.fail_next(APPS, "shed", 1)
         self.assertEqual(self.send("POST", "/post/x", "n2").status, 200)
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from extras.cluster import request, wait_until
@@ -84,8 +85,10 @@
         self.cluster.write("servers", "app-gone", server_row(other, "app"))
         self.addCleanup(self.cluster.remove, "servers", "app-gone")
         time.sleep(0.3)
-        for number in range(20):
-            answer = self.send("POST", "/post/x", f"r{number}", b"body")
+        # Side by side, so that no server is the least loaded one all the time.
+        with ThreadPoolExecutor(6) as pool:
+            answers = list(pool.map(self.send_body, range(20)))
+        for answer in answers:
             self.assertEqual(answer.status, 200)
             self.assertIn(answer.headers["server-seal"], APPS)
         seen = self.cluster.control("dec-1")["seen"]
@@ -94,3 +97,6 @@
         self.assertEqual(
             [self.ran(f"r{n}") for n in range(20) if "dec-1" in self.ran(f"r{n}")], []
         )
+
+    def send_body(self, number):
+        return self.send("POST", "/post/x", f"r{number}", b"body")
--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -10,6 +10,7 @@
 from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
 from wisteriaarch.request.candidate import find_home, relative_paces
 from wisteriaarch.request.candidate_finder import CandidateFinder
+from wisteriaarch.request.patience import reading_silent_after_s
 from wisteriaarch.request.placement import (
     place_decode,
     place_prefill,
@@ -67,6 +68,24 @@
         self.assertEqual(self.find("d"), {"p", "d"})
 
 
+class ReadingPatienceTest(unittest.TestCase):
+    """Load: an engine that reads prompts goes dark with prompts in flight."""
+
+    def patience_s(self, predicted_s, left_s=6.0, repeats=5):
+        call = mock.Mock(remaining_s=lambda: left_s)
+        return reading_silent_after_s(call, predicted_s, repeats)
+
+    def test_prompt_of_usual_size_is_read_elsewhere_in_time(self):
+        self.assertLess(self.patience_s(0.4), 1.5)
+
+    def test_long_queue_is_waited_for(self):
+        self.assertGreater(self.patience_s(1.5), 3.0)
+
+    def test_nothing_is_given_up_that_cannot_be_read_again(self):
+        self.assertEqual(self.patience_s(0.4, repeats=0), 6.0)
+        self.assertEqual(self.patience_s(0.4, left_s=1.5), 1.5)
+
+
 class StagePlanTest(unittest.TestCase):
     def test_short_prompt_is_not_behind_long_ones(self):
         items = [
--- a/tests/test_reading_decisions.py
+++ b/tests/test_reading_decisions.py
@@ -141,6 +141,12 @@
         self.assertEqual(choose_turn(late), Turn.LATER)
         self.assertEqual(choose_turn(replace(late, left_s=2.0)), Turn.LAST_MOMENT)
 
+    def test_prompt_whose_caller_will_have_left_is_refused_at_once(self):
+        forecast = ReadingForecast(3.0, 0.4, 0.03, aim_left_s=0.6, left_s=2.4)
+        self.assertEqual(choose_turn(forecast), Turn.HOPELESS)
+        doubtful = replace(forecast, queue_s=2.2)
+        self.assertEqual(choose_turn(doubtful), Turn.LAST_MOMENT)
+
     def arrivals(self):
         """12.5 prompts a second for 4 s, then 9 a second; the engine reads 10."""
         burst = [number / 12.5 for number in range(50)]
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -74,7 +74,8 @@
             self.ran.append(_attempt(req))
             os._exit(1)
         if fault == "silent":
-            self.ran.append(_attempt(req))
+            if req.headers.get("stage") != names.PREFILL:
+                self.ran.append(_attempt(req))
             await curio.sleep(SILENT_S)
             return False
         if req.headers.get("stage") == names.PREFILL:
--- a/wisteriaarch/request/attempt_notes.py
+++ b/wisteriaarch/request/attempt_notes.py
@@ -15,9 +15,6 @@
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, RunOptions, UpstreamHead
 
-SILENT_SHARE = 0.45
-SILENT_MIN_S = 0.35
-SILENT_PROMPT_MIN_S = 1.0
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
 SERVER_ERROR_STATUS = 500
 BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
@@ -60,10 +57,10 @@
         )
 
     async def send(
-        self, exchange: Exchange, req: OutgoingRequest, call: RoutedCall
+        self, exchange: Exchange, req: OutgoingRequest, silent_after_s: float
     ) -> UpstreamHead:
         """Return the head of a wanted answer; raises AttemptFailed."""
-        head = await exchange.send(req, silent_after_s(call))
+        head = await exchange.send(req, silent_after_s)
         self._loads.of(exchange.upstream.upstream_id).heard_at_s = now_s()
         check_declined(head)
         return head
@@ -152,17 +149,6 @@
         )
 
 
-def silent_after_s(call: RoutedCall) -> float:
-    """Return how long to wait for an answer's head.
-
-    Only a call that may run again is given up before its deadline.
-    """
-    if not call.route.repeatable or call.attempts + 1 >= call.route.attempts_max:
-        return max(0.001, call.remaining_s())
-    least_s = SILENT_MIN_S if call.prompt is None else SILENT_PROMPT_MIN_S
-    return max(least_s, SILENT_SHARE * call.remaining_s())
-
-
 def check_declined(head: UpstreamHead) -> None:
     """Raise AttemptFailed where the upstream says that it has not run the request."""
     if head.wrong_instance:
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -19,6 +19,7 @@
 from .exchange import Exchange
 from .memory_keeper import MemoryKeeper
 from .outcomes import AttemptFailed, FailureReason, worse
+from .patience import silent_after_s
 from .placement import DIRECT_SLOWDOWN, place_decode, place_service_call
 from .planner import CompletionPlanner
 from .prompt_reader import Announce, PromptReader
@@ -61,7 +62,9 @@
         self._announce = announce
         self._finder = CandidateFinder(knowledge, routes)
         self._notes = AttemptNotes(knowledge, self.crashes, announce, log)
-        self._reader = PromptReader(pool, protocol, self._loads, self._notes, announce)
+        self._reader = PromptReader(
+            pool, protocol, self._loads, self._notes, retries, announce
+        )
         self._busyness = knowledge.busyness
         self._planner = CompletionPlanner(
             zone, self._finder, self._busyness, lambda: self._reader.rate, log
@@ -205,7 +208,7 @@
                 try:
                     req = self._protocol.run_request(call, upstream, options)
                     call.offered = True
-                    head = await self._notes.send(exchange, req, call)
+                    head = await self._notes.send(exchange, req, silent_after_s(call))
                     call.attempts += 1
                     call.ran = Ran.YES
                     self._check_failed(call, head, relay)
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -2,10 +2,12 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
 import curio
 
+from ..errors import ErrorKind, RequestError
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.stage_busyness import StageBusyness
@@ -23,6 +25,15 @@
 PATIENCE_MIN_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSES = 8.0
+RETURN_MIN_S = 0.3
+
+
+@dataclass(frozen=True)
+class TimedPlan:
+    """Plan of a completion, and whether to go by it now."""
+
+    plan: StagePlan
+    turn: Turn
 
 
 class CompletionPlanner:
@@ -43,34 +54,55 @@
         self._log = log
 
     async def plan(self, call: RoutedCall) -> StagePlan:
-        """Return the plan by which to go now; long prompts may wait for their turn."""
+        """Return the plan by which to go now; long prompts may wait for their turn.
+
+        Raises RequestError where the call can't be answered before its caller leaves.
+        """
         find = partial(self._finder.now, call)
         candidates = await wait_for_part(call, find, self._rate(), self._log)
-        plan = self._plan(call, candidates)
-        turn = self._turn(call, plan)
-        if turn is not Turn.LATER:
-            return plan
+        decision = self._decide(call, candidates)
+        if decision.turn is Turn.LATER:
+            decision = await self._wait_for_turn(call, find)
+        if decision.turn is Turn.HOPELESS:
+            raise self._refusal(call, decision.plan)
+        return decision.plan
+
+    async def _wait_for_turn(
+        self, call: RoutedCall, find: Callable[[], list[Candidate]]
+    ) -> TimedPlan:
         began_at_s = now_s()
-        while turn is Turn.LATER:
+        while True:
             await curio.sleep(random.uniform(POLL_MIN_S, POLL_MAX_S))
-            plan = self._plan(call, find())
-            turn = self._turn(call, plan)
+            decision = self._decide(call, find())
+            if decision.turn is not Turn.LATER:
+                break
         self._log.write(
             Event.CALL_DEFERRED,
             request=call.call_id,
             seconds=now_s() - began_at_s,
-            reason=turn.value,
+            reason=decision.turn.value,
+        )
+        return decision
+
+    def _refusal(self, call: RoutedCall, plan: StagePlan) -> RequestError:
+        """Return the error of a hopeless call; it may come back to shorter queues."""
+        forecast = self._forecast(call, plan.prefill)
+        return RequestError(
+            ErrorKind.UPSTREAM_OVERLOADED,
+            f"the first event would take {forecast.first_event_s:.1f} s",
+            ran=call.ran,
+            retry_after_s=max(RETURN_MIN_S, forecast.queue_s),
         )
-        return plan
 
-    def _plan(self, call: RoutedCall, candidates: list[Candidate]) -> StagePlan:
-        return plan_stages(
+    def _decide(self, call: RoutedCall, candidates: list[Candidate]) -> TimedPlan:
+        plan = plan_stages(
             candidates,
             call.prompt,
             self._fleet_pace(candidates),
             self._zone,
             call.route.pause_s,
         )
+        return TimedPlan(plan, self._turn(call, plan))
 
     def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -10,8 +10,10 @@
 from .candidate import Choice
 from .exchange import Exchange
 from .outcomes import AttemptFailed, FailureReason
+from .patience import reading_silent_after_s
 from .prefill_rate import PrefillRate
 from .reading_turn import LONG_READING_TOKENS
+from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
 from .urgency import urgency_of
@@ -31,12 +33,14 @@
         protocol: UpstreamProtocol,
         loads: UpstreamLoads,
         notes: AttemptNotes,
+        retries: RetryShare,
         announce: Announce,
     ):
         self._pool = pool
         self._protocol = protocol
         self._loads = loads
         self._notes = notes
+        self._retries = retries
         self._announce = announce
         self._rate = PrefillRate()
 
@@ -59,7 +63,7 @@
             with self._loads.sending(upstream.upstream_id, tokens_read):
                 if tokens_read >= LONG_READING_TOKENS:
                     await self._announce()
-                memory = await self._exchange(call, choice)
+                memory = await self._exchange(call, choice, tokens_read)
         except AttemptFailed as exc:
             self._notes.failed(call, upstream, exc, started_at_s)
             # The prompt was read at most; the request itself has not run.
@@ -68,13 +72,16 @@
         self._note_time(call, choice, now_s() - started_at_s)
         return memory
 
-    async def _exchange(self, call: RoutedCall, choice: Choice) -> PromptMemory:
+    async def _exchange(
+        self, call: RoutedCall, choice: Choice, tokens_read: int
+    ) -> PromptMemory:
         upstream = choice.candidate.upstream
         urgency = urgency_of(call.prompt.own_tokens)
         options = RunOptions(fetch_from=choice.fetch_from, urgency=urgency)
         req = self._protocol.prefill_request(call, upstream, options)
         async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
-            head = await self._notes.send(exchange, req, call)
+            patience_s = self._patience_s(call, choice, tokens_read)
+            head = await self._notes.send(exchange, req, patience_s)
             body = await exchange.read_body()
             if head.status != SUCCESS_STATUS:
                 raise AttemptFailed(FailureReason.DECLINED, f"answered {head.status}")
@@ -83,6 +90,13 @@
             except WireError as exc:
                 raise AttemptFailed(FailureReason.MALFORMED, str(exc)) from exc
 
+    def _patience_s(self, call: RoutedCall, choice: Choice, tokens_read: int) -> float:
+        candidate = choice.candidate
+        tokens = candidate.prompt_tokens + tokens_read
+        predicted_s = PREFILL_OVERHEAD_S + candidate.pace * tokens / self.rate
+        left = self._retries.left(call.service)
+        return reading_silent_after_s(call, predicted_s, left)
+
     def _note_time(self, call: RoutedCall, choice: Choice, elapsed_s: float) -> None:
         load = self._loads.of(choice.candidate.upstream.upstream_id)
         load.health.note_success(now_s())
--- a/wisteriaarch/request/reading_turn.py
+++ b/wisteriaarch/request/reading_turn.py
@@ -4,7 +4,8 @@
 Engines read in order of arrival, so that a standing queue there makes every prompt late
 until long after the burst. Prompts that can still be in time go at once and find short
 queues; the others wait at their entry until an engine has little else to read, or until
-they must start to be answered before their deadline.
+they must start to be answered before their deadline. What can't be answered before its
+caller leaves is refused at once.
 """
 
 from dataclasses import dataclass
@@ -15,15 +16,21 @@
 IDLE_S = 0.08
 START_MARGIN_S = 0.9
 START_MARGIN_FACTOR = 1.2
+# Predictions are off by about this; what may be in time is tried.
+HOPELESS_FACTOR = 1.3
 
 
 class Turn(StrEnum):
-    """Whether a prompt goes to an engine now, and why."""
+    """Whether a prompt goes to an engine now, and why.
+
+    A HOPELESS one goes to none: its caller will have left before the first event.
+    """
 
     IN_TIME = "in time"
     IDLE_ENGINE = "idle engine"
     LAST_MOMENT = "last moment"
     LATER = "later"
+    HOPELESS = "hopeless"
 
 
 @dataclass(frozen=True)
@@ -53,6 +60,8 @@
         return Turn.IN_TIME
     if forecast.queue_s <= IDLE_S:
         return Turn.IDLE_ENGINE
+    if forecast.first_event_s > HOPELESS_FACTOR * forecast.left_s:
+        return Turn.HOPELESS
     needed_s = START_MARGIN_S + START_MARGIN_FACTOR * forecast.first_event_s
     if forecast.left_s <= needed_s:
         return Turn.LAST_MOMENT
--- a/wisteriaarch/version/stage_policy.py
+++ b/wisteriaarch/version/stage_policy.py
@@ -12,14 +12,17 @@
 
 from ..process.upstreams import Stage, Upstream
 
+# Shares of a stage that is short, and of one that can give an engine away.
 SHORT_SHARE = 0.45
 SPARE_SHARE = 0.42
+# Share of the places in batches from which on a stage counts as short.
 SLOTS_SHARE = 0.8
 # Part of all engines that a stage keeps, so that the loss of one is borne. Those that
 # run prompts can read them too, but not the other way round.
 FLOOR_SHARES = {Stage.PREFILL: 0.2, Stage.DECODE: 0.3}
 SMOOTHED_S = 0.7
 SHORT_FOR_S = 0.3
+# How long an engine stays in its new stage, while the other one isn't overloaded.
 OVERLOAD_SHARE = 0.9
 TURN_BACK_AFTER_S = 6.0
 OVERLOADED_TURN_BACK_AFTER_S = 2.0
@@ -98,15 +101,12 @@
     ) -> StageChange | None:
         source = _other(stage)
         busy = self._shares[stage].value
-        left = len(stages[source]) - 1
-        spare = self._shares[source].highest * len(stages[source]) / max(1, left)
-        floor = math.ceil(FLOOR_SHARES[source] * sum(map(len, stages.values())))
-        can_spare = left >= floor and spare < min(SPARE_SHARE, busy)
-        turn_back_after_s = (
-            OVERLOADED_TURN_BACK_AFTER_S if busy > OVERLOAD_SHARE else TURN_BACK_AFTER_S
+        spare = self._share_without_one(source, len(stages[source]))
+        is_short = busy > SHORT_SHARE and spare < min(SPARE_SHARE, busy)
+        can_give = _keeps_floor(stages, source) and not self._must_stay(
+            source, busy, now
         )
-        is_short = busy > SHORT_SHARE and can_spare
-        if not is_short or self._was_changed(source, turn_back_after_s, now):
+        if not is_short or not can_give:
             self._short_since_s.pop(stage, None)
             return None
         since_s = self._short_since_s.setdefault(stage, now)
@@ -117,10 +117,18 @@
             return None
         return StageChange(engine.upstream, stage, busy, spare)
 
-    def _was_changed(self, stage: Stage, within_s: float, now: float) -> bool:
+    def _share_without_one(self, stage: Stage, count: int) -> float:
+        """Return how much of a stage would be taken with one engine less."""
+        return self._shares[stage].highest * count / max(1, count - 1)
+
+    def _must_stay(self, stage: Stage, other_busy: float, now: float) -> bool:
         """Whether an engine was changed to a stage lately, and so stays there."""
         changed_at_s = self._changed_at_s.get(stage)
-        return changed_at_s is not None and now - changed_at_s < within_s
+        if changed_at_s is None:
+            return False
+        is_overload = other_busy > OVERLOAD_SHARE
+        stays_s = OVERLOADED_TURN_BACK_AFTER_S if is_overload else TURN_BACK_AFTER_S
+        return now - changed_at_s < stays_s
 
 
 @dataclass
@@ -155,6 +163,12 @@
     return Stage.DECODE if stage is Stage.PREFILL else Stage.PREFILL
 
 
+def _keeps_floor(stages: dict[Stage, list[EngineLoad]], source: Stage) -> bool:
+    """Whether a stage that gives an engine away keeps its part of all engines."""
+    engines = sum(len(items) for items in stages.values())
+    return len(stages[source]) - 1 >= math.ceil(FLOOR_SHARES[source] * engines)
+
+
 def _taken_share(
     engines: Sequence[EngineLoad], stage: Stage, demand: StageDemand
 ) -> float:
