--- a/extras/control_cost.py
+++ b/extras/control_cost.py
@@ -9,7 +9,8 @@
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.http_store import HttpTableStore
-from wisteriaarch.process.lease import Contender, Lease
+from wisteriaarch.process.lease import Lease
+from wisteriaarch.process.lease_record import Contender
 from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.process.store import Instance
 from wisteriaarch.version.order_window import deliver_order
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -9,7 +9,8 @@
 from extras.cluster import wait_until
 from wisteriaarch.errors import UpstreamMoved, WriteConflict
 from wisteriaarch.events import EventLog
-from wisteriaarch.process.lease import Contender, Lease
+from wisteriaarch.process.lease import Lease
+from wisteriaarch.process.lease_record import Contender
 from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.steps import Step
 from wisteriaarch.version.order_window import SEND_WITHIN_S
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -7,7 +7,8 @@
 import curio
 
 from wisteriaarch.errors import LeaseLost, OrderError, OrderRefused, OrderUnconfirmed
-from wisteriaarch.process.lease import Contender, Lease
+from wisteriaarch.process.lease import Lease
+from wisteriaarch.process.lease_record import Contender
 from wisteriaarch.process.settings_models import LeaseSettings
 from wisteriaarch.process.stage_changes import StageChanges
 from wisteriaarch.process.upstreams import Stage
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -23,7 +23,7 @@
 from .process.fleet_knowledge import FleetKnowledge
 from .process.fleet_state import FleetState
 from .process.gateway_settings import GatewaySettings
-from .process.lease import Contender
+from .process.lease_record import Contender
 from .process.membership import Membership
 from .process.metrics import Gauge, Metrics
 from .process.settings_watch import SettingsWatch
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -10,7 +10,7 @@
 
 import hashlib
 from collections.abc import Callable, Iterable
-from dataclasses import asdict, dataclass
+from dataclasses import asdict
 
 import curio
 
@@ -18,58 +18,15 @@
 from ..events import Event, EventLog
 from ..steps import Step, reach
 from .clock import now_s
+from .lease_record import NO_HOLDER, Contender, LeaseRecord, Tenure
 from .settings_models import LeaseSettings
 from .store import Check, Put, Row, RowStore, Transaction
 
 LEASE_TABLE = "leases"
 EPOCH_TABLE = "epochs"
-NO_HOLDER = ""
 CONTENDERS_MAX = 8
 
 
-@dataclass(frozen=True)
-class Contender:
-    """Process that competes for leases; ``incarnation`` differs at each start."""
-
-    entry_id: str
-    incarnation: str
-
-
-@dataclass(frozen=True)
-class LeaseRecord:
-    """Content of a lease row."""
-
-    holder: str = NO_HOLDER
-    incarnation: str = ""
-    renewals: int = 0
-    term_s: float = 0.0
-
-    @classmethod
-    def from_row(cls, row: Row) -> "LeaseRecord":
-        """Read the row; a missing row has no holder."""
-        return cls(**row.value) if row.exists else cls()
-
-    def belongs_to(self, contender: Contender) -> bool:
-        """Whether this very process is the holder."""
-        mine = (contender.entry_id, contender.incarnation)
-        return (self.holder, self.incarnation) == mine
-
-
-@dataclass
-class Tenure:
-    """Time of one holder; ``since_s`` is when it learnt that it took the lease.
-
-    Orders may be given from ``orders_from_s`` on, a whole term after any order of a
-    former holder.
-    """
-
-    epoch: int
-    epoch_row_version: int
-    since_s: float
-    expires_at_s: float
-    orders_from_s: float
-
-
 class Lease:
     """Competes for one group's lease and keeps it.
 
@@ -288,8 +245,8 @@
     async def release(self) -> None:
         """Give the lease up, so that another entry needn't wait for its end.
 
-        The caller has ended the task of ``run``. A failed release leaves the lease to
-        lapse.
+        The caller has ended the task of ``run``. Where orders follow ``may_order``, it
+        has given none for a term. A failed release leaves the lease to lapse.
         """
         self.tenure = None
         try:
--- a/wisteriaarch/version/control.py
+++ b/wisteriaarch/version/control.py
@@ -7,7 +7,8 @@
 from ..events import EventLog
 from ..process.clock import now_s
 from ..process.fleet import Fleet
-from ..process.lease import Contender, Lease
+from ..process.lease import Lease
+from ..process.lease_record import Contender
 from ..process.loads import LoadBoard
 from ..process.membership import Membership
 from ..process.reports import LoadReport
--- a/wisteriaarch/version/rollout.py
+++ b/wisteriaarch/version/rollout.py
@@ -9,7 +9,8 @@
 from ..errors import LeaseLost, PlatformError
 from ..events import Event, EventLog
 from ..process.clock import now_s
-from ..process.lease import Lease, Tenure
+from ..process.lease import Lease
+from ..process.lease_record import Tenure
 from .closures import Closures
 from .group_observer import GroupObserver
 from .head import Head
--- a/wisteriaarch/version/stage_controls.py
+++ b/wisteriaarch/version/stage_controls.py
@@ -8,7 +8,8 @@
 from ..events import EventLog
 from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
-from ..process.lease import Contender, Lease
+from ..process.lease import Lease
+from ..process.lease_record import Contender
 from ..process.settings_models import LeaseSettings
 from ..process.store import RowStore
 from ..process.supervision import run_supervised
