--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -186,6 +186,19 @@
         self.assertIsNone(self.first.changes.target(first.upstream))
         self.assertIn("ORDER_UNCONFIRMED", self.first.events())
 
+    def test_unanswered_order_is_settled_also_where_the_lease_is_lost_meanwhile(self):
+        async def deliver(order, lease):
+            lease.require(0.0)
+            self.orders.given.append((self.table.now_s, order))
+            if len(self.orders.given) == 1:
+                self.table.now_s += 2 * TERM_S
+                raise OrderUnconfirmed("no answer")
+
+        self.orders.deliver = deliver
+        self.first.engines = engines(1, 4)
+        (_at_s, first), *later = self.play(UNSETTLED_S - 1.0, self.first)
+        self.assertNotIn(first.upstream, [order.upstream for _at_s, order in later])
+
     def test_refused_order_ends_the_change(self):
         self.orders.failure = OrderRefused("409")
         order = self.play(1.2, self.first)[0][1]
