An unanswered order stays unconfirmed whatever ends its repeats

Cause: StageControl._order let LeaseLost, or a refusal of the repeat, take the place of OrderUnconfirmed, so that the engine was left alone for 2 s instead of 12 and could be ordered again while the first copy was still on its way. Ruled out: sending nothing more once the lease is lost was so already; the engine's own count of orders voids a late copy, so that no double change was seen. Change: once one try was unanswered, whatever ends the further ones is reported as that.

--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -199,6 +199,21 @@
         (_at_s, first), *later = self.play(UNSETTLED_S - 1.0, self.first)
         self.assertNotIn(first.upstream, [order.upstream for _at_s, order in later])
 
+    def test_unanswered_order_is_settled_also_where_its_repeat_is_refused(self):
+        async def deliver(order, _lease):
+            self.orders.given.append((self.table.now_s, order))
+            if len(self.orders.given) == 1:
+                raise OrderUnconfirmed("no answer")
+            raise OrderRefused("409")
+
+        self.orders.deliver = deliver
+        self.first.engines = engines(1, 4)
+        first, repeat, *later = self.play(UNSETTLED_S - 1.0, self.first)
+        self.assertEqual(first[1], repeat[1])
+        self.assertNotIn(
+            first[1].upstream, [order.upstream for _at_s, order in later]
+        )
+
     def test_refused_order_ends_the_change(self):
         self.orders.failure = OrderRefused("409")
         order = self.play(1.2, self.first)[0][1]
--- a/wisteriaarch/version/stage_control.py
+++ b/wisteriaarch/version/stage_control.py
@@ -147,24 +147,28 @@
         """Have an order accepted; returns its fencing token.
 
         One that isn't answered is sent again as it was: an engine that carries out one
-        of them accepts no other after the same order.
+        of them accepts no other after the same order. It stays unconfirmed whatever
+        ends the further tries.
         """
-        tries = 0
-        while True:
-            tries += 1
-            epoch = self._lease.require(0.0).epoch
-            order = StageOrder(
-                change.upstream, change.stage, self._holder, epoch, last_order
-            )
-            self._ordered_at_s = now_s()
+        unconfirmed = None
+        for _ in range(ORDER_TRIES):
             try:
+                epoch = self._lease.require(0.0).epoch
+                order = StageOrder(
+                    change.upstream, change.stage, self._holder, epoch, last_order
+                )
+                self._ordered_at_s = now_s()
                 await self._orders.deliver(order, self._lease)
                 return epoch
-            except OrderUnconfirmed:
+            except OrderUnconfirmed as exc:
+                unconfirmed = exc
                 if await self._was_accepted(change):
                     return epoch
-                if tries >= ORDER_TRIES:
+            except (OrderError, LeaseLost) as exc:
+                if unconfirmed is None:
                     raise
+                raise unconfirmed from exc
+        raise unconfirmed
 
     async def _was_accepted(self, change: StageChange) -> bool:
         """Whether an engine reports that it carries out an order without an answer."""
