Routes by host and path prefix on the own interface

Ruled out: a second way to match; the index of routes is now a class of its own, used by both. Change: the manifest has routes (host, prefix, kind, weighted services, timeout, attempts); a path that isn't the entry's own follows them. Paths of the entry go first; a caller sees only services that are its own.

--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -210,9 +210,7 @@
         self.first.engines = engines(1, 4)
         first, repeat, *later = self.play(UNSETTLED_S - 1.0, self.first)
         self.assertEqual(first[1], repeat[1])
-        self.assertNotIn(
-            first[1].upstream, [order.upstream for _at_s, order in later]
-        )
+        self.assertNotIn(first[1].upstream, [order.upstream for _at_s, order in later])
 
     def test_refused_order_ends_the_change(self):
         self.orders.failure = OrderRefused("409")
--- a/tests/test_whole.py
+++ b/tests/test_whole.py
@@ -7,7 +7,7 @@
 
 from extras.cluster import wait_until
 from wisteriaarch.emulator.scheduler import expected_text
-from wisteriaarch.request.runner import ATTEMPTS_MAX
+from wisteriaarch.version.manifest import ATTEMPTS_MAX
 
 from .scripted_engine import ScriptedEngine, raw_answer, whole_answer
 from .support import AUTHORIZATION, MODEL, ClusterTestCase
--- a/wisteriaarch/request/call.py
+++ b/wisteriaarch/request/call.py
@@ -7,7 +7,7 @@
 
 from ..process.clock import now_s
 from ..process.work import SentRequest
-from ..version.manifest import CallerSpec, ModelSpec, ServiceSpec
+from ..version.manifest import ATTEMPTS_MAX, CallerSpec, ModelSpec, ServiceSpec
 from ..wire import Headers
 from .prefixes import prompt_prefixes
 
@@ -16,7 +16,8 @@
 class Call:
     """What every call has; times are on the clock of ``now_s``.
 
-    ``sent`` is the current attempt as the load board counts it.
+    ``sent`` is the current attempt as the load board counts it; after ``attempts_max``
+    of them broke there is no further one.
     """
 
     caller: CallerSpec
@@ -30,6 +31,7 @@
     request_id: str = field(default_factory=lambda: f"req-{uuid.uuid4().hex}")
     received_at_s: float = field(default_factory=now_s)
     sent: SentRequest | None = None
+    attempts_max: int = ATTEMPTS_MAX
     _fingerprint: str | None = field(default=None, repr=False)
 
     def remaining_s(self) -> float:
--- a/wisteriaarch/request/incoming.py
+++ b/wisteriaarch/request/incoming.py
@@ -1,10 +1,13 @@
 """Turns callers' requests into checked calls."""
 
+import random
+from dataclasses import replace
 from typing import Any
 
 from ..errors import ErrorKind, RequestError
 from ..process.clock import now_s
 from ..version.manifest import CallerSpec, Manifest, credential_digest
+from ..version.route_table import CallKind, Route, choose_service
 from ..wire import HttpRequest
 from .body import ChatCompletionBody, TextCompletionBody, parse_body
 from .call import CompletionCall, ServiceCall
@@ -91,6 +94,37 @@
     return call
 
 
+def parse_routed(
+    req: HttpRequest, manifest: Manifest, route: Route, rng: random.Random
+) -> ServiceCall:
+    """Check a request on a route; raises RequestError.
+
+    It is sent to one of the route's services that the caller may use, drawn by weight.
+    """
+    caller = authenticate(req, manifest)
+    allowed = [item for item in route.services if item.service in caller.services]
+    if not allowed:
+        raise RequestError(
+            ErrorKind.UNKNOWN_SERVICE,
+            "the caller has no service of the route",
+            field="path",
+            value=req.path,
+        )
+    name = choose_service(replace(route, services=tuple(allowed)), rng)
+    call = ServiceCall(
+        **_common(req, caller),
+        service=manifest.services_by_name[name],
+        upstream_target=req.target,
+        header_list=req.header_list,
+        attempts_max=route.attempts_max,
+    )
+    call.deadline_at_s = min(call.deadline_at_s, now_s() + route.timeout_s)
+    if route.kind is CallKind.NON_IDEMPOTENT:
+        _require_key(call.key)
+        call.non_idempotent = True
+    return call
+
+
 def _common(req: HttpRequest, caller: CallerSpec) -> dict[str, Any]:
     key = req.headers.get(KEY_HEADER)
     if key is not None and not 1 <= len(key) <= MAX_KEY_CHARS:
--- a/wisteriaarch/request/routes.py
+++ b/wisteriaarch/request/routes.py
@@ -1,5 +1,6 @@
 """HTTP paths that callers and operators may ask for, and their handlers."""
 
+import random
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -8,7 +9,7 @@
 from ..process.store import Instance
 from ..version.publication import Directive
 from ..wire import HttpRequest
-from .incoming import authenticate, parse_completion, parse_service
+from .incoming import authenticate, parse_completion, parse_routed, parse_service
 from .status_view import describe_entry
 
 if TYPE_CHECKING:
@@ -25,6 +26,7 @@
 
     def __init__(self, entry: "Entry"):
         self._entry = entry
+        self._rng = random.Random(entry.settings.seed)
         self._handlers: dict[tuple[str, str], Handler] = {
             ("POST", "/v1/completions"): self._complete,
             ("POST", "/v1/chat/completions"): self._complete,
@@ -42,14 +44,15 @@
             await self._call_service(req, conn)
             return
         handler = self._handlers.get((req.method, req.path))
-        if handler is None:
-            raise self._no_handler(req)
-        await handler(req, conn)
+        if handler is None and self._has_path(req.path):
+            raise self._wrong_method(req)
+        await (handler or self._follow_route)(req, conn)
 
-    def _no_handler(self, req: HttpRequest) -> RequestError:
+    def _has_path(self, path: str) -> bool:
+        return any(path == known for _method, known in self._handlers)
+
+    def _wrong_method(self, req: HttpRequest) -> RequestError:
         methods = sorted(method for method, path in self._handlers if path == req.path)
-        if not methods:
-            return unknown_path(req)
         return RequestError(
             ErrorKind.METHOD_NOT_ALLOWED,
             "the path has no such method",
@@ -58,6 +61,14 @@
             expected=", ".join(methods),
         )
 
+    async def _follow_route(self, req: HttpRequest, conn: CallerConnection) -> None:
+        manifest = self._directive().manifest
+        route = manifest.route_index.find(req.headers.get("host", ""), req.path)
+        if route is None:
+            raise unknown_path(req)
+        call = parse_routed(req, manifest, route, self._rng)
+        await self._entry.runner.run(call, conn)
+
     async def _call_service(self, req: HttpRequest, conn: CallerConnection) -> None:
         call = parse_service(req, self._directive().manifest)
         await self._entry.runner.run(call, conn)
--- a/wisteriaarch/request/runner.py
+++ b/wisteriaarch/request/runner.py
@@ -28,7 +28,6 @@
 from .retry import ExcludedUpstreams, RetryBudget, may_repeat
 from .routing import Router
 
-ATTEMPTS_MAX = 6
 RETRY_AFTER_S = 1.0
 UPSTREAM_WAIT_S = 5.0
 UPSTREAM_POLL_S = 0.1
@@ -87,7 +86,7 @@
         excluded = ExcludedUpstreams()
         retrying = False
         broken = 0
-        while broken < ATTEMPTS_MAX:
+        while broken < call.attempts_max:
             await self._quarantine.reconsider(call)
             self._quarantine.check(call, progress.ran)
             try:
--- a/wisteriaarch/version/manifest.py
+++ b/wisteriaarch/version/manifest.py
@@ -8,7 +8,10 @@
 from pydantic import Field, model_validator
 
 from ..process.settings_models import StrictModel, parse_model
+from .route_table import CallKind, Route, RouteIndex, WeightedService
 
+# Upstreams that one request is sent to, where nothing else is said.
+ATTEMPTS_MAX = 6
 Name = Field(min_length=1, max_length=64, pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")
 
 
@@ -45,6 +48,45 @@
     non_idempotent_paths: tuple[str, ...] = ()
 
 
+class RouteShareSpec(StrictModel):
+    """Service of a route and its share of the route's requests."""
+
+    service: str = Name
+    weight: float = Field(default=1.0, gt=0)
+
+
+class RouteSpec(StrictModel):
+    """Rule for requests of one host whose path begins with ``prefix``.
+
+    They reach the services as they came. ``attempts_max`` bounds the upstreams that
+    one request is sent to, ``timeout_s`` the time that it may take.
+    """
+
+    name: str = Name
+    host: str = Field(min_length=1)
+    prefix: str = Field(default="/", pattern="^/")
+    kind: Literal[CallKind.IDEMPOTENT, CallKind.NON_IDEMPOTENT] = CallKind.IDEMPOTENT
+    services: tuple[RouteShareSpec, ...] = Field(min_length=1)
+    timeout_s: float = Field(default=60.0, gt=0)
+    attempts_max: int = Field(default=ATTEMPTS_MAX, ge=1)
+
+    def to_route(self) -> Route:
+        """Return the route in the form that requests are matched with."""
+        services = (
+            WeightedService(item.service, item.weight) for item in self.services
+        )
+        return Route(
+            self.name,
+            self.host,
+            self.prefix,
+            self.kind,
+            tuple(services),
+            timeout_s=self.timeout_s,
+            objective_s=self.timeout_s,
+            attempts_max=self.attempts_max,
+        )
+
+
 class CallerSpec(StrictModel):
     """Caller, known by the SHA-256 of its bearer credential."""
 
@@ -73,6 +115,7 @@
     groups: tuple[GroupSpec, ...] = ()
     models: tuple[ModelSpec, ...] = ()
     services: tuple[ServiceSpec, ...] = ()
+    routes: tuple[RouteSpec, ...] = ()
     callers: tuple[CallerSpec, ...] = Field(min_length=1)
     policy: PolicySpec = PolicySpec()
 
@@ -86,6 +129,10 @@
         _check_unique("groups", [group.name for group in self.groups])
         _check_unique("models", [model.name for model in self.models])
         _check_unique("services", [service.name for service in self.services])
+        _check_unique("routes", [route.name for route in self.routes])
+        _check_unique(
+            "routes.prefix", [(item.host.lower(), item.prefix) for item in self.routes]
+        )
         _check_unique("callers", [caller.name for caller in self.callers])
         _check_unique(
             "callers.credential_sha256",
@@ -99,6 +146,9 @@
         services = {service.name for service in self.services}
         for model in self.models:
             _check_known(f"models.{model.name}.group", [model.group], groups)
+        for route in self.routes:
+            names = [item.service for item in route.services]
+            _check_known(f"routes.{route.name}.services", names, services)
         for caller in self.callers:
             _check_known(f"callers.{caller.name}.models", caller.models, models)
             _check_known(f"callers.{caller.name}.services", caller.services, services)
@@ -124,6 +174,11 @@
         """Plain services by name."""
         return {service.name: service for service in self.services}
 
+    @cached_property
+    def route_index(self) -> RouteIndex:
+        """Routes by host and path."""
+        return RouteIndex(route.to_route() for route in self.routes)
+
     def upstream_names(self) -> set[str]:
         """Return the upstreams of all groups and plain services."""
         return {
@@ -145,7 +200,7 @@
     return hashlib.sha256(credential.encode()).hexdigest()
 
 
-def _check_unique(field: str, names: list[str]) -> None:
+def _check_unique(field: str, names: list) -> None:
     seen = set()
     for name in names:
         if name in seen:
--- a/wisteriaarch/version/route_table.py
+++ b/wisteriaarch/version/route_table.py
@@ -1,6 +1,7 @@
 """Routes by host and path prefix, with the services that they lead to."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import StrEnum
 
@@ -68,24 +69,15 @@
     engine: EngineSpec | None = None
 
 
-@dataclass(frozen=True)
-class RouteTable:
-    """One version of the routing configuration."""
+class RouteIndex:
+    """Finds routes by host and path."""
 
-    version: int
-    routes: tuple[Route, ...]
-    services: dict[str, ServiceSpec]
-    _by_host: dict[str, tuple[Route, ...]] = field(init=False, repr=False)
-
-    def __post_init__(self):
-        by_host: dict[str, list[Route]] = {}
-        for route in self.routes:
-            by_host.setdefault(route.host.lower(), []).append(route)
-        longest_first = {
-            host: tuple(sorted(routes, key=lambda item: -len(item.prefix)))
-            for host, routes in by_host.items()
-        }
-        object.__setattr__(self, "_by_host", longest_first)
+    def __init__(self, routes: Iterable[Route]):
+        self._by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for items in self._by_host.values():
+            items.sort(key=lambda item: -len(item.prefix))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path`` among those of a host.
@@ -99,6 +91,23 @@
         return None
 
 
+@dataclass(frozen=True)
+class RouteTable:
+    """One version of the routing configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, ServiceSpec]
+    _index: RouteIndex = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self):
+        object.__setattr__(self, "_index", RouteIndex(self.routes))
+
+    def find(self, host: str, path: str) -> Route | None:
+        """Return the route of a host with the longest prefix of a path."""
+        return self._index.find(host, path)
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Draw one of the services of a route by their weights."""
     if len(route.services) == 1:
