Demand and reading speed are kept for each service with engines

Cause: StageBusyness summed the reading of all services, so that of two services with engines each took the other's demand for its own: stages were changed where nothing was placed, and neither found a stage that could spare an engine. The learnt speed of reading was one for all services too. Ruled out: the policy itself, which is one for each service already. Change: demand by service, told in heartbeats as a list (the two former numbers are no longer used), speed by service. StageControls is now StageSupervisor. Conclusion: with one service nothing changes but a few bytes a heartbeat.

--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -120,6 +120,7 @@
         digest.sentWork,
         digest.placedParts,
         digest.stageNotices,
+        digest.readingDemands,
     )
     if any(len(items) > MAX_RECORDS for items in lists):
         raise FrameError(f"more than {MAX_RECORDS} records in a frame")
@@ -142,7 +143,7 @@
             PlacedPart(item.upstream, item.part, item.tokens, item.number, item.ready)
             for item in digest.placedParts
         ),
-        reading=_reading_from_frame(digest),
+        reading=tuple(_demand_from_frame(item) for item in digest.readingDemands),
         stage_notices=tuple(
             StageNotice(item.upstream, item.stage, item.ageMs / 1000)
             for item in digest.stageNotices
@@ -150,11 +151,11 @@
     )
 
 
-def _reading_from_frame(digest) -> ReadingDemand:
-    values = (digest.readingPrefill, digest.readingDecode)
+def _demand_from_frame(item) -> ReadingDemand:
+    values = (item.prefill, item.decode)
     if not all(math.isfinite(value) and value >= 0 for value in values):
         raise FrameError(f"expected shares of reading, got {values}")
-    return ReadingDemand(*values)
+    return ReadingDemand(item.service, *values)
 
 
 def _record_from_frame(item) -> EntryRecord:
@@ -194,8 +195,7 @@
             }
             for item in digest.placed_parts
         ],
-        "readingPrefill": digest.reading.prefill,
-        "readingDecode": digest.reading.decode,
+        "readingDemands": [vars(item) for item in digest.reading],
         "stageNotices": [
             {
                 "upstream": item.upstream,
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -32,7 +32,7 @@
 from .request.call_runner import CallRunner
 from .request.retry_share import RetryShare
 from .sockets import listen_on
-from .version.stage_controls import StageControls
+from .version.stage_supervisor import StageSupervisor
 from .wire import Address, HttpRequest
 
 INCARNATION_BITS = 63
@@ -95,11 +95,11 @@
         )
         self._peers.hooks.crash_records = self._runner.crashes.export
         self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
-        self._stages = self._build_stage_controls()
+        self._stages = self._build_stage_supervisor()
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
-    def _build_stage_controls(self) -> StageControls:
-        return StageControls(
+    def _build_stage_supervisor(self) -> StageSupervisor:
+        return StageSupervisor(
             Contender(self.settings.entry_id, str(self._incarnation)),
             self._adapter.table,
             self.settings.lease,
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -39,11 +39,12 @@
 
 @dataclass(frozen=True)
 class ReadingDemand:
-    """Reading of prompts that one entry places on the engines of each stage.
+    """Reading of prompts that one entry places on a service's engines, by stage.
 
     In engines that it keeps busy, that is, seconds of reading a second.
     """
 
+    service: str
     prefill: float = 0.0
     decode: float = 0.0
 
@@ -92,5 +93,5 @@
     sent_work: tuple[SentWork, ...] = ()
     needs_manifest: bool = False
     placed_parts: tuple[PlacedPart, ...] = ()
-    reading: ReadingDemand = ReadingDemand()
+    reading: tuple[ReadingDemand, ...] = ()
     stage_notices: tuple[StageNotice, ...] = ()
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -21,6 +21,7 @@
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
 PLACED_PARTS_MAX = 64
+READING_DEMANDS_MAX = 64
 STAGE_NOTICES_MAX = 32
 
 
@@ -42,8 +43,8 @@
     absorb_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
     placed_parts: Callable[[], Iterable[PlacedPart]] = _nothing
     absorb_placed_parts: Callable[[str, tuple[PlacedPart, ...]], None] = _ignore
-    reading: Callable[[], ReadingDemand] = ReadingDemand
-    absorb_reading: Callable[[str, ReadingDemand], None] = _ignore
+    reading: Callable[[], Iterable[ReadingDemand]] = _nothing
+    absorb_reading: Callable[[str, tuple[ReadingDemand, ...]], None] = _ignore
     stage_notices: Callable[[], Iterable[StageNotice]] = _nothing
     absorb_stage_notices: Callable[[Iterable[StageNotice]], None] = _ignore
 
@@ -84,7 +85,7 @@
             crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
             placed_parts=tuple(islice(hooks.placed_parts(), PLACED_PARTS_MAX)),
-            reading=hooks.reading(),
+            reading=tuple(islice(hooks.reading(), READING_DEMANDS_MAX)),
             stage_notices=tuple(islice(hooks.stage_notices(), STAGE_NOTICES_MAX)),
         )
 
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -67,7 +67,7 @@
         )
         self._busyness = knowledge.busyness
         self._planner = CompletionPlanner(
-            zone, self._finder, self._busyness, lambda: self._reader.rate, log
+            zone, self._finder, self._busyness, self._reader.rate_of, log
         )
         self._memories = MemoryKeeper(pool, protocol, log)
 
@@ -165,7 +165,8 @@
         self, call: RoutedCall, choice: Choice, stage: Stage, tokens: int
     ) -> None:
         slowdown = DIRECT_SLOWDOWN if stage is Stage.DECODE else 1.0
-        self._busyness.note(stage, slowdown * tokens / self._reader.rate)
+        reading_s = slowdown * tokens / self._reader.rate_of(call.service)
+        self._busyness.note(call.service, stage, reading_s)
         upstream = choice.candidate.upstream
         self._notes.part_placed(call, upstream, tokens, ready=False)
 
@@ -177,9 +178,8 @@
             for item in self._finder.now(call)
             if item.upstream.stage is not memory.upstream.stage
         ]
-        choice = place_decode(
-            decodes, call.prompt, self._reader.rate, memory.upstream.zone
-        )
+        rate = self._reader.rate_of(call.service)
+        choice = place_decode(decodes, call.prompt, rate, memory.upstream.zone)
         if choice is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine runs prompts")
         moved = call.prompt.own_tokens
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -44,13 +44,13 @@
         zone: str,
         finder: CandidateFinder,
         busyness: StageBusyness,
-        rate: Callable[[], float],
+        rate_of: Callable[[str], float],
         log: EventLog,
     ):
         self._zone = zone
         self._finder = finder
         self._busyness = busyness
-        self._rate = rate
+        self._rate_of = rate_of
         self._log = log
 
     async def plan(self, call: RoutedCall) -> StagePlan:
@@ -59,7 +59,9 @@
         Raises RequestError where the call can't be answered before its caller leaves.
         """
         find = partial(self._finder.now, call)
-        candidates = await wait_for_part(call, find, self._rate(), self._log)
+        candidates = await wait_for_part(
+            call, find, self._rate_of(call.service), self._log
+        )
         decision = self._decide(call, candidates)
         if decision.turn is Turn.LATER:
             decision = await self._wait_for_turn(call, find)
@@ -98,19 +100,19 @@
         plan = plan_stages(
             candidates,
             call.prompt,
-            self._fleet_pace(candidates),
+            self._fleet_pace(call.service, candidates),
             self._zone,
             call.route.pause_s,
         )
         return TimedPlan(plan, self._turn(call, plan))
 
-    def _fleet_pace(self, candidates: list[Candidate]) -> FleetPace:
+    def _fleet_pace(self, service: str, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
         return FleetPace(
-            self._rate(),
-            self._busyness.share(Stage.PREFILL, prefills),
-            self._busyness.share(Stage.DECODE, decodes),
+            self._rate_of(service),
+            self._busyness.share(service, Stage.PREFILL, prefills),
+            self._busyness.share(service, Stage.DECODE, decodes),
         )
 
     def _turn(self, call: RoutedCall, plan: StagePlan) -> Turn:
@@ -121,7 +123,7 @@
 
     def _forecast(self, call: RoutedCall, choice: Choice) -> ReadingForecast:
         candidate = choice.candidate
-        rate = self._rate() / candidate.pace
+        rate = self._rate_of(call.service) / candidate.pace
         elapsed_s = now_s() - call.arrived_at_s
         return ReadingForecast(
             queue_s=candidate.prompt_tokens / rate,
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -1,5 +1,6 @@
 """Has prompts read apart, by engines of the stage that does nothing else."""
 
+from collections import defaultdict
 from collections.abc import Awaitable, Callable
 
 from ..connection.pool import UpstreamPool
@@ -42,12 +43,11 @@
         self._notes = notes
         self._retries = retries
         self._announce = announce
-        self._rate = PrefillRate()
+        self._rates: dict[str, PrefillRate] = defaultdict(PrefillRate)
 
-    @property
-    def rate(self) -> float:
-        """Tokens that an engine reads in a second."""
-        return self._rate.value
+    def rate_of(self, service: str) -> float:
+        """Return how many tokens an engine of a service reads in a second."""
+        return self._rates[service].value
 
     async def read(
         self, call: RoutedCall, choice: Choice, tokens_read: int
@@ -93,7 +93,9 @@
     def _patience_s(self, call: RoutedCall, choice: Choice, tokens_read: int) -> float:
         candidate = choice.candidate
         tokens = candidate.prompt_tokens + tokens_read
-        predicted_s = PREFILL_OVERHEAD_S + candidate.pace * tokens / self.rate
+        predicted_s = PREFILL_OVERHEAD_S + candidate.pace * tokens / self.rate_of(
+            call.service
+        )
         left = self._retries.left(call.service)
         return reading_silent_after_s(call, predicted_s, left)
 
@@ -104,6 +106,6 @@
         # longer than reading all of the prompt.
         queued_tokens = choice.candidate.prompt_tokens
         tokens = queued_tokens + call.prompt.input_tokens
-        whole_s = PREFILL_OVERHEAD_S + tokens / self.rate
+        whole_s = PREFILL_OVERHEAD_S + tokens / self.rate_of(call.service)
         load.pace.note(max(elapsed_s, whole_s), whole_s, now_s())
-        self._rate.note(call.prompt, queued_tokens, elapsed_s)
+        self._rates[call.service].note(call.prompt, queued_tokens, elapsed_s)
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -18,9 +18,10 @@
   sentWork @3 :List(SentWork);
   needsManifest @4 :Bool;        # behind, and the table can't be reached
   placedParts @5 :List(PlacedPart);
-  readingPrefill @6 :Float32;    # seconds of reading placed a second, by stage
+  readingPrefill @6 :Float32;    # no longer used, as readingDecode
   readingDecode @7 :Float32;
   stageNotices @8 :List(StageNotice);
+  readingDemands @9 :List(ReadingDemand);
 }
 
 struct EntryRecord {
@@ -53,6 +54,12 @@
   ready @4 :Bool;                # the part has been read
 }
 
+struct ReadingDemand {
+  service @0 :Text;
+  prefill @1 :Float32;           # seconds of reading placed a second, by stage
+  decode @2 :Float32;
+}
+
 struct StageNotice {
   upstream @0 :Text;             # engine whose stage is being changed
   stage @1 :Text;                # stage that it is to have
--- a/wisteriaarch/version/stage_controls.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -30,8 +30,8 @@
         if item.stage is not None and not knowledge.loads.is_suspended(item.upstream_id)
     )
     demand = StageDemand(
-        knowledge.busyness.engines_needed(Stage.PREFILL),
-        knowledge.busyness.engines_needed(Stage.DECODE),
+        knowledge.busyness.engines_needed(service, Stage.PREFILL),
+        knowledge.busyness.engines_needed(service, Stage.DECODE),
     )
     return StageView(tuple(engines), demand)
 
@@ -49,7 +49,7 @@
     )
 
 
-class StageControls:
+class StageSupervisor:
     """One task for each service; no orders are given while ``is_closing``."""
 
     def __init__(
