Metrics of calls and attempts, a budget for the log, messages of libraries as events

Cause: the users asked for counters and latency histograms on the metrics address, and a log whose volume is bounded under load. The gateway's metrics told of connections only: nothing by route kind, stage, outcome or cause, no lease, no age of registrations or peers. Ruled out: sampling by request, since the failed ones are wanted whole. Change: CallMetrics records each call by kind, outcome and cause and each attempt by stage and cause; gauges moved out of the gateway into a module of their own. LogBudget decides which lines are written: progress is left out first, then failures, then changes of state; what is left out is counted by event. The own interface's log doesn't wait for its reader either. Library messages are event 120. Tables of reference pages show what is kept how long, and the defaults of nested settings as they are (the gateway's body_bytes was shown wrong). Conclusion: the label names of two older metrics change (label -> status, kind, service, upstream).

--- a/extras/gateway_cluster.py
+++ b/extras/gateway_cluster.py
@@ -116,8 +116,13 @@
         """Set faults of a server and return what it saw and ran."""
         return self.processes[name].request("POST", "/emulate", faults).json()
 
-    def start_gateway(self, number=2, ports=None, **settings) -> GatewayProcess:
-        """Start the entry at 127.0.0.``number``; entries of one cluster share ports."""
+    def start_gateway(
+        self, number=2, ports=None, output=None, **settings
+    ) -> GatewayProcess:
+        """Start the entry at 127.0.0.``number``; entries of one cluster share ports.
+
+        ``output`` is a descriptor that it writes its log to instead of its file.
+        """
         host = f"127.0.0.{number}"
         ports = ports or [free_port() for _ in range(5)]
         front, ready, directory, peer, metrics = ports
@@ -144,8 +149,8 @@
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
                 [*command, str(path)],
-                stdout=log,
-                stderr=subprocess.STDOUT,
+                stdout=output or log,
+                stderr=log,
                 start_new_session=True,
             )
         # The cluster closes what it read from; the log is read by its path.
--- a/extras/reference_tables.py
+++ b/extras/reference_tables.py
@@ -1,6 +1,6 @@
 """Prints the tables of the reference pages from the code, so that both agree.
 
-python -m extras.reference_tables [events|errors|settings|gateway|manifest]
+python -m extras.reference_tables [events|errors|metrics|settings|gateway|manifest]
 """
 
 import sys
@@ -15,6 +15,7 @@
 from wisteriaarch.errors import ANSWERS
 from wisteriaarch.events import Event
 from wisteriaarch.process.gateway_settings import GatewaySettings
+from wisteriaarch.process.metrics import PREFIX, Count, Duration, Gauge
 from wisteriaarch.process.settings import EntrySettings
 from wisteriaarch.version.manifest import Manifest
 
@@ -25,8 +26,9 @@
     for event in sorted(Event, key=lambda event: event.value.number):
         kind = event.value
         level = logbook.get_level_name(kind.level).lower()
-        rows.append((str(kind.number), level, f"`{event.name}`", kind.message))
-    return _render(("Number", "Level", "Name", "Message"), rows)
+        kept = kind.importance.name.lower()
+        rows.append((str(kind.number), level, kept, f"`{event.name}`", kind.message))
+    return _render(("Number", "Level", "Kept as", "Name", "Message"), rows)
 
 
 def render_errors() -> str:
@@ -38,6 +40,21 @@
     return _render(("Kind", "Status", "Title", "Retry after, unless predicted"), rows)
 
 
+def render_metrics() -> str:
+    """Return the table of metrics in Markdown."""
+    suffixes = {Count: "_total", Duration: "_seconds", Gauge: ""}
+    rows = [
+        (
+            f"`{PREFIX}{item.name.lower()}{suffix}`",
+            ", ".join(item.value.labels) or "-",
+            item.value.help,
+        )
+        for kind, suffix in suffixes.items()
+        for item in kind
+    ]
+    return _render(("Metric", "Labels", "Meaning"), rows)
+
+
 def render_settings() -> str:
     """Return the table of an entry's settings in Markdown."""
     return _render(("Field", "Type", "Default"), _field_rows(EntrySettings, ""))
@@ -58,16 +75,23 @@
     return "\n".join(f"| {' | '.join(cells)} |" for cells in lines)
 
 
-def _field_rows(model: type[BaseModel], prefix: str) -> Iterator[tuple[str, str, str]]:
+def _field_rows(
+    model: type[BaseModel], prefix: str, default: BaseModel | None = None
+) -> Iterator[tuple[str, str, str]]:
+    """Yield a row for each field; ``default`` is what the whole model defaults to."""
     for name, info in model.model_fields.items():
         nested = _nested_model(info.annotation)
         if nested is None:
-            yield f"`{prefix}{name}`", _type_text(info), _default_text(info)
+            text = _default_text(info)
+            if default is not None:
+                text = _value_text(getattr(default, name))
+            yield f"`{prefix}{name}`", _type_text(info), text
         elif get_args(info.annotation):
             yield f"`{prefix}{name}`", "list", _default_text(info)
             yield from _field_rows(nested, f"{prefix}{name}[].")
         else:
-            yield from _field_rows(nested, f"{prefix}{name}.")
+            whole = info.default if isinstance(info.default, nested) else None
+            yield from _field_rows(nested, f"{prefix}{name}.", whole)
 
 
 def _nested_model(annotation) -> type[BaseModel] | None:
@@ -97,14 +121,17 @@
 def _default_text(info: FieldInfo) -> str:
     if info.default is PydanticUndefined:
         return "required"
-    if info.default == ():
-        return "none"
-    return f"`{info.default}`"
+    return _value_text(info.default)
+
+
+def _value_text(value) -> str:
+    return "none" if value == () else f"`{value}`"
 
 
 RENDERERS = {
     "events": render_events,
     "errors": render_errors,
+    "metrics": render_metrics,
     "settings": render_settings,
     "gateway": render_gateway,
     "manifest": render_manifest,
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -8,6 +8,7 @@
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_knowledge import FleetKnowledge
+from wisteriaarch.process.metrics import Metrics
 from wisteriaarch.process.upstreams import Upstream, UpstreamRegistry
 from wisteriaarch.request.call_runner import CallRunner
 from wisteriaarch.request.exchange import is_down
@@ -30,6 +31,7 @@
             None,
             RetryShare(0.2, 50, 10.0, lambda: 1),
             None,
+            Metrics(),
             log,
         )
         route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 5.0, 1.0)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -2,9 +2,11 @@
 
 import io
 import json
+import logging
 import unittest
 
-from wisteriaarch.events import Event, EventLog, open_log
+from wisteriaarch.events import Event, EventLog, open_log, take_library_messages
+from wisteriaarch.log_budget import LogBudget
 
 
 class EventsTest(unittest.TestCase):
@@ -26,3 +28,30 @@
             EventLog("entry-1").write(Event.ENTRY_READY, weighed={"a": 1.5})
         line = stream.getvalue()
         self.assertIn('[101] entry is ready for callers weighed={"a":1.5}', line)
+
+    def test_lines_over_the_budget_are_told(self):
+        stream = io.StringIO()
+        now_s = [0.0]
+        budget = LogBudget(10, 1e9, lambda: now_s[0])
+        log = EventLog("entry-1")
+        with open_log("json", "info", stream, budget).applicationbound():
+            for _ in range(100):
+                log.write(Event.CALL_PLACED)
+            now_s[0] = 1.5
+            log.write(Event.STORE_UNAVAILABLE)
+        lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+        placed = sum(line["event"] == 310 for line in lines)
+        self.assertLess(placed, 10)
+        left_out = [line["lines"] for line in lines if line["event"] == 118]
+        self.assertEqual(left_out, [{"310": 100 - placed}])
+        self.assertEqual(lines[-1]["event"], 210)
+
+    def test_message_of_a_library_is_an_event(self):
+        stream = io.StringIO()
+        take_library_messages()
+        self.addCleanup(logging.getLogger().handlers.clear)
+        with open_log("json", "info", stream).applicationbound():
+            logging.getLogger("curio.time").warning("took %s", "longer")
+        line = json.loads(stream.getvalue())
+        self.assertEqual((line["event"], line["library"]), (120, "curio.time"))
+        self.assertEqual(line["detail"], "took longer")
--- a/wisteriaarch/cli/gateway.py
+++ b/wisteriaarch/cli/gateway.py
@@ -6,12 +6,11 @@
 
 from ..environment import Environment
 from ..errors import ConfigError
-from ..events import open_log
 from ..gateway import Gateway
-from ..log_output import DroppingStream
 from ..platform.adapter import Platform
 from ..process.gateway_settings import GatewaySettings
 from ..status import ExitStatus
+from .daemon_log import open_daemon_log
 from .definition import SETTINGS_VARIABLE
 
 
@@ -27,7 +26,6 @@
         async with Gateway(settings, platform) as entry:
             await entry.run(path)
 
-    output = DroppingStream.from_stream(env.stdout)
-    with open_log(settings.log.form, settings.log.level, output).applicationbound():
+    with open_daemon_log(settings.log, env.stdout).applicationbound():
         curio.run(run)
     return ExitStatus.SUCCESS
--- a/wisteriaarch/cli/serving.py
+++ b/wisteriaarch/cli/serving.py
@@ -6,9 +6,9 @@
 
 from ..entry import Entry
 from ..environment import Environment
-from ..events import open_log
 from ..process.settings import EntrySettings
 from ..status import ExitStatus
+from .daemon_log import open_daemon_log
 from .output import announcer
 
 
@@ -20,6 +20,6 @@
         async with Entry(settings) as entry:
             await entry.run(announcer(env))
 
-    with open_log(settings.log.form, settings.log.level, env.stderr).applicationbound():
+    with open_daemon_log(settings.log, env.stderr).applicationbound():
         curio.run(run)
     return ExitStatus.SUCCESS
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -13,15 +13,19 @@
 from typing import Any, TextIO
 
 import logbook
+import logbook.compat
+
+from .log_budget import Importance, LogBudget
 
 
 @dataclass(frozen=True)
 class EventKind:
-    """Number, level and message of an event."""
+    """Number, level and message of an event, and how long its lines are kept."""
 
     number: int
     level: int
     message: str
+    importance: Importance = Importance.STATE
 
 
 class Event(Enum):
@@ -35,6 +39,13 @@
     NEW_CALLERS_NOT_KEPT_OFF = EventKind(
         107, logbook.WARNING, "callers who connect during the close may be reset"
     )
+    LOG_LINES_LEFT_OUT = EventKind(
+        118, logbook.WARNING, "log lines left out for the budget, by event"
+    )
+    LOG_LINES_LOST = EventKind(
+        119, logbook.WARNING, "log lines lost; the reader of the log was too slow"
+    )
+    LIBRARY_MESSAGE = EventKind(120, logbook.WARNING, "message of a library")
     TASK_FAILED = EventKind(110, logbook.ERROR, "task failed; starting it again")
     MANIFEST_IN_FORCE = EventKind(200, logbook.INFO, "manifest is in force")
     MANIFEST_FETCH_FAILED = EventKind(201, logbook.WARNING, "manifest can't be fetched")
@@ -61,21 +72,41 @@
     SETTINGS_REFUSED = EventKind(
         106, logbook.WARNING, "changed settings are invalid; the former ones stay"
     )
-    CALL_PLACED = EventKind(310, logbook.INFO, "attempt placed on an upstream")
-    CALL_FAILED_ATTEMPT = EventKind(311, logbook.INFO, "attempt failed")
-    CALL_ANSWERED = EventKind(312, logbook.INFO, "call answered")
+    CALL_PLACED = EventKind(
+        310, logbook.INFO, "attempt placed on an upstream", Importance.PROGRESS
+    )
+    CALL_FAILED_ATTEMPT = EventKind(
+        311, logbook.INFO, "attempt failed", Importance.FAILURE
+    )
+    CALL_ANSWERED = EventKind(312, logbook.INFO, "call answered", Importance.PROGRESS)
     CALL_WAITED_FOR_PART = EventKind(
-        314, logbook.INFO, "call waited for a prompt part that was being read"
+        314,
+        logbook.INFO,
+        "call waited for a prompt part that was being read",
+        Importance.PROGRESS,
     )
     CALL_DEFERRED = EventKind(
-        315, logbook.INFO, "call waited until engines could read its prompt"
-    )
-    MEMORY_NOT_RELEASED = EventKind(313, logbook.INFO, "unused memory can't be freed")
-    REQUEST_ROUTED = EventKind(300, logbook.INFO, "request routed")
-    REQUEST_RETRIED = EventKind(301, logbook.INFO, "attempt failed; trying another")
-    REQUEST_ANSWERED = EventKind(302, logbook.INFO, "request answered")
-    REQUEST_REFUSED = EventKind(303, logbook.INFO, "request answered with an error")
-    REQUEST_CANCELLED = EventKind(304, logbook.INFO, "caller closed the connection")
+        315,
+        logbook.INFO,
+        "call waited until engines could read its prompt",
+        Importance.PROGRESS,
+    )
+    MEMORY_NOT_RELEASED = EventKind(
+        313, logbook.INFO, "unused memory can't be freed", Importance.PROGRESS
+    )
+    REQUEST_ROUTED = EventKind(300, logbook.INFO, "request routed", Importance.PROGRESS)
+    REQUEST_RETRIED = EventKind(
+        301, logbook.INFO, "attempt failed; trying another", Importance.FAILURE
+    )
+    REQUEST_ANSWERED = EventKind(
+        302, logbook.INFO, "request answered", Importance.PROGRESS
+    )
+    REQUEST_REFUSED = EventKind(
+        303, logbook.INFO, "request answered with an error", Importance.FAILURE
+    )
+    REQUEST_CANCELLED = EventKind(
+        304, logbook.INFO, "caller closed the connection", Importance.FAILURE
+    )
     LEASE_TAKEN = EventKind(400, logbook.INFO, "lease taken")
     LEASE_LOST = EventKind(401, logbook.WARNING, "lease lost to another entry")
     LEASE_RELEASED = EventKind(402, logbook.INFO, "lease released")
@@ -103,8 +134,10 @@
         432, logbook.INFO, "role change would leave a model without upstream"
     )
     ROLE_CHANGE_ENDED = EventKind(431, logbook.INFO, "role change ended")
-    CLAIM_WRITTEN = EventKind(500, logbook.INFO, "claim written")
-    CLAIM_SETTLED = EventKind(501, logbook.INFO, "outcome of a claim written")
+    CLAIM_WRITTEN = EventKind(500, logbook.INFO, "claim written", Importance.PROGRESS)
+    CLAIM_SETTLED = EventKind(
+        501, logbook.INFO, "outcome of a claim written", Importance.PROGRESS
+    )
     CLAIM_UNKNOWN = EventKind(
         502, logbook.WARNING, "claim may have been written; the call is not run"
     )
@@ -131,7 +164,9 @@
     PEER_FRAME_REFUSED = EventKind(602, logbook.WARNING, "frame of a peer refused")
     MANIFEST_COPY_REFUSED = EventKind(603, logbook.WARNING, "peer's manifest refused")
     INTERNAL_ERROR = EventKind(399, logbook.ERROR, "internal error")
-    ADMISSION_REFUSED = EventKind(700, logbook.INFO, "request can't be admitted")
+    ADMISSION_REFUSED = EventKind(
+        700, logbook.INFO, "request can't be admitted", Importance.FAILURE
+    )
 
 
 class EventLog:
@@ -144,35 +179,90 @@
         """Log ``event`` with ``fields``."""
         kind = event.value
         self._logger.log(
-            kind.level, kind.message, extra={"number": kind.number, "fields": fields}
+            kind.level, kind.message, extra={"kind": kind, "fields": fields}
         )
 
 
-def open_log(form: str, level: str, stream: TextIO | None = None) -> logbook.Handler:
+class LogHandler(logbook.StreamHandler):
+    """Writes lines to a stream, as many as a budget allows."""
+
+    def __init__(self, stream: TextIO, level: int, budget: LogBudget | None):
+        super().__init__(stream, level=level)
+        self._budget = budget
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Write a record, or have the budget count it."""
+        if self._budget is None:
+            self._write_line(self.format(record))
+            return
+        kind = _kind_of(record)
+        if not self._budget.admits(kind.importance, kind.number):
+            return
+        self._report_left_out(record.channel)
+        line = self.format(record)
+        self._budget.spend(len(line))
+        self._write_line(line)
+
+    def _report_left_out(self, channel: str) -> None:
+        left_out = self._budget.take_left_out()
+        if left_out is None:
+            return
+        kind = Event.LOG_LINES_LEFT_OUT.value
+        extra = {"kind": kind, "fields": {"lines": left_out}}
+        report = logbook.LogRecord(channel, kind.level, kind.message, extra=extra)
+        report.heavy_init()
+        self._write_line(self.format(report))
+
+    def _write_line(self, line: str) -> None:
+        self.stream.write(line + "\n")
+        self.stream.flush()
+
+
+def open_log(
+    form: str,
+    level: str,
+    stream: TextIO | None = None,
+    budget: LogBudget | None = None,
+) -> logbook.Handler:
     """Return a handler that writes human-readable or JSON lines to ``stream``."""
-    handler = logbook.StreamHandler(
-        stream or sys.stderr, level=logbook.lookup_level(level.upper())
+    handler = LogHandler(
+        stream or sys.stderr, logbook.lookup_level(level.upper()), budget
     )
     handler.formatter = _format_json if form == "json" else _format_human
     return handler
 
 
+def take_library_messages() -> None:
+    """Have libraries' own log messages written as events of this program."""
+    logbook.compat.redirect_logging(set_root_logger_level=False)
+
+
+def _kind_of(record: logbook.LogRecord) -> EventKind:
+    return record.extra["kind"] or Event.LIBRARY_MESSAGE.value
+
+
+def _fields_of(record: logbook.LogRecord) -> dict[str, Any]:
+    if record.extra["kind"]:
+        return record.extra["fields"]
+    return {"library": record.channel, "detail": record.message}
+
+
 def _format_human(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-    fields = record.extra["fields"] or {}
-    words = [f"{name}={_shown(value)}" for name, value in fields.items()]
+    kind = _kind_of(record)
+    words = [f"{name}={_shown(value)}" for name, value in _fields_of(record).items()]
     head = f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}"
-    line = f"{head} [{record.extra['number']}] {record.message}"
-    return " ".join([line, *words])
+    return " ".join([f"{head} [{kind.number}] {kind.message}", *words])
 
 
 def _format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
+    kind = _kind_of(record)
     content = {
         "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
         "level": record.level_name.lower(),
         "entry": record.channel,
-        "event": record.extra["number"],
-        "message": record.message,
-        **(record.extra["fields"] or {}),
+        "event": kind.number,
+        "message": kind.message,
+        **_fields_of(record),
     }
     return json.dumps(content, default=str)
 
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -16,6 +16,7 @@
 from .connection.pool import UpstreamPool
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
+from .gauges import GatewayGauges
 from .process.clock import now_s
 from .process.digest import EntryRecord
 from .process.entry_list import EntryList
@@ -25,7 +26,7 @@
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
 from .process.membership import Membership
-from .process.metrics import Gauge, Metrics
+from .process.metrics import Metrics
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
@@ -91,11 +92,15 @@
             self._pool,
             self.retries,
             self._peers.announce,
+            self.metrics,
             self.log,
         )
         self._peers.hooks.crash_records = self._runner.crashes.export
         self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
         self._stages = self._build_stage_supervisor()
+        self._gauges = GatewayGauges(
+            self.state, self.membership, self.knowledge, self.retries, self._stages
+        )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
     def _build_stage_supervisor(self) -> StageSupervisor:
@@ -232,28 +237,9 @@
         return [self._entries.instance(name).address for name in sorted(names)]
 
     def _answer_metrics(self, _req: HttpRequest) -> InfoAnswer:
-        text = self.metrics.render(self._gauges())
+        text = self.metrics.render(self._gauges.read())
         return InfoAnswer(200, text.encode(), TEXT_HEADERS)
 
-    def _gauges(self) -> dict[Gauge, dict[str, float]]:
-        table = self.state.routes
-        services = table.services if table else {}
-        age_s = self.state.age_s()
-        return {
-            Gauge.CONFIGURATION_VERSION: {"": table.version if table else 0},
-            Gauge.CONFIGURATION_AGE_SECONDS: {"": -1.0 if age_s is None else age_s},
-            Gauge.ENTRIES: {"": self._count_entries()},
-            Gauge.RETRIES_LEFT: {name: self.retries.left(name) for name in services},
-            Gauge.REQUESTS_IN_FLIGHT: {
-                item.upstream_id: self.knowledge.loads.requests(item.upstream_id)
-                for item in self.state.registry.all()
-            },
-            Gauge.PROMPT_TOKENS_IN_FLIGHT: {
-                item.upstream_id: self.knowledge.loads.prompt_tokens(item.upstream_id)
-                for item in self.state.registry.all()
-            },
-        }
-
     def _own_record(self) -> EntryRecord:
         confirmed_at_s = self.state.confirmed_at_s
         return EntryRecord(
--- /dev/null
+++ b/wisteriaarch/gauges.py
@@ -0,0 +1,93 @@
+"""Values of a gateway's metrics that are read when they are asked for."""
+
+from dataclasses import dataclass
+
+from .process.clock import now_s
+from .process.fleet_knowledge import FleetKnowledge
+from .process.fleet_state import FleetState
+from .process.membership import Membership
+from .process.metrics import Gauge, Labels
+from .process.upstreams import Stage, Upstream
+from .request.retry_share import RetryShare
+from .version.stage_supervisor import StageSupervisor
+
+NEVER_S = -1.0
+
+
+@dataclass(frozen=True)
+class GatewayGauges:
+    """Reads the parts of an entry that hold the values."""
+
+    state: FleetState
+    membership: Membership
+    knowledge: FleetKnowledge
+    retries: RetryShare
+    stages: StageSupervisor
+
+    def read(self) -> dict[Gauge, dict[Labels, float]]:
+        """Return all values as of now, by their labels."""
+        table = self.state.routes
+        return {
+            Gauge.CONFIGURATION_VERSION: {(): table.version if table else 0},
+            Gauge.CONFIGURATION_AGE_SECONDS: {(): _age_s(self.state.confirmed_at_s)},
+            Gauge.UPSTREAMS_AGE_SECONDS: {
+                (): _age_s(self.state.upstreams_confirmed_at_s)
+            },
+            Gauge.ENTRIES: {(): len(self.membership.known()) + 1},
+            Gauge.PEER_AGE_SECONDS: self._peer_ages(),
+            **self._of_services(),
+            **self._of_upstreams(),
+        }
+
+    def _peer_ages(self) -> dict[Labels, float]:
+        ages = {
+            name: member.heard_age_s()
+            for name, member in self.membership.members.items()
+        }
+        return {
+            (name,): NEVER_S if age_s is None else age_s for name, age_s in ages.items()
+        }
+
+    def _of_services(self) -> dict[Gauge, dict[Labels, float]]:
+        table = self.state.routes
+        services = table.services if table else {}
+        busyness = self.knowledge.busyness
+        return {
+            Gauge.LEASE_HELD: {
+                (name,): float(is_held) for name, is_held in self.stages.leases_held()
+            },
+            Gauge.RETRIES_LEFT: {(name,): self.retries.left(name) for name in services},
+            Gauge.READING_DEMAND: {
+                (name, stage.value): busyness.engines_needed(name, stage)
+                for name, spec in services.items()
+                if spec.engine is not None
+                for stage in Stage
+            },
+        }
+
+    def _of_upstreams(self) -> dict[Gauge, dict[Labels, float]]:
+        loads = self.knowledge.loads
+
+        def by_upstream(value) -> dict[Labels, float]:
+            return {(item.upstream_id,): value(item) for item in upstreams}
+
+        def pace(upstream: Upstream) -> float:
+            return loads.of(upstream.upstream_id).pace.at(now_s())
+
+        upstreams = self.state.registry.all()
+        return {
+            Gauge.REQUESTS_IN_FLIGHT: by_upstream(
+                lambda item: loads.requests(item.upstream_id)
+            ),
+            Gauge.PROMPT_TOKENS_IN_FLIGHT: by_upstream(
+                lambda item: loads.prompt_tokens(item.upstream_id)
+            ),
+            Gauge.UPSTREAM_PACE: by_upstream(pace),
+            Gauge.UPSTREAM_SUSPENDED: by_upstream(
+                lambda item: float(loads.is_suspended(item.upstream_id))
+            ),
+        }
+
+
+def _age_s(at_s: float | None) -> float:
+    return NEVER_S if at_s is None else now_s() - at_s
--- a/wisteriaarch/log_output.py
+++ b/wisteriaarch/log_output.py
@@ -4,6 +4,8 @@
 from typing import TextIO
 
 PENDING_MAX_BYTES = 64 * 1024
+# Number of the event in the catalogue.
+LINES_LOST = 119
 
 
 class DroppingStream:
@@ -33,7 +35,7 @@
             self.dropped += text.count("\n")
             return len(text)
         if self.dropped:
-            self._pending += f'{{"event": 119, "dropped": {self.dropped}}}\n'.encode()
+            self._pending += _lost_line(self.dropped)
             self.dropped = 0
         self._pending += text.encode()
         self._write_pending()
@@ -54,3 +56,7 @@
             # Nobody can read the log any more; there is nowhere left to say so.
             self.dropped += self._pending.count(b"\n")
             self._pending = b""
+
+
+def _lost_line(lines: int) -> bytes:
+    return f'{{"event": {LINES_LOST}, "dropped": {lines}}}\n'.encode()
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -82,6 +82,11 @@
             await curio.sleep(FIRST_ROUTES_POLL_S)
         return self.routes
 
+    @property
+    def upstreams_confirmed_at_s(self) -> float | None:
+        """When the store last confirmed the registrations; None for never."""
+        return self._upstream_rows.confirmed_at_s
+
     def has_contact(self) -> bool:
         """Whether both tables were read not long ago."""
         age_s = CONTACT_WAITS * self._wait_s
@@ -168,8 +173,3 @@
                 f"upstream {upstream.upstream_id!r}: got service {upstream.service!r}; "
                 "expected one of the configuration"
             )
-
-    def age_s(self) -> float | None:
-        """Return how old the last confirmation of the configuration is."""
-        confirmed_at_s = self.confirmed_at_s
-        return None if confirmed_at_s is None else now_s() - confirmed_at_s
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -1,6 +1,7 @@
 """Counters and latency histograms of an entry, in the Prometheus text format."""
 
 from collections import Counter
+from dataclasses import dataclass
 from enum import Enum
 
 from hdrh.histogram import HdrHistogram
@@ -12,32 +13,67 @@
 PREFIX = "wisteriaarch_"
 
 
+Labels = tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class Metric:
+    """Help text of a metric and the names of its labels."""
+
+    help: str
+    labels: Labels = ()
+
+
 class Count(Enum):
-    """Counters; the value is the help text."""
+    """Counters."""
 
-    REQUESTS_ANSWERED = "Requests answered, by status"
-    REQUESTS_REFUSED = "Requests answered with an error, by kind"
-    REQUESTS_CANCELLED = "Requests whose caller closed the connection"
-    TOKENS_RELAYED = "Events of streamed answers relayed to callers"
+    REQUESTS_ANSWERED = Metric("Requests answered", ("status",))
+    REQUESTS_REFUSED = Metric("Requests answered with an error", ("kind",))
+    REQUESTS_CANCELLED = Metric("Requests whose caller closed the connection")
+    TOKENS_RELAYED = Metric("Events of streamed answers relayed to callers")
+    CALLS = Metric("Calls on routes that ended", ("kind", "outcome", "cause"))
+    ATTEMPTS = Metric("Attempts on upstreams that ended", ("stage", "cause"))
 
 
 class Duration(Enum):
-    """Histograms; the value is the help text."""
+    """Histograms."""
 
-    FIRST_TOKEN = "Seconds from a request's arrival to its first token"
-    BETWEEN_TOKENS = "Seconds between tokens of a streamed answer"
-    WHOLE_ANSWER = "Seconds from a request's arrival to the end of its answer"
+    FIRST_TOKEN = Metric("Seconds from a request's arrival to its first token")
+    BETWEEN_TOKENS = Metric("Seconds between tokens of a streamed answer")
+    WHOLE_ANSWER = Metric("Seconds from a request's arrival to the end of its answer")
+    CALL_FIRST_EVENT = Metric(
+        "Seconds from a call's arrival to the first byte of its answer",
+        ("kind", "outcome"),
+    )
+    CALL = Metric("Seconds from a call's arrival to its end", ("kind", "outcome"))
+    ATTEMPT = Metric("Seconds that an attempt took", ("stage", "cause"))
 
 
 class Gauge(Enum):
-    """Values as of now; the value is the help text."""
-
-    CONFIGURATION_VERSION = "Version of the configuration in force; 0 for none"
-    CONFIGURATION_AGE_SECONDS = "Seconds since the store confirmed it; -1 for never"
-    ENTRIES = "Entries known, this one included"
-    RETRIES_LEFT = "Repeats that this entry may still send, by service"
-    REQUESTS_IN_FLIGHT = "Requests of all entries in flight, by upstream"
-    PROMPT_TOKENS_IN_FLIGHT = "Prompt tokens being read for all entries, by upstream"
+    """Values as of now."""
+
+    CONFIGURATION_VERSION = Metric("Version of the configuration in force; 0 for none")
+    CONFIGURATION_AGE_SECONDS = Metric(
+        "Seconds since the store confirmed it; -1 for never"
+    )
+    UPSTREAMS_AGE_SECONDS = Metric(
+        "Seconds since the store confirmed the registrations; -1 for never"
+    )
+    PEER_AGE_SECONDS = Metric("Seconds since an entry certainly lived", ("peer",))
+    ENTRIES = Metric("Entries known, this one included")
+    LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
+    RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
+    READING_DEMAND = Metric(
+        "Engines that prompts placed by all entries keep reading", ("service", "stage")
+    )
+    REQUESTS_IN_FLIGHT = Metric("Requests of all entries in flight", ("upstream",))
+    PROMPT_TOKENS_IN_FLIGHT = Metric(
+        "Prompt tokens being read for all entries", ("upstream",)
+    )
+    UPSTREAM_PACE = Metric(
+        "How much longer than expected an upstream takes", ("upstream",)
+    )
+    UPSTREAM_SUSPENDED = Metric("1 where an upstream is out of use", ("upstream",))
 
 
 class DurationRecorder:
@@ -57,35 +93,45 @@
         self.histogram.record_value(value_us, amount)
         self.sum_s += duration_s * amount
 
+    def quantile_s(self, quantile: float) -> float:
+        """Return a quantile in seconds."""
+        return self.histogram.get_value_at_percentile(quantile * 100) / US_PER_S
+
 
 class Metrics:
-    """All counters and histograms of one entry."""
+    """All counters and histograms of one entry; labels are given in their order."""
 
     def __init__(self):
-        self._counts: Counter[tuple[Count, str]] = Counter()
-        self._recorders = {duration: DurationRecorder() for duration in Duration}
-
-    def count(self, name: Count, label: str = "", amount: int = 1) -> None:
+        self._counts: Counter[tuple[Count, Labels]] = Counter()
+        self._recorders: dict[tuple[Duration, Labels], DurationRecorder] = {
+            (duration, ()): DurationRecorder()
+            for duration in Duration
+            if not duration.value.labels
+        }
+
+    def count(self, name: Count, *labels: str, amount: int = 1) -> None:
         """Add to a counter."""
-        self._counts[name, label] += amount
+        self._counts[name, labels] += amount
 
-    def recorder(self, name: Duration) -> DurationRecorder:
+    def recorder(self, name: Duration, *labels: str) -> DurationRecorder:
         """Return the recorder of a histogram, for callers that record often."""
-        return self._recorders[name]
+        recorder = self._recorders.get((name, labels))
+        if recorder is None:
+            recorder = self._recorders[name, labels] = DurationRecorder()
+        return recorder
 
-    def observe(self, name: Duration, duration_s: float) -> None:
+    def observe(self, name: Duration, duration_s: float, *labels: str) -> None:
         """Record a duration."""
-        self._recorders[name].record(duration_s)
+        self.recorder(name, *labels).record(duration_s)
 
-    def quantile_s(self, name: Duration, quantile: float) -> float:
+    def quantile_s(self, name: Duration, quantile: float, *labels: str) -> float:
         """Return a quantile of a histogram in seconds."""
-        histogram = self._recorders[name].histogram
-        return histogram.get_value_at_percentile(quantile * 100) / US_PER_S
+        return self.recorder(name, *labels).quantile_s(quantile)
 
-    def render(self, gauges: dict[Gauge, dict[str, float]] | None = None) -> str:
+    def render(self, gauges: dict[Gauge, dict[Labels, float]] | None = None) -> str:
         """Return everything in the Prometheus text format.
 
-        ``gauges`` are values as of now by their label.
+        ``gauges`` are values as of now by their labels.
         """
         lines = []
         for count in Count:
@@ -93,37 +139,56 @@
         for duration in Duration:
             lines += self._render_duration(duration)
         for gauge, values in (gauges or {}).items():
-            lines += _render_gauge(gauge, values)
+            name = f"{PREFIX}{gauge.name.lower()}"
+            lines += _head_lines(name, gauge.value, "gauge")
+            for labels, value in sorted(values.items()):
+                lines.append(f"{name}{_shown(gauge.value, labels)} {value:g}")
         return "\n".join(lines) + "\n"
 
     def _render_count(self, count: Count) -> list[str]:
         name = f"{PREFIX}{count.name.lower()}_total"
-        lines = [f"# HELP {name} {count.value}", f"# TYPE {name} counter"]
-        for (counted, label), value in sorted(
+        lines = _head_lines(name, count.value, "counter")
+        for (counted, labels), value in sorted(
             self._counts.items(), key=lambda item: item[0][1]
         ):
             if counted is count:
-                labels = f'{{label="{label}"}}' if label else ""
-                lines.append(f"{name}{labels} {value}")
+                lines.append(f"{name}{_shown(count.value, labels)} {value}")
         return lines
 
     def _render_duration(self, duration: Duration) -> list[str]:
         name = f"{PREFIX}{duration.name.lower()}_seconds"
-        lines = [f"# HELP {name} {duration.value}", f"# TYPE {name} summary"]
-        for quantile in QUANTILES:
-            value = self.quantile_s(duration, quantile)
-            lines.append(f'{name}{{quantile="{quantile}"}} {value:.6f}')
-        recorder = self._recorders[duration]
-        lines.append(f"{name}_sum {recorder.sum_s:.6f}")
-        total = recorder.histogram.get_total_count()
-        lines.append(f"{name}_count {total}")
+        lines = _head_lines(name, duration.value, "summary")
+        for (recorded, labels), recorder in sorted(
+            self._recorders.items(), key=lambda item: item[0][1]
+        ):
+            if recorded is duration:
+                lines += _summary_lines(name, duration.value, labels, recorder)
         return lines
 
 
-def _render_gauge(gauge: Gauge, values: dict[str, float]) -> list[str]:
-    name = f"{PREFIX}{gauge.name.lower()}"
-    lines = [f"# HELP {name} {gauge.value}", f"# TYPE {name} gauge"]
-    for label, value in sorted(values.items()):
-        labels = f'{{label="{label}"}}' if label else ""
-        lines.append(f"{name}{labels} {value:g}")
+def _head_lines(name: str, metric: Metric, kind: str) -> list[str]:
+    return [f"# HELP {name} {metric.help}", f"# TYPE {name} {kind}"]
+
+
+def _summary_lines(
+    name: str, metric: Metric, labels: Labels, recorder: DurationRecorder
+) -> list[str]:
+    lines = []
+    for quantile in QUANTILES:
+        shown = _shown(metric, labels, ("quantile", str(quantile)))
+        lines.append(f"{name}{shown} {recorder.quantile_s(quantile):.6f}")
+    shown = _shown(metric, labels)
+    lines.append(f"{name}_sum{shown} {recorder.sum_s:.6f}")
+    lines.append(f"{name}_count{shown} {recorder.histogram.get_total_count()}")
     return lines
+
+
+def _shown(metric: Metric, values: Labels, *more: tuple[str, str]) -> str:
+    pairs = [*zip(metric.labels, values, strict=True), *more]
+    if not pairs:
+        return ""
+    return "{" + ",".join(f'{name}="{_escaped(text)}"' for name, text in pairs) + "}"
+
+
+def _escaped(text: str) -> str:
+    return text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/wisteriaarch/process/settings_models.py
+++ b/wisteriaarch/process/settings_models.py
@@ -30,10 +30,12 @@
 
 
 class LogSettings(StrictModel):
-    """Form and level of the log on standard error."""
+    """Form and level of the log, and how much of it is written at most."""
 
     form: Literal["human", "json"] = "human"
     level: Literal["debug", "info", "warning", "error"] = "info"
+    lines_per_s: float = Field(default=400.0, gt=0)
+    bytes_per_s: float = Field(default=160 * 1024, gt=0)
 
 
 class LeaseSettings(StrictModel):
--- a/wisteriaarch/request/attempt_notes.py
+++ b/wisteriaarch/request/attempt_notes.py
@@ -1,6 +1,7 @@
 """What an attempt on an upstream teaches: log lines, health and patience."""
 
 from collections.abc import Awaitable, Callable
+from enum import StrEnum
 
 from ..events import Event, EventLog
 from ..process.cache_belief import PART_MIN_TOKENS
@@ -8,6 +9,7 @@
 from ..process.fleet_knowledge import FleetKnowledge
 from ..process.upstreams import Upstream
 from .answer_relay import AnswerRelay
+from .call_metrics import ANSWERED, SERVER_ERROR_STATUS, CallMetrics
 from .candidate import Choice
 from .crash_ledger import CrashLedger
 from .exchange import Exchange, is_down
@@ -16,11 +18,17 @@
 from .upstream_protocol import OutgoingRequest, RunOptions, UpstreamHead
 
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
-SERVER_ERROR_STATUS = 500
 BROKEN_OFF = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
 
 
+class AttemptStage(StrEnum):
+    """What an attempt is for: to read a prompt apart, or to run the call."""
+
+    PREFILL = "prefill"
+    RUN = "run"
+
+
 class AttemptNotes:
     """Sends the requests of attempts and notes how they went."""
 
@@ -29,22 +37,24 @@
         knowledge: FleetKnowledge,
         crashes: CrashLedger,
         announce: Callable[[], Awaitable[None]],
+        metrics: CallMetrics,
         log: EventLog,
     ):
         self._loads = knowledge.loads
         self._cache = knowledge.cache
         self._crashes = crashes
         self._announce = announce
+        self._metrics = metrics
         self._log = log
 
-    def placed(self, call: RoutedCall, choice: Choice, stage: str) -> None:
+    def placed(self, call: RoutedCall, choice: Choice, stage: AttemptStage) -> None:
         """Log where an attempt goes, with what decided it."""
         candidate = choice.candidate
         self._log.write(
             Event.CALL_PLACED,
             request=call.call_id,
             route=call.route.name,
-            stage=stage,
+            stage=stage.value,
             upstream=candidate.upstream.upstream_id,
             cost_s=choice.cost_s,
             requests=candidate.requests,
@@ -69,10 +79,12 @@
         self,
         call: RoutedCall,
         upstream: Upstream,
+        stage: AttemptStage,
         exc: AttemptFailed,
         started_at_s: float,
     ) -> None:
         """Take in how an attempt failed that was started at a time."""
+        self._metrics.attempt_ended(stage.value, exc.reason.value, started_at_s)
         call.tried.add(upstream.upstream_id)
         load = self._loads.of(upstream.upstream_id)
         health = load.health
@@ -102,6 +114,10 @@
             return
         self._cache.note(upstream.upstream_id, prompt.first_part, tokens, ready)
 
+    def read(self, started_at_s: float) -> None:
+        """Take in that a prompt was read apart."""
+        self._metrics.attempt_ended(AttemptStage.PREFILL.value, ANSWERED, started_at_s)
+
     async def crashed_if_down(
         self, call: RoutedCall, upstream: Upstream, exc: AttemptFailed
     ) -> None:
@@ -127,6 +143,7 @@
         started_at_s: float,
     ) -> None:
         """Take in an answer to an attempt that was started at a time."""
+        self._metrics.attempt_ended(AttemptStage.RUN.value, ANSWERED, started_at_s)
         load = self._loads.of(upstream.upstream_id)
         if relay.status >= SERVER_ERROR_STATUS:
             load.health.note_failure(now_s())
--- /dev/null
+++ b/wisteriaarch/request/call_metrics.py
@@ -0,0 +1,79 @@
+"""Counters and histograms of calls on routes and of their attempts."""
+
+import contextlib
+from collections.abc import Iterator
+from enum import StrEnum
+
+from ..errors import Ran, RequestError
+from ..process.clock import now_s
+from ..process.metrics import Count, Duration, Metrics
+from .answer_relay import AnswerRelay
+from .routed_call import RoutedCall
+
+SERVER_ERROR_STATUS = 500
+ANSWERED = "answered"
+
+
+class CallOutcome(StrEnum):
+    """How a call ended for its caller.
+
+    LATE is an answer after the route's objective, REFUSED an error of a call that did
+    not run, LEFT one whose caller closed the connection.
+    """
+
+    IN_TIME = "in_time"
+    LATE = "late"
+    UPSTREAM_ERROR = "upstream_error"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LEFT = "left"
+
+
+class CallMetrics:
+    """Records calls and attempts; one instance serves the whole entry."""
+
+    def __init__(self, metrics: Metrics):
+        self._metrics = metrics
+
+    @contextlib.contextmanager
+    def measure(self, call: RoutedCall, relay: AnswerRelay) -> Iterator[None]:
+        """Record a call when the block ends, by what ended it."""
+        try:
+            yield
+        except RequestError as exc:
+            outcome = CallOutcome.REFUSED if exc.ran is Ran.NO else CallOutcome.FAILED
+            self._record(call, relay, outcome, exc.kind.value)
+            raise
+        except BaseException as exc:
+            self._record(call, relay, CallOutcome.LEFT, type(exc).__name__)
+            raise
+        else:
+            self._record(call, relay, _outcome_of(call, relay), str(relay.status))
+
+    def attempt_ended(self, stage: str, cause: str, started_at_s: float) -> None:
+        """Record an attempt; ``cause`` is why it failed, or ``ANSWERED``."""
+        self._metrics.count(Count.ATTEMPTS, stage, cause)
+        elapsed_s = now_s() - started_at_s
+        self._metrics.observe(Duration.ATTEMPT, elapsed_s, stage, cause)
+
+    def _record(
+        self, call: RoutedCall, relay: AnswerRelay, outcome: CallOutcome, cause: str
+    ) -> None:
+        kind = call.route.kind.value
+        self._metrics.count(Count.CALLS, kind, outcome.value, cause)
+        elapsed_s = now_s() - call.arrived_at_s
+        self._metrics.observe(Duration.CALL, elapsed_s, kind, outcome.value)
+        if relay.first_at_s is not None:
+            first_s = relay.first_at_s - call.arrived_at_s
+            self._metrics.observe(
+                Duration.CALL_FIRST_EVENT, first_s, kind, outcome.value
+            )
+
+
+def _outcome_of(call: RoutedCall, relay: AnswerRelay) -> CallOutcome:
+    if relay.status >= SERVER_ERROR_STATUS:
+        return CallOutcome.UPSTREAM_ERROR
+    first_at_s = now_s() if relay.first_at_s is None else relay.first_at_s
+    if first_at_s - call.arrived_at_s > call.route.objective_s:
+        return CallOutcome.LATE
+    return CallOutcome.IN_TIME
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -9,10 +9,12 @@
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
+from ..process.metrics import Metrics
 from ..process.upstreams import Stage
 from ..version.route_table import RouteTable
 from .answer_relay import AnswerRelay, CallSink
-from .attempt_notes import SERVER_ERROR_STATUS, AttemptNotes
+from .attempt_notes import AttemptNotes, AttemptStage
+from .call_metrics import SERVER_ERROR_STATUS, CallMetrics
 from .candidate import Choice, can_run
 from .candidate_finder import CandidateFinder
 from .crash_ledger import CrashLedger
@@ -49,6 +51,7 @@
         pool: UpstreamPool,
         retries: RetryShare,
         announce: Announce,
+        metrics: Metrics,
         log: EventLog,
     ):
         self._zone = zone
@@ -61,7 +64,10 @@
         self.crashes = CrashLedger()
         self._announce = announce
         self._finder = CandidateFinder(knowledge, routes)
-        self._notes = AttemptNotes(knowledge, self.crashes, announce, log)
+        self._metrics = CallMetrics(metrics)
+        self._notes = AttemptNotes(
+            knowledge, self.crashes, announce, self._metrics, log
+        )
         self._reader = PromptReader(
             pool, protocol, self._loads, self._notes, retries, announce
         )
@@ -75,11 +81,12 @@
         """Answer the call; raises RequestError with what the caller must be told."""
         self._retries.note_request(call.service)
         relay = AnswerRelay(call, sink)
-        try:
-            async with curio.timeout_after(max(0.001, call.remaining_s())):
-                await self._run_attempts(call, relay)
-        except curio.TaskTimeout as exc:
-            raise _out_of_time(call) from exc
+        with self._metrics.measure(call, relay):
+            try:
+                async with curio.timeout_after(max(0.001, call.remaining_s())):
+                    await self._run_attempts(call, relay)
+            except curio.TaskTimeout as exc:
+                raise _out_of_time(call) from exc
 
     async def _run_attempts(self, call: RoutedCall, relay: AnswerRelay) -> None:
         placements = 0
@@ -199,7 +206,7 @@
         prompt_tokens: int = 0,
     ) -> None:
         upstream = choice.candidate.upstream
-        self._notes.placed(call, choice, "run")
+        self._notes.placed(call, choice, AttemptStage.RUN)
         started_at_s = now_s()
         with self._loads.sending(upstream.upstream_id, prompt_tokens):
             if prompt_tokens >= LONG_READING_TOKENS:
@@ -216,7 +223,9 @@
                 except AttemptFailed as exc:
                     if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                         call.attempts += 1
-                    self._notes.failed(call, upstream, exc, started_at_s)
+                    self._notes.failed(
+                        call, upstream, AttemptStage.RUN, exc, started_at_s
+                    )
                     await self._notes.crashed_if_down(call, upstream, exc)
                     raise
         self._notes.answered(call, upstream, relay, options, started_at_s)
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -7,7 +7,7 @@
 from ..errors import WireError
 from ..process.clock import now_s
 from ..process.upstream_loads import UpstreamLoads
-from .attempt_notes import AttemptNotes
+from .attempt_notes import AttemptNotes, AttemptStage
 from .candidate import Choice
 from .exchange import Exchange
 from .outcomes import AttemptFailed, FailureReason
@@ -57,7 +57,7 @@
         ``tokens_read`` is how many tokens the engine is expected to read.
         """
         upstream = choice.candidate.upstream
-        self._notes.placed(call, choice, "prefill")
+        self._notes.placed(call, choice, AttemptStage.PREFILL)
         started_at_s = now_s()
         try:
             with self._loads.sending(upstream.upstream_id, tokens_read):
@@ -65,10 +65,11 @@
                     await self._announce()
                 memory = await self._exchange(call, choice, tokens_read)
         except AttemptFailed as exc:
-            self._notes.failed(call, upstream, exc, started_at_s)
+            self._notes.failed(call, upstream, AttemptStage.PREFILL, exc, started_at_s)
             # The prompt was read at most; the request itself has not run.
             raise AttemptFailed(FailureReason.DECLINED, str(exc)) from exc
         call.prompts_read += 1
+        self._notes.read(started_at_s)
         self._note_time(call, choice, now_s() - started_at_s)
         return memory
 
--- a/wisteriaarch/version/stage_control.py
+++ b/wisteriaarch/version/stage_control.py
@@ -68,6 +68,11 @@
         self._ordered_at_s = float("-inf")
         self._left_alone_until_s: dict[str, float] = {}
 
+    @property
+    def holds_lease(self) -> bool:
+        """Whether this entry may give the service's orders now."""
+        return self._lease.is_held()
+
     async def run(self) -> None:
         """Decide and give orders for ever."""
         while True:
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -1,6 +1,6 @@
 """Keeps a ``StageControl`` for each service with engines."""
 
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from functools import partial
 
 import curio
@@ -92,6 +92,11 @@
             await control.close()
         await curio.Event().wait()
 
+    def leases_held(self) -> Iterator[tuple[str, bool]]:
+        """Yield each service with engines, and whether this entry holds its lease."""
+        for service, control in self._controls.items():
+            yield service, control.holds_lease
+
     async def _start_missing(self) -> None:
         table = self._routes()
         services = table.services.values() if table else ()
