An entry that has just started counts the entries that its settings name

Cause: the instance list was empty until its first read from the store answered, so that an entry believed itself alone and took the whole slack of repeats; entries started together while the store was silent could repeat as many times more as there are. The names of the others are in the settings. Also proved now: two processes of one entry id never order by turns (red where the lease tells holders apart by id alone).

--- a/tests/test_reference.py
+++ b/tests/test_reference.py
@@ -12,6 +12,7 @@
 PAGES = {
     "events": "docs/EVENTS.md",
     "errors": "docs/HTTP.md",
+    "metrics": "docs/OPERATIONS.md",
     "settings": "docs/CONFIGURATION.md",
     "gateway": "docs/CONFIGURATION.md",
     "manifest": "docs/CONFIGURATION.md",
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -3,7 +3,10 @@
 import unittest
 
 from wisteriaarch.errors import Ran, RequestError
+from wisteriaarch.gateway import Gateway
+from wisteriaarch.platform.adapter import Platform
 from wisteriaarch.process.digest import SentWork
+from wisteriaarch.process.gateway_settings import GatewaySettings
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import Pace, UpstreamLoads
 from wisteriaarch.request.crash_ledger import CrashLedger
@@ -46,6 +49,27 @@
         self.now = 10.1
         self.assertEqual(self.taken(share), used)
 
+    def test_entries_that_have_not_heard_of_each_other_share_the_slack(self):
+        """Load: all entries start at once before a service that fails, store away."""
+        hosts = tuple(f"10.0.0.{number}" for number in range(1, 6))
+        total = sum(self.taken(self.starting(host, hosts).retries) for host in hosts)
+        self.assertLessEqual(total, 50)
+        self.assertGreater(total, 25)
+
+    def starting(self, host, hosts) -> Gateway:
+        """Return an entry that has reached neither the store nor a peer yet."""
+        settings = GatewaySettings(
+            entry_id=host,
+            zone="z1",
+            front=f"{host}:80",
+            ready=f"{host}:81",
+            directory=f"{host}:82",
+            store="10.0.1.1:80",
+            peer_port=83,
+            seeds=tuple(f"{seed}:83" for seed in hosts),
+        )
+        return Gateway(settings, Platform(settings.store.address()))
+
     def test_each_later_reading_of_a_prompt_costs_a_repeat(self):
         share = self.share()
         left = share.left("s")
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -54,11 +54,16 @@
 class Entry:
     """Control of one entry on the clock of the table."""
 
-    def __init__(self, table, name, names, orders):
+    def __init__(self, table, name, names, orders, incarnation="1"):
         self.table = table
         self.log = mock.Mock()
         self.lease = Lease(
-            "llm", Contender(name, "1"), table, SETTINGS, lambda: names, self.log
+            "llm",
+            Contender(name, incarnation),
+            table,
+            SETTINGS,
+            lambda: names,
+            self.log,
         )
         self.changes = StageChanges(lambda: table.now_s)
         self.engines = engines(1, 8)
@@ -212,6 +217,23 @@
         self.assertEqual(first[1], repeat[1])
         self.assertNotIn(first[1].upstream, [order.upstream for _at_s, order in later])
 
+    def test_two_processes_of_one_entry_never_order_by_turns(self):
+        """Load: an entry is frozen, started anew elsewhere under its id, and thaws."""
+        name = self.first.lease._contender.entry_id
+        twin_orders = FakeOrders(lambda: self.table.now_s)
+        twin = Entry(self.table, name, self.names, twin_orders, incarnation="2")
+        for entry in (self.first, twin):
+            entry.engines = engines(2, 16)
+        self.play(2.0, self.first, twin)
+        self.assertEqual(twin_orders.given, [])
+        self.play(3 * TERM_S, twin)
+        self.play(2 * TERM_S, self.first, twin)
+        before, after = self.orders.given, twin_orders.given
+        self.assertTrue(before and after)
+        self.assertGreater(after[0][0], before[-1][0])
+        epochs = [[order.epoch for _at_s, order in given] for given in (before, after)]
+        self.assertGreater(min(epochs[1]), max(epochs[0]))
+
     def test_refused_order_ends_the_change(self):
         self.orders.failure = OrderRefused("409")
         order = self.play(1.2, self.first)[0][1]
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -66,7 +66,12 @@
             settings.peer_port,
             tuple(Address.parse(seed).host for seed in settings.seeds),
         )
-        self._fleet = Fleet(self._entries, settings.entries_poll_every_s, settings.seed)
+        self._fleet = Fleet(
+            self._entries,
+            settings.entries_poll_every_s,
+            settings.seed,
+            self._entries.known(),
+        )
         self.membership = Membership.from_config(
             settings, self._listed_entries, self._own_record
         )
--- a/wisteriaarch/process/fleet.py
+++ b/wisteriaarch/process/fleet.py
@@ -1,6 +1,7 @@
 """Instances as last listed by the platform."""
 
 import random
+from collections.abc import Iterable
 
 import curio
 
@@ -12,14 +13,21 @@
 
 
 class Fleet:
-    """Last known instances; kept while the list is unavailable."""
+    """Last known instances; kept while the list is unavailable.
+
+    ``known`` are those that are known before it was read.
+    """
 
     def __init__(
-        self, source: InstanceList, poll_every_s: float, seed: int | None = None
+        self,
+        source: InstanceList,
+        poll_every_s: float,
+        seed: int | None = None,
+        known: Iterable[Instance] = (),
     ):
         self._source = source
         self._backoff = Backoff(poll_every_s, RETRY_MAX_S, random.Random(seed))
-        self.instances: dict[str, Instance] = {}
+        self.instances = {instance.instance_id: instance for instance in known}
 
     async def run(self) -> None:
         """Poll the instance list for ever."""
