Late prompts no longer wait at their entry for a turn

Cause: prompts that can't be in time waited at their entry, polled each 10 to 30 ms, until an engine was idle or their deadline came near. Ruled out: that it frees engines for what can be in time: these queue by urgency anyway. Nothing is held any more.

--- a/extras/decision_share.py
+++ b/extras/decision_share.py
@@ -51,7 +51,7 @@
         "probes",
         "promises",
         "quarantine",
-        "reading_turn",
+        "reading_forecast",
         "size_shares",
         "retry",
         "retry_share",
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -12,11 +12,14 @@
 from enum import Enum
 from typing import Any, TextIO
 
+import curio
 import logbook
 import logbook.compat
 
 from .log_budget import Importance, LogBudget
 
+FLUSH_EVERY_S = 0.1
+
 
 @dataclass(frozen=True)
 class EventKind:
@@ -85,12 +88,6 @@
         "call waited for a prompt part that was being read",
         Importance.PROGRESS,
     )
-    CALL_DEFERRED = EventKind(
-        315,
-        logbook.INFO,
-        "call waited until engines could read its prompt",
-        Importance.PROGRESS,
-    )
     MEMORY_NOT_RELEASED = EventKind(
         313, logbook.INFO, "unused memory can't be freed", Importance.PROGRESS
     )
@@ -111,6 +108,7 @@
     LEASE_LOST = EventKind(401, logbook.WARNING, "lease lost to another entry")
     LEASE_RELEASED = EventKind(402, logbook.INFO, "lease released")
     LEASE_WRITE_FAILED = EventKind(403, logbook.WARNING, "lease can't be written")
+    LEASE_READ_FAILED = EventKind(404, logbook.WARNING, "lease can't be read")
     PLACEMENT_DECIDED = EventKind(410, logbook.INFO, "placement decided")
     PLACEMENT_SHORT = EventKind(411, logbook.WARNING, "replicas can't be placed")
     MODEL_CLOSED = EventKind(412, logbook.INFO, "models closed on an upstream")
@@ -184,7 +182,11 @@
 
 
 class LogHandler(logbook.StreamHandler):
-    """Writes lines to a stream, as many as a budget allows."""
+    """Writes lines to a stream, as many as a budget allows.
+
+    With a budget, lines of progress are written with the next other line or the next
+    flush, at least each ``FLUSH_EVERY_S`` while ``keep_flushing`` runs.
+    """
 
     def __init__(self, stream: TextIO, level: int, budget: LogBudget | None):
         super().__init__(stream, level=level)
@@ -201,7 +203,15 @@
         self._report_left_out(record.channel)
         line = self.format(record)
         self._budget.spend(len(line))
-        self._write_line(line)
+        self.stream.write(line + "\n")
+        if kind.importance is not Importance.PROGRESS:
+            self.stream.flush()
+
+    async def keep_flushing(self) -> None:
+        """Write what is pending, for ever."""
+        while True:
+            await curio.sleep(FLUSH_EVERY_S)
+            self.stream.flush()
 
     def _report_left_out(self, channel: str) -> None:
         left_out = self._budget.take_left_out()
@@ -223,7 +233,7 @@
     level: str,
     stream: TextIO | None = None,
     budget: LogBudget | None = None,
-) -> logbook.Handler:
+) -> LogHandler:
     """Return a handler that writes human-readable or JSON lines to ``stream``."""
     handler = LogHandler(
         stream or sys.stderr, logbook.lookup_level(level.upper()), budget
