--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -40,6 +40,8 @@
         left_at = time.monotonic()
         wait_until(lambda: self.in_flight() == 0)
         self.assertLess(time.monotonic() - left_at, LEFT_WITHIN_S)
+        left = [line for line in self.gateway.log_lines() if line["event"] == 304]
+        self.assertEqual(left[-1]["request"], "l1")
 
     def in_flight(self):
         """Return how many requests the entry has at the plain servers."""
--- a/wisteriaarch/connection/caller.py
+++ b/wisteriaarch/connection/caller.py
@@ -34,13 +34,17 @@
 
 
 class CallerConnection:
-    """Serves one connection; also the sink that answers are written to."""
+    """Serves one connection; also the sink that answers are written to.
+
+    ``request_id`` is that of the request being answered, once its handler has set it.
+    """
 
     def __init__(self, sock, app):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limits = app.settings.limits
         self._app = app
         self._metrics = app.metrics
+        self.request_id = ""
         self._started_at_s = 0.0
         self._last_block_at_s: float | None = None
         self._tokens = 0
@@ -67,6 +71,7 @@
             await self._task.cancel(blocking=False)
 
     async def _serve_one(self) -> bool:
+        self.request_id = ""
         try:
             req = await self._read_head()
             if req is None:
@@ -103,8 +108,7 @@
             await group.spawn(self._conn.wait_for_close)
             answering = await group.spawn(self._handle, req)
         if group.completed is not answering:
-            self._app.log.write(Event.REQUEST_CANCELLED, path=req.path)
-            self._metrics.count(Count.REQUESTS_CANCELLED)
+            self._note_left(req.path, "closed")
             raise ConnectionError("the caller closed the connection")
         failure = answering.exception or answering.result
         if failure is not None:
@@ -121,16 +125,28 @@
 
     async def _answer_failure(self, path: str, exc: BaseException) -> None:
         if isinstance(exc, OSError):
+            self._note_left(path, repr(exc))
             raise exc
         if not isinstance(exc, RequestError):
-            self._app.log.write(Event.INTERNAL_ERROR, path=path, error=repr(exc))
+            self._app.log.write(
+                Event.INTERNAL_ERROR,
+                request=self.request_id,
+                path=path,
+                error=repr(exc),
+            )
             exc = RequestError(ErrorKind.INTERNAL, "the entry failed", ran=Ran.UNKNOWN)
         await self._refuse(path, exc)
 
+    def _note_left(self, path: str, detail: str) -> None:
+        self._app.log.write(
+            Event.REQUEST_CANCELLED, request=self.request_id, path=path, detail=detail
+        )
+        self._metrics.count(Count.REQUESTS_CANCELLED)
+
     async def _refuse(self, path: str, exc: RequestError) -> None:
         self._app.log.write(
             Event.REQUEST_REFUSED,
-            request=exc.request_id,
+            request=self.request_id,
             path=path,
             kind=exc.kind.value,
             ran=exc.ran.value,
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -140,7 +140,6 @@
         self.value = value
         self.expected = expected
         self.retry_after_s = retry_after_s
-        self.request_id = ""
 
 
 class WireError(WisteriaError):
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -206,11 +206,8 @@
                 ErrorKind.NO_CONFIGURATION, "no configuration was read yet"
             )
         call = self._adapter.decode_call(req, table, self._rng)
-        try:
-            await self._runner.run(call, conn)
-        except RequestError as exc:
-            exc.request_id = call.call_id
-            raise
+        conn.request_id = call.call_id
+        await self._runner.run(call, conn)
 
     @property
     def is_ready(self) -> bool:
--- a/wisteriaarch/request/routes.py
+++ b/wisteriaarch/request/routes.py
@@ -9,6 +9,7 @@
 from ..process.store import Instance
 from ..version.publication import Directive
 from ..wire import HttpRequest
+from .call import Call
 from .incoming import authenticate, parse_completion, parse_routed, parse_service
 from .status_view import describe_entry
 
@@ -67,15 +68,19 @@
         if route is None:
             raise unknown_path(req)
         call = parse_routed(req, manifest, route, self._rng)
-        await self._entry.runner.run(call, conn)
+        await self._run(call, conn)
 
     async def _call_service(self, req: HttpRequest, conn: CallerConnection) -> None:
         call = parse_service(req, self._directive().manifest)
-        await self._entry.runner.run(call, conn)
+        await self._run(call, conn)
 
     async def _complete(self, req: HttpRequest, conn: CallerConnection) -> None:
         chat = req.path.endswith("/chat/completions")
         call = parse_completion(req, self._directive().manifest, chat=chat)
+        await self._run(call, conn)
+
+    async def _run(self, call: Call, conn: CallerConnection) -> None:
+        conn.request_id = call.request_id
         await self._entry.runner.run(call, conn)
 
     def _directive(self) -> Directive:
