The lease of a holder that is gone lapses before the next swing

The holder of the first swing had been killed at 4.0 s without giving up its lease; entries count a holder's silence from when they first read its row, and they read it only once they want the lease. Ruled out: the policy (short from 9.8 s on by its own shares), the floor of the stage. Change: an entry that doesn't hold the lease reads its row once at its start and where entries come or go, so that the term has passed when the lease is wanted. In the calm nothing is written, and read only then.

--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -161,6 +161,40 @@
         self.assertGreater(first_at_s - last_at_s, TERM_S)
         self.assertEqual(order.epoch, 2)
 
+    def test_lease_of_a_killed_holder_has_lapsed_when_the_next_swing_comes(self):
+        """Load: a swing, the holder of the lease is killed, and another swing."""
+        self.play(1.2, self.first)
+        self.names.remove(self.first.control._holder)
+        self.second.demand = CALM
+        self.play(2.5 * TERM_S, self.second)
+        swing_at_s = self.table.now_s
+        self.second.demand = SHORT
+        given = self.play(3.0, self.second)
+        self.assertTrue(given)
+        self.assertLess(given[0][0] - swing_at_s, 1.5)
+
+    def test_restarted_holder_need_not_wait_for_its_former_lease_at_a_swing(self):
+        self.play(1.2, self.first)
+        name = self.first.control._holder
+        again = Entry(self.table, name, self.names, self.orders, incarnation="2")
+        again.demand = CALM
+        self.play(1.5 * TERM_S, again)
+        swing_at_s = self.table.now_s
+        again.demand = SHORT
+        given = self.play(3.0, again)
+        self.assertTrue(given)
+        self.assertLess(given[0][0] - swing_at_s, 1.5)
+
+    def test_lease_is_read_in_the_calm_only_where_entries_come_or_go(self):
+        read = mock.AsyncMock(side_effect=self.table.read)
+        self.table.read = read
+        self.second.demand = CALM
+        self.play(20.0, self.second)
+        self.assertEqual(read.await_count, 1)
+        self.names.append("entry-3")
+        self.play(20.0, self.second)
+        self.assertEqual(read.await_count, 2)
+
     def test_holder_that_was_frozen_gives_no_order_with_its_former_token(self):
         self.play(1.2, self.first)
         self.play(12.0, self.second)
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -52,6 +52,8 @@
         self._log = log
         self._watched: LeaseRecord | None = None
         self._watched_since_s = 0.0
+        self._looked_for: frozenset[str] = frozenset()
+        self._look_from_s = float("-inf")
         self._orders_from_s = 0.0
         self._changing = curio.Lock()
 
@@ -156,6 +158,25 @@
         except PlatformError as exc:
             self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
 
+    async def look(self) -> None:
+        """Read who holds the lease, where entries came or went since the last look.
+
+        The term of a holder that is gone has then passed before the lease is wanted.
+        """
+        candidates = frozenset(self._candidates())
+        if candidates == self._looked_for or now_s() < self._look_from_s:
+            return
+        self._looked_for = candidates
+        if self.rank >= CONTENDERS_MAX:
+            return
+        try:
+            row = await self._table.read(LEASE_TABLE, self.group)
+            self._watch(LeaseRecord.from_row(row))
+        except PlatformError as exc:
+            self._looked_for = frozenset()
+            self._look_from_s = now_s() + self._settings.term_s
+            self._log.write(Event.LEASE_READ_FAILED, group=self.group, error=str(exc))
+
     def _watch(self, record: LeaseRecord) -> None:
         if record != self._watched:
             self._watched = record
--- a/wisteriaarch/version/stage_control.py
+++ b/wisteriaarch/version/stage_control.py
@@ -2,7 +2,7 @@
 
 Every entry decides by itself whether a change pays; only one that finds so competes for
 the lease, and the one that is first by rendezvous hashing tries first. So nothing is
-written to the store in the calm.
+written to the store in the calm; the lease is read where entries come or go.
 """
 
 from collections.abc import Awaitable, Callable
@@ -93,9 +93,11 @@
     async def _keep_or_release(self) -> None:
         """Hold the lease for a term after the last order; then give it up.
 
-        A successor may give orders at once then.
+        A successor may give orders at once then. Where another entry holds it, see
+        whether that one is still there.
         """
         if not self._lease.is_held():
+            await self._lease.look()
             return
         if self._order_age_s() >= self._lease.term_s:
             await self._lease.release()
