--- a/extras/decision_share.py
+++ b/extras/decision_share.py
@@ -51,7 +51,7 @@
         "probes",
         "promises",
         "quarantine",
-        "reading_forecast",
+        "reading_turn",
         "size_shares",
         "retry",
         "retry_share",
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -1,7 +1,7 @@
 """Nobody starves while more prompts come than engines can read.
 
 Replays a load on the decisions alone: engines that admit what is most urgent first,
-placement by predicted finish, refusals at once and favoured sizes.
+placement by predicted finish, the turn of long prompts and refusals at once.
 """
 
 import random
@@ -12,7 +12,12 @@
 from wisteriaarch.process.cache_belief import Holding
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.placement import place_prefill
-from wisteriaarch.request.reading_forecast import LONG_READING_TOKENS, ReadingForecast
+from wisteriaarch.request.reading_turn import (
+    LONG_READING_TOKENS,
+    ReadingForecast,
+    Turn,
+    choose_turn,
+)
 from wisteriaarch.request.routed_call import Prompt, PromptPart
 from wisteriaarch.request.size_shares import SizeShares
 from wisteriaarch.request.urgency import queue_ahead_s, urgency_of
@@ -22,6 +27,7 @@
 ZONES = ("z1", "z2", "z3")
 SUBJECTS = 30
 STEP_S = 0.01
+AIM_S = 0.6
 PATIENCE_S = 2.4
 LENGTH_S = 20.0
 # What is asked for in the rules of the gate.
@@ -81,7 +87,10 @@
 
     @classmethod
     def setUpClass(cls):
-        cls.runs = {rate: play(ask(random.Random(7), rate)) for rate in cls.RATES}
+        cls.runs = {
+            rate: play(ask(random.Random(7), rate), random.Random(8))
+            for rate in cls.RATES
+        }
 
     def test_load_is_beyond_what_engines_read(self):
         for rate, asked in self.runs.items():
@@ -168,15 +177,17 @@
     return Prompt(own + 9_000, 100, parts)
 
 
-def play(arrivals) -> list[Asked]:
+def play(arrivals, rng) -> list[Asked]:
     """Serve the load; returns the prompts, each with how it ended."""
     engines = [Engine(f"p{number}", zone) for number, zone in enumerate(ZONES)]
-    coming, now = list(arrivals), 0.0
+    waiting, coming, now = [], list(arrivals), 0.0
     noted = set()
     shares = SizeShares(lambda: now)
-    while coming or any(item.queue or item.reading for item in engines):
+    while coming or waiting or any(item.queue or item.reading for item in engines):
         while coming and coming[0].at_s <= now:
-            settle(coming.pop(0), engines, shares, now)
+            waiting.append(coming.pop(0))
+        rng.shuffle(waiting)
+        waiting = [item for item in waiting if not settle(item, engines, shares, now)]
         for engine in engines:
             engine.step(now)
         for item in arrivals:
@@ -189,8 +200,8 @@
     return arrivals
 
 
-def settle(asked, engines, shares, now) -> None:
-    """Place or refuse a prompt."""
+def settle(asked, engines, shares, now) -> bool:
+    """Place or refuse a prompt; False where it is to wait."""
     by_name = {engine.name: engine for engine in engines}
     items = [engine.candidate(asked) for engine in engines]
     choice = place_prefill(items, asked.prompt, RATE, asked.zone)
@@ -203,14 +214,19 @@
         queue_ahead_s(choice.candidate.prompt_tokens / RATE, favoured),
         tokens / RATE,
         0.03,
+        AIM_S - (now - asked.at_s),
         PATIENCE_S - (now - asked.at_s),
     )
-    if tokens >= LONG_READING_TOKENS and forecast.is_hopeless:
+    turn = Turn.IN_TIME if tokens < LONG_READING_TOKENS else choose_turn(forecast)
+    if turn is Turn.LATER:
+        return False
+    if turn is Turn.HOPELESS:
         asked.served = False
-        return
+        return True
     engine = by_name[choice.candidate.upstream.upstream_id]
     urgency = urgency_of(own_tokens, favoured)
     engine.queue.append((urgency, now, tokens, asked))
+    return True
 
 
 def share_of(items) -> float:
--- a/tests/test_reading_decisions.py
+++ b/tests/test_reading_decisions.py
@@ -1,4 +1,4 @@
-"""Which parts engines hold, and which prompts are refused, without I/O."""
+"""Which parts engines hold, and when long prompts go to them, without I/O."""
 
 import unittest
 from dataclasses import replace
@@ -8,7 +8,7 @@
 
 from wisteriaarch.process.cache_belief import READING_MAX_S, CacheBelief, Holding
 from wisteriaarch.process.upstreams import Stage
-from wisteriaarch.request.reading_forecast import ReadingForecast
+from wisteriaarch.request.reading_turn import ReadingForecast, Turn, choose_turn
 from wisteriaarch.request.shared_reading import wait_for_part, wait_limit_s
 
 from .route_support import RATE, candidate, fleet, prompt
@@ -115,19 +115,64 @@
         return now[0]
 
 
-class ReadingForecastTest(unittest.TestCase):
-    """Long prompts beyond what engines read."""
+class ReadingTurnTest(unittest.TestCase):
+    """A burst of long prompts beyond what engines read, then a calmer load."""
+
+    READING_S = 0.1
+    AIM_S = 0.6
+    PATIENCE_S = 2.4
+    STEP_S = 0.02
+
+    def test_prompts_that_can_be_in_time_do_not_queue_behind_late_ones(self):
+        arrivals = self.arrivals()
+        at_once = self.play(arrivals, lambda _forecast: Turn.IN_TIME)
+        in_turn = self.play(arrivals, choose_turn)
+        aim_s = self.AIM_S + self.STEP_S
+        in_time = [sum(wait <= aim_s for wait in run) for run in (at_once, in_turn)]
+        self.assertGreater(in_time[1], 1.3 * in_time[0])
+        self.assertLess(max(in_turn), self.PATIENCE_S)
 
     def test_idle_engine_takes_even_a_late_prompt(self):
-        late = ReadingForecast(0.01, 1.0, 0.03, left_s=0.5)
-        self.assertFalse(late.is_hopeless)
+        late = ReadingForecast(0.01, 1.0, 0.03, aim_left_s=-1.0, left_s=9.0)
+        self.assertEqual(choose_turn(late), Turn.IDLE_ENGINE)
 
-    def test_late_prompt_is_tried_while_its_caller_is_there(self):
-        late = ReadingForecast(1.0, 0.2, 0.03, left_s=2.0)
-        self.assertFalse(late.is_hopeless)
+    def test_late_prompt_waits_until_it_must_start(self):
+        late = ReadingForecast(1.0, 0.2, 0.03, aim_left_s=0.5, left_s=9.0)
+        self.assertEqual(choose_turn(late), Turn.LATER)
+        self.assertEqual(choose_turn(replace(late, left_s=2.0)), Turn.LAST_MOMENT)
 
     def test_prompt_whose_caller_will_have_left_is_refused_at_once(self):
-        forecast = ReadingForecast(3.0, 0.4, 0.03, left_s=2.4)
-        self.assertTrue(forecast.is_hopeless)
+        forecast = ReadingForecast(3.0, 0.4, 0.03, aim_left_s=0.6, left_s=2.4)
+        self.assertEqual(choose_turn(forecast), Turn.HOPELESS)
         doubtful = replace(forecast, queue_s=2.2)
-        self.assertFalse(doubtful.is_hopeless)
+        self.assertEqual(choose_turn(doubtful), Turn.LAST_MOMENT)
+
+    def arrivals(self):
+        """12.5 prompts a second for 4 s, then 9 a second; the engine reads 10."""
+        burst = [number / 12.5 for number in range(50)]
+        calm = [4.0 + number / 9.0 for number in range(90)]
+        return burst + calm
+
+    def play(self, arrivals, choose):
+        """Return how long each prompt waits until one engine has read it."""
+        waits, waiting, free_at_s, now = [], [], 0.0, 0.0
+        arrivals = list(arrivals)
+        while arrivals or waiting:
+            while arrivals and arrivals[0] <= now:
+                waiting.append(arrivals.pop(0))
+            for arrived_at_s in reversed(waiting[:]):
+                elapsed_s = now - arrived_at_s
+                queue_s = max(0.0, free_at_s - now)
+                forecast = ReadingForecast(
+                    queue_s,
+                    self.READING_S,
+                    0.0,
+                    self.AIM_S - elapsed_s,
+                    self.PATIENCE_S - elapsed_s,
+                )
+                if choose(forecast) is not Turn.LATER:
+                    waiting.remove(arrived_at_s)
+                    free_at_s = max(now, free_at_s) + self.READING_S
+                    waits.append(free_at_s - arrived_at_s)
+            now += self.STEP_S
+        return waits
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -6,7 +6,13 @@
 
 import curio
 
-from wisteriaarch.errors import LeaseLost, OrderError, OrderRefused, OrderUnconfirmed
+from wisteriaarch.errors import (
+    LeaseLost,
+    OrderError,
+    OrderRefused,
+    OrderUnconfirmed,
+    StoreUnavailable,
+)
 from wisteriaarch.process.lease import Lease
 from wisteriaarch.process.lease_record import Contender
 from wisteriaarch.process.settings_models import LeaseSettings
@@ -195,6 +201,14 @@
         self.play(20.0, self.second)
         self.assertEqual(read.await_count, 2)
 
+    def test_lease_that_cannot_be_read_is_tried_again_after_a_term(self):
+        read = mock.AsyncMock(side_effect=StoreUnavailable("away"))
+        self.table.read = read
+        self.second.demand = CALM
+        self.play(2.5 * TERM_S, self.second)
+        self.assertEqual(read.await_count, 3)
+        self.assertIn("LEASE_READ_FAILED", self.second.events())
+
     def test_holder_that_was_frozen_gives_no_order_with_its_former_token(self):
         self.play(1.2, self.first)
         self.play(12.0, self.second)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -12,14 +12,11 @@
 from enum import Enum
 from typing import Any, TextIO
 
-import curio
 import logbook
 import logbook.compat
 
 from .log_budget import Importance, LogBudget
 
-FLUSH_EVERY_S = 0.1
-
 
 @dataclass(frozen=True)
 class EventKind:
@@ -88,6 +85,12 @@
         "call waited for a prompt part that was being read",
         Importance.PROGRESS,
     )
+    CALL_DEFERRED = EventKind(
+        315,
+        logbook.INFO,
+        "call waited until engines could read its prompt",
+        Importance.PROGRESS,
+    )
     MEMORY_NOT_RELEASED = EventKind(
         313, logbook.INFO, "unused memory can't be freed", Importance.PROGRESS
     )
@@ -182,11 +185,7 @@
 
 
 class LogHandler(logbook.StreamHandler):
-    """Writes lines to a stream, as many as a budget allows.
-
-    With a budget, lines of progress are written with the next other line or the next
-    flush, at least each ``FLUSH_EVERY_S`` while ``keep_flushing`` runs.
-    """
+    """Writes lines to a stream, as many as a budget allows."""
 
     def __init__(self, stream: TextIO, level: int, budget: LogBudget | None):
         super().__init__(stream, level=level)
@@ -203,15 +202,7 @@
         self._report_left_out(record.channel)
         line = self.format(record)
         self._budget.spend(len(line))
-        self.stream.write(line + "\n")
-        if kind.importance is not Importance.PROGRESS:
-            self.stream.flush()
-
-    async def keep_flushing(self) -> None:
-        """Write what is pending, for ever."""
-        while True:
-            await curio.sleep(FLUSH_EVERY_S)
-            self.stream.flush()
+        self._write_line(line)
 
     def _report_left_out(self, channel: str) -> None:
         left_out = self._budget.take_left_out()
@@ -233,7 +224,7 @@
     level: str,
     stream: TextIO | None = None,
     budget: LogBudget | None = None,
-) -> LogHandler:
+) -> logbook.Handler:
     """Return a handler that writes human-readable or JSON lines to ``stream``."""
     handler = LogHandler(
         stream or sys.stderr, logbook.lookup_level(level.upper()), budget
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -25,7 +25,7 @@
 from .placement import DIRECT_SLOWDOWN, place_decode, place_service_call
 from .planner import CompletionPlanner
 from .prompt_reader import Announce, PromptReader
-from .reading_forecast import LONG_READING_TOKENS
+from .reading_turn import LONG_READING_TOKENS
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .size_shares import SizeShares
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,22 +1,28 @@
-"""Plans a completion: which engines read and run it."""
+"""Plans a completion: which engines read and run it, and when."""
 
+import random
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 
+import curio
+
 from ..errors import ErrorKind, RequestError
-from ..events import EventLog
+from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.stage_busyness import StageBusyness
 from ..process.upstreams import Stage
 from .candidate import Candidate, Choice
 from .candidate_finder import CandidateFinder
-from .reading_forecast import LONG_READING_TOKENS, ReadingForecast
+from .reading_turn import LONG_READING_TOKENS, ReadingForecast, Turn, choose_turn
 from .routed_call import RoutedCall
 from .shared_reading import wait_for_part
 from .size_shares import SizeShares
 from .stage_plan import MOVE_COST_S, FleetPace, StagePlan, plan_stages
 from .urgency import queue_ahead_s
 
+POLL_MIN_S = 0.01
+POLL_MAX_S = 0.03
 # Callers of streams leave well before the deadline where nothing comes.
 PATIENCE_MIN_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
@@ -24,6 +30,14 @@
 RETURN_MIN_S = 0.3
 
 
+@dataclass(frozen=True)
+class TimedPlan:
+    """Plan of a completion, and whether to go by it now."""
+
+    plan: StagePlan
+    turn: Turn
+
+
 class CompletionPlanner:
     """Plans completions; one instance serves the whole entry."""
 
@@ -44,7 +58,7 @@
         self._log = log
 
     async def plan(self, call: RoutedCall) -> StagePlan:
-        """Return the plan by which to go now.
+        """Return the plan by which to go now; long prompts may wait for their turn.
 
         Raises RequestError where the call can't be answered before its caller leaves.
         """
@@ -52,32 +66,53 @@
             call.call_id, call.route.name, call.prompt.own_tokens
         )
         find = partial(self._finder.now, call)
-        rate = self._rate_of(call.service)
-        candidates = await wait_for_part(call, find, rate, self._log)
-        plan = plan_stages(
-            candidates,
-            call.prompt,
-            self._fleet_pace(call.service, candidates),
-            self._zone,
-            call.route.pause_s,
+        candidates = await wait_for_part(
+            call, find, self._rate_of(call.service), self._log
         )
-        self._refuse_if_hopeless(call, plan)
-        return plan
+        decision = self._decide(call, candidates)
+        if decision.turn is Turn.LATER:
+            decision = await self._wait_for_turn(call, find)
+        if decision.turn is Turn.HOPELESS:
+            raise self._refusal(call, decision.plan)
+        return decision.plan
 
-    def _refuse_if_hopeless(self, call: RoutedCall, plan: StagePlan) -> None:
-        """Raise RequestError for such a call; it may come back to shorter queues."""
-        if plan.prefill is None or plan.prefill.tokens < LONG_READING_TOKENS:
-            return
+    async def _wait_for_turn(
+        self, call: RoutedCall, find: Callable[[], list[Candidate]]
+    ) -> TimedPlan:
+        began_at_s = now_s()
+        while True:
+            await curio.sleep(random.uniform(POLL_MIN_S, POLL_MAX_S))
+            decision = self._decide(call, find())
+            if decision.turn is not Turn.LATER:
+                break
+        self._log.write(
+            Event.CALL_DEFERRED,
+            request=call.call_id,
+            seconds=now_s() - began_at_s,
+            reason=decision.turn.value,
+        )
+        return decision
+
+    def _refusal(self, call: RoutedCall, plan: StagePlan) -> RequestError:
+        """Return the error of a hopeless call; it may come back to shorter queues."""
         forecast = self._forecast(call, plan.prefill)
-        if not forecast.is_hopeless:
-            return
-        raise RequestError(
+        return RequestError(
             ErrorKind.UPSTREAM_OVERLOADED,
             f"the first event would take {forecast.first_event_s:.1f} s",
             ran=call.ran,
             retry_after_s=max(RETURN_MIN_S, forecast.queue_s),
         )
 
+    def _decide(self, call: RoutedCall, candidates: list[Candidate]) -> TimedPlan:
+        plan = plan_stages(
+            candidates,
+            call.prompt,
+            self._fleet_pace(call.service, candidates),
+            self._zone,
+            call.route.pause_s,
+        )
+        return TimedPlan(plan, self._turn(call, plan))
+
     def _fleet_pace(self, service: str, candidates: list[Candidate]) -> FleetPace:
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
@@ -87,6 +122,12 @@
             self._busyness.share(service, Stage.DECODE, decodes),
         )
 
+    def _turn(self, call: RoutedCall, plan: StagePlan) -> Turn:
+        choice = plan.prefill
+        if choice is None or choice.tokens < LONG_READING_TOKENS:
+            return Turn.IN_TIME
+        return choose_turn(self._forecast(call, choice))
+
     def _forecast(self, call: RoutedCall, choice: Choice) -> ReadingForecast:
         candidate = choice.candidate
         rate = self._rate_of(call.service) / candidate.pace
@@ -95,6 +136,7 @@
             queue_s=queue_ahead_s(candidate.prompt_tokens / rate, call.favoured),
             reading_s=choice.tokens / rate,
             running_s=MOVE_COST_S,
+            aim_left_s=call.route.objective_s - elapsed_s,
             left_s=min(call.remaining_s(), _patience_s(call) - elapsed_s),
         )
 
--- a/wisteriaarch/request/prompt_reader.py
+++ b/wisteriaarch/request/prompt_reader.py
@@ -13,7 +13,7 @@
 from .outcomes import AttemptFailed, FailureReason
 from .patience import reading_silent_after_s
 from .prefill_rate import PrefillRate
-from .reading_forecast import LONG_READING_TOKENS
+from .reading_turn import LONG_READING_TOKENS
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
 from .upstream_protocol import PromptMemory, RunOptions, UpstreamProtocol
--- /dev/null
+++ b/wisteriaarch/request/reading_turn.py
@@ -0,0 +1,68 @@
+"""Decides when a long prompt goes to the engines: at once or later.
+
+Load pattern: for some seconds more long prompts arrive than the engines can read.
+Engines read in order of arrival, so that a standing queue there makes every prompt late
+until long after the burst. Prompts that can still be in time go at once and find short
+queues; the others wait at their entry until an engine has little else to read, or until
+they must start to be answered before their deadline. What can't be answered before its
+caller leaves is refused at once.
+"""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+LONG_READING_TOKENS = 2048
+# Work at an engine that another prompt hardly waits for.
+IDLE_S = 0.08
+START_MARGIN_S = 0.9
+START_MARGIN_FACTOR = 1.2
+# Predictions are off by about this; what may be in time is tried.
+HOPELESS_FACTOR = 1.3
+
+
+class Turn(StrEnum):
+    """Whether a prompt goes to an engine now, and why.
+
+    A HOPELESS one goes to none: its caller will have left before the first event.
+    """
+
+    IN_TIME = "in time"
+    IDLE_ENGINE = "idle engine"
+    LAST_MOMENT = "last moment"
+    LATER = "later"
+    HOPELESS = "hopeless"
+
+
+@dataclass(frozen=True)
+class ReadingForecast:
+    """What is predicted for a prompt that is placed now, in seconds.
+
+    ``queue_s`` is the work before it at its engine, ``reading_s`` its own reading,
+    ``running_s`` what comes after until the first event. ``aim_left_s`` is left of the
+    route's objective, ``left_s`` until the deadline.
+    """
+
+    queue_s: float
+    reading_s: float
+    running_s: float
+    aim_left_s: float
+    left_s: float
+
+    @property
+    def first_event_s(self) -> float:
+        """Time until the first event."""
+        return self.queue_s + self.reading_s + self.running_s
+
+
+def choose_turn(forecast: ReadingForecast) -> Turn:
+    """Return whether a prompt is to be placed now."""
+    if forecast.first_event_s <= forecast.aim_left_s:
+        return Turn.IN_TIME
+    if forecast.queue_s <= IDLE_S:
+        return Turn.IDLE_ENGINE
+    if forecast.first_event_s > HOPELESS_FACTOR * forecast.left_s:
+        return Turn.HOPELESS
+    needed_s = START_MARGIN_S + START_MARGIN_FACTOR * forecast.first_event_s
+    if forecast.left_s <= needed_s:
+        return Turn.LAST_MOMENT
+    return Turn.LATER
