Progress lines are written some at a time, without waking up for it

Change: a line of progress is written with the first line after 0.1 s; a timer of 1 s serves the last ones. Failures and changes of state are written at once, as before.

--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import unittest
+from unittest import mock
 
 from wisteriaarch.events import Event, EventLog, open_log, take_library_messages
 from wisteriaarch.log_budget import LogBudget
@@ -55,3 +56,18 @@
         line = json.loads(stream.getvalue())
         self.assertEqual((line["event"], line["library"]), (120, "curio.time"))
         self.assertEqual(line["detail"], "took longer")
+
+    def test_progress_is_written_some_lines_at_a_time_and_failures_at_once(self):
+        """Load: hundreds of calls a second, each with lines of its own."""
+        stream = mock.Mock()
+        with open_log("json", "info", stream, LogBudget(1e6, 1e9)).applicationbound():
+            log = EventLog("entry-1")
+            log.write(Event.CALL_PLACED)
+            stream.flush.reset_mock()
+            for _ in range(50):
+                log.write(Event.CALL_PLACED)
+            self.assertLessEqual(stream.flush.call_count, 1)
+            flushes = stream.flush.call_count
+            log.write(Event.REQUEST_REFUSED)
+            self.assertEqual(stream.flush.call_count, flushes + 1)
+        self.assertEqual(stream.write.call_count, 52)
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -22,6 +22,7 @@
     def test_lines_pass_while_they_are_read(self):
         self.stream.write("one\n")
         self.stream.write("two\n")
+        self.stream.flush()
         self.assertEqual(self.read(), b"one\ntwo\n")
 
     def test_reader_that_stops_costs_lines_and_not_time(self):
@@ -41,6 +42,7 @@
         for _ in range(10):
             received += self.read()
             self.stream.write("back\n")
+            self.stream.flush()
         self.stream.flush()
         received += self.read()
         self.assertIn(f'"dropped": {dropped}'.encode(), received)
@@ -51,5 +53,6 @@
         stream = DroppingStream(writer)
         os.close(reader)
         stream.write("one\n")
+        stream.flush()
         os.close(writer)
         self.assertEqual(stream.dropped, 1)
--- a/wisteriaarch/cli/daemon_log.py
+++ b/wisteriaarch/cli/daemon_log.py
@@ -1,16 +1,35 @@
 """Log of a process that serves callers."""
 
+from collections.abc import Awaitable, Callable
 from typing import TextIO
 
-import logbook
+import curio
 
-from ..events import open_log, take_library_messages
+from ..events import LogHandler, open_log, take_library_messages
 from ..log_budget import LogBudget
 from ..log_output import DroppingStream
 from ..process.settings_models import LogSettings
 
 
-def open_daemon_log(settings: LogSettings, stream: TextIO) -> logbook.Handler:
+def run_with_log(
+    main: Callable[[], Awaitable], settings: LogSettings, stream: TextIO
+) -> None:
+    """Run a process's main task to its end, with its log written to ``stream``."""
+    handler = _open(settings, stream)
+
+    async def run() -> None:
+        flushing = await curio.spawn(handler.keep_flushing)
+        try:
+            await main()
+        finally:
+            await flushing.cancel()
+
+    with handler.applicationbound():
+        curio.run(run)
+    handler.stream.flush()
+
+
+def _open(settings: LogSettings, stream: TextIO) -> LogHandler:
     """Return a handler that never waits for the reader of ``stream``.
 
     A terminal is written to as it is: its state is shared with other programs.
--- a/wisteriaarch/cli/gateway.py
+++ b/wisteriaarch/cli/gateway.py
@@ -2,15 +2,13 @@
 
 import argparse
 
-import curio
-
 from ..environment import Environment
 from ..errors import ConfigError
 from ..gateway import Gateway
 from ..platform.adapter import Platform
 from ..process.gateway_settings import GatewaySettings
 from ..status import ExitStatus
-from .daemon_log import open_daemon_log
+from .daemon_log import run_with_log
 from .definition import SETTINGS_VARIABLE
 
 
@@ -26,6 +24,5 @@
         async with Gateway(settings, platform) as entry:
             await entry.run(path)
 
-    with open_daemon_log(settings.log, env.stdout).applicationbound():
-        curio.run(run)
+    run_with_log(run, settings.log, env.stdout)
     return ExitStatus.SUCCESS
--- a/wisteriaarch/cli/serving.py
+++ b/wisteriaarch/cli/serving.py
@@ -2,13 +2,11 @@
 
 import argparse
 
-import curio
-
 from ..entry import Entry
 from ..environment import Environment
 from ..process.settings import EntrySettings
 from ..status import ExitStatus
-from .daemon_log import open_daemon_log
+from .daemon_log import run_with_log
 from .output import announcer
 
 
@@ -20,6 +18,5 @@
         async with Entry(settings) as entry:
             await entry.run(announcer(env))
 
-    with open_daemon_log(settings.log, env.stderr).applicationbound():
-        curio.run(run)
+    run_with_log(run, settings.log, env.stderr)
     return ExitStatus.SUCCESS
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -8,15 +8,21 @@
 
 import json
 import sys
+import time
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, TextIO
 
+import curio
 import logbook
 import logbook.compat
 
 from .log_budget import Importance, LogBudget
 
+# Lines wait for as long where more of them come, and where none does.
+FLUSH_EVERY_S = 0.1
+IDLE_FLUSH_EVERY_S = 1.0
+
 
 @dataclass(frozen=True)
 class EventKind:
@@ -185,11 +191,16 @@
 
 
 class LogHandler(logbook.StreamHandler):
-    """Writes lines to a stream, as many as a budget allows."""
+    """Writes lines to a stream, as many as a budget allows.
+
+    With a budget, lines of progress are written some at a time: each write and each
+    time that the process wakes up for one costs more than the lines themselves.
+    """
 
     def __init__(self, stream: TextIO, level: int, budget: LogBudget | None):
         super().__init__(stream, level=level)
         self._budget = budget
+        self._flushed_at_s = 0.0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Write a record, or have the budget count it."""
@@ -202,7 +213,22 @@
         self._report_left_out(record.channel)
         line = self.format(record)
         self._budget.spend(len(line))
-        self._write_line(line)
+        self.stream.write(line + "\n")
+        if kind.importance is not Importance.PROGRESS or self._is_flush_due():
+            self._flush()
+
+    async def keep_flushing(self) -> None:
+        """Write what is pending while no other lines come, for ever."""
+        while True:
+            await curio.sleep(IDLE_FLUSH_EVERY_S)
+            self._flush()
+
+    def _is_flush_due(self) -> bool:
+        return time.monotonic() - self._flushed_at_s >= FLUSH_EVERY_S
+
+    def _flush(self) -> None:
+        self._flushed_at_s = time.monotonic()
+        self.stream.flush()
 
     def _report_left_out(self, channel: str) -> None:
         left_out = self._budget.take_left_out()
@@ -224,7 +250,7 @@
     level: str,
     stream: TextIO | None = None,
     budget: LogBudget | None = None,
-) -> logbook.Handler:
+) -> LogHandler:
     """Return a handler that writes human-readable or JSON lines to ``stream``."""
     handler = LogHandler(
         stream or sys.stderr, logbook.lookup_level(level.upper()), budget
--- a/wisteriaarch/log_output.py
+++ b/wisteriaarch/log_output.py
@@ -4,12 +4,14 @@
 from typing import TextIO
 
 PENDING_MAX_BYTES = 64 * 1024
+# From here on lines are written without being asked to.
+FLUSH_BYTES = 16 * 1024
 # Number of the event in the catalogue.
 LINES_LOST = 119
 
 
 class DroppingStream:
-    """Text stream over a descriptor that is written without waiting.
+    """Text stream over a descriptor that is written without waiting, when flushed.
 
     A reader that stops costs lines, not time. Once lines can be written again, one line
     says how many were left out.
@@ -28,8 +30,8 @@
         return cls(stream.fileno())
 
     def write(self, text: str) -> int:
-        """Write a line, or count it where the reader is too far behind."""
-        if len(self._pending) > PENDING_MAX_BYTES:
+        """Keep a line to be written, or count it where the reader is too far behind."""
+        if len(self._pending) > FLUSH_BYTES:
             self._write_pending()
         if len(self._pending) > PENDING_MAX_BYTES:
             self.dropped += text.count("\n")
@@ -38,7 +40,6 @@
             self._pending += _lost_line(self.dropped)
             self.dropped = 0
         self._pending += text.encode()
-        self._write_pending()
         return len(text)
 
     def flush(self) -> None:
