Split the log's handler from the catalogue of events

The handler and its forms are log_handler now; the number of event 119 stands once. No behaviour changes.

--- a/tests/role_entry.py
+++ b/tests/role_entry.py
@@ -5,7 +5,7 @@
 import curio
 
 from wisteriaarch.entry import Entry
-from wisteriaarch.events import open_log
+from wisteriaarch.log_handler import open_log
 from wisteriaarch.process.settings import EntrySettings
 from wisteriaarch.version.roles import Role, RoleChange
 
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,8 +6,9 @@
 import unittest
 from unittest import mock
 
-from wisteriaarch.events import Event, EventLog, open_log, take_library_messages
+from wisteriaarch.events import Event, EventLog
 from wisteriaarch.log_budget import LogBudget
+from wisteriaarch.log_handler import open_log, take_library_messages
 
 
 class EventsTest(unittest.TestCase):
--- a/wisteriaarch/cli/daemon_log.py
+++ b/wisteriaarch/cli/daemon_log.py
@@ -5,8 +5,8 @@
 
 import curio
 
-from ..events import LogHandler, open_log, take_library_messages
 from ..log_budget import LogBudget
+from ..log_handler import LogHandler, open_log, take_library_messages
 from ..log_output import DroppingStream
 from ..process.settings_models import LogSettings
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -1,4 +1,4 @@
-"""Numbered log events and the log set-up.
+"""Numbered log events.
 
 Numbers: 1xx entry, 2xx manifest and store, 3xx requests, 4xx leases and orders, 5xx
 claims and quarantine, 6xx peers, 7xx admission and roles.
@@ -6,22 +6,13 @@
 are never part of an event's fields.
 """
 
-import json
-import sys
-import time
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, TextIO
+from typing import Any
 
-import curio
 import logbook
-import logbook.compat
 
-from .log_budget import Importance, LogBudget
-
-# Lines wait for as long where more of them come, and where none does.
-FLUSH_EVERY_S = 0.1
-IDLE_FLUSH_EVERY_S = 1.0
+from .log_budget import Importance
 
 
 @dataclass(frozen=True)
@@ -188,115 +179,3 @@
         self._logger.log(
             kind.level, kind.message, extra={"kind": kind, "fields": fields}
         )
-
-
-class LogHandler(logbook.StreamHandler):
-    """Writes lines to a stream, as many as a budget allows.
-
-    With a budget, lines of progress are written some at a time: each write and each
-    time that the process wakes up for one costs more than the lines themselves.
-    """
-
-    def __init__(self, stream: TextIO, level: int, budget: LogBudget | None):
-        super().__init__(stream, level=level)
-        self._budget = budget
-        self._flushed_at_s = 0.0
-
-    def emit(self, record: logbook.LogRecord) -> None:
-        """Write a record, or have the budget count it."""
-        if self._budget is None:
-            self._write_line(self.format(record))
-            return
-        kind = _kind_of(record)
-        if not self._budget.admits(kind.importance, kind.number):
-            return
-        self._report_left_out(record.channel)
-        line = self.format(record)
-        self._budget.spend(len(line))
-        self.stream.write(line + "\n")
-        if kind.importance is not Importance.PROGRESS or self._is_flush_due():
-            self._flush()
-
-    async def keep_flushing(self) -> None:
-        """Write what is pending while no other lines come, for ever."""
-        while True:
-            await curio.sleep(IDLE_FLUSH_EVERY_S)
-            self._flush()
-
-    def _is_flush_due(self) -> bool:
-        return time.monotonic() - self._flushed_at_s >= FLUSH_EVERY_S
-
-    def _flush(self) -> None:
-        self._flushed_at_s = time.monotonic()
-        self.stream.flush()
-
-    def _report_left_out(self, channel: str) -> None:
-        left_out = self._budget.take_left_out()
-        if left_out is None:
-            return
-        kind = Event.LOG_LINES_LEFT_OUT.value
-        extra = {"kind": kind, "fields": {"lines": left_out}}
-        report = logbook.LogRecord(channel, kind.level, kind.message, extra=extra)
-        report.heavy_init()
-        self._write_line(self.format(report))
-
-    def _write_line(self, line: str) -> None:
-        self.stream.write(line + "\n")
-        self.stream.flush()
-
-
-def open_log(
-    form: str,
-    level: str,
-    stream: TextIO | None = None,
-    budget: LogBudget | None = None,
-) -> LogHandler:
-    """Return a handler that writes human-readable or JSON lines to ``stream``."""
-    handler = LogHandler(
-        stream or sys.stderr, logbook.lookup_level(level.upper()), budget
-    )
-    handler.formatter = _format_json if form == "json" else _format_human
-    return handler
-
-
-def take_library_messages() -> None:
-    """Have libraries' own log messages written as events of this program."""
-    logbook.compat.redirect_logging(set_root_logger_level=False)
-
-
-def _kind_of(record: logbook.LogRecord) -> EventKind:
-    return record.extra["kind"] or Event.LIBRARY_MESSAGE.value
-
-
-def _fields_of(record: logbook.LogRecord) -> dict[str, Any]:
-    if record.extra["kind"]:
-        return record.extra["fields"]
-    return {"library": record.channel, "detail": record.message}
-
-
-def _format_human(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-    kind = _kind_of(record)
-    words = [f"{name}={_shown(value)}" for name, value in _fields_of(record).items()]
-    head = f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} {record.channel}"
-    return " ".join([f"{head} [{kind.number}] {kind.message}", *words])
-
-
-def _format_json(record: logbook.LogRecord, _handler: logbook.Handler) -> str:
-    kind = _kind_of(record)
-    content = {
-        "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
-        "level": record.level_name.lower(),
-        "entry": record.channel,
-        "event": kind.number,
-        "message": kind.message,
-        **_fields_of(record),
-    }
-    return json.dumps(content, default=str)
-
-
-def _shown(value: Any) -> str:
-    if isinstance(value, float):
-        return f"{value:.4g}"
-    if isinstance(value, (dict, list, tuple)):
-        return json.dumps(value, default=str, separators=(",", ":"))
-    return str(value)
--- a/wisteriaarch/log_output.py
+++ b/wisteriaarch/log_output.py
@@ -3,11 +3,11 @@
 import os
 from typing import TextIO
 
+from .events import Event
+
 PENDING_MAX_BYTES = 64 * 1024
 # From here on lines are written without being asked to.
 FLUSH_BYTES = 16 * 1024
-# Number of the event in the catalogue.
-LINES_LOST = 119
 
 
 class DroppingStream:
@@ -60,4 +60,5 @@
 
 
 def _lost_line(lines: int) -> bytes:
-    return f'{{"event": {LINES_LOST}, "dropped": {lines}}}\n'.encode()
+    number = Event.LOG_LINES_LOST.value.number
+    return f'{{"event": {number}, "dropped": {lines}}}\n'.encode()
