--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -90,8 +90,10 @@
         other = self.cluster.processes["dec-1"]
         self.cluster.write("servers", "app-gone", server_row(other, "app"))
         self.addCleanup(self.cluster.remove, "servers", "app-gone")
-        time.sleep(0.3)
-        # Side by side, so that no server is the least loaded one all the time.
+        wait_until(lambda: "app-gone" in self.listed())
+        # Both right servers decline one request, which goes to the wrong one then.
+        self.fail_next(APPS, "shed")
+        self.assertEqual(self.send_body(20).status, 200)
         with ThreadPoolExecutor(6) as pool:
             answers = list(pool.map(self.send_body, range(20)))
         for answer in answers:
@@ -101,8 +103,13 @@
         wrong = [item for item in seen if item["expect-instance"] == "app-gone"]
         self.assertTrue(wrong, "no request tried the address")
         self.assertEqual(
-            [self.ran(f"r{n}") for n in range(20) if "dec-1" in self.ran(f"r{n}")], []
+            [self.ran(f"r{n}") for n in range(21) if "dec-1" in self.ran(f"r{n}")], []
         )
 
+    def listed(self) -> set[str]:
+        """Return the upstreams that the entry has found registered."""
+        lines = self.gateway.log_lines()
+        return {line["upstream"] for line in lines if line["event"] == 220}
+
     def send_body(self, number):
         return self.send("POST", "/post/x", f"r{number}", b"body")
