--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -146,6 +146,24 @@
                 self.assertLessEqual(len(never), 2 + 0.04 * len(lasting))
 
 
+class HarderFairnessTest(unittest.TestCase):
+    """Loads at which favoured sizes are not enough."""
+
+    # Prompts a second and seed.
+    LOADS = ((60.0, 8), (160.0, 7))
+
+    def test_largest_prompts_are_served_half_as_often_as_all_at_least(self):
+        """Load: another draw of the first one, and 2.4 times what engines read."""
+        for rate, seed in self.LOADS:
+            with self.subTest(prompts_per_s=rate, seed=seed):
+                asked = play(ask(random.Random(seed), rate), random.Random(8))
+                long = [item for item in asked if is_long(item)]
+                by_size = sorted(long, key=lambda item: item.prompt.input_tokens)
+                largest = by_size[-(len(by_size) // 10) :]
+                least = SIZES_SHARE_MIN * share_of(long)
+                self.assertGreaterEqual(share_of(largest), least)
+
+
 def route_of(asked) -> str:
     """Return the kind of request."""
     return "long" if is_long(asked) else "short"
