--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,7 +23,7 @@
     decode_message,
     encode_message,
 )
-from wisteriaarch.connection.peer import LENGTH_BYTES, MAX_FRAME_BYTES
+from wisteriaarch.connection.frames import LENGTH_BYTES, MAX_FRAME_BYTES
 from wisteriaarch.errors import FrameError
 from wisteriaarch.process import http_store
 from wisteriaarch.process.digest import (
--- /dev/null
+++ b/tests/test_scheduling.py
@@ -0,0 +1,394 @@
+"""Calls that one entry places for others: messages, knowledge and lost schedulers."""
+
+import contextlib
+import random
+import unittest
+from unittest import mock
+
+import curio
+
+from wisteriaarch.connection.scheduling_client import (
+    ANSWER_TIMEOUT_S,
+    FleetPlacer,
+    SchedulerLink,
+)
+from wisteriaarch.connection.scheduling_codec import decode_message, encode_message
+from wisteriaarch.connection.scheduling_messages import (
+    CopyAnswer,
+    CopyQuestion,
+    OutcomeReport,
+    PlacedAnswer,
+    PlacedChoice,
+    PlaceQuestion,
+    RefusedAnswer,
+    WaitingNotice,
+    WithdrawnNotice,
+)
+from wisteriaarch.connection.scheduling_server import SchedulingServer
+from wisteriaarch.errors import ErrorKind, FrameError, RequestError
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.fleet_knowledge import FleetKnowledge
+from wisteriaarch.process.manifest_copy import ManifestCopy
+from wisteriaarch.process.upstream_loads import ReportedLoad
+from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
+from wisteriaarch.request.attempt_outcome import (
+    ANSWERED,
+    LEFT,
+    AttemptOutcome,
+)
+from wisteriaarch.request.learner import Learner
+from wisteriaarch.request.outcomes import AttemptFailed, FailureReason
+from wisteriaarch.request.placer import NoTicket
+from wisteriaarch.request.retry_share import RetryShare
+from wisteriaarch.request.routed_call import RoutedCall
+from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
+from wisteriaarch.version.route_table import (
+    CallKind,
+    EngineSpec,
+    Route,
+    RouteTable,
+    ServiceSpec,
+)
+from wisteriaarch.wire import Address
+
+from .route_support import prompt, upstream
+
+ROUTE = Route("r", "", "", CallKind.STREAM, (), 5.0, 0.5, 1, 2, True, 0.15)
+TABLE = RouteTable(1, (), {"s": ServiceSpec("s", 100, EngineSpec(8, 400_000))})
+
+
+def make_call(call_id="c", **more) -> RoutedCall:
+    now = now_s()
+    content = {
+        "call_id": call_id,
+        "route": ROUTE,
+        "service": "s",
+        "method": "POST",
+        "target": "/",
+        "headers": [],
+        "body": b"",
+        "arrived_at_s": now,
+        "deadline_at_s": now + 5.0,
+        "zone": "z1",
+        **more,
+    }
+    return RoutedCall(**content)
+
+
+class MessageTest(unittest.TestCase):
+    def assert_survives(self, message):
+        self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_messages_survive_the_wire(self):
+        choice = PlacedChoice("u", 0.25, 900, "v", 3, 1200, 1.5, 2)
+        outcome = AttemptOutcome(ANSWERED, 0.5, 0.25, True, True, 2.0, True)
+        for message in (
+            PlacedAnswer(4, choice, None, True, 7, 40_000.0),
+            PlacedAnswer(4, None, choice, False, 0, 1.0),
+            WaitingNotice(3),
+            RefusedAnswer(5, "none is left"),
+            OutcomeReport(6, outcome),
+            OutcomeReport(6, AttemptOutcome(LEFT, 0.5, load=ReportedLoad(1, 2, 8))),
+            WithdrawnNotice(9),
+            CopyQuestion(),
+            CopyAnswer(None),
+            CopyAnswer(ManifestCopy(b"a", b"b", 12)),
+        ):
+            with self.subTest(message=message):
+                self.assert_survives(message)
+
+    def test_question_keeps_what_placement_needs(self):
+        sent = make_call(
+            prompt=prompt(9000, 8000),
+            tried={"u"},
+            placements=2,
+            attempts=1,
+            prompts_read=1,
+        )
+        received = decode_message(encode_message(PlaceQuestion(3, sent, "v")))
+        call = received.call
+        self.assertEqual((received.number, received.reader_id), (3, "v"))
+        self.assertEqual(call.prompt, sent.prompt)
+        self.assertEqual((call.tried, call.zone, call.service), ({"u"}, "z1", "s"))
+        self.assertEqual((call.attempts, call.prompts_read, call.placements), (1, 1, 1))
+        self.assertEqual(call.route.objective_s, ROUTE.objective_s)
+        self.assertAlmostEqual(call.remaining_s(), sent.remaining_s(), delta=0.1)
+
+    def test_call_without_a_deadline_survives_the_wire(self):
+        sent = make_call(deadline_at_s=float("inf"))
+        call = decode_message(encode_message(PlaceQuestion(3, sent))).call
+        self.assertGreater(call.remaining_s(), 1000.0)
+
+    def test_refusal_keeps_its_kind_and_time(self):
+        error = RequestError(ErrorKind.UPSTREAM_OVERLOADED, "full", retry_after_s=0.75)
+        received = decode_message(encode_message(RefusedAnswer(5, "full", error)))
+        self.assertIs(received.error.kind, ErrorKind.UPSTREAM_OVERLOADED)
+        self.assertEqual(received.error.retry_after_s, 0.75)
+
+    def test_messages_changed_at_random_are_read_or_refused(self):
+        rng = random.Random(9)
+        whole = encode_message(PlaceQuestion(3, make_call(prompt=prompt(900, 500))))
+        for _ in range(3000):
+            data = bytearray(whole)
+            for _ in range(rng.randint(1, 6)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            with contextlib.suppress(FrameError):
+                decode_message(bytes(data[: rng.randint(1, len(data))]))
+
+
+class Entry:
+    """Scheduling side of one entry, on registrations of its own."""
+
+    def __init__(self, name, items):
+        self.name = name
+        self.log = mock.Mock()
+        self.registry = UpstreamRegistry(lambda: None, self.log)
+        self.registry.update(items)
+        self.knowledge = FleetKnowledge.from_registry(self.registry)
+        self.parts = SchedulingParts.from_knowledge(
+            self.knowledge, lambda: TABLE, self.log
+        )
+        self.scheduler = Scheduler(self.parts, RetryShare(0.2, 50, 10.0, lambda: 1))
+        self.learner = Learner(self.knowledge, self.log)
+
+    def placer(self, names, addresses) -> FleetPlacer:
+        return FleetPlacer(
+            self.name,
+            mock.Mock(of=lambda _service: names),
+            self.registry,
+            self.scheduler,
+            Scheduler(self.parts, RetryShare(0.2, 50, 10.0, lambda: 195)),
+            addresses.get,
+            self.log,
+        )
+
+    def serve(self, port=0):
+        server = SchedulingServer(
+            Address("127.0.0.1", port), self.scheduler, self.learner, None, self.log
+        )
+        sock = curio.tcp_server_socket("127.0.0.1", 0)
+        return server, sock
+
+
+class ScheduledTest(unittest.TestCase):
+    """Two entries have their calls placed by a third."""
+
+    def setUp(self):
+        items = [
+            upstream("p", Stage.PREFILL, slots=2),
+            upstream("d1", Stage.DECODE, slots=2),
+            upstream("d2", Stage.DECODE, slots=2),
+        ]
+        self.home = Entry("home", items)
+        self.one, self.two = Entry("one", items), Entry("two", items)
+
+    def play(self, scenario):
+        async def run():
+            server, sock = self.home.serve()
+            addresses = {"home": Address(*sock.getsockname())}
+            async with sock:
+                accepting = await curio.spawn(self.accept, server, sock, daemon=True)
+                placers = [
+                    entry.placer(("home", entry.name), addresses)
+                    for entry in (self.one, self.two)
+                ]
+                try:
+                    await scenario(*placers)
+                finally:
+                    for placer in placers:
+                        await placer.close()
+                    await accepting.cancel()
+
+        curio.run(run)
+
+    async def accept(self, server, sock):
+        while True:
+            client, _address = await sock.accept()
+            await curio.spawn(self.serve, server, client, daemon=True)
+
+    async def serve(self, server, client):
+        async with client:
+            await server._serve(client)
+
+    def in_flight(self):
+        loads = self.home.knowledge.loads
+        return {name: loads.requests(name) for name in ("p", "d1", "d2")}
+
+    async def settle(self):
+        await curio.sleep(0.1)
+
+    def test_work_of_all_entries_is_spread_and_counted_until_its_end(self):
+        async def scenario(one, two):
+            placements = [
+                await placer.place(make_call(f"c{number}", prompt=prompt(300)))
+                for number, placer in enumerate([one, two] * 2)
+            ]
+            chosen = [
+                item.plan.decode.candidate.upstream.upstream_id for item in placements
+            ]
+            self.assertEqual(sorted(chosen), ["d1", "d1", "d2", "d2"])
+            self.assertEqual(self.in_flight(), {"p": 0, "d1": 2, "d2": 2})
+            for placement in placements:
+                await placement.ticket.ended(AttemptOutcome(ANSWERED, 0.1, 0.05))
+            await self.settle()
+            self.assertEqual(self.in_flight(), {"p": 0, "d1": 0, "d2": 0})
+
+        self.play(scenario)
+
+    def test_prompt_read_for_one_entry_is_known_for_the_other(self):
+        """Load: long prompts with the same part come in at different entries."""
+
+        async def scenario(one, two):
+            first = make_call("c1", prompt=prompt(17_000, 13_000))
+            placement = await one.place(first)
+            self.assertIsNotNone(placement.plan.prefill)
+            await placement.ticket.ended(AttemptOutcome(ANSWERED, 0.4))
+            await self.settle()
+            again = await two.place(make_call("c2", prompt=prompt(17_000, 13_000)))
+            self.assertLessEqual(again.plan.prefill.tokens, 4_000)
+
+        self.play(scenario)
+
+    def test_call_that_waits_for_a_part_and_then_for_its_turn_is_placed(self):
+        """Load: a burst of long prompts with one new part, beyond what is read."""
+
+        async def scenario(one, two):
+            tasks = []
+            for number in range(12):
+                call = make_call(f"c{number}", prompt=prompt(30_000, 20_000))
+                placer = (one, two)[number % 2]
+                tasks.append(await curio.spawn(self.run_to_end, placer, call))
+            for task in tasks:
+                await task.join()
+            self.assertEqual(sum(self.in_flight().values()), 0)
+
+        self.play(scenario)
+
+    async def run_to_end(self, placer, call):
+        with contextlib.suppress(RequestError):
+            placement = await placer.place(call)
+            await curio.sleep(0.05)
+            await placement.ticket.ended(AttemptOutcome(ANSWERED, 0.05, 0.05))
+            await curio.sleep(0.1)
+
+    def test_work_of_an_entry_that_is_gone_counts_no_more(self):
+        async def scenario(one, _two):
+            await one.place(make_call(prompt=prompt(300)))
+            self.assertEqual(sum(self.in_flight().values()), 1)
+            await one.close()
+            await self.settle()
+            self.assertEqual(sum(self.in_flight().values()), 0)
+
+        self.play(scenario)
+
+    def test_upstream_that_asks_to_be_left_alone_is_left_alone_by_all(self):
+        async def scenario(one, two):
+            placement = await one.place(make_call(prompt=prompt(300)))
+            alone = placement.plan.decode.candidate.upstream.upstream_id
+            declined = FailureReason.DECLINED.value
+            await placement.ticket.ended(AttemptOutcome(declined, 0.1, wait_s=5.0))
+            await self.settle()
+            for number in range(6):
+                call = make_call(f"c{number}", prompt=prompt(300))
+                placement = await two.place(call)
+                chosen = placement.plan.decode.candidate.upstream.upstream_id
+                self.assertNotEqual(chosen, alone)
+
+        self.play(scenario)
+
+    def test_upstream_that_says_it_leaves_gets_nothing_new(self):
+        async def scenario(one, two):
+            placement = await one.place(make_call(prompt=prompt(300)))
+            leaving = placement.plan.decode.candidate.upstream.upstream_id
+            outcome = AttemptOutcome(ANSWERED, 0.1, 0.05, is_leaving=True)
+            await placement.ticket.ended(outcome)
+            await self.settle()
+            for number in range(6):
+                call = make_call(f"c{number}", prompt=prompt(300))
+                placement = await two.place(call)
+                chosen = placement.plan.decode.candidate.upstream.upstream_id
+                self.assertNotEqual(chosen, leaving)
+
+        self.play(scenario)
+
+    def test_choice_that_is_not_usable_here_is_not_taken(self):
+        """Load: the scheduler hasn't heard yet that an upstream is leaving."""
+
+        async def scenario(one, _two):
+            for name in ("d1", "d2"):
+                self.one.registry.note_leaving(name)
+            call = make_call(prompt=prompt(300))
+            with self.assertRaises(AttemptFailed):
+                await one.place(call)
+            self.assertTrue(call.tried & {"d1", "d2"})
+            await self.settle()
+            self.assertEqual(sum(self.in_flight().values()), 0)
+
+        self.play(scenario)
+
+    def test_dead_upstream_costs_the_fleet_a_handful_of_attempts(self):
+        """Load: 100 entries, each of which would try a dead upstream by itself."""
+
+        async def scenario(one, two):
+            reason = FailureReason.NOT_CONNECTED.value
+            attempts = 0
+            for number in range(100):
+                placer = (one, two)[number % 2]
+                call = make_call(f"c{number}", prompt=prompt(300))
+                placement = await placer.place(call)
+                chosen = placement.plan.decode.candidate.upstream.upstream_id
+                attempts += chosen == "d1"
+                cause = reason if chosen == "d1" else ANSWERED
+                await placement.ticket.ended(AttemptOutcome(cause, 0.01, 0.005))
+                await curio.sleep(0.002)
+            self.assertLessEqual(attempts, 5)
+
+        self.play(scenario)
+
+
+class LostSchedulerTest(unittest.TestCase):
+    def setUp(self):
+        self.entry = Entry("me", [upstream("d1", Stage.DECODE)])
+
+    def place(self, names, address):
+        async def run():
+            placer = self.entry.placer(names, {"home": address})
+            began_at_s = now_s()
+            placement = await placer.place(make_call(prompt=prompt(300)))
+            elapsed_s = now_s() - began_at_s
+            again_at_s = now_s()
+            await placer.place(make_call("again", prompt=prompt(300)))
+            self.assertLess(now_s() - again_at_s, ANSWER_TIMEOUT_S / 2)
+            await placer.close()
+            return placement, elapsed_s
+
+        return curio.run(run)
+
+    def test_silent_scheduler_is_given_up_soon_and_then_left_out(self):
+        async def run():
+            return curio.tcp_server_socket("127.0.0.1", 0)
+
+        sock = curio.run(run)
+        self.addCleanup(sock._socket.close)
+        address = Address(*sock.getsockname())
+        placement, elapsed_s = self.place(("home",), address)
+        self.assertIsInstance(placement.ticket, NoTicket)
+        self.assertLess(elapsed_s, 3 * ANSWER_TIMEOUT_S)
+
+    def test_scheduler_that_is_gone_is_replaced_at_once(self):
+        placement, elapsed_s = self.place(("home", "me"), Address("127.0.0.1", 9))
+        self.assertIsInstance(placement.ticket, NoTicket)
+        self.assertLess(elapsed_s, 3 * ANSWER_TIMEOUT_S)
+
+    def test_broken_connection_answers_who_waits(self):
+        async def run():
+            link = SchedulerLink(Address("127.0.0.1", 9), mock.Mock())
+            link._link = mock.AsyncMock()
+            began_at_s = now_s()
+            waiting = await curio.spawn(link.ask, make_call(), "")
+            await curio.sleep(0.01)
+            await link._lost(link._link, "broke")
+            self.assertIsNone(await waiting.join())
+            self.assertLess(now_s() - began_at_s, ANSWER_TIMEOUT_S)
+
+        curio.run(run)
--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -40,5 +40,8 @@
     def is_address_query(self, req: HttpRequest) -> bool:
         """Whether a request asks which entries to use."""
 
+    def asker_zone(self, req: HttpRequest) -> str:
+        """Return the availability zone of whoever asks; empty where it isn't said."""
+
     def encode_addresses(self, addresses: Iterable[Address], keep_s: float) -> dict:
         """Return the answer to such a question; callers keep it for ``keep_s``."""
--- a/wisteriaarch/connection/codec.py
+++ b/wisteriaarch/connection/codec.py
@@ -4,7 +4,6 @@
 the process where packed bytes are cut short.
 """
 
-import math
 import zlib
 from dataclasses import dataclass
 from enum import IntEnum
@@ -17,10 +16,7 @@
     CrashRecord,
     EntryRecord,
     PeerDigest,
-    PlacedPart,
-    ReadingDemand,
     SentWork,
-    StageNotice,
 )
 from ..process.manifest_copy import ManifestCopy
 
@@ -36,15 +32,11 @@
 
 
 class MessageKind(IntEnum):
-    """What a message is; a reader answers an unknown kind with its heartbeat.
-
-    NEWS isn't answered. Its digest leaves out what is known of other entries.
-    """
+    """What a message is; a reader answers an unknown kind with its heartbeat."""
 
     HEARTBEAT = 1
     MANIFEST_QUERY = 2
     MANIFEST = 3
-    NEWS = 4
 
 
 @dataclass(frozen=True)
@@ -118,9 +110,6 @@
         digest.others,
         digest.crashRecords,
         digest.sentWork,
-        digest.placedParts,
-        digest.stageNotices,
-        digest.readingDemands,
     )
     if any(len(items) > MAX_RECORDS for items in lists):
         raise FrameError(f"more than {MAX_RECORDS} records in a frame")
@@ -139,25 +128,9 @@
             for item in digest.sentWork
         ),
         needs_manifest=digest.needsManifest,
-        placed_parts=tuple(
-            PlacedPart(item.upstream, item.part, item.tokens, item.number, item.ready)
-            for item in digest.placedParts
-        ),
-        reading=tuple(_demand_from_frame(item) for item in digest.readingDemands),
-        stage_notices=tuple(
-            StageNotice(item.upstream, item.stage, item.ageMs / 1000)
-            for item in digest.stageNotices
-        ),
     )
 
 
-def _demand_from_frame(item) -> ReadingDemand:
-    values = (item.prefill, item.decode)
-    if not all(math.isfinite(value) and value >= 0 for value in values):
-        raise FrameError(f"expected shares of reading, got {values}")
-    return ReadingDemand(item.service, *values)
-
-
 def _record_from_frame(item) -> EntryRecord:
     age_ms = item.confirmedAgeMs
     return EntryRecord(
@@ -185,25 +158,6 @@
             for item in digest.sent_work
         ],
         "needsManifest": digest.needs_manifest,
-        "placedParts": [
-            {
-                "upstream": item.upstream,
-                "part": item.part_id,
-                "tokens": item.tokens,
-                "number": item.number,
-                "ready": item.ready,
-            }
-            for item in digest.placed_parts
-        ],
-        "readingDemands": [vars(item) for item in digest.reading],
-        "stageNotices": [
-            {
-                "upstream": item.upstream,
-                "stage": item.stage,
-                "ageMs": _age_ms(item.age_s),
-            }
-            for item in digest.stage_notices
-        ],
     }
 
 
--- /dev/null
+++ b/wisteriaarch/connection/copy_client.py
@@ -0,0 +1,112 @@
+"""Takes the store's rows from another entry that has newer ones.
+
+Load pattern: a change is too large to be told, or its news was lost; the store is away,
+or turns some instances away and serves the others, while the configuration changes or
+an entry starts.
+"""
+
+import random
+from collections.abc import Callable
+
+import curio
+
+from ..errors import ConfigError, WisteriaError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.fleet_state import FleetState
+from ..process.member_list import MemberList
+from ..wire import Address
+from .message_link import MessageLink
+from .scheduling_messages import CopyAnswer, CopyQuestion
+
+LOOK_EVERY_S = 0.25
+# How long news of a change is waited for before a copy is fetched.
+BEHIND_PATIENCE_S = 0.3
+SPREAD_S = 0.15
+CONNECT_TIMEOUT_S = 0.3
+ANSWER_TIMEOUT_S = 1.0
+
+
+class CopyClient:
+    """Follows what other entries have in force."""
+
+    def __init__(
+        self,
+        members: MemberList,
+        state: FleetState,
+        address_of: Callable[[str], Address],
+        log: EventLog,
+        seed: int | None = None,
+    ):
+        self._members = members
+        self._state = state
+        self._address_of = address_of
+        self._log = log
+        self._rng = random.Random(seed)
+        self._wanted_from = ""
+        self._wake = curio.Event()
+
+    async def want_from(self, entry_id: str) -> None:
+        """Have a copy fetched from an entry soon."""
+        self._wanted_from = entry_id
+        await self._wake.set()
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        behind_since_s: float | None = None
+        while True:
+            async with curio.ignore_after(LOOK_EVERY_S):
+                await self._wake.wait()
+            self._wake.clear()
+            wanted_from, self._wanted_from = self._wanted_from, ""
+            if wanted_from:
+                await curio.sleep(self._rng.uniform(0, SPREAD_S))
+                await self._take_copy(wanted_from)
+                continue
+            if not self._is_behind():
+                behind_since_s = None
+                continue
+            behind_since_s = behind_since_s or now_s()
+            if now_s() - behind_since_s >= BEHIND_PATIENCE_S:
+                await self._catch_up()
+
+    def _is_behind(self) -> bool:
+        return self._members.highest_generation() > self._state.known_version
+
+    async def _catch_up(self) -> None:
+        """Take a copy from a peer that is ahead, or else read the store."""
+        ahead = [
+            item.entry_id
+            for item in self._members.others()
+            if item.generation > self._state.known_version
+        ]
+        if ahead and await self._take_copy(self._rng.choice(ahead)):
+            return
+        await self._state.learn(self._members.highest_generation())
+
+    async def _take_copy(self, peer: str) -> bool:
+        """Take over a peer's rows; False where that fails or isn't enough."""
+        try:
+            answer = await self._fetch(self._address_of(peer))
+            if answer.copy is not None:
+                await self._state.install_copy(answer.copy)
+        except ConfigError as exc:
+            self._log.write(Event.MANIFEST_COPY_REFUSED, peer=peer, error=str(exc))
+        except (OSError, WisteriaError, curio.TaskTimeout) as exc:
+            error = str(exc) or type(exc).__name__
+            self._log.write(Event.COPY_NOT_TAKEN, peer=peer, error=error)
+        return not self._is_behind()
+
+    async def _fetch(self, address: Address) -> CopyAnswer:
+        link = await MessageLink.connect(address, CONNECT_TIMEOUT_S)
+        writing = await curio.spawn(link.write_queued, daemon=True)
+        try:
+            await link.send(CopyQuestion())
+            async with curio.timeout_after(ANSWER_TIMEOUT_S):
+                answer = await link.receive()
+        finally:
+            await writing.cancel()
+            await link.close()
+        if not isinstance(answer, CopyAnswer):
+            raise ConfigError(f"a copy was asked for, got {type(answer).__name__}")
+        return answer
--- /dev/null
+++ b/wisteriaarch/connection/frames.py
@@ -0,0 +1,46 @@
+"""Frames over a socket: four bytes of length, most significant first, and content."""
+
+from typing import Any
+
+from ..errors import ConnectionClosed, FrameError
+
+LENGTH_BYTES = 4
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+READ_BYTES = 64 * 1024
+
+
+def to_frame(content: bytes) -> bytes:
+    """Return the frame of some content."""
+    return len(content).to_bytes(LENGTH_BYTES, "big") + content
+
+
+class FrameReader:
+    """Reads frames from a socket; several that arrive together take one read."""
+
+    def __init__(self, sock: Any):
+        self._sock = sock
+        self._arrived = bytearray()
+
+    async def read(self) -> bytes:
+        """Return the content of the next frame.
+
+        Raises FrameError for an oversized one, ConnectionClosed at the end, OSError.
+        """
+        await self._fill(LENGTH_BYTES)
+        length = int.from_bytes(self._arrived[:LENGTH_BYTES], "big")
+        if length > MAX_FRAME_BYTES:
+            raise FrameError(
+                f"frame of {length} bytes; expected at most {MAX_FRAME_BYTES}"
+            )
+        end = LENGTH_BYTES + length
+        await self._fill(end)
+        content = bytes(self._arrived[LENGTH_BYTES:end])
+        del self._arrived[:end]
+        return content
+
+    async def _fill(self, size: int) -> None:
+        while len(self._arrived) < size:
+            block = await self._sock.recv(READ_BYTES)
+            if not block:
+                raise ConnectionClosed("the peer closed the connection")
+            self._arrived += block
--- a/wisteriaarch/connection/peer.py
+++ b/wisteriaarch/connection/peer.py
@@ -6,29 +6,26 @@
 import curio
 from curio import socket
 
-from ..errors import ConnectionClosed, FrameError
 from ..process.clock import now_s
 from ..process.digest import PeerDigest
 from ..process.manifest_copy import ManifestCopy
 from ..sockets import open_socket
 from ..wire import Address
 from .codec import MessageKind, PeerMessage, decode_message, encode_message
+from .frames import LENGTH_BYTES, FrameReader, to_frame
 
-LENGTH_BYTES = 4
-MAX_FRAME_BYTES = 8 * 1024 * 1024
-READ_BYTES = 64 * 1024
 SENT_TIMES_KEPT = 8
 
 
 class PeerConnection:
     """Messages over one socket; an async context manager that closes it.
 
-    A frame is the length of its content in four bytes, most significant first, and the
-    content. ``bytes_sent`` and ``bytes_received`` count whole frames.
+    ``bytes_sent`` and ``bytes_received`` count whole frames.
     """
 
     def __init__(self, sock: Any):
         self._sock = sock
+        self._frames = FrameReader(sock)
         self._sequence = 0
         self._last_received = 0
         self._sent_at_s: OrderedDict[int, float] = OrderedDict()
@@ -71,7 +68,7 @@
         self._sent_at_s[self._sequence] = now_s()
         while len(self._sent_at_s) > SENT_TIMES_KEPT:
             self._sent_at_s.popitem(last=False)
-        frame = len(content).to_bytes(LENGTH_BYTES, "big") + content
+        frame = to_frame(content)
         self.bytes_sent += len(frame)
         await self._sock.sendall(frame)
 
@@ -83,17 +80,12 @@
         """
         try:
             async with curio.timeout_after(timeout_s):
-                length = int.from_bytes(await self._read(LENGTH_BYTES), "big")
-                if length > MAX_FRAME_BYTES:
-                    raise FrameError(
-                        f"frame of {length} bytes; expected at most {MAX_FRAME_BYTES}"
-                    )
-                content = await self._read(length)
+                content = await self._frames.read()
         except curio.TaskTimeout as exc:
             raise TimeoutError("the peer sent nothing in time") from exc
         message = decode_message(content)
         self._last_received = message.sequence
-        self.bytes_received += LENGTH_BYTES + length
+        self.bytes_received += LENGTH_BYTES + len(content)
         return message
 
     def written_after_s(self, message: PeerMessage) -> float | None:
@@ -102,13 +94,3 @@
         The message was certainly written later than that.
         """
         return self._sent_at_s.get(message.echo)
-
-    async def _read(self, size: int) -> bytes:
-        blocks = []
-        while size:
-            block = await self._sock.recv(min(size, READ_BYTES))
-            if not block:
-                raise ConnectionClosed("the peer closed the connection")
-            size -= len(block)
-            blocks.append(block)
-        return b"".join(blocks)
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -21,7 +21,6 @@
 from ..wire import Address
 from .codec import MessageKind, PeerMessage
 from .peer import PeerConnection
-from .peer_news import PeerNews
 
 RETRY_MAX_S = 1.0
 MIN_EXCHANGE_TIMEOUT_S = 2.0
@@ -53,7 +52,6 @@
         self._connected: set[Instance] = set()
         self._rng = random.Random(settings.seed)
         self._tasks: dict[Instance, curio.Task] = {}
-        self._news = PeerNews(self._compose_news, log)
 
     async def run(self) -> None:
         """Accept peers and keep a task for each neighbour, for ever."""
@@ -67,10 +65,6 @@
             for task in self._tasks.values():
                 await task.cancel()
 
-    async def announce(self) -> None:
-        """Let the neighbours know at once of work, placed parts and crashes."""
-        await self._news.announce()
-
     async def _follow_neighbours(self) -> None:
         while True:
             wanted = self._neighbours()
@@ -80,7 +74,7 @@
                 if task.terminated:
                     del self._tasks[peer]
             for peer in wanted - self._tasks.keys():
-                self._tasks[peer] = await curio.spawn(self._follow_peer, peer)
+                self._tasks[peer] = await curio.spawn(self._keep_heartbeats, peer)
             await curio.sleep(self._every_s)
 
     def _neighbours(self) -> set[Instance]:
@@ -94,11 +88,6 @@
         )
         return {entries[name] for name in names}
 
-    async def _follow_peer(self, peer: Instance) -> None:
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._keep_heartbeats, peer)
-            await group.spawn(self._news.follow, peer)
-
     async def _keep_heartbeats(self, peer: Instance) -> None:
         backoff = Backoff(self._every_s, RETRY_MAX_S, self._rng)
         lost = False
@@ -165,9 +154,6 @@
         try:
             while True:
                 message = await conn.receive(self._timeout_s)
-                if message.kind == MessageKind.NEWS:
-                    self._absorb(message.digest)
-                    continue
                 if peer_id is None:
                     peer_id = message.digest.entry.entry_id
                     self._accepted[peer_id] += 1
@@ -209,12 +195,6 @@
     def _absorb(self, digest: PeerDigest) -> None:
         self.hooks.absorb_crash_records(digest.crash_records)
         self.hooks.absorb_sent_work(digest.entry.entry_id, digest.sent_work)
-        self.hooks.absorb_placed_parts(digest.entry.entry_id, digest.placed_parts)
-        self.hooks.absorb_reading(digest.entry.entry_id, digest.reading)
-        self.hooks.absorb_stage_notices(digest.stage_notices)
-
-    def _compose_news(self) -> PeerDigest:
-        return HeartbeatComposer(self._membership, self.hooks).compose_news()
 
     async def _install_copy(self, message: PeerMessage) -> None:
         try:
--- /dev/null
+++ b/wisteriaarch/connection/prober.py
@@ -0,0 +1,297 @@
+"""Finds out which entries live, by datagrams: direct and indirect probes, and news.
+
+Each entry pings one other at a time, in random order, so that its cost doesn't grow
+with the number of entries. One that doesn't answer is pinged through others, and then
+once more, before it is taken for dead. Whoever finds a death, or says something new of
+itself, tells all others at once; what is lost on the way is made up for by the records
+that pings and acks carry.
+"""
+
+import itertools
+import random
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass
+
+import curio
+from curio import socket
+
+from ..errors import FrameError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.digest import CrashRecord
+from ..process.member_list import MemberList, MemberRecord, MemberState
+from ..process.table_news import TableNews
+from ..wire import Address
+from .member_codec import Datagram, DatagramKind, decode_datagram, encode_datagram
+
+PROBE_EVERY_S = 0.5
+ACK_TIMEOUT_S = 0.25
+RELAYED_TIMEOUT_S = 0.3
+LAST_TIMEOUT_S = 0.35
+RELAYS = 3
+NEWS_IN_PROBE = 4
+MEMBERS_IN_DATAGRAM = 32
+DATAGRAM_MAX_BYTES = 32 * 1024
+# An entry that hears nobody for so long may itself be cut off, and judges no other.
+CUT_OFF_AFTER_S = 1.0
+JUDGES_ALONE_ENTRIES = 3
+# A wait that took this much longer than asked for: this process was paused.
+PAUSED_FACTOR = 2.0
+SEEDS_ASKED_EVERY_S = 0.5
+
+TableNewsObserver = Callable[[str, tuple[TableNews, ...]], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class RelayedPing:
+    """Ping that was sent on behalf of another entry."""
+
+    requester: tuple[str, int]
+    sequence: int
+
+
+class Prober:
+    """Keeps a ``MemberList`` up to date.
+
+    ``listed`` returns the ids of entries that may exist; ``port`` is the one on which
+    all of them take datagrams, at the address that is their id. ``generation`` returns
+    the newest change of the store in force here.
+    """
+
+    def __init__(
+        self,
+        members: MemberList,
+        listed: Callable[[], Iterable[str]],
+        port: int,
+        generation: Callable[[], int],
+        log: EventLog,
+        seed: int | None = None,
+    ):
+        self.members = members
+        self.absorb_crashes: Callable[[tuple[CrashRecord, ...]], None] | None = None
+        self.known_crashes: Callable[[], Iterable[CrashRecord]] = tuple
+        self.absorb_table_news: TableNewsObserver | None = None
+        self._listed = listed
+        self._port = port
+        self._generation = generation
+        self._log = log
+        self._rng = random.Random(seed)
+        self._sock = None
+        self._sequences = itertools.count(1)
+        self._acked: dict[int, curio.Event] = {}
+        self._relayed: dict[int, RelayedPing] = {}
+        self._order: list[str] = []
+        self._heard_at_s = now_s()
+
+    async def run(self) -> None:
+        """Probe and answer for ever."""
+        with_address = (self.members.own.entry_id, self._port)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        async with self._sock:
+            self._sock.bind(with_address)
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._receive)
+                await group.spawn(self._probe_in_turn)
+
+    async def announce(self, crashes: tuple[CrashRecord, ...] = ()) -> None:
+        """Tell all others of this entry's own state, and of crashes."""
+        await self._tell_all(Datagram(DatagramKind.NEWS, self._own(), crashes=crashes))
+
+    async def tell_table_news(self, news: tuple[TableNews, ...]) -> None:
+        """Tell all others what this entry has seen at the store."""
+        kind = DatagramKind.STORE
+        await self._tell_all(Datagram(kind, self._own(), table_news=news))
+
+    async def suspect(self, entry_id: str) -> None:
+        """Probe an entry now, for example since a connection with it broke."""
+        if self.members.get(entry_id) is not None:
+            await curio.spawn(self._probe, entry_id, daemon=True)
+
+    async def _tell_all(self, datagram: Datagram) -> None:
+        data = encode_datagram(datagram)
+        names = {item.entry_id for item in self.members.others()}
+        names.update(self._listed())
+        names.update(item.entry_id for item in datagram.others)
+        for name in names - {self.members.own.entry_id}:
+            await self._send(data, (name, self._port))
+
+    async def _send(self, data: bytes, address: tuple[str, int]) -> None:
+        if self._sock is None:
+            return
+        try:
+            await self._sock.sendto(data, address)
+        except OSError as exc:
+            self._log.write(
+                Event.PEER_NOT_TOLD, peer=str(Address(*address)), error=str(exc)
+            )
+
+    def _own(self) -> MemberRecord:
+        self.members.note_generation(self._generation())
+        return self.members.own
+
+    async def _probe_in_turn(self) -> None:
+        asked_seeds_at_s = float("-inf")
+        while True:
+            if not self.members.others():
+                if now_s() - asked_seeds_at_s >= SEEDS_ASKED_EVERY_S:
+                    asked_seeds_at_s = now_s()
+                    await self._ask_for_members()
+            else:
+                target = self._next_target()
+                if target is not None:
+                    await curio.spawn(self._probe, target, daemon=True)
+            await curio.sleep(PROBE_EVERY_S * self._rng.uniform(0.8, 1.2))
+
+    async def _ask_for_members(self) -> None:
+        own = self._own()
+        await self._tell_all(Datagram(DatagramKind.NEWS, own, wants_all=True))
+
+    def _next_target(self) -> str | None:
+        living = {item.entry_id for item in self.members.others()}
+        while self._order:
+            name = self._order.pop()
+            if name in living:
+                return name
+        self._order = list(living)
+        self._rng.shuffle(self._order)
+        return self._order.pop() if self._order else None
+
+    async def _probe(self, target: str) -> None:
+        """Ping an entry, directly and through others; bury it where nothing comes."""
+        sequence = next(self._sequences)
+        acked = self._acked[sequence] = curio.Event()
+        try:
+            for ask, timeout_s in (
+                (self._ping, ACK_TIMEOUT_S),
+                (self._ping_through_others, RELAYED_TIMEOUT_S),
+                (self._ping, LAST_TIMEOUT_S),
+            ):
+                asked_at_s = now_s()
+                await ask(target, sequence)
+                async with curio.ignore_after(timeout_s):
+                    await acked.wait()
+                if acked.is_set() or self._was_paused(asked_at_s, timeout_s):
+                    return
+        finally:
+            del self._acked[sequence]
+        if not self._may_be_cut_off():
+            await self._bury(target)
+
+    def _was_paused(self, since_s: float, planned_s: float) -> bool:
+        return now_s() - since_s > PAUSED_FACTOR * planned_s
+
+    def _may_be_cut_off(self) -> bool:
+        if len(self.members.others()) <= JUDGES_ALONE_ENTRIES:
+            return False
+        return now_s() - self._heard_at_s > CUT_OFF_AFTER_S
+
+    async def _bury(self, target: str) -> None:
+        dead = self.members.bury(target)
+        if dead is None:
+            return
+        self._log.write(Event.MEMBER_DEAD, peer=target)
+        await self._tell_all(Datagram(DatagramKind.NEWS, self._own(), others=(dead,)))
+
+    async def _ping(self, target: str, sequence: int) -> None:
+        datagram = Datagram(DatagramKind.PING, self._own(), sequence, self._news())
+        await self._send(encode_datagram(datagram), (target, self._port))
+
+    async def _ping_through_others(self, target: str, sequence: int) -> None:
+        names = [
+            item.entry_id
+            for item in self.members.others()
+            if item.entry_id != target and item.state is MemberState.ALIVE
+        ]
+        datagram = Datagram(DatagramKind.RELAY, self._own(), sequence, target=target)
+        data = encode_datagram(datagram)
+        for name in self._rng.sample(names, min(RELAYS, len(names))):
+            await self._send(data, (name, self._port))
+
+    def _news(self) -> tuple[MemberRecord, ...]:
+        return tuple(self.members.news(NEWS_IN_PROBE))
+
+    async def _receive(self) -> None:
+        while True:
+            data, address = await self._sock.recvfrom(DATAGRAM_MAX_BYTES)
+            try:
+                datagram = decode_datagram(data)
+            except FrameError as exc:
+                shown = str(Address(*address))
+                self._log.write(Event.PEER_FRAME_REFUSED, address=shown, error=str(exc))
+                continue
+            await self._take_in(datagram, address)
+
+    async def _take_in(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        self._heard_at_s = now_s()
+        sender = datagram.sender
+        known = self.members.get(sender.entry_id)
+        is_new = known is None or known.incarnation < sender.incarnation
+        self.members.take(sender)
+        self.members.note_heard(sender.entry_id)
+        news = [item.entry_id for item in datagram.others if self.members.take(item)]
+        if self.members.own.entry_id in news:
+            await self.announce()
+        if datagram.table_news and self.absorb_table_news is not None:
+            await self.absorb_table_news(sender.entry_id, datagram.table_news)
+        if datagram.crashes and self.absorb_crashes is not None:
+            self.absorb_crashes(datagram.crashes)
+        await self._answer(datagram, address, is_new)
+        await self._tell_of_death(sender, address)
+
+    async def _answer(
+        self, datagram: Datagram, address: tuple[str, int], is_new: bool
+    ) -> None:
+        kind = datagram.kind
+        if kind is DatagramKind.PING:
+            await self._ack(datagram.sequence, address)
+        elif kind is DatagramKind.RELAY:
+            await self._relay(datagram, address)
+        elif kind is DatagramKind.ACK:
+            await self._take_ack(datagram.sequence)
+        elif datagram.wants_all:
+            await self._tell_members(address)
+        elif is_new:
+            await self._ack(0, address)
+
+    async def _ack(self, sequence: int, address: tuple[str, int]) -> None:
+        datagram = Datagram(DatagramKind.ACK, self._own(), sequence, self._news())
+        await self._send(encode_datagram(datagram), address)
+
+    async def _relay(self, datagram: Datagram, address: tuple[str, int]) -> None:
+        sequence = next(self._sequences)
+        self._relayed[sequence] = RelayedPing(address, datagram.sequence)
+        await self._ping(datagram.target, sequence)
+        await curio.spawn(self._forget_relayed, sequence, daemon=True)
+
+    async def _forget_relayed(self, sequence: int) -> None:
+        await curio.sleep(RELAYED_TIMEOUT_S)
+        self._relayed.pop(sequence, None)
+
+    async def _take_ack(self, sequence: int) -> None:
+        relayed = self._relayed.pop(sequence, None)
+        if relayed is not None:
+            await self._ack(relayed.sequence, relayed.requester)
+        acked = self._acked.get(sequence)
+        if acked is not None:
+            await acked.set()
+
+    async def _tell_members(self, address: tuple[str, int]) -> None:
+        """Send all records and known crashes to an entry that has just started."""
+        records = self.members.all()
+        crashes = tuple(itertools.islice(self.known_crashes(), MEMBERS_IN_DATAGRAM))
+        for start in range(0, len(records), MEMBERS_IN_DATAGRAM):
+            page = tuple(records[start : start + MEMBERS_IN_DATAGRAM])
+            datagram = Datagram(
+                DatagramKind.NEWS, self._own(), others=page, crashes=crashes
+            )
+            await self._send(encode_datagram(datagram), address)
+
+    async def _tell_of_death(
+        self, sender: MemberRecord, address: tuple[str, int]
+    ) -> None:
+        """Let an entry know that it is taken for dead, so that it can say otherwise."""
+        known = self.members.get(sender.entry_id)
+        if known is None or known.state is not MemberState.DEAD:
+            return
+        datagram = Datagram(DatagramKind.NEWS, self._own(), others=(known,))
+        await self._send(encode_datagram(datagram), address)
--- /dev/null
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -0,0 +1,239 @@
+"""Serves other entries on the peer port: places their calls and passes copies on."""
+
+from functools import singledispatchmethod
+
+import curio
+
+from ..errors import FrameError, RequestError, WisteriaError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.manifest_copy import CopySource
+from ..process.upstream_loads import UpstreamLoad
+from ..request.attempt_outcome import AttemptOutcome, AttemptStage
+from ..request.candidate import Choice
+from ..request.learner import Learner
+from ..request.outcomes import AttemptFailed
+from ..request.routed_call import RoutedCall
+from ..request.scheduler import Scheduler
+from ..sockets import listen_on, serve_clients
+from ..wire import Address
+from .message_link import MessageLink
+from .scheduling_messages import (
+    CopyAnswer,
+    CopyQuestion,
+    Message,
+    OutcomeReport,
+    PlacedAnswer,
+    PlacedChoice,
+    PlaceQuestion,
+    RefusedAnswer,
+    WaitingNotice,
+    WithdrawnNotice,
+)
+
+# An attempt whose end isn't told counts as in flight until its deadline and this.
+UNTOLD_END_S = 0.5
+SWEEP_EVERY_S = 0.5
+
+
+class Grant:
+    """Attempt of another entry that was placed here and is taken to be in flight."""
+
+    def __init__(
+        self, call: RoutedCall, choice: Choice, stage: AttemptStage, reads_here: bool
+    ):
+        self.call = call
+        self.choice = choice
+        self.stage = stage
+        self.reads_here = reads_here
+        self._tokens = choice.tokens if reads_here else 0
+        self._load: UpstreamLoad | None = None
+
+    def begin(self, scheduler: Scheduler, learner: Learner) -> None:
+        """Count the attempt as in flight."""
+        loads = scheduler.parts.knowledge.loads
+        upstream_id = self.choice.candidate.upstream.upstream_id
+        self._load = loads.begin(upstream_id, self._tokens)
+        if self.reads_here:
+            learner.placed(self.call, self.choice, self.stage)
+        else:
+            learner.memory_placed(self.call, self.choice)
+
+    def end(self) -> None:
+        """Count it no more."""
+        if self._load is not None:
+            self._load.end(self._tokens)
+            self._load = None
+
+    @property
+    def is_overdue(self) -> bool:
+        """Whether its end should have been told."""
+        return now_s() > self.call.deadline_at_s + UNTOLD_END_S
+
+
+class SchedulingServer:
+    """Accepts other entries; each connection is served by a task of its own."""
+
+    def __init__(
+        self,
+        address: Address,
+        scheduler: Scheduler,
+        learner: Learner,
+        copies: CopySource,
+        log: EventLog,
+    ):
+        self._address = address
+        self._scheduler = scheduler
+        self._learner = learner
+        self._copies = copies
+        self._log = log
+
+    async def run(self) -> None:
+        """Serve for ever."""
+        sock = listen_on("peer_port", self._address)
+        await serve_clients(sock, self._serve)
+
+    async def _serve(self, client) -> None:
+        peer = str(Address(*client.getpeername()))
+        session = SchedulingSession(
+            MessageLink(client), self._scheduler, self._learner, self._copies
+        )
+        try:
+            await session.run()
+        except FrameError as exc:
+            self._log.write(Event.PEER_FRAME_REFUSED, address=peer, error=str(exc))
+        except (OSError, WisteriaError):
+            return
+
+
+class SchedulingSession:
+    """One entry's questions, and what it has in flight by the answers to them."""
+
+    def __init__(
+        self,
+        link: MessageLink,
+        scheduler: Scheduler,
+        learner: Learner,
+        copies: CopySource,
+    ):
+        self._link = link
+        self._scheduler = scheduler
+        self._learner = learner
+        self._copies = copies
+        self._placing: dict[int, curio.Task] = {}
+        self._grants: dict[int, Grant] = {}
+
+    async def run(self) -> None:
+        """Answer until the connection ends; raises what ends it."""
+        try:
+            await self._link.run(self._handle, self._sweep)
+        finally:
+            for task in tuple(self._placing.values()):
+                await task.cancel()
+            for grant in self._grants.values():
+                grant.end()
+
+    @singledispatchmethod
+    async def _handle(self, message: Message) -> None:
+        raise FrameError(f"{type(message).__name__} is no question")
+
+    @_handle.register
+    async def _(self, message: PlaceQuestion) -> None:
+        task = await curio.spawn(self._place, message, daemon=True)
+        if not task.terminated:
+            self._placing[message.number] = task
+
+    @_handle.register
+    async def _(self, message: OutcomeReport) -> None:
+        grant = self._grants.pop(message.number, None)
+        if grant is not None:
+            self._end(grant, message.outcome)
+
+    @_handle.register
+    async def _(self, message: WithdrawnNotice) -> None:
+        task = self._placing.pop(message.number, None)
+        if task is not None:
+            await task.cancel()
+        grant = self._grants.pop(message.number, None)
+        if grant is not None:
+            grant.end()
+
+    @_handle.register
+    async def _(self, _message: CopyQuestion) -> None:
+        await self._link.send(CopyAnswer(self._copies.copy()))
+
+    async def _place(self, question: PlaceQuestion) -> None:
+        try:
+            answer = await self._answer(question)
+        except RequestError as exc:
+            answer = RefusedAnswer(question.number, exc.detail, exc)
+            self._note_answered(question.call, answered=False)
+        except AttemptFailed as exc:
+            answer = RefusedAnswer(question.number, exc.detail)
+        finally:
+            self._placing.pop(question.number, None)
+        await self._link.send(answer)
+
+    async def _answer(self, question: PlaceQuestion) -> PlacedAnswer:
+        call, number = question.call, question.number
+        reading = running = None
+        if question.reader_id:
+            registry = self._scheduler.parts.knowledge.registry
+            reader = registry.get(question.reader_id)
+            if reader is None:
+                raise AttemptFailed.nothing_sent("the reader of the prompt is gone")
+            running = self._scheduler.place_run(call, reader)
+            self._grant(number, call, running, AttemptStage.RUN, reads_here=False)
+        else:
+
+            async def tell_of_wait() -> None:
+                await self._link.send(WaitingNotice(number))
+
+            plan = await self._scheduler.place(call, tell_of_wait)
+            reading, running = plan.prefill, plan.decode
+            if reading is not None:
+                self._grant(number, call, reading, AttemptStage.PREFILL)
+            else:
+                self._grant(number, call, running, AttemptStage.RUN)
+        return PlacedAnswer(
+            number,
+            reading and PlacedChoice.from_choice(reading),
+            running and PlacedChoice.from_choice(running),
+            call.favoured,
+            call.repeats_left,
+            self._scheduler.parts.knowledge.rate_of(call.service),
+        )
+
+    def _grant(
+        self,
+        number: int,
+        call: RoutedCall,
+        choice: Choice,
+        stage: AttemptStage,
+        reads_here: bool = True,
+    ) -> None:
+        grant = Grant(call, choice, stage, reads_here)
+        grant.begin(self._scheduler, self._learner)
+        self._grants[number] = grant
+
+    def _end(self, grant: Grant, outcome: AttemptOutcome) -> None:
+        grant.end()
+        self._learner.ended(
+            grant.call, grant.choice, grant.stage, outcome, grant.reads_here
+        )
+        if grant.stage is AttemptStage.RUN:
+            self._note_answered(grant.call, outcome.first_event_s is not None)
+
+    def _note_answered(self, call: RoutedCall, answered: bool) -> None:
+        if call.prompt is not None:
+            sizes = self._scheduler.parts.sizes
+            sizes.note(call.route.name, call.prompt.own_tokens, answered)
+
+    async def _sweep(self) -> None:
+        """End attempts whose end wasn't told."""
+        while True:
+            await curio.sleep(SWEEP_EVERY_S)
+            for number, grant in list(self._grants.items()):
+                if grant.is_overdue:
+                    del self._grants[number]
+                    grant.end()
--- /dev/null
+++ b/wisteriaarch/connection/store_relay.py
@@ -0,0 +1,84 @@
+"""Passes the store's changes between the entries that watch it and the others."""
+
+import random
+from collections import deque
+
+import curio
+
+from ..process.fleet_state import FleetState
+from ..process.table_news import TableNews
+from ..process.watch_duty import WatchDuty
+from .copy_client import CopyClient
+from .prober import Prober
+
+CONFIRM_EVERY_S = 0.6
+# Rows beyond this are fetched by those who need them instead.
+ROWS_MAX_BYTES = 6 * 1024
+
+
+class StoreRelay:
+    """Tells changes that this entry has seen at the store, and takes in others'."""
+
+    def __init__(
+        self,
+        prober: Prober,
+        duty: WatchDuty,
+        state: FleetState,
+        copies: CopyClient,
+        seed: int | None = None,
+    ):
+        self._prober = prober
+        self._duty = duty
+        self._state = state
+        self._copies = copies
+        self._rng = random.Random(seed)
+        self._seen: deque[TableNews] = deque()
+        self._wake = curio.Event()
+        prober.absorb_table_news = self._take_in
+        state.follow_seen(self._note_seen)
+
+    async def _note_seen(self, news: TableNews) -> None:
+        if self._duty.has_followers and self._duty.is_due():
+            self._seen.append(news)
+            await self._wake.set()
+
+    async def run(self) -> None:
+        """Tell changes at once, and every so often that there were none, for ever."""
+        while True:
+            pause_s = CONFIRM_EVERY_S * self._rng.uniform(0.8, 1.2)
+            async with curio.ignore_after(pause_s):
+                await self._wake.wait()
+            self._wake.clear()
+            if self._seen:
+                news = [_bounded(item) for item in self._seen]
+                self._seen.clear()
+                for item in news:
+                    await self._prober.tell_table_news((item,))
+            elif self._duty.is_due() and self._duty.has_followers:
+                await self._confirm()
+
+    async def _confirm(self) -> None:
+        news = self._state.confirmed_news()
+        if news:
+            await self._prober.tell_table_news(news)
+
+    async def _take_in(self, entry_id: str, news: tuple[TableNews, ...]) -> None:
+        self._duty.note_watcher()
+        missed = [item for item in news if not self._state.take_news(item)]
+        if missed:
+            await self._copies.want_from(entry_id)
+
+
+def _bounded(news: TableNews) -> TableNews:
+    """Return the news without its rows where these are too large for a datagram."""
+    if sum(len(row.value) + len(row.key) for row in news.rows) <= ROWS_MAX_BYTES:
+        return news
+    newest = max(row.version for row in news.rows)
+    return TableNews(
+        news.table,
+        newest,
+        news.version,
+        (),
+        news.confirmed_age_s,
+        news.returned_age_s,
+    )
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -186,6 +186,10 @@
     """An upstream refused an order, for example for its old fencing number."""
 
 
+class OrderFenced(OrderRefused):
+    """An upstream has seen a greater fencing token: this one is worth nothing more."""
+
+
 class OrderUnconfirmed(OrderError):
     """Whether an upstream received an order is not known."""
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -65,6 +65,13 @@
     UPSTREAM_GONE = EventKind(221, logbook.INFO, "upstream's registration is gone")
     ROW_UNREADABLE = EventKind(222, logbook.WARNING, "registration can't be read")
     UPSTREAM_SUSPENDED = EventKind(223, logbook.WARNING, "upstream taken out of use")
+    UPSTREAM_TOLD_TO_WAIT = EventKind(
+        224, logbook.INFO, "upstream asked to be left alone for a while"
+    )
+    UPSTREAM_SAID_LEAVING = EventKind(225, logbook.INFO, "upstream said that it leaves")
+    UPSTREAM_HEADER_UNREADABLE = EventKind(
+        226, logbook.WARNING, "an upstream's header can't be read; it is left out"
+    )
     SETTINGS_RELOADED = EventKind(105, logbook.INFO, "settings reloaded")
     SETTINGS_REFUSED = EventKind(
         106, logbook.WARNING, "changed settings are invalid; the former ones stay"
@@ -161,6 +168,12 @@
     )
     PEER_FRAME_REFUSED = EventKind(602, logbook.WARNING, "frame of a peer refused")
     MANIFEST_COPY_REFUSED = EventKind(603, logbook.WARNING, "peer's manifest refused")
+    SCHEDULER_LOST = EventKind(610, logbook.INFO, "connection to a scheduler broke")
+    SCHEDULER_SILENT = EventKind(
+        611, logbook.WARNING, "a scheduler doesn't answer; asking elsewhere for a while"
+    )
+    COPY_NOT_TAKEN = EventKind(612, logbook.INFO, "a peer's copy can't be had")
+    MEMBER_DEAD = EventKind(613, logbook.WARNING, "an entry is taken for dead")
     INTERNAL_ERROR = EventKind(399, logbook.ERROR, "internal error")
     ADMISSION_REFUSED = EventKind(
         700, logbook.INFO, "request can't be admitted", Importance.FAILURE
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -1,8 +1,9 @@
 """Entry that serves routes on a platform: puts the parts together."""
 
+import itertools
 import json
 import random
-import secrets
+import time
 from collections.abc import Awaitable, Callable
 from functools import partial
 
@@ -11,37 +12,48 @@
 from .adapter import PlatformAdapter
 from .connection.caller import AnswerForm, CallerConnection
 from .connection.callers import CallerServer
+from .connection.copy_client import CopyClient
 from .connection.info_server import InfoAnswer, InfoServer
-from .connection.peers import PeerNetwork
 from .connection.pool import UpstreamPool
+from .connection.prober import Prober
+from .connection.scheduling_client import FleetPlacer
+from .connection.scheduling_server import SchedulingServer
+from .connection.store_relay import StoreRelay
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
 from .gauges import GatewayGauges
+from .process.address_choice import choose_entries
 from .process.clock import now_s
-from .process.digest import EntryRecord
 from .process.entry_list import EntryList
 from .process.fleet import Fleet
 from .process.fleet_knowledge import FleetKnowledge
 from .process.fleet_state import FleetState
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
-from .process.membership import Membership
+from .process.member_list import MemberList, MemberRecord
 from .process.metrics import Metrics
+from .process.scheduler_choice import SchedulerChoice
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
+from .process.watch_duty import WatchDuty
 from .request.call_runner import CallRunner
-from .request.retry_share import RetryShare
+from .request.retry_share import OWN_PART, SAFETY, SHARED_PART, RetryShare
+from .request.scheduler import Scheduler, SchedulingParts
 from .sockets import listen_on
 from .version.stage_supervisor import StageSupervisor
 from .wire import Address, HttpRequest
 
-INCARNATION_BITS = 63
 JSON_HEADERS = [("Content-Type", "application/json")]
 TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 KEPT_TIMES = 3
 STOP_MARGIN_S = 0.5
+# Within this all others have taken in that this entry leaves.
+LEAVE_SPREAD_S = 0.3
 FIRST_ROUTES_WAIT_S = 0.3
+FIRST_ROUTES_POLL_S = 0.05
+MS_PER_S = 1000
+CRASHES_TOLD_MAX = 16
 
 
 class Gateway:
@@ -54,10 +66,24 @@
         self.log = EventLog(settings.entry_id)
         self.metrics = Metrics()
         self.closing = False
-        self._incarnation = secrets.randbits(INCARNATION_BITS)
         self._adapter = adapter
         self._rng = random.Random(settings.seed)
-        self.state = FleetState(adapter, settings.watch_wait_s, self.log, settings.seed)
+        self.members = MemberList(
+            MemberRecord(
+                settings.entry_id,
+                incarnation=int(time.time() * MS_PER_S),
+                zone=settings.zone,
+                cores=settings.cores,
+            )
+        )
+        self._duty = WatchDuty(self.members)
+        self.state = FleetState(
+            adapter,
+            settings.watch_wait_s,
+            self.log,
+            settings.seed,
+            self._duty.is_due,
+        )
         self._entries = EntryList(
             adapter.rows,
             settings.entry_id,
@@ -72,52 +98,80 @@
             settings.seed,
             self._entries.known(),
         )
-        self.membership = Membership.from_config(
-            settings, self._listed_entries, self._own_record
+        self._prober = Prober(
+            self.members,
+            self._listed_entries,
+            settings.peer_port,
+            lambda: self.state.generation,
+            self.log,
+            settings.seed,
         )
-        self._peers = PeerNetwork(
-            settings, self._fleet, self.membership, self.state, self.log
+        self._copies = CopyClient(
+            self.members, self.state, self._peer_address, self.log, settings.seed
         )
-        self.knowledge = FleetKnowledge.from_registry(
-            self.state.registry, self._count_entries
+        self._relay = StoreRelay(
+            self._prober, self._duty, self.state, self._copies, settings.seed
         )
-        self.knowledge.add_to(self._peers.hooks)
+        self._choice = SchedulerChoice(self.members)
+        self.knowledge = FleetKnowledge.from_registry(self.state.registry)
         self._pool = UpstreamPool()
-        self.retries = RetryShare(
-            settings.retry.ratio,
-            settings.retry.slack,
-            settings.retry.window_s,
-            self._count_entries,
-        )
+        self._build_schedulers()
         self._runner = CallRunner(
-            settings.zone,
             adapter.upstreams,
             self.knowledge,
-            lambda: self.state.routes,
             self._pool,
-            self.retries,
-            self._peers.announce,
+            self._placer,
+            self._shared.parts.sizes,
+            self._announce_crashes,
             self.metrics,
             self.log,
         )
-        self._peers.hooks.crash_records = self._runner.crashes.export
-        self._peers.hooks.absorb_crash_records = self._runner.crashes.absorb
+        self._prober.known_crashes = self._runner.crashes.export
+        self._prober.absorb_crashes = self._runner.crashes.absorb
         self._stages = self._build_stage_supervisor()
         self._gauges = GatewayGauges(
-            self.state, self.membership, self.knowledge, self.retries, self._stages
+            self.state, self.members, self.knowledge, self.retries, self._stages
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
+    def _build_schedulers(self) -> None:
+        parts = SchedulingParts.from_knowledge(
+            self.knowledge, lambda: self.state.routes, self.log
+        )
+        bounds = self.settings.retry
+        bounds = (bounds.ratio, bounds.slack, bounds.window_s)
+        self.retries = RetryShare(
+            *bounds, self._count_entries, part=self._own_retry_part
+        )
+        self._shared_retries = RetryShare(
+            *bounds, lambda: 1, part=lambda: SHARED_PART, ramps=True
+        )
+        self._shared = Scheduler(parts, self._shared_retries)
+        self._placer = FleetPlacer(
+            self.settings.entry_id,
+            self._choice,
+            self.state.registry,
+            self._shared,
+            Scheduler(parts, self.retries),
+            self._peer_address,
+            self.log,
+        )
+
+    def _own_retry_part(self) -> float:
+        """Return this entry's part of the bound on repeats it sends unscheduled."""
+        age_s = now_s() - self._placer.answered_at_s
+        return OWN_PART if age_s < self.settings.retry.window_s else SAFETY
+
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
-            Contender(self.settings.entry_id, str(self._incarnation)),
+            Contender(self.settings.entry_id, str(self.members.own.incarnation)),
             self._adapter.table,
             self.settings.lease,
             self._adapter.orders,
             self.knowledge,
             lambda: self.state.routes,
-            lambda: [self.settings.entry_id, *self.membership.known()],
-            self._peers.announce,
+            lambda: [item.entry_id for item in self.members.living()],
+            self._choice.is_own,
             lambda: self.closing,
             self.log,
         )
@@ -126,6 +180,7 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
+        await self._placer.close()
         await self._pool.close()
 
     async def run(self, settings_path: str | None = None) -> None:
@@ -158,7 +213,17 @@
         return [
             self._entries.register,
             self._fleet.run,
-            self._peers.run,
+            self._prober.run,
+            self._announce_ready,
+            SchedulingServer(
+                self._peer_address(settings.entry_id),
+                self._shared,
+                self._runner.learner,
+                self.state,
+                self.log,
+            ).run,
+            self._copies.run,
+            self._relay.run,
             *self.state.task_mains(),
             *([self._stages.run] if settings.change_stages else ()),
             InfoServer("ready", settings.ready.address(), self._answer_info).run,
@@ -181,9 +246,10 @@
         """Leave the addresses, serve whoever kept them, then end the connections."""
         self.closing = True
         self.log.write(Event.ENTRY_LEAVING)
+        await self._announce_own()
         settings = self.settings
         limit_s = settings.stop_grace_s - STOP_MARGIN_S
-        serve_s = self.membership.spread_s() + KEPT_TIMES * settings.callers_keep_s
+        serve_s = LEAVE_SPREAD_S + KEPT_TIMES * settings.callers_keep_s
         try:
             async with curio.timeout_after(limit_s):
                 await curio.sleep(min(serve_s, limit_s))
@@ -196,7 +262,23 @@
     def _apply_settings(self, settings: GatewaySettings) -> None:
         self.settings = settings
         retry = settings.retry
-        self.retries.configure(retry.ratio, retry.slack, retry.window_s)
+        for retries in (self.retries, self._shared_retries):
+            retries.configure(retry.ratio, retry.slack, retry.window_s)
+
+    async def _announce_ready(self) -> None:
+        """Tell the other entries once this one takes callers, and who is new to it."""
+        while self.state.routes is None:
+            await curio.sleep(FIRST_ROUTES_POLL_S)
+        await self._announce_own()
+        await curio.Event().wait()
+
+    async def _announce_own(self) -> None:
+        self.members.change_own(ready=self.is_ready, leaving=self.closing)
+        await self._prober.announce()
+
+    async def _announce_crashes(self) -> None:
+        records = itertools.islice(self._runner.crashes.export(), CRASHES_TOLD_MAX)
+        await self._prober.announce(tuple(records))
 
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
@@ -206,6 +288,7 @@
                 ErrorKind.NO_CONFIGURATION, "no configuration was read yet"
             )
         call = self._adapter.decode_call(req, table, self._rng)
+        call.zone = self.settings.zone
         conn.request_id = call.call_id
         await self._runner.run(call, conn)
 
@@ -219,7 +302,7 @@
             return InfoAnswer(200 if self.is_ready else 503)
         if not self._adapter.is_address_query(req):
             return InfoAnswer(404)
-        addresses = self._ready_addresses()
+        addresses = self._ready_addresses(self._adapter.asker_zone(req))
         if not addresses:
             return InfoAnswer(503)
         content = self._adapter.encode_addresses(
@@ -227,34 +310,22 @@
         )
         return InfoAnswer(200, json.dumps(content).encode(), JSON_HEADERS)
 
-    def _ready_addresses(self) -> list[Address]:
-        own = self.settings.entry_id
-        names = {
-            name for name in self.membership.known() if self.membership.is_ready(name)
-        }
-        if self.is_ready:
-            names.add(own)
-        elif not names and not self.closing:
-            return []
-        return [self._entries.instance(name).address for name in sorted(names)]
+    def _ready_addresses(self, zone: str) -> list[Address]:
+        names = choose_entries(self.members.living(), zone, self._rng)
+        return [self._entries.instance(name).address for name in names]
+
+    def _peer_address(self, entry_id: str) -> Address:
+        return self._entries.instance(entry_id).peer_address
 
     def _answer_metrics(self, _req: HttpRequest) -> InfoAnswer:
         text = self.metrics.render(self._gauges.read())
         return InfoAnswer(200, text.encode(), TEXT_HEADERS)
 
-    def _own_record(self) -> EntryRecord:
-        confirmed_at_s = self.state.confirmed_at_s
-        return EntryRecord(
-            self.settings.entry_id,
-            self._incarnation,
-            self.state.generation,
-            None if confirmed_at_s is None else now_s() - confirmed_at_s,
-            leaving=self.closing,
-            ready=self.is_ready,
-        )
-
     def _listed_entries(self) -> list[str]:
         return [item.instance_id for item in self._fleet.of_kind("entry")]
 
     def _count_entries(self) -> int:
-        return len(self.membership.known()) + 1
+        known = {item.entry_id for item in self.members.living()}
+        if len(known) == 1:
+            known.update(self._listed_entries())
+        return len(known)
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -5,7 +5,7 @@
 from .process.clock import now_s
 from .process.fleet_knowledge import FleetKnowledge
 from .process.fleet_state import FleetState
-from .process.membership import Membership
+from .process.member_list import MemberList
 from .process.metrics import Gauge, Labels
 from .process.upstreams import Stage, Upstream
 from .request.retry_share import RetryShare
@@ -19,7 +19,7 @@
     """Reads the parts of an entry that hold the values."""
 
     state: FleetState
-    membership: Membership
+    members: MemberList
     knowledge: FleetKnowledge
     retries: RetryShare
     stages: StageSupervisor
@@ -33,19 +33,16 @@
             Gauge.UPSTREAMS_AGE_SECONDS: {
                 (): _age_s(self.state.upstreams_confirmed_at_s)
             },
-            Gauge.ENTRIES: {(): len(self.membership.known()) + 1},
+            Gauge.ENTRIES: {(): len(self.members.living())},
             Gauge.PEER_AGE_SECONDS: self._peer_ages(),
             **self._of_services(),
             **self._of_upstreams(),
         }
 
     def _peer_ages(self) -> dict[Labels, float]:
-        ages = {
-            name: member.heard_age_s()
-            for name, member in self.membership.members.items()
-        }
         return {
-            (name,): NEVER_S if age_s is None else age_s for name, age_s in ages.items()
+            (item.entry_id,): self.members.heard_age_s(item.entry_id)
+            for item in self.members.others()
         }
 
     def _of_services(self) -> dict[Gauge, dict[Labels, float]]:
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -19,6 +19,10 @@
     decoded_headers,
 )
 
+# Bounds of what is read whole from a server.
+BODY_MAX_BYTES = 16 * 1024 * 1024
+INFORMATIONAL_MAX = 16
+
 
 @dataclass
 class HttpClientConnection:
@@ -97,7 +101,7 @@
 
     async def read_head(self) -> HttpResponse:
         """Read the final response head; raises WireError when the server breaks off."""
-        while True:
+        for _ in range(INFORMATIONAL_MAX):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 return HttpResponse(
@@ -108,6 +112,7 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise ConnectionClosed("the server closed before its response")
+        raise WireError(f"more than {INFORMATIONAL_MAX} informational responses")
 
     async def read_block(self) -> bytes | None:
         """Return all of the body that has arrived, or None at the protocol's end of it.
@@ -132,11 +137,14 @@
         except h11.RemoteProtocolError:
             return None
 
-    async def read_body(self) -> bytes:
-        """Read the rest of the body."""
-        blocks = []
+    async def read_body(self, max_bytes: int = BODY_MAX_BYTES) -> bytes:
+        """Read the rest of the body; raises WireError where it is longer."""
+        blocks, size = [], 0
         while (block := await self.read_block()) is not None:
             blocks.append(block)
+            size += len(block)
+            if size > max_bytes:
+                raise WireError(f"the body is longer than {max_bytes} bytes")
         return b"".join(blocks)
 
     async def _next_event(self) -> Any:
--- a/wisteriaarch/platform/adapter.py
+++ b/wisteriaarch/platform/adapter.py
@@ -46,6 +46,10 @@
         """Whether a request asks which entries to use."""
         return req.path == directory.RESOLVE_PATH
 
+    def asker_zone(self, req: HttpRequest) -> str:
+        """Return the availability zone of whoever asks; empty where it isn't said."""
+        return directory.asker_zone(req)
+
     def encode_addresses(self, addresses: Iterable[Address], keep_s: float) -> dict:
         """Return the answer to such a question; callers keep it for ``keep_s``."""
         return directory.encode_addresses(addresses, keep_s)
--- a/wisteriaarch/platform/orders.py
+++ b/wisteriaarch/platform/orders.py
@@ -10,6 +10,7 @@
 
 # 200: what the order asks for holds already; 202: it is being carried out.
 ACCEPTED_STATUSES = frozenset((200, 202))
+FENCED_STATUS = 412
 SHOWN_BYTES = 80
 
 
@@ -52,3 +53,7 @@
     def is_accepted(self, head: HttpResponse) -> bool:
         """Whether a server carries the order out, or has done so before."""
         return head.status in ACCEPTED_STATUSES
+
+    def is_fenced(self, head: HttpResponse) -> bool:
+        """Whether a server refused an order for its old fencing token."""
+        return head.status == FENCED_STATUS
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -1,6 +1,10 @@
 """Requests to the platform's servers and their answers."""
 
+import math
+
 from ..errors import WireError
+from ..process.upstream_health import WAIT_MAX_S
+from ..process.upstream_loads import ReportedLoad
 from ..process.upstreams import Upstream
 from ..request.routed_call import RoutedCall
 from ..request.upstream_protocol import (
@@ -13,6 +17,9 @@
 from . import names
 
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
+LOAD_COUNTS = 3
+COUNT_DIGITS_MAX = 7
 SHOWN_BYTES = 80
 
 
@@ -55,6 +62,11 @@
         foreign = (
             echoed != call.call_id if echoed else not not_run and bool(call.call_id)
         )
+        wait_s, load = _wait_s(head), _load(head)
+        unreadable = {
+            names.RETRY_AFTER: wait_s is None,
+            names.SERVER_LOAD: load is None and names.SERVER_LOAD in head.headers,
+        }
         return UpstreamHead(
             head.status,
             end_to_end_headers(head.header_list),
@@ -62,6 +74,10 @@
             wrong_instance=wrong_instance,
             foreign=foreign,
             keep_s=_keep_s(head),
+            wait_s=wait_s or 0.0,
+            is_leaving=head.headers.get(names.SERVER_LEAVING, "").strip() == "1",
+            load=load,
+            unreadable=tuple(name for name, is_bad in unreadable.items() if is_bad),
         )
 
     def read_memory(self, upstream: Upstream, body: bytes) -> PromptMemory:
@@ -87,6 +103,31 @@
     return headers
 
 
+def _wait_s(head: HttpResponse) -> float | None:
+    """Return how long a server that turned a request away wants to be left alone.
+
+    None where that can't be read.
+    """
+    text = head.headers.get(names.RETRY_AFTER)
+    if head.status != UNAVAILABLE_STATUS or text is None:
+        return 0.0
+    try:
+        wait_s = float(text)
+    except ValueError:
+        return None
+    return None if math.isnan(wait_s) else min(WAIT_MAX_S, max(0.0, wait_s))
+
+
+def _load(head: HttpResponse) -> ReportedLoad | None:
+    """Return what a server says of its load; None where it doesn't, or unreadably."""
+    counts = head.headers.get(names.SERVER_LOAD, "").split(",")
+    if len(counts) != LOAD_COUNTS or not all(
+        item.strip().isdecimal() and len(item) <= COUNT_DIGITS_MAX for item in counts
+    ):
+        return None
+    return ReportedLoad(*(int(item) for item in counts))
+
+
 def _keep_s(head: HttpResponse) -> float | None:
     for item in head.headers.get("keep-alive", "").split(","):
         name, _, value = item.strip().partition("=")
--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -2,29 +2,22 @@
 
 Load pattern: many long prompts share parts, and the parts are more than the memory of
 the engines that read prompts. Reading a part anew takes a hundred times as long as
-copying it. Every entry tells its peers which parts it placed where, so that all of them
-know, without asking any engine.
+copying it. The entry that schedules a service knows which parts were placed where, for
+all entries, without asking any engine.
 """
 
-import itertools
-import random
-from collections import defaultdict, deque
-from collections.abc import Callable, Iterator
+from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import IntEnum
-from functools import partial
 
 from .clock import now_s
-from .digest import PlacedPart
 
 PART_MIN_TOKENS = 512
 USABLE_SHARE = 0.7
 YOUNG_S = 20.0
 READING_MAX_S = 3.0
-TOLD_FOR_S = 0.8
 PARTS_KEPT = 4096
-NUMBERS_KEPT = 256
-NUMBER_BITS = 62
 
 
 class Holding(IntEnum):
@@ -91,11 +84,6 @@
         self._clock = clock
         self._started_at_s = clock()
         self._engines: dict[str, EngineMemory] = defaultdict(EngineMemory)
-        self._told: deque[tuple[float, PlacedPart]] = deque()
-        self._numbers = itertools.count(random.getrandbits(NUMBER_BITS))
-        self._heard: dict[str, deque[int]] = defaultdict(
-            partial(deque, maxlen=NUMBERS_KEPT)
-        )
 
     def is_young(self) -> bool:
         """Whether engines may hold much that was placed before this entry started."""
@@ -104,12 +92,8 @@
     def note(
         self, upstream_id: str, part_id: str, tokens: int, ready: bool = False
     ) -> None:
-        """Take in a prompt that this entry placed; peers are told of it."""
-        number = next(self._numbers)
-        placed = PlacedPart(upstream_id, part_id, tokens, number, ready)
-        now = self._clock()
-        self._engines[upstream_id].note(part_id, tokens, ready, now)
-        self._told.append((now, placed))
+        """Take in a prompt that was placed, or with ``ready`` was read."""
+        self._engines[upstream_id].note(part_id, tokens, ready, self._clock())
 
     def holding(
         self, upstream_id: str, part_id: str, capacity_tokens: float
@@ -121,22 +105,6 @@
         usable_tokens = USABLE_SHARE * capacity_tokens
         return memory.holding(part_id, usable_tokens, self._clock())
 
-    def export(self) -> Iterator[PlacedPart]:
-        """Return what was placed of late; each part is told several times."""
-        since_s = self._clock() - TOLD_FOR_S
-        while self._told and self._told[0][0] < since_s:
-            self._told.popleft()
-        return (placed for _at_s, placed in self._told)
-
-    def absorb(self, peer_id: str, parts: tuple[PlacedPart, ...]) -> None:
-        """Take in what a peer placed, where it wasn't told before."""
-        heard = self._heard[peer_id]
-        for placed in parts:
-            if placed.number not in heard:
-                heard.append(placed.number)
-                memory = self._engines[placed.upstream]
-                memory.note(placed.part_id, placed.tokens, placed.ready, self._clock())
-
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an engine that has restarted or is gone."""
         self._engines.pop(upstream_id, None)
--- a/wisteriaarch/process/fleet_knowledge.py
+++ b/wisteriaarch/process/fleet_knowledge.py
@@ -1,11 +1,11 @@
 """What an entry knows of upstreams without asking any of them."""
 
-from collections.abc import Callable
+from collections import defaultdict
 from dataclasses import dataclass, field
 from typing import Self
 
 from .cache_belief import CacheBelief
-from .heartbeat import DigestHooks
+from .prefill_rate import PrefillRate
 from .stage_busyness import StageBusyness
 from .stage_changes import StageChanges
 from .upstream_loads import UpstreamLoads
@@ -14,20 +14,21 @@
 
 @dataclass
 class FleetKnowledge:
-    """Registrations, and what this entry and its peers have placed where."""
+    """Registrations, and what was placed where, as far as it is known here."""
 
     registry: UpstreamRegistry
-    busyness: StageBusyness
+    busyness: StageBusyness = field(default_factory=StageBusyness)
     loads: UpstreamLoads = field(default_factory=UpstreamLoads)
     changes: StageChanges = field(default_factory=StageChanges)
     cache: CacheBelief = field(default_factory=CacheBelief)
+    _rates: dict[str, PrefillRate] = field(
+        default_factory=lambda: defaultdict(PrefillRate)
+    )
 
     @classmethod
-    def from_registry(
-        cls, registry: UpstreamRegistry, count_entries: Callable[[], int]
-    ) -> Self:
+    def from_registry(cls, registry: UpstreamRegistry) -> Self:
         """Start with nothing known but what is registered; follow who is lost there."""
-        knowledge = cls(registry, StageBusyness(count_entries))
+        knowledge = cls(registry)
         registry.on_lost = knowledge.forget
         return knowledge
 
@@ -37,13 +38,16 @@
         self.loads.forget(upstream_id)
         self.changes.cancel(upstream_id)
 
-    def add_to(self, hooks: DigestHooks) -> None:
-        """Exchange all of it with the peers."""
-        hooks.sent_work = self.loads.export_sent
-        hooks.absorb_sent_work = self.loads.absorb_sent
-        hooks.placed_parts = self.cache.export
-        hooks.absorb_placed_parts = self.cache.absorb
-        hooks.reading = self.busyness.export
-        hooks.absorb_reading = self.busyness.absorb
-        hooks.stage_notices = self.changes.export
-        hooks.absorb_stage_notices = self.changes.absorb
+    def rate_of(self, service: str) -> float:
+        """Return how many tokens an engine of a service reads in a second."""
+        return self._rates[service].value
+
+    def take_rate(self, service: str, rate: float) -> None:
+        """Take over the reading speed that a scheduler has learnt."""
+        self._rates[service].value = rate
+
+    def note_reading(
+        self, service: str, input_tokens: int, tokens_before: int, elapsed_s: float
+    ) -> None:
+        """Learn the reading speed of a service's engines from one prompt."""
+        self._rates[service].note(input_tokens, tokens_before, elapsed_s)
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -4,7 +4,7 @@
 generation and pass copies to an entry that can't reach the store.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -17,6 +17,7 @@
 from .row_copy import RowCopy
 from .row_watch import RowWatch
 from .rows import RowTable, StoredRow
+from .table_news import TableNews
 from .upstreams import Upstream, UpstreamRegistry
 
 LEARN_PATIENCE_S = 0.4
@@ -33,6 +34,7 @@
         wait_s: float,
         log: EventLog,
         seed: int | None = None,
+        is_due: Callable[[], bool] = lambda: True,
     ):
         self._adapter = adapter
         self._wait_s = wait_s
@@ -48,10 +50,21 @@
             log,
             self._take_configuration,
             seed,
+            is_due,
         )
         self._upstream_rows = RowWatch(
-            adapter.rows, RowTable.UPSTREAMS, wait_s, log, self._take_upstreams, seed
+            adapter.rows,
+            RowTable.UPSTREAMS,
+            wait_s,
+            log,
+            self._take_upstreams,
+            seed,
+            is_due,
         )
+        self._watches = {
+            RowTable.CONFIGURATION: self._configuration,
+            RowTable.UPSTREAMS: self._upstream_rows,
+        }
         self.registry = UpstreamRegistry(lambda: self._upstream_rows.regained_at_s, log)
 
     def task_mains(self) -> list[Callable]:
@@ -65,6 +78,25 @@
             self._configuration.changed_version, self._upstream_rows.changed_version
         )
 
+    @property
+    def known_version(self) -> int:
+        """Store version up to which all changes of both tables are known here."""
+        return min(self._configuration.version, self._upstream_rows.version)
+
+    def follow_seen(self, on_seen: Callable[[TableNews], Awaitable[None]]) -> None:
+        """Have ``on_seen`` called with changes that this entry sees at the store."""
+        for watch in self._watches.values():
+            watch.on_seen = on_seen
+
+    def confirmed_news(self) -> tuple[TableNews, ...]:
+        """Return that both tables are as known; empty while the store is away."""
+        news = [watch.confirmed_news() for watch in self._watches.values()]
+        return () if None in news else tuple(news)
+
+    def take_news(self, news: TableNews) -> bool:
+        """Take in what a watcher tells; False where changes before it are missing."""
+        return self._watches[news.table].take_news(news)
+
     @property
     def accepted_generation(self) -> int:
         """Newest generation that the store has shown to this entry."""
@@ -96,7 +128,7 @@
 
     async def learn(self, generation: int) -> None:
         """Read the tables soon, where a peer is ahead and the watches stay behind."""
-        if generation > max(self.generation, self._learned_generation):
+        if generation > max(self.known_version, self._learned_generation):
             self._learned_generation = generation
             await self._learned.set()
 
@@ -105,7 +137,7 @@
             await self._learned.wait()
             self._learned.clear()
             await curio.sleep(LEARN_PATIENCE_S)
-            if self.generation < self._learned_generation:
+            if self.known_version < self._learned_generation:
                 await self._configuration.refresh()
                 await self._upstream_rows.refresh()
 
@@ -123,8 +155,6 @@
         """Put a peer's copy in force where it is newer; raises ConfigError."""
         upstreams = RowCopy.decode(copy.head)
         configuration = RowCopy.decode(copy.body)
-        if copy.row_version <= self.generation:
-            return
         self._configuration.install_copy(configuration)
         self._upstream_rows.install_copy(upstreams)
 
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -52,6 +52,8 @@
     entry_id: str = Field(min_length=1, max_length=64)
     node: str = ""
     zone: str
+    cpu_share: float = Field(default=1.0, gt=0)
+    cpu_speed: float = Field(default=1.0, gt=0)
     front: AddressText
     ready: AddressText
     directory: AddressText
@@ -64,8 +66,8 @@
     limits: LimitSettings = LimitSettings(
         head_bytes=32 * 1024, body_bytes=8 * 1024 * 1024
     )
-    watch_wait_s: float = Field(default=3.0, gt=0)
-    entries_poll_every_s: float = Field(default=12.0, gt=0)
+    watch_wait_s: float = Field(default=1.5, gt=0)
+    entries_poll_every_s: float = Field(default=60.0, gt=0)
     settings_poll_every_s: float = Field(default=1.0, gt=0)
     heartbeat_every_s: float = Field(default=0.25, gt=0)
     freshness_bound_s: float = Field(default=3.0, gt=0)
@@ -81,6 +83,11 @@
         """Read settings from ``path``; raises ConfigError."""
         return load_model(cls, path)
 
+    @property
+    def cores(self) -> float:
+        """Processor share of the instance, in cores of speed 1."""
+        return self.cpu_share * self.cpu_speed
+
     @property
     def lease(self) -> LeaseSettings:
         """Times of the lease under which stages are changed."""
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -1,17 +1,14 @@
 """Composition of heartbeats, with a bound on what one carries."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from itertools import islice
 
 from .digest import (
     CrashRecord,
     EntryRecord,
     PeerDigest,
-    PlacedPart,
-    ReadingDemand,
     SentWork,
-    StageNotice,
 )
 from .member import Member
 from .membership import FORGET_AFTER_S, Membership
@@ -20,9 +17,6 @@
 CHANGED_MAX = OTHERS_MAX // 2
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
-PLACED_PARTS_MAX = 64
-READING_DEMANDS_MAX = 64
-STAGE_NOTICES_MAX = 32
 
 
 def _nothing() -> tuple:
@@ -41,12 +35,6 @@
     absorb_crash_records: Callable[[Iterable[CrashRecord]], None] = _ignore
     sent_work: Callable[[], Iterable[SentWork]] = _nothing
     absorb_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
-    placed_parts: Callable[[], Iterable[PlacedPart]] = _nothing
-    absorb_placed_parts: Callable[[str, tuple[PlacedPart, ...]], None] = _ignore
-    reading: Callable[[], Iterable[ReadingDemand]] = _nothing
-    absorb_reading: Callable[[str, tuple[ReadingDemand, ...]], None] = _ignore
-    stage_notices: Callable[[], Iterable[StageNotice]] = _nothing
-    absorb_stage_notices: Callable[[Iterable[StageNotice]], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,22 +59,13 @@
 
     def compose(self, receiver_id: str | None, needs_manifest: bool) -> PeerDigest:
         """Return the digest to send now."""
-        return replace(
-            self.compose_news(),
-            others=self._others(receiver_id),
-            needs_manifest=needs_manifest,
-        )
-
-    def compose_news(self) -> PeerDigest:
-        """Return what all neighbours are told at once: nothing of other entries."""
         hooks = self._hooks
         return PeerDigest(
             entry=self._membership.own(),
+            others=self._others(receiver_id),
+            needs_manifest=needs_manifest,
             crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
-            placed_parts=tuple(islice(hooks.placed_parts(), PLACED_PARTS_MAX)),
-            reading=tuple(islice(hooks.reading(), READING_DEMANDS_MAX)),
-            stage_notices=tuple(islice(hooks.stage_notices(), STAGE_NOTICES_MAX)),
         )
 
     def _others(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -31,7 +31,7 @@
     """Competes for one group's lease and keeps it.
 
     ``candidates`` returns the ids of the entries that compete; rendezvous hashing over
-    them decides who tries first.
+    them decides who tries first, or ``is_first`` where the caller has chosen one.
     """
 
     def __init__(
@@ -42,6 +42,7 @@
         settings: LeaseSettings,
         candidates: Callable[[], Iterable[str]],
         log: EventLog,
+        is_first: Callable[[], bool] | None = None,
     ):
         self.group = group
         self.tenure: Tenure | None = None
@@ -50,6 +51,7 @@
         self._settings = settings
         self._candidates = candidates
         self._log = log
+        self._is_first = is_first
         self._watched: LeaseRecord | None = None
         self._watched_since_s = 0.0
         self._looked_for: frozenset[str] = frozenset()
@@ -75,6 +77,8 @@
     @property
     def rank(self) -> int:
         """How many other entries are to try before this one."""
+        if self._is_first is not None and self._is_first():
+            return 0
         own_score = _score(self.group, self._contender.entry_id)
         return sum(_score(self.group, name) > own_score for name in self._candidates())
 
@@ -109,6 +113,10 @@
         tenure = self.require(0.0)
         return Check(EPOCH_TABLE, self.group, tenure.epoch_row_version)
 
+    def drop(self) -> None:
+        """Act on the lease no more until it is renewed or taken again."""
+        self.tenure = None
+
     async def raise_epoch(self, above: int) -> None:
         """Make the epoch greater than ``above``, that of another group's order.
 
--- a/wisteriaarch/process/row_copy.py
+++ b/wisteriaarch/process/row_copy.py
@@ -11,10 +11,14 @@
 
 @dataclass(frozen=True)
 class RowCopy:
-    """All rows of a table; ``version`` is the store's version they are as of."""
+    """All rows of a table; ``version`` is the store's version they are as of.
+
+    ``changed_version`` is that of the newest change among them, removals included.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    changed_version: int = 0
 
     def encode(self) -> bytes:
         """Return the copy as JSON."""
@@ -22,7 +26,12 @@
             [row.key, row.version, base64.b64encode(row.value).decode()]
             for row in self.rows
         ]
-        return json.dumps({"version": self.version, "rows": items}).encode()
+        content = {
+            "version": self.version,
+            "changed": self.changed_version,
+            "rows": items,
+        }
+        return json.dumps(content).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> "RowCopy":
@@ -33,6 +42,6 @@
                 StoredRow(str(key), int(version), base64.b64decode(value))
                 for key, version, value in content["rows"]
             )
-            return cls(rows, int(content["version"]))
+            return cls(rows, int(content["version"]), int(content["changed"]))
         except (ValueError, KeyError, TypeError) as exc:
             raise ConfigError(f"rows from a peer: {exc!r}") from exc
--- a/wisteriaarch/process/row_watch.py
+++ b/wisteriaarch/process/row_watch.py
@@ -1,7 +1,7 @@
 """Follows one table of the platform's store and never goes back to an older state."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -11,10 +11,24 @@
 from .clock import now_s
 from .row_copy import RowCopy
 from .rows import RowSource, RowsRead, RowTable, StoredRow
+from .table_news import TableNews
 
 RETRY_MIN_S = 0.15
 RETRY_MAX_S = 0.6
 START_JITTER_S = 0.1
+# How often an entry that follows others looks whether it must watch by itself.
+OFF_DUTY_POLL_S = 0.2
+# A watch that was confirmed this much longer ago than its wait has lost the store.
+CONFIRMED_MARGIN_S = 0.3
+RETURN_TOLD_FOR_S = 3.0
+
+
+async def _ignore_news(_news: TableNews) -> None:
+    """Do nothing with what was seen at the store."""
+
+
+def _always() -> bool:
+    return True
 
 
 class RowWatch:
@@ -23,7 +37,9 @@
     ``version`` is the store's version up to which changes are known, and
     ``changed_version`` that of the newest change seen in this table.
     ``confirmed_at_s`` is when the store was last asked successfully, ``regained_at_s``
-    when it answered again after it had not.
+    when it answered again after it had not. ``on_seen`` is called with changes that
+    this entry has seen at the store itself; it asks only while ``is_due``, and once in
+    the beginning.
     """
 
     def __init__(
@@ -34,7 +50,10 @@
         log: EventLog,
         on_change: Callable[[], None],
         seed: int | None = None,
+        is_due: Callable[[], bool] = _always,
     ):
+        self._is_due = is_due
+        self.on_seen: Callable[[TableNews], Awaitable[None]] = _ignore_news
         self._source = source
         self._table = table
         self._wait_s = wait_s
@@ -54,7 +73,9 @@
         """Follow the table for ever."""
         await curio.sleep(self._rng.uniform(0, START_JITTER_S))
         while True:
-            if not await self._step():
+            if self.version and not self._is_due():
+                await curio.sleep(OFF_DUTY_POLL_S)
+            elif not await self._step():
                 await curio.sleep(self._backoff.next_s(False))
 
     async def _step(self) -> bool:
@@ -76,7 +97,9 @@
         return True
 
     def has_contact(self, age_s: float) -> bool:
-        """Whether the store was asked successfully within the last ``age_s``."""
+        """Whether the store answers, and did so within the last ``age_s``."""
+        if not self._available:
+            return False
         return self.confirmed_at_s is not None and now_s() - self.confirmed_at_s < age_s
 
     async def refresh(self) -> None:
@@ -89,6 +112,7 @@
             )
 
     async def _take_all(self) -> None:
+        known_before = self.changed_version
         read = await self._source.read_all(self._table)
         if read.version < self.version:
             raise StoreUnavailable(
@@ -99,15 +123,61 @@
         self._following = True
         self.version = read.version
         self._install(rows)
+        if self.changed_version > known_before:
+            await self.on_seen(self._news(self.changed_version))
 
     async def _take_changes(self) -> None:
-        read = await self._source.wait_for_changes(
-            self._table, self.version, self._wait_s
-        )
-        if read.version < self.version:
+        after, known_before = self.version, self.changed_version
+        read = await self._source.wait_for_changes(self._table, after, self._wait_s)
+        if read.version < after:
             raise HistoryLost(f"the store went back to version {read.version}")
         self._note_available()
+        if read.version < self.version:
+            # Another entry told of later changes meanwhile.
+            return
         self._merge(read)
+        if read.rows:
+            await self.on_seen(self._news(known_before, read.rows))
+
+    def _news(self, changed_before: int, rows: tuple[StoredRow, ...] = ()) -> TableNews:
+        now = now_s()
+        returned_at_s = self.regained_at_s
+        returned_age_s = None if returned_at_s is None else now - returned_at_s
+        if returned_age_s is not None and returned_age_s > RETURN_TOLD_FOR_S:
+            returned_age_s = None
+        confirmed_at_s = now if self.confirmed_at_s is None else self.confirmed_at_s
+        return TableNews(
+            self._table,
+            changed_before,
+            self.version,
+            rows,
+            now - confirmed_at_s,
+            returned_age_s,
+        )
+
+    def confirmed_news(self) -> TableNews | None:
+        """Return that nothing has changed since; None where the store is out of reach.
+
+        Only for what this entry asks by itself.
+        """
+        if not self.has_contact(self._wait_s + CONFIRMED_MARGIN_S):
+            return None
+        return self._news(self.changed_version)
+
+    def take_news(self, news: TableNews) -> bool:
+        """Take in what a watcher tells; False where changes before it are missing."""
+        if news.returned_age_s is not None:
+            returned_at_s = now_s() - news.returned_age_s
+            if self.regained_at_s is None or returned_at_s > self.regained_at_s:
+                self.regained_at_s = returned_at_s
+        if self.version < news.changed_before:
+            return False
+        if news.version >= self.version:
+            self._merge(RowsRead(news.rows, news.version))
+            self._following = True
+        told_at_s = now_s() - news.confirmed_age_s
+        self.confirmed_at_s = max(self.confirmed_at_s or told_at_s, told_at_s)
+        return True
 
     def _merge(self, read: RowsRead) -> None:
         rows = dict(self.rows)
@@ -125,13 +195,14 @@
 
     def copy(self) -> RowCopy:
         """Return the rows as a peer can take them over."""
-        return RowCopy(tuple(self.rows.values()), self.version)
+        return RowCopy(tuple(self.rows.values()), self.version, self.changed_version)
 
     def install_copy(self, copy: RowCopy) -> None:
         """Take over a peer's rows where they are newer than what is known."""
         if copy.version <= self.version:
             return
         self.version = copy.version
+        self.changed_version = max(self.changed_version, copy.changed_version)
         self._following = False
         self._install({row.key: row for row in copy.rows})
 
--- /dev/null
+++ b/wisteriaarch/process/scheduler_choice.py
@@ -0,0 +1,62 @@
+"""Which entry schedules the calls of a service.
+
+Rendezvous hashing, weighted by the processor share of each entry: entries that know the
+same members choose the same one, and where it is lost, only its services move on. Two
+schedulers at once place calls less well, and nothing else.
+"""
+
+import hashlib
+import math
+from collections.abc import Iterable
+
+from .member_list import MemberList, MemberRecord
+
+RANKED_MAX = 3
+DIGEST_BYTES = 8
+CORES_MIN = 0.01
+# How strongly large entries are preferred: placing takes a good part of a small one.
+PREFERENCE_POWER = 3
+
+
+class SchedulerChoice:
+    """Ranks the entries that may schedule each service."""
+
+    def __init__(self, members: MemberList):
+        self._members = members
+        self._version = -1
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    def of(self, service: str) -> tuple[str, ...]:
+        """Return the entries to ask, the first one first; this entry may be one."""
+        if self._version != self._members.version:
+            self._version = self._members.version
+            self._ranked.clear()
+        ranked = self._ranked.get(service)
+        if ranked is None:
+            ranked = rank_schedulers(service, self._members.living())
+            self._ranked[service] = ranked
+        return ranked
+
+    def is_own(self, service: str) -> bool:
+        """Whether this entry schedules a service."""
+        return self.of(service)[:1] == (self._members.own.entry_id,)
+
+
+def rank_schedulers(service: str, living: Iterable[MemberRecord]) -> tuple[str, ...]:
+    """Return the first ids in the rendezvous order of a service.
+
+    Those that take callers go first: one that leaves or has no routes yet knows least.
+    """
+
+    def rank(item: MemberRecord) -> tuple[bool, float]:
+        return (item.takes_callers, _score(service, item))
+
+    best = sorted(living, key=rank, reverse=True)[:RANKED_MAX]
+    return tuple(item.entry_id for item in best)
+
+
+def _score(service: str, item: MemberRecord) -> float:
+    name = f"{service}@{item.entry_id}".encode()
+    digest = hashlib.blake2b(name, digest_size=DIGEST_BYTES).digest()
+    uniform = (int.from_bytes(digest) + 1) / (256**DIGEST_BYTES + 1)
+    return max(CORES_MIN, item.cores) ** PREFERENCE_POWER / -math.log(uniform)
--- a/wisteriaarch/process/stage_changes.py
+++ b/wisteriaarch/process/stage_changes.py
@@ -1,18 +1,16 @@
 """Engines that are changing their stage, and so take no work for about a second.
 
-Load pattern: a stage is changed at a peak, and calls that other entries place there
-meanwhile are declined and have to be repeated.
+Load pattern: a stage is changed at a peak, and calls that are placed there meanwhile
+are declined and have to be repeated.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .clock import now_s
-from .digest import StageNotice
 from .upstreams import Stage, Upstream
 
 CHANGE_KEPT_S = 6.0
-STAGE_NAMES = frozenset(stage.value for stage in Stage)
 
 
 @dataclass(frozen=True)
@@ -48,22 +46,3 @@
             del self._targets[upstream.upstream_id]
             return None
         return target.stage
-
-    def export(self) -> Iterator[StageNotice]:
-        """Return the changes under way, for the peers."""
-        now = self._clock()
-        for upstream_id, target in self._targets.items():
-            age_s = now - target.since_s
-            if age_s < CHANGE_KEPT_S:
-                yield StageNotice(upstream_id, target.stage.value, age_s)
-
-    def absorb(self, notices: Iterable[StageNotice]) -> None:
-        """Take in what a peer knows; a notice that is passed on keeps its age."""
-        for notice in notices:
-            known = self._targets.get(notice.upstream)
-            since_s = self._clock() - notice.age_s
-            if notice.stage not in STAGE_NAMES:
-                continue
-            if known is not None and known.since_s >= since_s:
-                continue
-            self._targets[notice.upstream] = StageTarget(Stage(notice.stage), since_s)
--- a/wisteriaarch/process/upstream_health.py
+++ b/wisteriaarch/process/upstream_health.py
@@ -11,6 +11,8 @@
 FAILURES_BEFORE_SUSPEND = 3
 FULL_FOR_S = 0.15
 GONE_FOR_S = 2.0
+# Bound on how long an upstream may ask to be left alone.
+WAIT_MAX_S = 300.0
 FAILURE_WEIGHT = 0.2
 FAILURE_FADES_S = 4.0
 
@@ -25,6 +27,7 @@
         self._noted_at_s = 0.0
         self._until_s = 0.0
         self._full_until_s = 0.0
+        self._wait_until_s = 0.0
 
     def note_success(self, now_s: float) -> None:
         """Take in an answer."""
@@ -51,6 +54,11 @@
         """Take in that the upstream declined a request for want of room."""
         self._full_until_s = now_s + FULL_FOR_S
 
+    def note_wait(self, now_s: float, wait_s: float) -> None:
+        """Take in that the upstream asked to be left alone for some time."""
+        wait_s = min(WAIT_MAX_S, max(0.0, wait_s))
+        self._wait_until_s = max(self._wait_until_s, now_s + wait_s)
+
     def note_replaced(self, now_s: float) -> None:
         """Take in that another instance answers at the upstream's address."""
         self._until_s = max(self._until_s, now_s + GONE_FOR_S)
@@ -66,6 +74,8 @@
 
     def failure_share(self, now_s: float) -> float:
         """Return the share of recent attempts that failed; it fades with time."""
+        if not self._failure_share:
+            return 0.0
         age_s = max(0.0, now_s - self._noted_at_s)
         return self._failure_share * math.exp(-age_s / FAILURE_FADES_S)
 
@@ -73,6 +83,14 @@
         """Whether the upstream is left out while others can take the work."""
         return now_s < self._until_s
 
+    def must_wait(self, now_s: float) -> bool:
+        """Whether the upstream takes nothing now, by its own word."""
+        return now_s < self._wait_until_s
+
+    def wait_left_s(self, now_s: float) -> float:
+        """Return how much longer the upstream wants nothing; 0 where it takes work."""
+        return max(0.0, self._wait_until_s - now_s)
+
     def is_full(self, now_s: float) -> bool:
         """Whether the upstream has just declined a request."""
         return now_s < self._full_until_s
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -1,4 +1,4 @@
-"""Work in flight on each upstream, by this entry and by its peers."""
+"""Work in flight on each upstream, as far as this entry sends or schedules it."""
 
 import contextlib
 import math
@@ -7,10 +7,9 @@
 from dataclasses import dataclass, field
 
 from .clock import now_s
-from .digest import SentWork
 from .upstream_health import UpstreamHealth
 
-PEER_WORK_KEPT_S = 1.5
+REPORT_KEPT_S = 0.4
 PACE_WEIGHT = 0.3
 PACE_FADES_S = 3.0
 PACE_MIN = 0.5
@@ -34,31 +33,50 @@
 
     def at(self, at_s: float) -> float:
         """Return the ratio; it fades towards 1 where nothing new is seen."""
+        if self.ratio == 1.0:
+            return 1.0
         age_s = max(0.0, at_s - self.noted_at_s)
         return 1 + (self.ratio - 1) * math.exp(-age_s / PACE_FADES_S)
 
 
+@dataclass(frozen=True)
+class ReportedLoad:
+    """What an upstream says of its own load: a fact, some milliseconds old."""
+
+    running: int
+    waiting: int
+    slots: int
+
+    @property
+    def requests(self) -> int:
+        """Requests that it has, whoever sent them."""
+        return self.running + self.waiting
+
+
 @dataclass
 class UpstreamLoad:
     """What this entry has in flight on one upstream, and what it saw of it.
 
-    ``heard_at_s`` is when the upstream last answered anything here.
+    ``heard_at_s`` is when the upstream last answered anything here. ``unknown`` counts
+    requests that it reported at ``reported_at_s`` beyond those known here.
     """
 
     requests: int = 0
     prompt_tokens: int = 0
     heard_at_s: float = 0.0
+    unknown: int = 0
+    reported_at_s: float = 0.0
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     pace: Pace = field(default_factory=Pace)
 
+    def end(self, prompt_tokens: int) -> None:
+        """Take in that one request in flight has ended."""
+        self.requests -= 1
+        self.prompt_tokens -= prompt_tokens
 
-@dataclass(frozen=True)
-class PeerWork:
-    """What a peer has in flight on one upstream, as it last said."""
-
-    requests: int
-    prompt_tokens: int
-    heard_at_s: float
+    def unknown_at(self, at_s: float) -> int:
+        """Return the requests of others that a fresh report tells of."""
+        return self.unknown if at_s - self.reported_at_s < REPORT_KEPT_S else 0
 
 
 @dataclass
@@ -81,7 +99,6 @@
 
     def __init__(self):
         self._loads: dict[str, UpstreamLoad] = defaultdict(UpstreamLoad)
-        self._peers: dict[str, dict[str, PeerWork]] = defaultdict(dict)
         self._typical: dict[str, TypicalTime] = defaultdict(TypicalTime)
 
     def of(self, upstream_id: str) -> UpstreamLoad:
@@ -91,60 +108,51 @@
     @contextlib.contextmanager
     def sending(self, upstream_id: str, prompt_tokens: int = 0) -> Iterator[None]:
         """Count one request, with the prompt tokens that it has read, as in flight."""
-        load = self._loads[upstream_id]
-        load.requests += 1
-        load.prompt_tokens += prompt_tokens
+        load = self.begin(upstream_id, prompt_tokens)
         try:
             yield
         finally:
-            load.requests -= 1
-            load.prompt_tokens -= prompt_tokens
+            load.end(prompt_tokens)
+
+    def begin(self, upstream_id: str, prompt_tokens: int) -> UpstreamLoad:
+        """Count one request as in flight; its ``end`` is due once."""
+        load = self._loads[upstream_id]
+        load.requests += 1
+        load.prompt_tokens += prompt_tokens
+        return load
+
+    def note_report(self, upstream_id: str, report: ReportedLoad) -> None:
+        """Take in an upstream's own report; it counts for a short time."""
+        load = self._loads[upstream_id]
+        load.unknown = max(0, report.requests - load.requests)
+        load.reported_at_s = now_s()
 
     def is_suspended(self, upstream_id: str) -> bool:
         """Whether an upstream is left out while others can take the work."""
         load = self._loads.get(upstream_id)
         return load is not None and load.health.is_suspended(now_s())
 
+    def must_wait(self, upstream_id: str) -> bool:
+        """Whether an upstream asked to be left alone."""
+        load = self._loads.get(upstream_id)
+        return load is not None and load.health.must_wait(now_s())
+
     def note_time(self, upstream_id: str, work: str, observed_s: float) -> None:
         """Compare how long a kind of work took with what it takes elsewhere."""
         expected_s = self._typical[work].note(observed_s)
         self._loads[upstream_id].pace.note(observed_s, expected_s, now_s())
 
     def requests(self, upstream_id: str) -> int:
-        """Return the requests in flight, those of peers included."""
-        heard = sum(item.requests for item in self._heard(upstream_id))
-        return self._loads[upstream_id].requests + heard
+        """Return the requests in flight, others that the upstream told of included."""
+        load = self._loads[upstream_id]
+        return load.requests + load.unknown_at(now_s())
 
     def prompt_tokens(self, upstream_id: str) -> int:
-        """Return the prompt tokens being read, those of peers included."""
-        heard = sum(item.prompt_tokens for item in self._heard(upstream_id))
-        return self._loads[upstream_id].prompt_tokens + heard
-
-    def _heard(self, upstream_id: str) -> Iterator[PeerWork]:
-        since_s = now_s() - PEER_WORK_KEPT_S
-        for item in self._peers.get(upstream_id, {}).values():
-            if item.heard_at_s >= since_s:
-                yield item
-
-    def export_sent(self) -> Iterator[SentWork]:
-        """Return what is in flight from here, for the peers."""
-        for upstream_id, load in self._loads.items():
-            if load.requests:
-                yield SentWork(upstream_id, load.requests, load.prompt_tokens)
-
-    def absorb_sent(self, peer_id: str, works: tuple[SentWork, ...]) -> None:
-        """Take in what a peer has in flight; replaces what it said before."""
-        for peers in self._peers.values():
-            peers.pop(peer_id, None)
-        heard_at_s = now_s()
-        for work in works:
-            self._peers[work.upstream][peer_id] = PeerWork(
-                work.requests, work.prefill_tokens, heard_at_s
-            )
+        """Return the prompt tokens being read."""
+        return self._loads[upstream_id].prompt_tokens
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an upstream, unless something is in flight there."""
         load = self._loads.get(upstream_id)
         if load is not None and not load.requests:
             del self._loads[upstream_id]
-            self._peers.pop(upstream_id, None)
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -58,6 +58,8 @@
         self._missing: dict[str, Upstream] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         self._first_listed_at_s: float | None = None
+        self._said_leaving: dict[str, int] = {}
+        self._usable: dict[str, tuple[Upstream, ...]] = {}
 
     def update(self, listed: Iterable[Upstream]) -> None:
         """Take in all upstreams that are registered now."""
@@ -72,6 +74,11 @@
         }
         for name in gone:
             self._note_gone(self._listed[name])
+        self._said_leaving = {
+            name: started_at_ms
+            for name, started_at_ms in self._said_leaving.items()
+            if name in upstreams or name in self._missing
+        }
         for name in upstreams.keys() - self._listed.keys():
             self._log.write(
                 Event.UPSTREAM_LISTED, upstream=name, service=upstreams[name].service
@@ -99,6 +106,21 @@
         regained_at_s = self._regained_at_s()
         return regained_at_s is not None and now_s() - regained_at_s < RETURN_GRACE_S
 
+    def note_leaving(self, upstream_id: str) -> bool:
+        """Take in an upstream's own word that it leaves; True where that is new.
+
+        It holds for its incarnation, whatever the registration says.
+        """
+        upstream = self.get(upstream_id)
+        if upstream is None or self._has_said_leaving(upstream):
+            return False
+        self._said_leaving[upstream_id] = upstream.started_at_ms
+        self._usable.clear()
+        return True
+
+    def _has_said_leaving(self, upstream: Upstream) -> bool:
+        return self._said_leaving.get(upstream.upstream_id) == upstream.started_at_ms
+
     def is_settling(self) -> bool:
         """Whether registrations may be about to come: just started, or store back."""
         started_at_s = self._first_listed_at_s
@@ -110,15 +132,32 @@
         for item in (*self._listed.values(), *self._missing.values()):
             by_service.setdefault(item.service, []).append(item)
         self._by_service = {name: tuple(items) for name, items in by_service.items()}
+        self._usable.clear()
 
     def usable(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service that take new work."""
         if self._missing and not self._in_grace():
             self._missing = {}
             self._index()
-        return tuple(
-            item for item in self._by_service.get(service, ()) if not item.leaving
-        )
+        usable = self._usable.get(service)
+        if usable is None:
+            usable = self._usable[service] = tuple(
+                item
+                for item in self._by_service.get(service, ())
+                if self.usable_one(item.upstream_id) is item
+            )
+        return usable
+
+    def usable_one(self, upstream_id: str) -> Upstream | None:
+        """Return an upstream that takes new work."""
+        upstream = self.get(upstream_id)
+        if upstream is None or upstream.leaving or self._has_said_leaving(upstream):
+            return None
+        return upstream
+
+    def get(self, upstream_id: str) -> Upstream | None:
+        """Return a known upstream."""
+        return self._listed.get(upstream_id) or self._missing.get(upstream_id)
 
     def all(self) -> tuple[Upstream, ...]:
         """Return all known upstreams."""
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -3,6 +3,7 @@
 import hashlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
+from functools import lru_cache
 
 from ..process.cache_belief import Holding
 from ..process.upstreams import Stage, Upstream
@@ -10,11 +11,17 @@
 
 # Copying shared parts takes at most this share of reading them.
 COPIED_SHARE = 0.25
+HASH_BYTES = 8
+HASH_MASK = (1 << 8 * HASH_BYTES) - 1
+HASHES_KEPT = 16_384
+# An odd factor near the golden share of the range, which spreads neighbouring hashes.
+MIXING_FACTOR = 0x9E3779B97F4A7C15
+MIXING_SHIFT = 29
 
 
-@dataclass(frozen=True)
+@dataclass(slots=True)
 class Candidate:
-    """Upstream with what is known of its load.
+    """Upstream with what is known of its load; made anew for each decision.
 
     ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
     much longer than others it takes, ``failure_share`` of recent attempts failed.
@@ -96,6 +103,8 @@
     for item in candidates:
         stage = item.upstream.stage
         best[stage] = min(item.pace, best.get(stage, item.pace))
+    if all(pace <= 1.0 for pace in best.values()):
+        return list(candidates)
     return [
         replace(item, pace=item.pace / max(1.0, best[item.upstream.stage]))
         for item in candidates
@@ -121,10 +130,18 @@
     if not part_id:
         return None
 
-    def rank(item: Candidate) -> bytes:
-        name = f"{part_id}@{item.upstream.upstream_id}"
-        return hashlib.blake2b(name.encode(), digest_size=8).digest()
+    part = _hash_of(part_id)
+
+    def rank(item: Candidate) -> int:
+        mixed = (part ^ _hash_of(item.upstream.upstream_id)) * MIXING_FACTOR
+        return (mixed ^ (mixed >> MIXING_SHIFT)) * MIXING_FACTOR & HASH_MASK
 
     usable = [item for item in candidates if not item.suspended]
     best = max(usable, key=rank, default=None)
     return best.upstream.upstream_id if best else None
+
+
+@lru_cache(maxsize=HASHES_KEPT)
+def _hash_of(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=HASH_BYTES).digest()
+    return int.from_bytes(digest)
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -55,38 +55,50 @@
 
         Load pattern: at a peak few engines run prompts, and a call was on all of them.
         """
-        usable = self._registry.usable(call.service)
+        now = now_s()
+        usable = [
+            item
+            for item in self._registry.usable(call.service)
+            if not self._loads.of(item.upstream_id).health.must_wait(now)
+        ]
         fresh = [item for item in usable if item.upstream_id not in call.tried]
         if all(item.stage is Stage.PREFILL for item in fresh):
             fresh = usable
-        candidates = [self._candidate(item, call) for item in fresh]
+        holding_of = self._holdings(call)
+        candidates = [self._candidate(item, now, holding_of) for item in fresh]
         if self._cache.is_young() and _shares_much(call):
             candidates = guess_holders(candidates, call.prompt)
         return relative_paces(candidates)
 
-    def _candidate(self, upstream: Upstream, call: RoutedCall) -> Candidate:
+    def _candidate(
+        self, upstream: Upstream, now: float, holding_of: Callable[[str], Holding]
+    ) -> Candidate:
         name = upstream.upstream_id
         load = self._loads.of(name)
-        now = now_s()
+        health = load.health
         is_changing = self._stage_changes.target(upstream) is not None
         return Candidate(
             upstream,
-            requests=self._loads.requests(name),
-            prompt_tokens=self._loads.prompt_tokens(name),
+            requests=load.requests + load.unknown_at(now),
+            prompt_tokens=load.prompt_tokens,
             pace=load.pace.at(now),
-            failure_share=load.health.failure_share(now),
-            suspended=is_changing or load.health.is_suspended(now),
-            full=load.health.is_full(now),
-            holding=self._holding(upstream, call),
+            failure_share=health.failure_share(now),
+            suspended=is_changing or health.is_suspended(now),
+            full=health.is_full(now),
+            holding=holding_of(name),
         )
 
-    def _holding(self, upstream: Upstream, call: RoutedCall) -> Holding:
+    def _holdings(self, call: RoutedCall) -> Callable[[str], Holding]:
+        """Return what tells the holding of the call's shared parts by engine."""
         engine = self.engine_of(call.service)
         if call.prompt is None or engine is None:
-            return Holding.NONE
-        return self._cache.holding(
-            upstream.upstream_id, call.prompt.first_part, engine.cache_tokens
-        )
+            return _holds_nothing
+        part, tokens = call.prompt.first_part, engine.cache_tokens
+        return lambda upstream_id: self._cache.holding(upstream_id, part, tokens)
+
+
+def _holds_nothing(_upstream_id: str) -> Holding:
+    return Holding.NONE
 
 
 def _shares_much(call: RoutedCall) -> bool:
--- a/wisteriaarch/request/event_stream.py
+++ b/wisteriaarch/request/event_stream.py
@@ -1,5 +1,7 @@
 """Framing of server-sent events: only whole events are passed on."""
 
+from .outcomes import AttemptFailed, FailureReason
+
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
 REST_MAX_BYTES = 1 << 20
@@ -13,10 +15,18 @@
         self.last_id: str | None = None
 
     def feed(self, block: bytes) -> bytes:
-        """Return the whole events that have arrived; keeps the start of the next."""
+        """Return the whole events that have arrived; keeps the start of the next.
+
+        Raises AttemptFailed where that has no end.
+        """
         data = self._rest + block
         end = data.rfind(EVENT_END)
         if end < 0:
+            if len(data) > REST_MAX_BYTES:
+                raise AttemptFailed(
+                    FailureReason.MALFORMED,
+                    f"an event is longer than {REST_MAX_BYTES} bytes",
+                )
             self._rest = data
             return b""
         end += len(EVENT_END)
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -6,7 +6,7 @@
 
 from ..connection.pool import UpstreamPool
 from ..errors import ConnectionClosed, WireError
-from ..http_client import HttpClientConnection
+from ..http_client import BODY_MAX_BYTES, HttpClientConnection
 from ..process.upstreams import Upstream
 from ..sockets import open_socket
 from .outcomes import AttemptFailed, FailureReason
@@ -16,6 +16,9 @@
 CONNECT_TIMEOUT_S = 0.3
 CRASH_SEEN_WITHIN_S = 0.05
 FOREIGN_ANSWERS_MAX = 2
+# Answers that are read only to be dropped, and those to questions of the entry.
+FOREIGN_MAX_BYTES = 1024 * 1024
+OWN_ANSWER_MAX_BYTES = 64 * 1024
 
 
 class Exchange:
@@ -85,7 +88,7 @@
                 if not head.foreign:
                     self._keep_s = head.keep_s
                     return head
-                await self._conn.read_body()
+                await self._conn.read_body(FOREIGN_MAX_BYTES)
             except (WireError, OSError) as exc:
                 raise _broken(exc) from exc
             self._conn.expect_another_response(req.method)
@@ -103,12 +106,17 @@
             self._complete = True
         return block
 
-    async def read_body(self) -> bytes:
-        """Return the rest of the body; raises AttemptFailed where it is cut short."""
-        blocks = []
-        while (block := await self.read_block()) is not None:
-            blocks.append(block)
-        return b"".join(blocks)
+    async def read_body(self, max_bytes: int = BODY_MAX_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises AttemptFailed where it is cut short or longer than ``max_bytes``.
+        """
+        try:
+            body = await self._conn.read_body(max_bytes)
+        except (WireError, OSError) as exc:
+            raise _broken(exc) from exc
+        self._complete = True
+        return body
 
 
 async def is_down(upstream: Upstream) -> bool:
--- a/wisteriaarch/request/memory_keeper.py
+++ b/wisteriaarch/request/memory_keeper.py
@@ -5,7 +5,7 @@
 from ..connection.pool import UpstreamPool
 from ..errors import WisteriaError
 from ..events import Event, EventLog
-from .exchange import Exchange
+from .exchange import OWN_ANSWER_MAX_BYTES, Exchange
 from .routed_call import RoutedCall
 from .upstream_protocol import PromptMemory, UpstreamProtocol
 
@@ -33,7 +33,7 @@
                 self._pool, self._protocol, call, memory.upstream
             ) as exchange:
                 await exchange.send(req, RELEASE_TIMEOUT_S)
-                await exchange.read_body()
+                await exchange.read_body(OWN_ANSWER_MAX_BYTES)
         except (WisteriaError, OSError) as exc:
             self._log.write(
                 Event.MEMORY_NOT_RELEASED,
--- a/wisteriaarch/request/outcomes.py
+++ b/wisteriaarch/request/outcomes.py
@@ -1,6 +1,7 @@
 """The one table that says whether a failed attempt may have run."""
 
 from enum import StrEnum
+from typing import Self
 
 from ..errors import Ran, UpstreamError
 
@@ -42,6 +43,11 @@
         self.reason = reason
         self.detail = detail
 
+    @classmethod
+    def nothing_sent(cls, detail: str) -> Self:
+        """Return the failure of an attempt for which no upstream could be named."""
+        return cls(FailureReason.NOTHING_SENT, detail)
+
     @property
     def ran(self) -> Ran:
         """Whether the upstream may have run the request."""
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,12 +1,10 @@
 """Plans a completion: which engines read and run it, and when."""
 
-import random
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
-import curio
-
 from ..errors import ErrorKind, RequestError
 from ..events import Event, EventLog
 from ..process.clock import now_s
@@ -16,13 +14,12 @@
 from .candidate_finder import CandidateFinder
 from .reading_turn import LONG_READING_TOKENS, ReadingForecast, Turn, choose_turn
 from .routed_call import RoutedCall
-from .shared_reading import wait_for_part
+from .shared_reading import OnWait, ignore_wait, wait_for_part
 from .size_shares import SizeShares
 from .stage_plan import MOVE_COST_S, FleetPace, StagePlan, plan_stages
+from .turn_queue import TurnQueue
 from .urgency import queue_ahead_s
 
-POLL_MIN_S = 0.01
-POLL_MAX_S = 0.03
 # Callers of streams leave well before the deadline where nothing comes.
 PATIENCE_MIN_S = 2.0
 PATIENCE_OBJECTIVES = 4.0
@@ -43,34 +40,41 @@
 
     def __init__(
         self,
-        zone: str,
         finder: CandidateFinder,
         busyness: StageBusyness,
         sizes: SizeShares,
         rate_of: Callable[[str], float],
         log: EventLog,
     ):
-        self._zone = zone
         self._finder = finder
         self._busyness = busyness
         self._sizes = sizes
         self._rate_of = rate_of
         self._log = log
+        self._queues: dict[str, TurnQueue[TimedPlan]] = defaultdict(TurnQueue)
 
-    async def plan(self, call: RoutedCall) -> StagePlan:
+    async def plan(
+        self,
+        call: RoutedCall,
+        candidates: list[Candidate],
+        on_wait: OnWait = ignore_wait,
+    ) -> StagePlan:
         """Return the plan by which to go now; long prompts may wait for their turn.
 
+        ``candidates`` are those of now, ``on_wait`` is called before the first wait.
         Raises RequestError where the call can't be answered before its caller leaves.
         """
         call.favoured = self._sizes.is_favoured(
             call.call_id, call.route.name, call.prompt.own_tokens
         )
         find = partial(self._finder.now, call)
+        rate = self._rate_of(call.service)
         candidates = await wait_for_part(
-            call, find, self._rate_of(call.service), self._log
+            call, candidates, find, rate, self._log, on_wait
         )
         decision = self._decide(call, candidates)
         if decision.turn is Turn.LATER:
+            await on_wait()
             decision = await self._wait_for_turn(call, find)
         if decision.turn is Turn.HOPELESS:
             raise self._refusal(call, decision.plan)
@@ -80,11 +84,15 @@
         self, call: RoutedCall, find: Callable[[], list[Candidate]]
     ) -> TimedPlan:
         began_at_s = now_s()
-        while True:
-            await curio.sleep(random.uniform(POLL_MIN_S, POLL_MAX_S))
+
+        def decide() -> TimedPlan | None:
             decision = self._decide(call, find())
-            if decision.turn is not Turn.LATER:
-                break
+            return None if decision.turn is Turn.LATER else decision
+
+        must_start_at_s = call.arrived_at_s + min(
+            _patience_s(call), call.deadline_at_s - call.arrived_at_s
+        )
+        decision = await self._queues[call.service].wait(decide, must_start_at_s)
         self._log.write(
             Event.CALL_DEFERRED,
             request=call.call_id,
@@ -108,7 +116,7 @@
             candidates,
             call.prompt,
             self._fleet_pace(call.service, candidates),
-            self._zone,
+            call.zone,
             call.route.pause_s,
         )
         return TimedPlan(plan, self._turn(call, plan))
--- a/wisteriaarch/request/retry_share.py
+++ b/wisteriaarch/request/retry_share.py
@@ -1,8 +1,9 @@
-"""Share of one entry in the repeats that all entries together may send.
+"""Repeats that all entries together may send, as a scheduler or one entry shares them.
 
 Load pattern: a service fails or is full, callers come back at once, and every entry
-would like to repeat at the same moment. Each entry counts only its own requests and
-repeats, so that no call to the store or to a peer is needed for each.
+would like to repeat at the same moment. The entry that schedules the service counts the
+requests and repeats of all of them; one that reaches no scheduler counts its own and
+has its share of the slack.
 """
 
 from collections import deque
@@ -12,12 +13,22 @@
 from ..process.clock import now_s
 
 SAFETY = 0.85
+# Parts of the bound that a service's scheduler gives out, and that the entries may
+# use by themselves where they have reached it lately.
+SHARED_PART = 0.65
+OWN_PART = 0.2
+# Part of the slack that a new scheduler gives out; with the two parts above all of it.
+START_PART = 0.15
 
 
 @dataclass
 class ServiceWindow:
-    """Times of the requests for one service and of their repeats."""
+    """Times of the requests for one service and of their repeats.
 
+    ``since_s`` is when they began to be counted here.
+    """
+
+    since_s: float = 0.0
     requests: deque[float] = field(default_factory=deque)
     repeats: deque[float] = field(default_factory=deque)
 
@@ -29,7 +40,12 @@
 
 
 class RetryShare:
-    """Repeats by service; ``entries`` returns how many entries share the slack."""
+    """Repeats by service; ``entries`` returns how many entries share the slack.
+
+    ``part`` returns the part of the bound that is given out here. With ``ramps`` the
+    slack grows from ``START_PART`` of it over a window: what another scheduler gave out
+    before isn't known.
+    """
 
     def __init__(
         self,
@@ -38,12 +54,16 @@
         window_s: float,
         entries: Callable[[], int],
         clock: Callable[[], float] = now_s,
+        part: Callable[[], float] = lambda: SAFETY,
+        ramps: bool = False,
     ):
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
         self._entries = entries
         self._clock = clock
+        self._part = part
+        self._ramps = ramps
         self._services: dict[str, ServiceWindow] = {}
 
     def configure(self, ratio: float, slack: float, window_s: float) -> None:
@@ -78,10 +98,17 @@
         return max(0, int(self._allowed(window) - len(window.repeats)))
 
     def _allowed(self, window: ServiceWindow) -> float:
-        slack = self._slack / max(1, self._entries())
-        return SAFETY * (self._ratio * len(window.requests) + slack)
+        part = slack_part = self._part()
+        if self._ramps:
+            served_s = self._clock() - window.since_s
+            ramp = min(1.0, served_s / self._window_s)
+            slack_part = START_PART + (part - START_PART) * ramp
+        slack = slack_part * self._slack / max(1, self._entries())
+        return part * self._ratio * len(window.requests) + slack
 
     def _window(self, service: str) -> ServiceWindow:
-        window = self._services.setdefault(service, ServiceWindow())
+        window = self._services.get(service)
+        if window is None:
+            window = self._services[service] = ServiceWindow(self._clock())
         window.drop_before(self._clock() - self._window_s)
         return window
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -47,7 +47,9 @@
     ``headers`` are those that are passed on. ``resume_after`` is the last event that a
     resuming caller has seen. ``ran``, ``attempts`` and ``prompts_read``, how often an
     engine read the prompt apart, are as of now; a ``favoured`` one's prompt goes before
-    other long ones.
+    other long ones. ``zone`` is that of the entry that serves the caller,
+    ``placements`` counts how often the call was placed, ``repeats_left`` is how many
+    repeats its service had left then.
     """
 
     call_id: str
@@ -67,6 +69,9 @@
     offered: bool = False
     favoured: bool = False
     tried: set[str] = field(default_factory=set)
+    zone: str = ""
+    placements: int = 0
+    repeats_left: int = 0
 
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
--- a/wisteriaarch/request/shared_reading.py
+++ b/wisteriaarch/request/shared_reading.py
@@ -22,6 +22,13 @@
 SHARED_MIN_TOKENS = 2048
 
 
+OnWait = Callable[[], Awaitable[None]]
+
+
+async def ignore_wait() -> None:
+    """Do nothing where a call begins to wait."""
+
+
 def wait_limit_s(candidates: Sequence[Candidate], prompt: Prompt, rate: float) -> float:
     """Return how long to wait for a part that is being read; 0 where it doesn't pay.
 
@@ -40,23 +47,30 @@
 
 async def wait_for_part(
     call: RoutedCall,
+    candidates: list[Candidate],
     find: Callable[[], list[Candidate]],
     rate: float,
     log: EventLog,
+    on_wait: OnWait = ignore_wait,
     clock: Callable[[], float] = now_s,
     sleep: Callable[[float], Awaitable] = curio.sleep,
 ) -> list[Candidate]:
-    """Return the candidates once no part that the call needs is worth waiting for."""
+    """Return the candidates once no part that the call needs is worth waiting for.
+
+    ``candidates`` are those of now, ``find`` returns later ones.
+    """
     began_at_s = clock()
     left_s = WAIT_SHARE_OF_TIME_LEFT * call.remaining_s()
     waited_s = 0.0
     while True:
-        candidates = find()
         limit_s = min(left_s, wait_limit_s(candidates, call.prompt, rate))
         if waited_s >= limit_s:
             break
+        if not waited_s:
+            await on_wait()
         await sleep(min(WAIT_POLL_S, limit_s - waited_s))
         waited_s = clock() - began_at_s
+        candidates = find()
     if waited_s:
         log.write(Event.CALL_WAITED_FOR_PART, request=call.call_id, seconds=waited_s)
     return candidates
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..process.upstream_loads import ReportedLoad
 from ..process.upstreams import Upstream
 from ..wire import Headers, HttpResponse, OutgoingRequest
 from .routed_call import RoutedCall
@@ -38,7 +39,9 @@
 
     ``not_run`` is the upstream's word that it has not run the request. ``foreign``
     marks an answer to another request. ``keep_s`` is how long the upstream keeps an
-    idle connection, where it says so.
+    idle connection, where it says so, ``wait_s`` how long it wants to be left alone.
+    ``is_leaving`` is its word that it takes no new work, ``load`` its own report.
+    ``unreadable`` names headers whose values have no meaning.
     """
 
     status: int
@@ -47,6 +50,10 @@
     wrong_instance: bool = False
     foreign: bool = False
     keep_s: float | None = None
+    wait_s: float = 0.0
+    is_leaving: bool = False
+    load: ReportedLoad | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 class UpstreamProtocol(Protocol):
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -4,7 +4,7 @@
 
 struct Message {
   version @0 :UInt16;
-  kind @1 :UInt16;               # 1 heartbeat, 2 manifest query, 3 manifest, 4 news
+  kind @1 :UInt16;               # 1 heartbeat, 2 manifest query, 3 manifest
   sequence @2 :UInt64;           # grows with each heartbeat of the sender
   echo @3 :UInt64;               # last sequence received from the receiver; 0 for none
   digest @4 :Digest;
@@ -17,8 +17,8 @@
   crashRecords @2 :List(CrashRecord);
   sentWork @3 :List(SentWork);
   needsManifest @4 :Bool;        # behind, and the table can't be reached
-  placedParts @5 :List(PlacedPart);
-  readingPrefill @6 :Float32;    # no longer used, as readingDecode
+  placedParts @5 :List(PlacedPart);   # 5 to 9 are no longer used
+  readingPrefill @6 :Float32;
   readingDecode @7 :Float32;
   stageNotices @8 :List(StageNotice);
   readingDemands @9 :List(ReadingDemand);
--- a/wisteriaarch/version/stage_control.py
+++ b/wisteriaarch/version/stage_control.py
@@ -1,16 +1,23 @@
 """Changes stages of one service's engines, as the holder of its lease.
 
-Every entry decides by itself whether a change pays; only one that finds so competes for
-the lease, and the one that is first by rendezvous hashing tries first. So nothing is
-written to the store in the calm; the lease is read where entries come or go.
+The entry that schedules the service decides whether a change pays, since it knows the
+load; only where it does the entry competes for the lease. So nothing is written to the
+store in the calm. Two entries that both take themselves for the scheduler are kept
+apart by the lease.
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import curio
 
-from ..errors import LeaseLost, OrderError, OrderUnconfirmed
+from ..errors import (
+    LeaseLost,
+    OrderError,
+    OrderFenced,
+    OrderUnconfirmed,
+    PlatformError,
+)
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.lease import Lease
@@ -22,8 +29,6 @@
 # How much longer each further entry waits before it competes.
 CONTEND_STEP_S = 1.0
 RENEW_WITH_LEFT_SHARE = 0.5
-# What the peers are told reaches them before the order reaches the engine.
-TELL_PEERS_S = 0.05
 # An order without an answer may be carried out as late as this.
 UNSETTLED_S = 12.0
 REFUSED_PAUSE_S = 2.0
@@ -51,7 +56,7 @@
         observe: Callable[[], StageView],
         orders: StageOrders,
         changes: StageChanges,
-        announce: Callable[[], Awaitable[None]],
+        is_scheduler: Callable[[], bool],
         log: EventLog,
     ):
         self._service = service
@@ -60,7 +65,7 @@
         self._observe = observe
         self._orders = orders
         self._changes = changes
-        self._announce = announce
+        self._is_scheduler = is_scheduler
         self._log = log
         self._policy = StagePolicy()
         self._wanted_since_s: float | None = None
@@ -80,7 +85,11 @@
             await self.step()
 
     async def step(self) -> None:
-        """Decide once; give at most one order."""
+        """Decide once, where this entry is the scheduler; give at most one order."""
+        if not self._is_scheduler():
+            self._wanted_since_s = None
+            await self._release_when_due()
+            return
         view = self._observe()
         engines = tuple(item for item in view.engines if not self._is_left_alone(item))
         change = self._policy.decide(engines, view.demand, now_s())
@@ -99,6 +108,11 @@
         if not self._lease.is_held():
             await self._lease.look()
             return
+        await self._release_when_due()
+
+    async def _release_when_due(self) -> None:
+        if not self._lease.is_held():
+            return
         if self._order_age_s() >= self._lease.term_s:
             await self._lease.release()
         elif not self._lease.has_left(RENEW_WITH_LEFT_SHARE):
@@ -139,17 +153,27 @@
             if report.busy or report.stage is change.stage:
                 raise OrderError("the engine is changing or has changed already")
             self._changes.begin(upstream.upstream_id, change.stage)
-            await self._announce()
-            await curio.sleep(TELL_PEERS_S)
             epoch = await self._order(change, report.last_order)
         except OrderUnconfirmed as exc:
             self._end(Event.ORDER_UNCONFIRMED, change, UNSETTLED_S, exc)
+        except OrderFenced as exc:
+            self._end(Event.ORDER_ABANDONED, change, REFUSED_PAUSE_S, exc)
+            await self._retire_token()
         except (OrderError, LeaseLost) as exc:
             self._end(Event.ORDER_ABANDONED, change, REFUSED_PAUSE_S, exc)
         else:
             self._policy.note_changed(change.stage, now_s())
             self._write(Event.ORDER_ACCEPTED, change, epoch=epoch)
 
+    async def _retire_token(self) -> None:
+        """Order no more with a token that an engine has refused as old."""
+        try:
+            epoch = self._lease.require(0.0).epoch
+            await self._lease.raise_epoch(epoch)
+        except (LeaseLost, PlatformError) as exc:
+            self._lease.drop()
+            self._log.write(Event.LEASE_LOST, group=self._service, error=str(exc))
+
     async def _order(self, change: StageChange, last_order: int) -> int:
         """Have an order accepted; returns its fencing token.
 
--- a/wisteriaarch/version/stage_orders.py
+++ b/wisteriaarch/version/stage_orders.py
@@ -10,12 +10,19 @@
 
 import curio
 
-from ..errors import OrderError, OrderRefused, OrderUnconfirmed, WireError
+from ..errors import (
+    OrderError,
+    OrderFenced,
+    OrderRefused,
+    OrderUnconfirmed,
+    WireError,
+)
 from ..http_client import HttpClientConnection
 from ..process.lease import Lease
 from ..process.upstreams import Stage, Upstream
 from ..wire import HttpResponse, OutgoingRequest
 
+ANSWER_MAX_BYTES = 1024 * 1024
 ANSWER_TIMEOUT_S = 0.5
 LEASE_LEFT_S = 0.5
 
@@ -59,6 +66,9 @@
     def is_accepted(self, head: HttpResponse) -> bool:
         """Whether an engine carries the order out, or has done so before."""
 
+    def is_fenced(self, head: HttpResponse) -> bool:
+        """Whether an engine refused an order for its old fencing token."""
+
 
 class StageOrders:
     """Asks engines for their state and gives them orders, a connection for each."""
@@ -80,8 +90,8 @@
     async def deliver(self, order: StageOrder, lease: Lease) -> None:
         """Send an order while the lease holds.
 
-        Raises LeaseLost (nothing sent), OrderRefused (not carried out) or
-        OrderUnconfirmed (it may be carried out some time later).
+        Raises LeaseLost (nothing sent), OrderRefused (not carried out; OrderFenced for
+        an old token) or OrderUnconfirmed (it may be carried out some time later).
         """
         name = order.upstream.upstream_id
         req = self._protocol.order_request(order)
@@ -92,6 +102,8 @@
                     response = await _ask(conn, req)
         except (OSError, WireError, curio.TaskTimeout) as exc:
             raise OrderUnconfirmed(f"{name} did not answer an order: {exc!r}") from exc
+        if self._protocol.is_fenced(response):
+            raise OrderFenced(f"{name} has seen a token above {order.epoch}")
         if not self._protocol.is_accepted(response):
             raise OrderRefused(f"{name} answered {response.status} to an order")
 
@@ -103,5 +115,5 @@
 async def _ask(conn: HttpClientConnection, req: OutgoingRequest) -> HttpResponse:
     await conn.send_request(req.method, req.target, req.headers, req.body)
     response = await conn.read_head()
-    response.body = await conn.read_body()
+    response.body = await conn.read_body(ANSWER_MAX_BYTES)
     return response
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -1,6 +1,6 @@
 """Keeps a ``StageControl`` for each service with engines."""
 
-from collections.abc import Awaitable, Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from functools import partial
 
 import curio
@@ -50,7 +50,10 @@
 
 
 class StageSupervisor:
-    """One task for each service; no orders are given while ``is_closing``."""
+    """One task for each service; no orders are given while ``is_closing``.
+
+    ``is_scheduler`` tells whether this entry schedules a service and so knows its load.
+    """
 
     def __init__(
         self,
@@ -61,7 +64,7 @@
         knowledge: FleetKnowledge,
         routes: Callable[[], RouteTable | None],
         entries: Callable[[], Iterable[str]],
-        announce: Callable[[], Awaitable[None]],
+        is_scheduler: Callable[[str], bool],
         is_closing: Callable[[], bool],
         log: EventLog,
     ):
@@ -72,7 +75,7 @@
         self._knowledge = knowledge
         self._routes = routes
         self._entries = entries
-        self._announce = announce
+        self._is_scheduler = is_scheduler
         self._is_closing = is_closing
         self._log = log
         self._controls: dict[str, StageControl] = {}
@@ -116,6 +119,7 @@
             self._lease,
             self._entries,
             self._log,
+            partial(self._is_scheduler, service),
         )
         return StageControl(
             service,
@@ -124,6 +128,6 @@
             partial(view_stages, self._knowledge, service),
             self._orders,
             self._knowledge.changes,
-            self._announce,
+            partial(self._is_scheduler, service),
             self._log,
         )
