Let long prompts wait where they are scheduled, and engines have little in advance

Change: an engine is given work for 0.1 s in advance, counting what it has read of its present prompt; the others wait in one queue, first come first served, a starving size first, those that can be in time before late ones; refused as soon as hopeless. Also: watchers confirm between two answers of the store (they fell silent most of the time, so that others asked it); copies of rows are compressed.

--- a/tests/test_row_watch.py
+++ b/tests/test_row_watch.py
@@ -1,16 +1,27 @@
 """Watches of the store's rows, against a scripted store."""
 
 import unittest
+from unittest import mock
 
 import curio
 
 from wisteriaarch.errors import HistoryLost, StoreUnavailable
 from wisteriaarch.events import EventLog
-from wisteriaarch.process import upstreams as upstreams_module
+from wisteriaarch.process import (
+    row_watch as row_watch_module,
+    upstreams as upstreams_module,
+)
+from wisteriaarch.process.member_list import MemberList, MemberRecord
 from wisteriaarch.process.row_copy import RowCopy
 from wisteriaarch.process.row_watch import RowWatch
 from wisteriaarch.process.rows import RowsRead, RowTable, StoredRow
 from wisteriaarch.process.upstreams import Upstream, UpstreamRegistry
+from wisteriaarch.process.watch_duty import (
+    SILENT_AFTER_S,
+    STAGGER_S,
+    WATCHERS,
+    WatchDuty,
+)
 from wisteriaarch.wire import Address
 
 
@@ -39,6 +50,124 @@
         return answer
 
 
+class TableNewsTest(unittest.TestCase):
+    """One entry watches the store and tells another."""
+
+    def setUp(self):
+        log = EventLog("test")
+        self.told = []
+        self.source = ScriptedRows(
+            RowsRead((row("a", 1),), 5),
+            RowsRead((row("b", 7),), 9),
+            RowsRead((row("a", 11, deleted=True),), 12),
+            RowsRead((), 20),
+        )
+        self.watcher = RowWatch(self.source, RowTable.UPSTREAMS, 1.0, log, lambda: None)
+        self.watcher.on_seen = self.tell
+        self.follower = RowWatch(
+            ScriptedRows(), RowTable.UPSTREAMS, 1.0, log, lambda: None
+        )
+
+    async def tell(self, news):
+        self.told.append(news)
+
+    def watch(self, steps):
+        async def run():
+            for _ in range(steps):
+                await self.watcher._step()
+
+        curio.run(run)
+
+    def test_follower_has_what_the_watcher_has(self):
+        self.watch(4)
+        self.follower.install_copy(RowCopy((row("a", 1),), 5, 1))
+        for news in self.told[1:]:
+            self.assertTrue(self.follower.take_news(news))
+        self.assertEqual(self.follower.rows, {"b": row("b", 7)})
+        self.assertEqual(self.follower.version, 12)
+        self.assertTrue(self.follower.take_news(self.watcher.confirmed_news()))
+        self.assertEqual(self.follower.version, 20)
+
+    def test_news_after_lost_news_is_not_taken(self):
+        self.watch(3)
+        self.follower.install_copy(RowCopy((row("a", 1),), 5, 1))
+        self.assertFalse(self.follower.take_news(self.told[-1]))
+        self.assertEqual(list(self.follower.rows), ["a"])
+
+    def test_confirmation_tells_of_lost_news(self):
+        self.watch(4)
+        self.follower.install_copy(RowCopy((row("a", 1),), 5, 1))
+        self.assertFalse(self.follower.take_news(self.watcher.confirmed_news()))
+
+    def test_late_news_does_not_undo_a_removal(self):
+        self.watch(3)
+        self.follower.install_copy(self.watcher.copy())
+        for news in self.told:
+            self.follower.take_news(news)
+        self.assertEqual(list(self.follower.rows), ["b"])
+
+    def test_watcher_that_lost_the_store_confirms_nothing(self):
+        self.source.answers[3] = StoreUnavailable("away")
+        self.watch(4)
+        self.assertIsNone(self.watcher.confirmed_news())
+
+    def test_watcher_confirms_all_the_time_between_two_answers(self):
+        """Load: a calm store answers a watch only once in its whole wait."""
+        self.watch(4)
+        waited_s = 0.9 * 1.0
+        now_s = row_watch_module.now_s() + waited_s
+        with mock.patch.object(row_watch_module, "now_s", lambda: now_s):
+            self.assertIsNotNone(self.watcher.confirmed_news())
+
+    def test_return_of_the_store_is_told(self):
+        self.source.answers[3] = StoreUnavailable("away")
+        self.source.answers.append(RowsRead((), 21))
+        self.watch(5)
+        self.follower.install_copy(self.watcher.copy())
+        self.follower.take_news(self.watcher.confirmed_news())
+        self.assertAlmostEqual(
+            self.follower.regained_at_s, self.watcher.regained_at_s, delta=0.1
+        )
+
+
+class WatchDutyTest(unittest.TestCase):
+    """Which of many entries ask the store."""
+
+    def setUp(self):
+        self.now = 100.0
+
+    def duties(self, count):
+        records = [MemberRecord(f"e{number}", 1, ready=True) for number in range(count)]
+        duties = []
+        for own in records:
+            members = MemberList(own)
+            for other in records:
+                members.take(other)
+            duties.append(WatchDuty(members, lambda: self.now))
+        return duties
+
+    def due(self, duties):
+        return sum(duty.is_due() for duty in duties)
+
+    def test_few_of_many_watch_and_all_of_few(self):
+        many = self.duties(195)
+        for duty in many:
+            duty.note_watcher()
+        self.assertEqual(self.due(many), WATCHERS)
+        self.assertEqual(self.due(self.duties(9)), 9)
+
+    def test_one_takes_over_where_no_watcher_is_heard(self):
+        """Load: all watchers are lost at once, and a change comes."""
+        duties = self.duties(195)
+        for duty in duties:
+            duty.note_watcher()
+        self.now += SILENT_AFTER_S + (WATCHERS + 0.5) * STAGGER_S
+        self.assertEqual(self.due(duties), WATCHERS + 1)
+        for duty in duties:
+            duty.note_watcher()
+        self.assertEqual(self.due(duties), WATCHERS)
+
+
 class RowWatchTest(unittest.TestCase):
     def watch(self, *answers, on_change=lambda: None) -> RowWatch:
         self.source = ScriptedRows(*answers)
--- a/wisteriaarch/process/row_copy.py
+++ b/wisteriaarch/process/row_copy.py
@@ -2,12 +2,16 @@
 
 import base64
 import json
+import zlib
 from dataclasses import dataclass
 
 from ..errors import ConfigError
 from ..wire import load_json
 from .rows import StoredRow
 
+COMPRESSION_LEVEL = 1
+CONTENT_MAX_BYTES = 64 * 1024 * 1024
+
 
 @dataclass(frozen=True)
 class RowCopy:
@@ -31,17 +35,25 @@
             "changed": self.changed_version,
             "rows": items,
         }
-        return json.dumps(content).encode()
+        return zlib.compress(json.dumps(content).encode(), COMPRESSION_LEVEL)
 
     @classmethod
     def decode(cls, data: bytes) -> "RowCopy":
         """Read a copy; raises ConfigError."""
         try:
-            content = load_json(data)
+            content = load_json(_decompress(data))
             rows = tuple(
                 StoredRow(str(key), int(version), base64.b64decode(value))
                 for key, version, value in content["rows"]
             )
             return cls(rows, int(content["version"]), int(content["changed"]))
-        except (ValueError, KeyError, TypeError) as exc:
+        except (ValueError, KeyError, TypeError, zlib.error) as exc:
             raise ConfigError(f"rows from a peer: {exc!r}") from exc
+
+
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    content = decompressor.decompress(data, CONTENT_MAX_BYTES)
+    if not decompressor.eof:
+        raise ValueError("cut short or too large")
+    return content
--- a/wisteriaarch/process/row_watch.py
+++ b/wisteriaarch/process/row_watch.py
@@ -63,6 +63,7 @@
         self._backoff = Backoff(RETRY_MIN_S, RETRY_MAX_S, self._rng)
         self._following = False
         self._available = True
+        self._answered_at_s = float("-inf")
         self.rows: dict[str, StoredRow] = {}
         self.version = 0
         self.changed_version = 0
@@ -93,6 +94,7 @@
             self._note_unavailable(exc)
             return False
         self.confirmed_at_s = asked_at_s
+        self._answered_at_s = now_s()
         self._backoff.next_s(True)
         return True
 
@@ -160,7 +162,8 @@
 
         Only for what this entry asks by itself.
         """
-        if not self.has_contact(self._wait_s + CONFIRMED_MARGIN_S):
+        silent_s = now_s() - self._answered_at_s
+        if not self._available or silent_s > self._wait_s + CONFIRMED_MARGIN_S:
             return None
         return self._news(self.changed_version)
 
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -15,6 +15,7 @@
 PACE_MIN = 0.5
 PACE_MAX = 10.0
 TYPICAL_WEIGHT = 0.05
+READ_SHARE_MAX = 0.9
 
 
 @dataclass
@@ -57,22 +58,48 @@
 class UpstreamLoad:
     """What this entry has in flight on one upstream, and what it saw of it.
 
-    ``heard_at_s`` is when the upstream last answered anything here. ``unknown`` counts
-    requests that it reported at ``reported_at_s`` beyond those known here.
+    ``readings`` are the prompts being read there, in tokens, the first of them since
+    ``reading_since_s``. ``heard_at_s`` is when the upstream last answered anything
+    here. ``unknown`` counts requests that it reported at ``reported_at_s`` beyond those
+    known here.
     """
 
     requests: int = 0
     prompt_tokens: int = 0
+    readings: list[int] = field(default_factory=list)
+    reading_since_s: float = 0.0
     heard_at_s: float = 0.0
     unknown: int = 0
     reported_at_s: float = 0.0
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     pace: Pace = field(default_factory=Pace)
 
+    def begin(self, prompt_tokens: int) -> None:
+        """Take in a request in flight; its ``end`` is due once."""
+        self.requests += 1
+        self.prompt_tokens += prompt_tokens
+        if prompt_tokens:
+            if not self.readings:
+                self.reading_since_s = now_s()
+            self.readings.append(prompt_tokens)
+
     def end(self, prompt_tokens: int) -> None:
         """Take in that one request in flight has ended."""
         self.requests -= 1
         self.prompt_tokens -= prompt_tokens
+        if prompt_tokens:
+            self.readings.remove(prompt_tokens)
+            self.reading_since_s = now_s()
+
+    def tokens_left(self, at_s: float, rate: float) -> int:
+        """Return how many tokens are left to be read, at ``rate`` tokens a second.
+
+        A prompt that takes longer than it should counts with a rest of it.
+        """
+        if not self.readings:
+            return 0
+        read = rate * max(0.0, at_s - self.reading_since_s)
+        return int(self.prompt_tokens - min(read, READ_SHARE_MAX * self.readings[0]))
 
     def unknown_at(self, at_s: float) -> int:
         """Return the requests of others that a fresh report tells of."""
@@ -117,8 +144,7 @@
     def begin(self, upstream_id: str, prompt_tokens: int) -> UpstreamLoad:
         """Count one request as in flight; its ``end`` is due once."""
         load = self._loads[upstream_id]
-        load.requests += 1
-        load.prompt_tokens += prompt_tokens
+        load.begin(prompt_tokens)
         return load
 
     def note_report(self, upstream_id: str, report: ReportedLoad) -> None:
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -23,7 +23,7 @@
 class Candidate:
     """Upstream with what is known of its load; made anew for each decision.
 
-    ``requests`` and ``prompt_tokens`` are in flight from all entries, ``pace`` is how
+    ``requests`` are in flight, ``prompt_tokens`` are left to be read, ``pace`` is how
     much longer than others it takes, ``failure_share`` of recent attempts failed.
     ``holding`` is what is believed of the prompt's shared parts in its memory.
     """
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -26,6 +26,7 @@
         self._routes = routes
         self._loads = knowledge.loads
         self._cache = knowledge.cache
+        self._rate_of = knowledge.rate_of
         self._stage_changes = knowledge.changes
 
     def engine_of(self, service: str) -> EngineSpec | None:
@@ -65,13 +66,18 @@
         if all(item.stage is Stage.PREFILL for item in fresh):
             fresh = usable
         holding_of = self._holdings(call)
-        candidates = [self._candidate(item, now, holding_of) for item in fresh]
+        rate = self._rate_of(call.service)
+        candidates = [self._candidate(item, now, rate, holding_of) for item in fresh]
         if self._cache.is_young() and _shares_much(call):
             candidates = guess_holders(candidates, call.prompt)
         return relative_paces(candidates)
 
     def _candidate(
-        self, upstream: Upstream, now: float, holding_of: Callable[[str], Holding]
+        self,
+        upstream: Upstream,
+        now: float,
+        rate: float,
+        holding_of: Callable[[str], Holding],
     ) -> Candidate:
         name = upstream.upstream_id
         load = self._loads.of(name)
@@ -80,7 +86,7 @@
         return Candidate(
             upstream,
             requests=load.requests + load.unknown_at(now),
-            prompt_tokens=load.prompt_tokens,
+            prompt_tokens=load.tokens_left(now, rate),
             pace=load.pace.at(now),
             failure_share=health.failure_share(now),
             suspended=is_changing or health.is_suspended(now),
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -17,7 +17,7 @@
 from .shared_reading import OnWait, ignore_wait, wait_for_part
 from .size_shares import SizeShares
 from .stage_plan import MOVE_COST_S, FleetPace, StagePlan, plan_stages
-from .turn_queue import TurnQueue
+from .turn_queue import TurnQueue, Waiter
 from .urgency import queue_ahead_s
 
 # Callers of streams leave well before the deadline where nothing comes.
@@ -73,15 +73,22 @@
             call, candidates, find, rate, self._log, on_wait
         )
         decision = self._decide(call, candidates)
-        if decision.turn is Turn.LATER:
+        if decision.turn is Turn.LATER or self._is_behind_others(call, decision):
             await on_wait()
-            decision = await self._wait_for_turn(call, find)
+            decision = await self._wait_for_turn(call, decision.plan, find)
         if decision.turn is Turn.HOPELESS:
             raise self._refusal(call, decision.plan)
         return decision.plan
 
+    def _is_behind_others(self, call: RoutedCall, decision: TimedPlan) -> bool:
+        """Whether a long prompt would go before those that wait already."""
+        if not len(self._queues[call.service]) or decision.turn is Turn.HOPELESS:
+            return False
+        choice = decision.plan.prefill
+        return choice is not None and choice.tokens >= LONG_READING_TOKENS
+
     async def _wait_for_turn(
-        self, call: RoutedCall, find: Callable[[], list[Candidate]]
+        self, call: RoutedCall, plan: StagePlan, find: Callable[[], list[Candidate]]
     ) -> TimedPlan:
         began_at_s = now_s()
 
@@ -89,10 +96,17 @@
             decision = self._decide(call, find())
             return None if decision.turn is Turn.LATER else decision
 
-        must_start_at_s = call.arrived_at_s + min(
-            _patience_s(call), call.deadline_at_s - call.arrived_at_s
+        forecast = self._forecast(call, plan.prefill)
+        soonest_s = forecast.reading_s + forecast.running_s
+        waiter = Waiter(
+            call.arrived_at_s,
+            timely_until_s=began_at_s + forecast.aim_left_s - soonest_s,
+            hopeless_at_s=began_at_s + forecast.left_s - soonest_s,
+            favoured=call.favoured,
+            decide=decide,
+            refuse=lambda: TimedPlan(plan, Turn.HOPELESS),
         )
-        decision = await self._queues[call.service].wait(decide, must_start_at_s)
+        decision = await self._queues[call.service].wait(waiter)
         self._log.write(
             Event.CALL_DEFERRED,
             request=call.call_id,
--- a/wisteriaarch/request/reading_turn.py
+++ b/wisteriaarch/request/reading_turn.py
@@ -2,20 +2,17 @@
 
 Load pattern: for some seconds more long prompts arrive than the engines can read.
 Engines read in order of arrival, so that a standing queue there makes every prompt late
-until long after the burst. Prompts that can still be in time go at once and find short
-queues; the others wait at their entry until an engine has little else to read, or until
-they must start to be answered before their deadline. What can't be answered before its
-caller leaves is refused at once.
+until long after the burst. A prompt goes to an engine that has little else to read; the
+others wait where they are scheduled. What can't be answered before its caller leaves is
+refused at once.
 """
 
 from dataclasses import dataclass
 from enum import StrEnum
 
 LONG_READING_TOKENS = 2048
-# Work at an engine that another prompt hardly waits for.
-IDLE_S = 0.08
-START_MARGIN_S = 0.9
-START_MARGIN_FACTOR = 1.2
+# Work that an engine is given in advance: it covers the time until it is told of more.
+BACKLOG_S = 0.1
 # Predictions are off by about this; what may be in time is tried.
 HOPELESS_FACTOR = 1.3
 
@@ -28,7 +25,6 @@
 
     IN_TIME = "in time"
     IDLE_ENGINE = "idle engine"
-    LAST_MOMENT = "last moment"
     LATER = "later"
     HOPELESS = "hopeless"
 
@@ -56,13 +52,10 @@
 
 def choose_turn(forecast: ReadingForecast) -> Turn:
     """Return whether a prompt is to be placed now."""
-    if forecast.first_event_s <= forecast.aim_left_s:
-        return Turn.IN_TIME
-    if forecast.queue_s <= IDLE_S:
-        return Turn.IDLE_ENGINE
-    if forecast.first_event_s > HOPELESS_FACTOR * forecast.left_s:
+    if forecast.queue_s <= BACKLOG_S:
+        is_in_time = forecast.first_event_s <= forecast.aim_left_s
+        return Turn.IN_TIME if is_in_time else Turn.IDLE_ENGINE
+    soonest_s = forecast.first_event_s - forecast.queue_s
+    if soonest_s > HOPELESS_FACTOR * forecast.left_s:
         return Turn.HOPELESS
-    needed_s = START_MARGIN_S + START_MARGIN_FACTOR * forecast.first_event_s
-    if forecast.left_s <= needed_s:
-        return Turn.LAST_MOMENT
     return Turn.LATER
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -1,54 +1,63 @@
 """Queue of long prompts that wait until engines can read them.
 
-Load pattern: for tens of seconds more long prompts come than engines can read, and
-hundreds wait at the entry that schedules them. Looking at each of them every few
-milliseconds would take more than a core; so a few are looked at a time, first those
-that must start soonest to be answered at all.
+Load pattern: for tens of seconds more long prompts come than engines can read. Were
+they all sent to the engines, each would be late there; so the engines are kept with
+little to read, and the prompts wait here, in the order in which they came, those of a
+size that starves first. Prompts that can still be in time go before late ones. Hundreds
+may wait at the entry that schedules them, and only a few are looked at a time.
 """
 
-import random
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
 import curio
 
-TICK_S = 0.015
-# Looked at in a tick: those with the least time left, and others drawn at random.
-URGENT_MAX = 3
-DRAWN_MAX = 1
+from ..process.clock import now_s
+
+TICK_S = 0.01
+LOOKED_AT_MAX = 4
 
 Decision = TypeVar("Decision")
 
 
+@dataclass(eq=False)
 class Waiter(Generic[Decision]):
-    """One call in the queue; ``decide`` returns None while it is to wait on."""
+    """One call in the queue.
+
+    ``decide`` returns None while no engine can take the call, ``refuse`` what becomes
+    of it once its time is over. A call can be in time until ``timely_until_s``, and is
+    answered at all if it starts until ``hopeless_at_s``.
+    """
+
+    arrived_at_s: float
+    timely_until_s: float
+    hopeless_at_s: float
+    favoured: bool
+    decide: Callable[[], Decision | None]
+    refuse: Callable[[], Decision]
+    decision: Decision | None = None
+    decided: curio.Event = field(default_factory=curio.Event)
 
-    def __init__(self, decide: Callable[[], Decision | None], must_start_at_s: float):
-        self.decide = decide
-        self.must_start_at_s = must_start_at_s
-        self.decision: Decision | None = None
-        self.decided = curio.Event()
+    @property
+    def order(self) -> tuple[bool, float]:
+        """Key by which calls are looked at."""
+        return (not self.favoured, self.arrived_at_s)
 
 
 class TurnQueue(Generic[Decision]):
-    """Calls that wait; looked at by a task that runs while there are any."""
+    """Calls of one service that wait; a task looks at them while there are any."""
 
-    def __init__(self, rng: random.Random | None = None):
+    def __init__(self, clock: Callable[[], float] = now_s):
+        self._clock = clock
         self._waiters: list[Waiter[Decision]] = []
-        self._rng = rng or random.Random()
         self._is_looking = False
 
     def __len__(self) -> int:
         return len(self._waiters)
 
-    async def wait(
-        self, decide: Callable[[], Decision | None], must_start_at_s: float
-    ) -> Decision:
-        """Return the decision on a call, once there is one.
-
-        ``must_start_at_s`` orders the calls; it is when this one is too late to wait.
-        """
-        waiter = Waiter(decide, must_start_at_s)
+    async def wait(self, waiter: Waiter[Decision]) -> Decision:
+        """Return the decision on a call, once there is one."""
         self._waiters.append(waiter)
         try:
             if not self._is_looking:
@@ -63,20 +72,30 @@
     async def _look(self) -> None:
         try:
             while self._waiters:
-                await self.look_once()
+                for waiter in self.look_once():
+                    await waiter.decided.set()
                 await curio.sleep(TICK_S)
         finally:
             self._is_looking = False
 
-    async def look_once(self) -> None:
-        """Decide on the calls whose turn it is to be looked at."""
-        for waiter in self._chosen():
+    def look_once(self) -> list[Waiter[Decision]]:
+        """Decide on the calls whose turn it is; returns those that wait no more."""
+        now = self._clock()
+        ordered = sorted(self._waiters, key=lambda waiter: waiter.order)
+        timely = [waiter for waiter in ordered if now <= waiter.timely_until_s]
+        late = [waiter for waiter in ordered if now > waiter.timely_until_s]
+        decided = [waiter for waiter in late if now > waiter.hopeless_at_s]
+        for waiter in decided:
+            waiter.decision = waiter.refuse()
+        decided += self._decide_some(timely)
+        if all(waiter in decided for waiter in timely):
+            decided += self._decide_some([item for item in late if item not in decided])
+        self._waiters = [item for item in self._waiters if item not in decided]
+        return decided
+
+    @staticmethod
+    def _decide_some(waiters: list[Waiter[Decision]]) -> list[Waiter[Decision]]:
+        looked_at = waiters[:LOOKED_AT_MAX]
+        for waiter in looked_at:
             waiter.decision = waiter.decide()
-            if waiter.decision is not None:
-                self._waiters.remove(waiter)
-                await waiter.decided.set()
-
-    def _chosen(self) -> list[Waiter[Decision]]:
-        ordered = sorted(self._waiters, key=lambda waiter: waiter.must_start_at_s)
-        urgent, rest = ordered[:URGENT_MAX], ordered[URGENT_MAX:]
-        return urgent + self._rng.sample(rest, min(DRAWN_MAX, len(rest)))
+        return [waiter for waiter in looked_at if waiter.decision is not None]
