Split the gateway's links to other entries into modules; tests of the upstreams' words

Tests: a server that asks to be left alone, one that leaves by its own word alone, at two entries and until its restart; values without a meaning; connections reset while the scheduler writes to them. Ruled out: nothing measured.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -97,6 +97,28 @@
         self.assertEqual(self.ran("n3"), [])
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
+    def test_server_that_asks_to_be_left_alone_is_left_alone_for_that_long(self):
+        self.fail_next(APPS[:1], "wait", 1)
+        began_at_s = time.monotonic()
+        number = 0
+        while time.monotonic() - began_at_s < 1.3:
+            number += 1
+            self.assertEqual(self.send("GET", "/get/w", f"wait{number}").status, 200)
+        seen = [
+            item["attempt-id"]
+            for item in self.cluster.control(APPS[0])["seen"]
+            if item.get("attempt-id", "").startswith("wait")
+        ]
+        self.assertLessEqual(len(seen), 1)
+        time.sleep(0.5)
+        with ThreadPoolExecutor(8) as pool:
+            again = [
+                pool.submit(self.send, "GET", "/get/w", f"later{number}")
+                for number in range(8)
+            ]
+        for answer in again:
+            self.assertEqual(answer.result().status, 200)
+
     def test_answer_to_another_request_is_not_passed_on(self):
         self.fail_next(APPS, "foreign", 1)
         answer = self.send("POST", "/post/x", "f1")
@@ -294,6 +316,39 @@
             self.cluster.write("servers", "app-1", row)
             self.assertEqual(waiting.result(), 200)
 
+    def test_server_that_says_it_leaves_gets_nothing_from_any_entry(self):
+        """Its registration says that it is ready; a restart ends its word."""
+        self.cluster.start_server("app-2", "app")
+        first = self.start(2)
+        second = self.start(3, ports=first.ports)
+        wait_until(lambda: len(self._addresses(first)) == 2)
+        # At the same time, so that they go to both servers.
+        self.cluster.control("app-1", fault="leaving", count=100)
+        wait_until(lambda: self._asked_at_once(first) and self._word_is_out(first))
+        time.sleep(0.3)
+        before = len(self.cluster.control("app-1")["seen"])
+        for _ in range(3):
+            self._asked_at_once(first)
+            self._asked_at_once(second)
+        self.assertEqual(len(self.cluster.control("app-1")["seen"]), before)
+        row = server_row(self.cluster.processes["app-1"], "app", born=7)
+        self.cluster.control("app-1", fault="", count=0)
+        self.cluster.write("servers", "app-1", row)
+        wait_until(
+            lambda: (
+                self._asked_at_once(second)
+                and len(self.cluster.control("app-1")["seen"]) > before
+            )
+        )
+
+    def _asked_at_once(self, gateway) -> bool:
+        with ThreadPoolExecutor(6) as pool:
+            answers = [pool.submit(self.status, gateway, "/get/x") for _ in range(6)]
+        return all(answer.result() == 200 for answer in answers)
+
+    def _word_is_out(self, gateway) -> bool:
+        return '"event": 225' in gateway.log_path.read_text()
+
     def test_older_configuration_never_comes_back(self):
         gateway = self.start()
         added = route_row("new", "/new/", "idempotent", "app")
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -23,6 +23,8 @@
 from wisteriaarch.platform.upstreams import PlatformUpstreams
 from wisteriaarch.process.rows import StoredRow
 from wisteriaarch.process.store import Put, Transaction
+from wisteriaarch.process.upstream_health import WAIT_MAX_S
+from wisteriaarch.process.upstream_loads import ReportedLoad
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.upstream_protocol import PromptMemory, RunOptions
 from wisteriaarch.version.route_table import CallKind
@@ -244,6 +246,39 @@
         self.assertTrue(self.head(421).wrong_instance)
         self.assertEqual(self.head(200, own, ("Keep-Alive", "timeout=5")).keep_s, 5.0)
 
+    def test_word_of_leaving_is_read_in_any_answer(self):
+        own = ("Attempt-Id", "9c41")
+        for status in (200, 500, 503):
+            self.assertTrue(self.head(status, own, ("Server-Leaving", "1")).is_leaving)
+        self.assertFalse(self.head(200, own, ("Server-Leaving", "0")).is_leaving)
+        self.assertFalse(self.head(200, own).is_leaving)
+
+    def test_time_to_wait_is_read_and_bounded(self):
+        refused = ("Not-Executed", "1")
+
+        def wait_s(text, status=503):
+            return self.head(status, refused, ("Retry-After", text)).wait_s
+
+        self.assertEqual(wait_s("2.5"), 2.5)
+        self.assertEqual(wait_s("2.5", 500), 0.0)
+        self.assertEqual(wait_s("-3"), 0.0)
+        self.assertEqual(wait_s("inf"), WAIT_MAX_S)
+        self.assertEqual(wait_s("1e300"), WAIT_MAX_S)
+        for text in ("nan", "soon", ""):
+            head = self.head(503, refused, ("Retry-After", text))
+            self.assertEqual((head.wait_s, head.unreadable), (0.0, ("retry-after",)))
+
+    def test_load_is_read_where_it_has_a_meaning(self):
+        own = ("Attempt-Id", "9c41")
+        head = self.head(200, own, ("Server-Load", "3, 2,8"))
+        self.assertEqual(head.load, ReportedLoad(running=3, waiting=2, slots=8))
+        self.assertEqual(head.unreadable, ())
+        for text in ("3,2", "3,2,8,9", "a,b,c", "-1,0,8", "1.5,0,8", "9" * 40 + ",0,8"):
+            head = self.head(200, own, ("Server-Load", text))
+            self.assertIsNone(head.load)
+            self.assertEqual(head.unreadable, ("server-load",))
+        self.assertEqual(self.head(200, own).unreadable, ())
+
 
 class StoreAnswerTest(unittest.TestCase):
     def test_rows_and_removed_rows(self):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -2,17 +2,18 @@
 
 import contextlib
 import random
+import socket
+import struct
 import unittest
 from unittest import mock
 
 import curio
 
-from wisteriaarch.connection.scheduling_client import (
-    ANSWER_TIMEOUT_S,
-    FleetPlacer,
-    SchedulerLink,
-)
-from wisteriaarch.connection.scheduling_codec import decode_message, encode_message
+from wisteriaarch.connection.fleet_placer import FleetPlacer
+from wisteriaarch.connection.frames import to_frame
+from wisteriaarch.connection.scheduler_link import ANSWER_TIMEOUT_S, SchedulerLink
+from wisteriaarch.connection.scheduling_decoder import decode_message
+from wisteriaarch.connection.scheduling_encoder import encode_message
 from wisteriaarch.connection.scheduling_messages import (
     CopyAnswer,
     CopyQuestion,
@@ -162,16 +163,18 @@
             self.log,
         )
 
-    def serve(self, port=0):
+    def serve(self, copies=None):
         server = SchedulingServer(
-            Address("127.0.0.1", port), self.scheduler, self.learner, None, self.log
+            Address("127.0.0.1", 0), self.scheduler, self.learner, copies, self.log
         )
         sock = curio.tcp_server_socket("127.0.0.1", 0)
         return server, sock
 
 
-class ScheduledTest(unittest.TestCase):
-    """Two entries have their calls placed by a third."""
+class SchedulingCase(unittest.TestCase):
+    """Two entries, and a third that places their calls."""
+
+    copies = None
 
     def setUp(self):
         items = [
@@ -184,7 +187,7 @@
 
     def play(self, scenario):
         async def run():
-            server, sock = self.home.serve()
+            server, sock = self.home.serve(self.copies)
             addresses = {"home": Address(*sock.getsockname())}
             async with sock:
                 accepting = await curio.spawn(self.accept, server, sock, daemon=True)
@@ -217,6 +220,10 @@
     async def settle(self):
         await curio.sleep(0.1)
 
+
+class ScheduledTest(SchedulingCase):
+    """Two entries have their calls placed by a third."""
+
     def test_work_of_all_entries_is_spread_and_counted_until_its_end(self):
         async def scenario(one, two):
             placements = [
@@ -346,6 +353,35 @@
         self.play(scenario)
 
 
+class BrokenConnectionTest(SchedulingCase):
+    """Load: entries are killed while their scheduler writes to them."""
+
+    ANSWER_BYTES = 256 * 1024
+
+    def test_scheduler_outlives_connections_that_are_reset_while_it_writes(self):
+        copy = ManifestCopy(b"x" * self.ANSWER_BYTES, b"", 1)
+        self.copies = mock.Mock(copy=lambda: copy)
+
+        async def scenario(one, _two):
+            address = one._address_of("home")
+            for _ in range(30):
+                await self.ask_and_reset(address)
+            placement = await one.place(make_call(prompt=prompt(300)))
+            self.assertNotIsInstance(placement.ticket, NoTicket)
+
+        self.play(scenario)
+
+    async def ask_and_reset(self, address):
+        sock = await curio.open_connection(address.host, address.port)
+        frame = to_frame(encode_message(CopyQuestion()))
+        for _ in range(16):
+            await sock.sendall(frame)
+        await curio.sleep(0.01)
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        await sock.close()
+
+
 class LostSchedulerTest(unittest.TestCase):
     def setUp(self):
         self.entry = Entry("me", [upstream("d1", Stage.DECODE)])
--- /dev/null
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -0,0 +1,143 @@
+"""Has calls placed by the entries that schedule their services.
+
+Where none answers in time, this entry places the call by what it knows itself.
+"""
+
+from collections.abc import Callable
+
+from ..events import EventLog
+from ..process.cache_belief import Holding
+from ..process.clock import now_s
+from ..process.scheduler_choice import SchedulerChoice
+from ..process.upstreams import Upstream, UpstreamRegistry
+from ..request.attempt_outcome import LEFT, AttemptOutcome
+from ..request.candidate import Candidate, Choice
+from ..request.outcomes import AttemptFailed
+from ..request.placer import NoTicket, Placement, RunPlacement
+from ..request.routed_call import RoutedCall
+from ..request.scheduler import Scheduler
+from ..request.stage_plan import StagePlan
+from ..wire import Address
+from .scheduler_link import Answer, RemoteTicket, SchedulerLink
+from .scheduling_messages import PlacedChoice, RefusedAnswer
+
+ASKED_MAX = 2
+
+
+class FleetPlacer:
+    """Places calls through the entry that schedules their service.
+
+    ``shared`` places for all entries where this entry is the scheduler, ``fallback``
+    for this entry alone where no scheduler answers. ``address_of`` returns the peer
+    address of an entry.
+    """
+
+    def __init__(
+        self,
+        own_id: str,
+        choice: SchedulerChoice,
+        registry: UpstreamRegistry,
+        shared: Scheduler,
+        fallback: Scheduler,
+        address_of: Callable[[str], Address],
+        log: EventLog,
+    ):
+        self._own_id = own_id
+        self._choice = choice
+        self._registry = registry
+        self._shared = shared
+        self._fallback = fallback
+        self._address_of = address_of
+        self._log = log
+        self._links: dict[str, SchedulerLink] = {}
+        self.answered_at_s = float("-inf")
+
+    async def place(self, call: RoutedCall) -> Placement:
+        """Return where a call goes now; raises RequestError, AttemptFailed."""
+        scheduler = self._fallback
+        for name in self._choice.of(call.service)[:ASKED_MAX]:
+            if name == self._own_id:
+                scheduler = self._shared
+                break
+            answered = await self._ask(name, call, "")
+            if answered is not None:
+                self._count(call)
+                return await self._placement(call, *answered)
+        if scheduler is self._shared:
+            self._count(call)
+        return Placement(await scheduler.place(call), NoTicket())
+
+    def _count(self, call: RoutedCall) -> None:
+        """Count a call that is placed elsewhere as a request of this entry too."""
+        if call.placements == 0:
+            self._fallback.retries.note_request(call.service)
+
+    async def place_run(self, call: RoutedCall, reader: Upstream) -> RunPlacement:
+        """Return where a prompt runs that ``reader`` has read; raises AttemptFailed."""
+        for name in self._choice.of(call.service)[:ASKED_MAX]:
+            if name == self._own_id:
+                break
+            answered = await self._ask(name, call, reader.upstream_id)
+            if answered is not None:
+                placement = await self._placement(call, *answered)
+                return RunPlacement(placement.plan.decode, placement.ticket)
+        return RunPlacement(self._fallback.place_run(call, reader), NoTicket())
+
+    async def _ask(
+        self, name: str, call: RoutedCall, reader_id: str
+    ) -> tuple[Answer, RemoteTicket] | None:
+        link = self._links.get(name)
+        if link is None:
+            link = SchedulerLink(self._address_of(name), self._log)
+            self._links[name] = link
+        if link.is_paused:
+            return None
+        answered = await link.ask(call, reader_id)
+        if answered is not None:
+            self.answered_at_s = now_s()
+        return answered
+
+    async def _placement(
+        self, call: RoutedCall, answer: Answer, ticket: RemoteTicket
+    ) -> Placement:
+        if isinstance(answer, RefusedAnswer):
+            if answer.error is None:
+                raise AttemptFailed.nothing_sent(answer.detail)
+            answer.error.ran = call.ran
+            raise answer.error
+        call.favoured = answer.favoured
+        call.repeats_left = answer.repeats_left
+        self._shared.parts.knowledge.take_rate(call.service, answer.rate)
+        plan = StagePlan(
+            self._choice_from(answer.reading), self._choice_from(answer.running)
+        )
+        wanted = plan.prefill if answer.reading is not None else plan.decode
+        if wanted is None:
+            chosen = answer.reading or answer.running
+            call.tried.add(chosen.upstream_id)
+            await ticket.ended(AttemptOutcome(LEFT, 0.0))
+            raise AttemptFailed.nothing_sent("the upstream isn't usable here")
+        return Placement(plan, ticket)
+
+    def _choice_from(self, placed: PlacedChoice | None) -> Choice | None:
+        """Return a choice among the upstreams that this entry may use."""
+        if placed is None:
+            return None
+        upstream = self._registry.usable_one(placed.upstream_id)
+        loads = self._shared.parts.knowledge.loads
+        if upstream is None or loads.must_wait(placed.upstream_id):
+            return None
+        candidate = Candidate(
+            upstream,
+            placed.requests,
+            placed.prompt_tokens,
+            placed.pace,
+            holding=Holding(placed.holding),
+        )
+        source = self._registry.get(placed.fetch_from_id)
+        return Choice(candidate, placed.cost_s, source, placed.tokens)
+
+    async def close(self) -> None:
+        """Close the connections to schedulers."""
+        for link in self._links.values():
+            await link.close()
--- a/wisteriaarch/connection/message_link.py
+++ b/wisteriaarch/connection/message_link.py
@@ -11,7 +11,8 @@
 from ..sockets import open_socket
 from ..wire import Address
 from .frames import FrameReader, to_frame
-from .scheduling_codec import decode_message, encode_message
+from .scheduling_decoder import decode_message
+from .scheduling_encoder import encode_message
 from .scheduling_messages import Message
 
 QUEUED_MAX = 4096
--- a/wisteriaarch/connection/scheduling_codec.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -1,9 +1,7 @@
-"""Encoding of the messages of ``scheduling_messages`` by Cap'n Proto."""
+"""Decoding of the messages of ``scheduling_messages``, which another entry sent."""
 
 import math
 from collections.abc import Callable
-from functools import singledispatch
-from pathlib import Path
 from typing import Any
 
 import capnp
@@ -27,27 +25,15 @@
     WaitingNotice,
     WithdrawnNotice,
 )
+from .scheduling_schema import MS_PER_S, schema
 
-SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "scheduling.capnp"
-MS_PER_S = 1000
-NO_TIME_MS = -1.0
 LIST_MAX = 1024
-# Deadlines that a caller left open are told as this.
-LEFT_MAX_MS = 3_600_000.0
-
-capnp.remove_import_hook()
-_schema = capnp.load(str(SCHEMA_PATH))
-
-
-def encode_message(message: Message) -> bytes:
-    """Encode a message."""
-    return _schema.Message.new_message(**_fields_of(message)).to_bytes()
 
 
 def decode_message(data: bytes) -> Message:
     """Decode a message; raises FrameError where it is malformed or unknown."""
     try:
-        with _schema.Message.from_bytes(data) as frame:
+        with schema.Message.from_bytes(data) as frame:
             kind = str(frame.which())
             decode = _DECODERS.get(kind)
             if decode is None:
@@ -57,143 +43,6 @@
         raise FrameError(f"malformed message: {str(exc).splitlines()[0]}") from exc
 
 
-@singledispatch
-def _fields_of(message: Any) -> dict:
-    raise TypeError(f"no message: {message!r}")
-
-
-@_fields_of.register
-def _(message: PlaceQuestion) -> dict:
-    call, prompt = message.call, message.call.prompt
-    now = now_s()
-    content = {
-        "number": message.number,
-        "callId": call.call_id,
-        "service": call.service,
-        "route": _route_fields(call.route),
-        "readAt": message.reader_id,
-        "elapsedMs": (now - call.arrived_at_s) * MS_PER_S,
-        "leftMs": min(LEFT_MAX_MS, (call.deadline_at_s - now) * MS_PER_S),
-        "zone": call.zone,
-        "tried": list(call.tried),
-        "repeats": call.placements > 0,
-        "attempts": call.attempts,
-        "promptsRead": call.prompts_read,
-    }
-    if prompt is not None:
-        content |= {
-            "hasPrompt": True,
-            "inputTokens": prompt.input_tokens,
-            "outputTokens": prompt.output_tokens_max,
-            "parts": [
-                {"id": part.part_id, "tokens": part.tokens} for part in prompt.parts
-            ],
-        }
-    return {"place": content}
-
-
-def _route_fields(route: Route) -> dict:
-    pause_ms = NO_TIME_MS if route.pause_s is None else route.pause_s * MS_PER_S
-    return {
-        "name": route.name,
-        "kind": route.kind.value,
-        "objectiveMs": route.objective_s * MS_PER_S,
-        "pauseMs": pause_ms,
-        "attemptsMax": route.attempts_max,
-        "resumable": route.resumable,
-        "priority": route.priority,
-    }
-
-
-@_fields_of.register
-def _(message: PlacedAnswer) -> dict:
-    content = {
-        "number": message.number,
-        "favoured": message.favoured,
-        "repeatsLeft": message.repeats_left,
-        "rate": message.rate,
-    }
-    for name, choice in (("reading", message.reading), ("running", message.running)):
-        if choice is not None:
-            content[name] = {
-                "upstream": choice.upstream_id,
-                "costMs": choice.cost_s * MS_PER_S,
-                "tokens": choice.tokens,
-                "fetchFrom": choice.fetch_from_id,
-                "requests": choice.requests,
-                "promptTokens": choice.prompt_tokens,
-                "pace": choice.pace,
-                "holding": choice.holding,
-            }
-    return {"placed": content}
-
-
-@_fields_of.register
-def _(message: WaitingNotice) -> dict:
-    return {"waiting": message.number}
-
-
-@_fields_of.register
-def _(message: RefusedAnswer) -> dict:
-    error = message.error
-    after_s = error.retry_after_s if error is not None else None
-    return {
-        "refused": {
-            "number": message.number,
-            "kind": error.kind.value if error is not None else "",
-            "detail": message.detail,
-            "retryAfterMs": int((after_s or 0.0) * MS_PER_S),
-        }
-    }
-
-
-@_fields_of.register
-def _(message: OutcomeReport) -> dict:
-    outcome = message.outcome
-    first_s = outcome.first_event_s
-    content = {
-        "number": message.number,
-        "cause": outcome.cause,
-        "elapsedMs": outcome.elapsed_s * MS_PER_S,
-        "firstMs": NO_TIME_MS if first_s is None else first_s * MS_PER_S,
-        "isBusy": outcome.is_busy,
-        "isDown": outcome.is_down,
-        "waitMs": int(outcome.wait_s * MS_PER_S),
-        "isLeaving": outcome.is_leaving,
-    }
-    if outcome.load is not None:
-        content |= {
-            "hasLoad": True,
-            "running": outcome.load.running,
-            "waitingRequests": outcome.load.waiting,
-            "slots": outcome.load.slots,
-        }
-    return {"outcome": content}
-
-
-@_fields_of.register
-def _(message: WithdrawnNotice) -> dict:
-    return {"withdrawn": message.number}
-
-
-@_fields_of.register
-def _(_message: CopyQuestion) -> dict:
-    return {"copyQuery": None}
-
-
-@_fields_of.register
-def _(message: CopyAnswer) -> dict:
-    copy = message.copy
-    if copy is None:
-        return {"copy": {}}
-    content = {
-        "upstreams": copy.head,
-        "configuration": copy.body,
-        "version": copy.row_version,
-    }
-    return {"copy": content}
-
-
 def _question_from(item) -> PlaceQuestion:
     _check_finite(item.elapsedMs, item.leftMs)
     if max(len(item.parts), len(item.tried)) > LIST_MAX:
--- /dev/null
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -0,0 +1,164 @@
+"""Encoding of the messages of ``scheduling_messages`` by Cap'n Proto."""
+
+from functools import singledispatch
+from typing import Any
+
+from ..process.clock import now_s
+from ..version.route_table import Route
+from .scheduling_messages import (
+    CopyAnswer,
+    CopyQuestion,
+    Message,
+    OutcomeReport,
+    PlacedAnswer,
+    PlaceQuestion,
+    RefusedAnswer,
+    WaitingNotice,
+    WithdrawnNotice,
+)
+from .scheduling_schema import MS_PER_S, NO_TIME_MS, schema
+
+# Deadlines that a caller left open are told as this.
+LEFT_MAX_MS = 3_600_000.0
+
+
+def encode_message(message: Message) -> bytes:
+    """Encode a message."""
+    return schema.Message.new_message(**_fields_of(message)).to_bytes()
+
+
+@singledispatch
+def _fields_of(message: Any) -> dict:
+    raise TypeError(f"no message: {message!r}")
+
+
+@_fields_of.register
+def _(message: PlaceQuestion) -> dict:
+    call, prompt = message.call, message.call.prompt
+    now = now_s()
+    content = {
+        "number": message.number,
+        "callId": call.call_id,
+        "service": call.service,
+        "route": _route_fields(call.route),
+        "readAt": message.reader_id,
+        "elapsedMs": (now - call.arrived_at_s) * MS_PER_S,
+        "leftMs": min(LEFT_MAX_MS, (call.deadline_at_s - now) * MS_PER_S),
+        "zone": call.zone,
+        "tried": list(call.tried),
+        "repeats": call.placements > 0,
+        "attempts": call.attempts,
+        "promptsRead": call.prompts_read,
+    }
+    if prompt is not None:
+        content |= {
+            "hasPrompt": True,
+            "inputTokens": prompt.input_tokens,
+            "outputTokens": prompt.output_tokens_max,
+            "parts": [
+                {"id": part.part_id, "tokens": part.tokens} for part in prompt.parts
+            ],
+        }
+    return {"place": content}
+
+
+def _route_fields(route: Route) -> dict:
+    pause_ms = NO_TIME_MS if route.pause_s is None else route.pause_s * MS_PER_S
+    return {
+        "name": route.name,
+        "kind": route.kind.value,
+        "objectiveMs": route.objective_s * MS_PER_S,
+        "pauseMs": pause_ms,
+        "attemptsMax": route.attempts_max,
+        "resumable": route.resumable,
+        "priority": route.priority,
+    }
+
+
+@_fields_of.register
+def _(message: PlacedAnswer) -> dict:
+    content = {
+        "number": message.number,
+        "favoured": message.favoured,
+        "repeatsLeft": message.repeats_left,
+        "rate": message.rate,
+    }
+    for name, choice in (("reading", message.reading), ("running", message.running)):
+        if choice is not None:
+            content[name] = {
+                "upstream": choice.upstream_id,
+                "costMs": choice.cost_s * MS_PER_S,
+                "tokens": choice.tokens,
+                "fetchFrom": choice.fetch_from_id,
+                "requests": choice.requests,
+                "promptTokens": choice.prompt_tokens,
+                "pace": choice.pace,
+                "holding": choice.holding,
+            }
+    return {"placed": content}
+
+
+@_fields_of.register
+def _(message: WaitingNotice) -> dict:
+    return {"waiting": message.number}
+
+
+@_fields_of.register
+def _(message: RefusedAnswer) -> dict:
+    error = message.error
+    after_s = error.retry_after_s if error is not None else None
+    return {
+        "refused": {
+            "number": message.number,
+            "kind": error.kind.value if error is not None else "",
+            "detail": message.detail,
+            "retryAfterMs": int((after_s or 0.0) * MS_PER_S),
+        }
+    }
+
+
+@_fields_of.register
+def _(message: OutcomeReport) -> dict:
+    outcome = message.outcome
+    first_s = outcome.first_event_s
+    content = {
+        "number": message.number,
+        "cause": outcome.cause,
+        "elapsedMs": outcome.elapsed_s * MS_PER_S,
+        "firstMs": NO_TIME_MS if first_s is None else first_s * MS_PER_S,
+        "isBusy": outcome.is_busy,
+        "isDown": outcome.is_down,
+        "waitMs": int(outcome.wait_s * MS_PER_S),
+        "isLeaving": outcome.is_leaving,
+    }
+    if outcome.load is not None:
+        content |= {
+            "hasLoad": True,
+            "running": outcome.load.running,
+            "waitingRequests": outcome.load.waiting,
+            "slots": outcome.load.slots,
+        }
+    return {"outcome": content}
+
+
+@_fields_of.register
+def _(message: WithdrawnNotice) -> dict:
+    return {"withdrawn": message.number}
+
+
+@_fields_of.register
+def _(_message: CopyQuestion) -> dict:
+    return {"copyQuery": None}
+
+
+@_fields_of.register
+def _(message: CopyAnswer) -> dict:
+    copy = message.copy
+    if copy is None:
+        return {"copy": {}}
+    content = {
+        "upstreams": copy.head,
+        "configuration": copy.body,
+        "version": copy.row_version,
+    }
+    return {"copy": content}
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -1,48 +1,39 @@
 """Entry that serves routes on a platform: puts the parts together."""
 
-import itertools
 import json
 import random
-import time
 from collections.abc import Awaitable, Callable
 from functools import partial
+from itertools import islice
 
 import curio
 
 from .adapter import PlatformAdapter
 from .connection.caller import AnswerForm, CallerConnection
 from .connection.callers import CallerServer
-from .connection.copy_client import CopyClient
+from .connection.fleet_placer import FleetPlacer
 from .connection.info_server import InfoAnswer, InfoServer
 from .connection.pool import UpstreamPool
-from .connection.prober import Prober
-from .connection.scheduling_client import FleetPlacer
 from .connection.scheduling_server import SchedulingServer
-from .connection.store_relay import StoreRelay
+from .entry_network import EntryNetwork
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
 from .gauges import GatewayGauges
-from .process.address_choice import choose_entries
 from .process.clock import now_s
-from .process.entry_list import EntryList
-from .process.fleet import Fleet
 from .process.fleet_knowledge import FleetKnowledge
-from .process.fleet_state import FleetState
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
-from .process.member_list import MemberList, MemberRecord
 from .process.metrics import Metrics
 from .process.scheduler_choice import SchedulerChoice
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
-from .process.watch_duty import WatchDuty
 from .request.call_runner import CallRunner
 from .request.retry_share import OWN_PART, SAFETY, SHARED_PART, RetryShare
 from .request.scheduler import Scheduler, SchedulingParts
 from .sockets import listen_on
 from .version.stage_supervisor import StageSupervisor
-from .wire import Address, HttpRequest
+from .wire import HttpRequest
 
 JSON_HEADERS = [("Content-Type", "application/json")]
 TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
@@ -52,7 +43,6 @@
 LEAVE_SPREAD_S = 0.3
 FIRST_ROUTES_WAIT_S = 0.3
 FIRST_ROUTES_POLL_S = 0.05
-MS_PER_S = 1000
 CRASHES_TOLD_MAX = 16
 
 
@@ -68,51 +58,9 @@
         self.closing = False
         self._adapter = adapter
         self._rng = random.Random(settings.seed)
-        self.members = MemberList(
-            MemberRecord(
-                settings.entry_id,
-                incarnation=int(time.time() * MS_PER_S),
-                zone=settings.zone,
-                cores=settings.cores,
-            )
-        )
-        self._duty = WatchDuty(self.members)
-        self.state = FleetState(
-            adapter,
-            settings.watch_wait_s,
-            self.log,
-            settings.seed,
-            self._duty.is_due,
-        )
-        self._entries = EntryList(
-            adapter.rows,
-            settings.entry_id,
-            settings.zone,
-            settings.front.port,
-            settings.peer_port,
-            tuple(Address.parse(seed).host for seed in settings.seeds),
-        )
-        self._fleet = Fleet(
-            self._entries,
-            settings.entries_poll_every_s,
-            settings.seed,
-            self._entries.known(),
-        )
-        self._prober = Prober(
-            self.members,
-            self._listed_entries,
-            settings.peer_port,
-            lambda: self.state.generation,
-            self.log,
-            settings.seed,
-        )
-        self._copies = CopyClient(
-            self.members, self.state, self._peer_address, self.log, settings.seed
-        )
-        self._relay = StoreRelay(
-            self._prober, self._duty, self.state, self._copies, settings.seed
-        )
-        self._choice = SchedulerChoice(self.members)
+        self.network = EntryNetwork(settings, adapter, self.log)
+        self.state = self.network.state
+        self._choice = SchedulerChoice(self.network.members)
         self.knowledge = FleetKnowledge.from_registry(self.state.registry)
         self._pool = UpstreamPool()
         self._build_schedulers()
@@ -126,11 +74,16 @@
             self.metrics,
             self.log,
         )
-        self._prober.known_crashes = self._runner.crashes.export
-        self._prober.absorb_crashes = self._runner.crashes.absorb
+        self.network.share_crashes(
+            self._runner.crashes.export, self._runner.crashes.absorb
+        )
         self._stages = self._build_stage_supervisor()
         self._gauges = GatewayGauges(
-            self.state, self.members, self.knowledge, self.retries, self._stages
+            self.state,
+            self.network.members,
+            self.knowledge,
+            self.retries,
+            self._stages,
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
@@ -141,7 +94,7 @@
         bounds = self.settings.retry
         bounds = (bounds.ratio, bounds.slack, bounds.window_s)
         self.retries = RetryShare(
-            *bounds, self._count_entries, part=self._own_retry_part
+            *bounds, self.network.count, part=self._own_retry_part
         )
         self._shared_retries = RetryShare(
             *bounds, lambda: 1, part=lambda: SHARED_PART, ramps=True
@@ -153,7 +106,7 @@
             self.state.registry,
             self._shared,
             Scheduler(parts, self.retries),
-            self._peer_address,
+            self.network.peer_address,
             self.log,
         )
 
@@ -164,13 +117,15 @@
 
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
-            Contender(self.settings.entry_id, str(self.members.own.incarnation)),
+            Contender(
+                self.settings.entry_id, str(self.network.members.own.incarnation)
+            ),
             self._adapter.table,
             self.settings.lease,
             self._adapter.orders,
             self.knowledge,
             lambda: self.state.routes,
-            lambda: [item.entry_id for item in self.members.living()],
+            lambda: [item.entry_id for item in self.network.members.living()],
             self._choice.is_own,
             lambda: self.closing,
             self.log,
@@ -211,20 +166,15 @@
     def _task_mains(self) -> list[Callable[[], Awaitable]]:
         settings = self.settings
         return [
-            self._entries.register,
-            self._fleet.run,
-            self._prober.run,
+            *self.network.task_mains(),
             self._announce_ready,
             SchedulingServer(
-                self._peer_address(settings.entry_id),
+                self.network.peer_address(settings.entry_id),
                 self._shared,
                 self._runner.learner,
                 self.state,
                 self.log,
             ).run,
-            self._copies.run,
-            self._relay.run,
-            *self.state.task_mains(),
             *([self._stages.run] if settings.change_stages else ()),
             InfoServer("ready", settings.ready.address(), self._answer_info).run,
             InfoServer(
@@ -273,12 +223,11 @@
         await curio.Event().wait()
 
     async def _announce_own(self) -> None:
-        self.members.change_own(ready=self.is_ready, leaving=self.closing)
-        await self._prober.announce()
+        await self.network.announce(ready=self.is_ready, leaving=self.closing)
 
     async def _announce_crashes(self) -> None:
-        records = itertools.islice(self._runner.crashes.export(), CRASHES_TOLD_MAX)
-        await self._prober.announce(tuple(records))
+        records = self._runner.crashes.export()
+        await self.network.announce_crashes(islice(records, CRASHES_TOLD_MAX))
 
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
@@ -302,7 +251,7 @@
             return InfoAnswer(200 if self.is_ready else 503)
         if not self._adapter.is_address_query(req):
             return InfoAnswer(404)
-        addresses = self._ready_addresses(self._adapter.asker_zone(req))
+        addresses = self.network.caller_addresses(self._adapter.asker_zone(req))
         if not addresses:
             return InfoAnswer(503)
         content = self._adapter.encode_addresses(
@@ -310,22 +259,6 @@
         )
         return InfoAnswer(200, json.dumps(content).encode(), JSON_HEADERS)
 
-    def _ready_addresses(self, zone: str) -> list[Address]:
-        names = choose_entries(self.members.living(), zone, self._rng)
-        return [self._entries.instance(name).address for name in names]
-
-    def _peer_address(self, entry_id: str) -> Address:
-        return self._entries.instance(entry_id).peer_address
-
     def _answer_metrics(self, _req: HttpRequest) -> InfoAnswer:
         text = self.metrics.render(self._gauges.read())
         return InfoAnswer(200, text.encode(), TEXT_HEADERS)
-
-    def _listed_entries(self) -> list[str]:
-        return [item.instance_id for item in self._fleet.of_kind("entry")]
-
-    def _count_entries(self) -> int:
-        known = {item.entry_id for item in self.members.living()}
-        if len(known) == 1:
-            known.update(self._listed_entries())
-        return len(known)
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -19,6 +19,7 @@
 EVENTS = 4
 EVENT_INTERVAL_S = 0.01
 TOKENS_PER_S = 50_000
+WAIT_S = "1.5"
 REFUSED = [("Not-Executed", "1")]
 CONTROL_PATH = "/emulate"
 
@@ -27,9 +28,10 @@
 class ServerEmulator:
     """One server; ``ran`` lists the ids of the requests that it ran.
 
-    ``fault`` is what happens to the next requests: shed (declined), close (the
-    connection ends after the request was read), error (answered 500), silent (never
-    answered), foreign (another request's answer goes first), cut (a stream ends within
+    ``fault`` is what happens to the next requests: shed (declined), wait (declined,
+    with a time to wait), close (the connection ends after the request was read), error
+    (answered 500), silent (never answered), leaving (answered, with the word that it
+    leaves), foreign (another request's answer goes first), cut (a stream ends within
     its second event); ``fault_left`` counts them. A request with a header ``Crash``
     ends the process.
     """
@@ -64,6 +66,9 @@
             await conn.send_response(421, [("Instance-Id", self.server_id)])
             return True
         fault = self._next_fault()
+        if fault == "wait":
+            await conn.send_response(503, [*REFUSED, ("Retry-After", WAIT_S)])
+            return True
         if fault == "shed" or self.orders.is_busy:
             await conn.send_response(503, REFUSED)
             return True
@@ -127,6 +132,8 @@
         headers = self._headers(req)
         if fault == "foreign":
             await self._send_foreign(conn)
+        if fault == "leaving":
+            headers.append(("Server-Leaving", "1"))
         if fault == "error":
             await conn.send_response(500, headers, b"failed")
             return True
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -69,9 +69,6 @@
     watch_wait_s: float = Field(default=1.5, gt=0)
     entries_poll_every_s: float = Field(default=60.0, gt=0)
     settings_poll_every_s: float = Field(default=1.0, gt=0)
-    heartbeat_every_s: float = Field(default=0.25, gt=0)
-    freshness_bound_s: float = Field(default=3.0, gt=0)
-    peers_max: int = Field(default=12, ge=2)
     callers_keep_s: float = Field(default=1.0, gt=0)
     stop_grace_s: float = Field(default=8.0, gt=0)
     change_stages: bool = True
@@ -98,11 +95,6 @@
             drift_margin_s=term_s * LEASE_DRIFT_SHARE,
         )
 
-    @property
-    def peer_listen(self) -> AddressSettings:
-        """Address for heartbeats of peers."""
-        return AddressSettings(host=self.entry_id, port=self.peer_port)
-
     @property
     def metrics_listen(self) -> AddressSettings:
         """Address of the metrics."""
