Count prompts that wait as demand, and in the way of reading apart

Change: a prompt that begins to wait counts as demand at once; the tokens before it are part of what reading apart costs; a late prompt is refused as soon as those before it take longer than it has. A scheduler that takes over asks engines that may hold a part, as after a start.

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -284,6 +284,8 @@
                 self.now + forecast.aim_left_s - soonest_s,
                 self.now + forecast.left_s - soonest_s,
                 asked.favoured,
+                tokens,
+                len(self.engines) * RATE,
                 lambda: self.decide(asked),
                 lambda: self.refuse(asked),
             )
--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -104,6 +104,14 @@
         plan = plan_stages(fleet(), prompt(600), busy, "z1", 0.15)
         self.assertIsNotNone(plan.prefill)
 
+    def test_prompts_that_wait_are_in_the_way_of_reading_apart(self):
+        """Load: engines that read prompts have little in advance, and a queue waits."""
+        calm = plan_stages(fleet(), prompt(1900), CALM, "z1", 0.15)
+        self.assertIsNotNone(calm.prefill)
+        queued = FleetPace(RATE, queued_s=0.5)
+        plan = plan_stages(fleet(), prompt(1900), queued, "z1", 0.15)
+        self.assertIsNone(plan.prefill)
+
     def test_reading_never_holds_streams_longer_than_their_pause(self):
         items = [
             candidate("p0", Stage.PREFILL, prompt_tokens=400_000),
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -27,6 +27,7 @@
 )
 from wisteriaarch.connection.scheduling_server import SchedulingServer
 from wisteriaarch.errors import ErrorKind, FrameError, RequestError
+from wisteriaarch.process.cache_belief import YOUNG_S
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_knowledge import FleetKnowledge
 from wisteriaarch.process.manifest_copy import ManifestCopy
@@ -278,6 +279,17 @@
             await placement.ticket.ended(AttemptOutcome(ANSWERED, 0.05, 0.05))
             await curio.sleep(0.1)
 
+    def test_scheduler_that_takes_over_asks_engines_that_may_hold_a_part(self):
+        """Load: the scheduler is lost, and all shared parts would be read anew."""
+
+        async def scenario(one, _two):
+            self.home.knowledge.cache._started_at_s -= 2 * YOUNG_S
+            self.assertFalse(self.home.knowledge.cache.is_young())
+            placement = await one.place(make_call(prompt=prompt(17_000, 13_000)))
+            self.assertIsNotNone(placement.plan.prefill.fetch_from)
+
+        self.play(scenario)
+
     def test_work_of_an_entry_that_is_gone_counts_no_more(self):
         async def scenario(one, _two):
             await one.place(make_call(prompt=prompt(300)))
--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -17,6 +17,7 @@
         self.now = 0.0
         self.queue = TurnQueue(lambda: self.now)
         self.looked = []
+        self.fleet_rate = 1e6
         self.free = set()
 
     def waiter(self, number, arrived_at_s=0.0, favoured=False):
@@ -29,6 +30,8 @@
             arrived_at_s + TIMELY_S,
             arrived_at_s + PATIENCE_S,
             favoured,
+            10,
+            self.fleet_rate,
             decide,
             lambda: "refused",
         )
@@ -49,6 +52,11 @@
         self.fill(self.waiter(2, 0.2), self.waiter(1, 0.1), self.waiter(3, 0.3))
         self.assertEqual(self.decisions(), [1, 2])
 
+    def test_tokens_before_a_call_are_those_of_calls_before_it(self):
+        waiters = [self.waiter(number, number / 10) for number in range(4)]
+        self.fill(*waiters, self.waiter(9, 0.9, favoured=True))
+        self.assertEqual(self.queue.tokens_before(waiters[2].order), 30)
+
     def test_starving_size_goes_first(self):
         self.free = {1, 2}
         self.fill(self.waiter(1), self.waiter(2, 0.5, favoured=True))
@@ -69,6 +77,15 @@
         self.assertEqual(self.decisions(), ["refused"])
         self.assertEqual(len(self.queue), 1)
 
+    def test_late_prompt_that_comes_too_late_in_the_queue_is_refused_at_once(self):
+        """Load: more wait before it than engines read until its caller leaves."""
+        self.now = 1.5
+        self.fleet_rate = 10.0
+        before = [self.waiter(number, 1.4) for number in range(60)]
+        self.fill(self.waiter(100, 0.1), *before)
+        self.assertEqual(self.decisions(), ["refused"])
+        self.assertEqual(len(self.queue), 60)
+
     def test_caller_that_leaves_is_in_the_queue_no_more(self):
         async def run():
             task = await curio.spawn(self.queue.wait, self.waiter(1))
--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -85,8 +85,12 @@
         self._started_at_s = clock()
         self._engines: dict[str, EngineMemory] = defaultdict(EngineMemory)
 
+    def begin_anew(self) -> None:
+        """Take in that from now on calls are placed here that were placed elsewhere."""
+        self._started_at_s = self._clock()
+
     def is_young(self) -> bool:
-        """Whether engines may hold much that was placed before this entry started."""
+        """Whether engines may hold much that isn't known here."""
         return self._clock() - self._started_at_s < YOUNG_S
 
     def note(
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -34,12 +34,19 @@
         """Take in that a call's prompt goes to an engine."""
         if call.prompt is None:
             return
+        if not call.demand_noted:
+            self._note_demand(call, choice, stage)
+        call.demand_noted = False
+        self._part_placed(call, choice, choice.tokens, ready=False)
+
+    def _note_demand(
+        self, call: RoutedCall, choice: Choice, stage: AttemptStage
+    ) -> None:
         reads_apart = stage is AttemptStage.PREFILL
         slowdown = 1.0 if reads_apart else DIRECT_SLOWDOWN
         reading_s = slowdown * choice.tokens / self._knowledge.rate_of(call.service)
         engine_stage = Stage.PREFILL if reads_apart else Stage.DECODE
         self._knowledge.busyness.note(call.service, engine_stage, reading_s)
-        self._part_placed(call, choice, choice.tokens, ready=False)
 
     def memory_placed(self, call: RoutedCall, choice: Choice) -> None:
         """Take in that an engine takes over a prompt that another has read."""
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -96,6 +96,7 @@
             decision = self._decide(call, find())
             return None if decision.turn is Turn.LATER else decision
 
+        self._note_demand(call, plan.prefill)
         forecast = self._forecast(call, plan.prefill)
         soonest_s = forecast.reading_s + forecast.running_s
         waiter = Waiter(
@@ -103,6 +104,8 @@
             timely_until_s=began_at_s + forecast.aim_left_s - soonest_s,
             hopeless_at_s=began_at_s + forecast.left_s - soonest_s,
             favoured=call.favoured,
+            tokens=plan.prefill.tokens,
+            fleet_rate=self._fleet_rate(call.service, find()),
             decide=decide,
             refuse=lambda: TimedPlan(plan, Turn.HOPELESS),
         )
@@ -115,6 +118,17 @@
         )
         return decision
 
+    def _fleet_rate(self, service: str, candidates: list[Candidate]) -> float:
+        """Return how many tokens the engines of the reading stage read in a second."""
+        readers = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
+        return max(1, readers) * self._rate_of(service)
+
+    def _note_demand(self, call: RoutedCall, choice: Choice) -> None:
+        """Count the reading of a prompt that waits: stages follow what is asked for."""
+        reading_s = choice.tokens / self._rate_of(call.service)
+        self._busyness.note(call.service, Stage.PREFILL, reading_s)
+        call.demand_noted = True
+
     def _refusal(self, call: RoutedCall, plan: StagePlan) -> RequestError:
         """Return the error of a hopeless call; it may come back to shorter queues."""
         forecast = self._forecast(call, plan.prefill)
@@ -129,19 +143,24 @@
         plan = plan_stages(
             candidates,
             call.prompt,
-            self._fleet_pace(call.service, candidates),
+            self._fleet_pace(call, candidates),
             call.zone,
             call.route.pause_s,
         )
         return TimedPlan(plan, self._turn(call, plan))
 
-    def _fleet_pace(self, service: str, candidates: list[Candidate]) -> FleetPace:
+    def _fleet_pace(self, call: RoutedCall, candidates: list[Candidate]) -> FleetPace:
+        service = call.service
+        rate = self._rate_of(service)
+        order = (not call.favoured, call.arrived_at_s)
+        queued_tokens = self._queues[service].tokens_before(order)
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
         return FleetPace(
-            self._rate_of(service),
+            rate,
             self._busyness.share(service, Stage.PREFILL, prefills),
             self._busyness.share(service, Stage.DECODE, decodes),
+            queued_tokens / (max(1, prefills) * rate),
         )
 
     def _turn(self, call: RoutedCall, plan: StagePlan) -> Turn:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -49,7 +49,8 @@
     engine read the prompt apart, are as of now; a ``favoured`` one's prompt goes before
     other long ones. ``zone`` is that of the entry that serves the caller,
     ``placements`` counts how often the call was placed, ``repeats_left`` is how many
-    repeats its service had left then.
+    repeats its service had left then. With ``demand_noted`` its reading is counted as
+    asked for already.
     """
 
     call_id: str
@@ -72,6 +73,7 @@
     zone: str = ""
     placements: int = 0
     repeats_left: int = 0
+    demand_noted: bool = False
 
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -26,6 +26,8 @@
 from .stage_plan import StagePlan
 
 RETRY_AFTER_S = 0.3
+# A service without calls here for so long has had them placed elsewhere.
+ELSEWHERE_AFTER_S = 3.0
 
 
 @dataclass(frozen=True)
@@ -58,6 +60,7 @@
 
     def __init__(self, parts: SchedulingParts, retries: RetryShare):
         self._parts = parts
+        self._placed_at_s: dict[str, float] = {}
         self.retries = retries
 
     @property
@@ -72,6 +75,7 @@
         can be named now.
         """
         self._count(call)
+        self._note_takeover(call.service)
         candidates = await self._parts.finder.find(call)
         if not any(can_run(item) for item in candidates):
             raise self._no_upstream(call)
@@ -87,6 +91,14 @@
             return replace(plan, prefill=None)
         return plan
 
+    def _note_takeover(self, service: str) -> None:
+        """Take in that a service's calls come here after they went elsewhere."""
+        now = now_s()
+        placed_at_s = self._placed_at_s.get(service, float("-inf"))
+        self._placed_at_s[service] = now
+        if now - placed_at_s > ELSEWHERE_AFTER_S:
+            self._parts.knowledge.cache.begin_anew()
+
     def _count(self, call: RoutedCall) -> None:
         """Count a call, or take one of the repeats; raises RequestError."""
         if call.placements == 0:
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -15,11 +15,15 @@
 
 @dataclass(frozen=True)
 class FleetPace:
-    """Speed at which engines read prompts (tokens a second) and how busy stages are."""
+    """Speed at which engines read prompts (tokens a second) and how busy stages are.
+
+    ``queued_s`` is how long a prompt waits for its turn at the reading stage.
+    """
 
     rate: float
     busy_prefill: float = 0.0
     busy_decode: float = 0.0
+    queued_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -60,7 +64,7 @@
     apart = _with_source(apart, prompt, candidates)
     direct_read_s = DIRECT_SLOWDOWN * direct.tokens / fleet.rate
     direct_s = direct.cost_s + waiting_s(direct_read_s, fleet.busy_decode)
-    apart_s = apart.cost_s + MOVE_COST_S
+    apart_s = apart.cost_s + MOVE_COST_S + fleet.queued_s
     apart_s += waiting_s(apart.tokens / fleet.rate, fleet.busy_prefill)
     waiting_tokens = direct.candidate.prompt_tokens + direct.tokens
     if direct_s < apart_s and _fits_pause(waiting_tokens, fleet.rate, pause_s):
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -14,6 +14,7 @@
 import curio
 
 from ..process.clock import now_s
+from .reading_turn import HOPELESS_FACTOR
 
 TICK_S = 0.01
 LOOKED_AT_MAX = 4
@@ -27,13 +28,16 @@
 
     ``decide`` returns None while no engine can take the call, ``refuse`` what becomes
     of it once its time is over. A call can be in time until ``timely_until_s``, and is
-    answered at all if it starts until ``hopeless_at_s``.
+    answered at all if it starts until ``hopeless_at_s``. ``tokens`` are to be read, by
+    engines that together read ``fleet_rate`` tokens a second.
     """
 
     arrived_at_s: float
     timely_until_s: float
     hopeless_at_s: float
     favoured: bool
+    tokens: int
+    fleet_rate: float
     decide: Callable[[], Decision | None]
     refuse: Callable[[], Decision]
     decision: Decision | None = None
@@ -56,6 +60,10 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
+    def tokens_before(self, order: tuple[bool, float]) -> int:
+        """Return how many tokens are to be read for the calls before one."""
+        return sum(item.tokens for item in self._waiters if item.order < order)
+
     async def wait(self, waiter: Waiter[Decision]) -> Decision:
         """Return the decision on a call, once there is one."""
         self._waiters.append(waiter)
@@ -84,7 +92,7 @@
         ordered = sorted(self._waiters, key=lambda waiter: waiter.order)
         timely = [waiter for waiter in ordered if now <= waiter.timely_until_s]
         late = [waiter for waiter in ordered if now > waiter.timely_until_s]
-        decided = [waiter for waiter in late if now > waiter.hopeless_at_s]
+        decided = self._hopeless(timely, late, now)
         for waiter in decided:
             waiter.decision = waiter.refuse()
         decided += self._decide_some(timely)
@@ -93,6 +101,21 @@
         self._waiters = [item for item in self._waiters if item not in decided]
         return decided
 
+    @staticmethod
+    def _hopeless(
+        timely: list[Waiter[Decision]], late: list[Waiter[Decision]], now: float
+    ) -> list[Waiter[Decision]]:
+        """Return the late calls whose time is over before their turn comes."""
+        hopeless = []
+        tokens = sum(waiter.tokens for waiter in timely)
+        for waiter in late:
+            starts_at_s = now + tokens / waiter.fleet_rate / HOPELESS_FACTOR
+            if starts_at_s > waiter.hopeless_at_s:
+                hopeless.append(waiter)
+            else:
+                tokens += waiter.tokens
+        return hopeless
+
     @staticmethod
     def _decide_some(waiters: list[Waiter[Decision]]) -> list[Waiter[Decision]]:
         looked_at = waiters[:LOOKED_AT_MAX]
