--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -248,7 +248,7 @@
     def test_entry_cut_off_from_one_other_is_reached_through_others(self):
         async def scenario(network):
             network.cut = {("e1", "e2"), ("e2", "e1")}
-            await network.entries["e1"].suspect("e2")
+            await network.entries["e1"]._probe("e2")
             await curio.sleep(1.5)
             self.assertEqual(network.believers("e2", MemberState.DEAD), 0)
 
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -55,7 +55,8 @@
 
     ``listed`` returns the ids of entries that may exist; ``port`` is the one on which
     all of them take datagrams, at the address that is their id. ``generation`` returns
-    the newest change of the store in force here.
+    the newest change of the store in force here. Crashes of upstreams and news of the
+    store travel in its datagrams; the ``absorb`` attributes take in those of others.
     """
 
     def __init__(
@@ -85,10 +86,9 @@
 
     async def run(self) -> None:
         """Probe and answer for ever."""
-        with_address = (self.members.own.entry_id, self._port)
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         async with self._sock:
-            self._sock.bind(with_address)
+            self._sock.bind((self.members.own.entry_id, self._port))
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._receive)
                 await group.spawn(self._probe_in_turn)
@@ -102,11 +102,6 @@
         kind = DatagramKind.STORE
         await self._tell_all(Datagram(kind, self._own(), table_news=news))
 
-    async def suspect(self, entry_id: str) -> None:
-        """Probe an entry now, for example since a connection with it broke."""
-        if self.members.get(entry_id) is not None:
-            await curio.spawn(self._probe, entry_id, daemon=True)
-
     async def _tell_all(self, datagram: Datagram) -> None:
         data = encode_datagram(datagram)
         names = {item.entry_id for item in self.members.others()}
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -15,6 +15,7 @@
 from ..request.outcomes import AttemptFailed
 from ..request.routed_call import RoutedCall
 from ..request.scheduler import Scheduler
+from ..request.stage_plan import StagePlan
 from ..sockets import listen_on, serve_clients
 from ..wire import Address
 from .message_link import MessageLink
@@ -175,28 +176,38 @@
         await self._link.send(answer)
 
     async def _answer(self, question: PlaceQuestion) -> PlacedAnswer:
-        call, number = question.call, question.number
-        reading = running = None
+        """Return where a call goes; raises RequestError, AttemptFailed."""
         if question.reader_id:
-            registry = self._scheduler.parts.knowledge.registry
-            reader = registry.get(question.reader_id)
-            if reader is None:
-                raise AttemptFailed.nothing_sent("the reader of the prompt is gone")
-            running = self._scheduler.place_run(call, reader)
-            self._grant(number, call, running, AttemptStage.RUN, reads_here=False)
+            return self._placed(question, None, self._place_run(question))
+        plan = await self._place_call(question)
+        return self._placed(question, plan.prefill, plan.decode)
+
+    def _place_run(self, question: PlaceQuestion) -> Choice:
+        registry = self._scheduler.parts.knowledge.registry
+        reader = registry.get(question.reader_id)
+        if reader is None:
+            raise AttemptFailed.nothing_sent("the reader of the prompt is gone")
+        choice = self._scheduler.place_run(question.call, reader)
+        self._grant(question, choice, AttemptStage.RUN, reads_here=False)
+        return choice
+
+    async def _place_call(self, question: PlaceQuestion) -> StagePlan:
+        async def tell_of_wait() -> None:
+            await self._link.send(WaitingNotice(question.number))
+
+        plan = await self._scheduler.place(question.call, tell_of_wait)
+        if plan.prefill is not None:
+            self._grant(question, plan.prefill, AttemptStage.PREFILL)
         else:
+            self._grant(question, plan.decode, AttemptStage.RUN)
+        return plan
 
-            async def tell_of_wait() -> None:
-                await self._link.send(WaitingNotice(number))
-
-            plan = await self._scheduler.place(call, tell_of_wait)
-            reading, running = plan.prefill, plan.decode
-            if reading is not None:
-                self._grant(number, call, reading, AttemptStage.PREFILL)
-            else:
-                self._grant(number, call, running, AttemptStage.RUN)
+    def _placed(
+        self, question: PlaceQuestion, reading: Choice | None, running: Choice | None
+    ) -> PlacedAnswer:
+        call = question.call
         return PlacedAnswer(
-            number,
+            question.number,
             reading and PlacedChoice.from_choice(reading),
             running and PlacedChoice.from_choice(running),
             call.favoured,
@@ -206,15 +217,15 @@
 
     def _grant(
         self,
-        number: int,
-        call: RoutedCall,
+        question: PlaceQuestion,
         choice: Choice,
         stage: AttemptStage,
         reads_here: bool = True,
     ) -> None:
-        grant = Grant(call, choice, stage, reads_here)
+        """Count the attempt that an answer leads to as in flight from now on."""
+        grant = Grant(question.call, choice, stage, reads_here)
         grant.begin(self._scheduler, self._learner)
-        self._grants[number] = grant
+        self._grants[question.number] = grant
 
     def _end(self, grant: Grant, outcome: AttemptOutcome) -> None:
         grant.end()
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -164,7 +164,7 @@
     PEER_CONNECTED = EventKind(600, logbook.INFO, "heartbeats with a peer began")
     PEER_LOST = EventKind(601, logbook.INFO, "heartbeats with a peer ended")
     PEER_NOT_TOLD = EventKind(
-        604, logbook.WARNING, "a peer can't be told news before the next heartbeat"
+        604, logbook.WARNING, "a datagram to another entry can't be sent"
     )
     PEER_FRAME_REFUSED = EventKind(602, logbook.WARNING, "frame of a peer refused")
     MANIFEST_COPY_REFUSED = EventKind(603, logbook.WARNING, "peer's manifest refused")
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -88,16 +88,25 @@
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
     def _build_schedulers(self) -> None:
+        """Build what places calls: for all entries, or for this one alone."""
         parts = SchedulingParts.from_knowledge(
             self.knowledge, lambda: self.state.routes, self.log
         )
-        bounds = self.settings.retry
-        bounds = (bounds.ratio, bounds.slack, bounds.window_s)
+        retry = self.settings.retry
         self.retries = RetryShare(
-            *bounds, self.network.count, part=self._own_retry_part
+            retry.ratio,
+            retry.slack,
+            retry.window_s,
+            self.network.count,
+            part=self._own_retry_part,
         )
         self._shared_retries = RetryShare(
-            *bounds, lambda: 1, part=lambda: SHARED_PART, ramps=True
+            retry.ratio,
+            retry.slack,
+            retry.window_s,
+            lambda: 1,
+            part=lambda: SHARED_PART,
+            ramps=True,
         )
         self._shared = Scheduler(parts, self._shared_retries)
         self._placer = FleetPlacer(
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -42,6 +42,7 @@
         self._learned = curio.Event()
         self._learned_generation = 0
         self._unreadable: dict[str, int] = {}
+        self._decoded: dict[StoredRow, Upstream] = {}
         self.routes: RouteTable | None = None
         self._configuration = RowWatch(
             adapter.rows,
@@ -182,13 +183,20 @@
         rows = self._upstream_rows.rows
         decoded = (self._decode_upstream(row) for row in rows.values())
         self.registry.update(item for item in decoded if item is not None)
+        self._decoded = {
+            row: item for row, item in self._decoded.items() if rows.get(row.key) is row
+        }
         self._unreadable = {
             key: version for key, version in self._unreadable.items() if key in rows
         }
 
     def _decode_upstream(self, row: StoredRow) -> Upstream | None:
+        """Return the upstream of a row; a row that is known isn't decoded anew."""
         try:
-            upstream = self._adapter.decode_upstream(row)
+            upstream = self._decoded.get(row)
+            if upstream is None:
+                upstream = self._adapter.decode_upstream(row)
+                self._decoded[row] = upstream
             self._check_service(upstream)
         except ConfigError as exc:
             if self._unreadable.get(row.key) != row.version:
