--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -56,19 +56,19 @@
 
     def test_dead_entry_is_back_only_by_its_own_word(self):
         self.members.take(member("a"))
-        self.assertIsNotNone(self.members.bury("a"))
+        self.assertIsNotNone(self.members.mark_dead("a"))
         self.assertFalse(self.members.take(member("a")))
         self.assertIs(self.state_of("a"), MemberState.DEAD)
         self.assertTrue(self.members.take(member("a", revision=1)))
         self.assertIs(self.state_of("a"), MemberState.ALIVE)
 
-    def test_entry_outdoes_who_calls_it_dead(self):
+    def test_entry_supersedes_who_calls_it_dead(self):
         self.assertTrue(self.members.take(member("me", state=MemberState.DEAD)))
         self.assertGreater(
             self.members.own.order, member("me", state=MemberState.DEAD).order
         )
 
-    def test_restart_with_a_clock_set_back_outdoes_the_earlier_start(self):
+    def test_restart_with_a_clock_set_back_supersedes_the_earlier_start(self):
         self.assertTrue(self.members.take(member("me", incarnation=9, revision=4)))
         later = member("me", incarnation=9, revision=4, state=MemberState.DEAD)
         self.assertGreater(self.members.own.order, later.order)
@@ -263,7 +263,7 @@
 
         self.play(scenario)
 
-    def test_paused_entry_that_was_buried_is_back_after_its_return(self):
+    def test_paused_entry_that_was_marked_dead_is_back_after_its_return(self):
         async def scenario(network):
             network.silent.add("e5")
             others = self.ENTRIES - 1
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -152,7 +152,7 @@
         return self._order.pop() if self._order else None
 
     async def _probe(self, target: str) -> None:
-        """Ping an entry, directly and through others; bury it where nothing comes."""
+        """Ping an entry, directly and through others; mark it dead without an ack."""
         sequence = next(self._sequences)
         acked = self._acked[sequence] = curio.Event()
         try:
@@ -170,7 +170,7 @@
         finally:
             del self._acked[sequence]
         if not self._may_be_cut_off():
-            await self._bury(target)
+            await self._mark_dead(target)
 
     def _was_paused(self, since_s: float, planned_s: float) -> bool:
         return now_s() - since_s > PAUSED_FACTOR * planned_s
@@ -180,8 +180,8 @@
             return False
         return now_s() - self._heard_at_s > CUT_OFF_AFTER_S
 
-    async def _bury(self, target: str) -> None:
-        dead = self.members.bury(target)
+    async def _mark_dead(self, target: str) -> None:
+        dead = self.members.mark_dead(target)
         if dead is None:
             return
         self._log.write(Event.MEMBER_DEAD, peer=target)
--- a/wisteriaarch/process/member_list.py
+++ b/wisteriaarch/process/member_list.py
@@ -94,7 +94,7 @@
         incarnation, makes its own record the later one again.
         """
         if record.entry_id == self.own.entry_id:
-            return self._outdo(record)
+            return self._supersede(record)
         known = self._known.get(record.entry_id)
         if known is not None and record.order <= known.record.order:
             if record.order == known.record.order:
@@ -107,7 +107,7 @@
         self.version += 1
         return True
 
-    def _outdo(self, record: MemberRecord) -> bool:
+    def _supersede(self, record: MemberRecord) -> bool:
         if record.order <= self.own.order:
             return False
         if record.incarnation > self.own.incarnation:
@@ -131,7 +131,7 @@
         known = self._known.get(entry_id)
         return known.record if known else None
 
-    def bury(self, entry_id: str) -> MemberRecord | None:
+    def mark_dead(self, entry_id: str) -> MemberRecord | None:
         """Take an entry for dead; returns its record where that is new."""
         record = self.get(entry_id)
         if record is None or record.state is MemberState.DEAD:
--- a/wisteriaarch/process/watch_duty.py
+++ b/wisteriaarch/process/watch_duty.py
@@ -18,10 +18,15 @@
 # Later entries wait longer for those before them.
 STAGGER_S = 0.04
 STAGGERED_MAX = 25
+PLACE_BYTES = 8
 
 
 class WatchDuty:
-    """Tells whether this entry is to ask the store now."""
+    """Tells whether this entry is to ask the store now.
+
+    The watchers are the first entries in the order of their hashed ids, on which all
+    entries that know the same members agree.
+    """
 
     def __init__(self, members: MemberList, clock: Callable[[], float] = now_s):
         self._members = members
@@ -67,4 +72,5 @@
 
 
 def _place_of(entry_id: str) -> bytes:
-    return hashlib.blake2b(f"watch@{entry_id}".encode(), digest_size=8).digest()
+    name = f"watch@{entry_id}".encode()
+    return hashlib.blake2b(name, digest_size=PLACE_BYTES).digest()
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -74,7 +74,7 @@
     ) -> None:
         """Take in the end of an attempt; without ``reads_here`` the prompt was read."""
         upstream_id = choice.candidate.upstream.upstream_id
-        self._take_word(upstream_id, outcome)
+        self._take_signals(upstream_id, outcome)
         if outcome.cause == LEFT:
             return
         if outcome.cause != ANSWERED:
@@ -84,7 +84,7 @@
         else:
             self._answered(call, choice, outcome, reads_here)
 
-    def _take_word(self, upstream_id: str, outcome: AttemptOutcome) -> None:
+    def _take_signals(self, upstream_id: str, outcome: AttemptOutcome) -> None:
         if outcome.load is not None:
             self._loads.note_report(upstream_id, outcome.load)
         if outcome.wait_s > 0:
