--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 import curio
@@ -21,6 +22,7 @@
 )
 from wisteriaarch.process.digest import CrashRecord
 from wisteriaarch.process.member_list import MemberList, MemberRecord, MemberState
+from wisteriaarch.process.rows import StorePosition
 from wisteriaarch.process.scheduler_choice import rank_schedulers
 
 PORT = 7000
@@ -30,6 +32,9 @@
     return MemberRecord(name, more.pop("incarnation", 1), ready=True, **more)
 
 
+IN_FORCE = SimpleNamespace(generation=StorePosition(0, 1), configuration_version=1)
+
+
 class MemberListTest(unittest.TestCase):
     def setUp(self):
         self.members = MemberList(member("me"))
@@ -74,11 +79,11 @@
         self.assertGreater(self.members.own.order, later.order)
 
     def test_newer_generation_alone_is_no_news_and_is_kept(self):
-        self.members.take(member("a", generation=3))
-        self.assertFalse(self.members.take(member("a", generation=7)))
-        self.assertEqual(self.members.highest_generation(), 7)
-        self.members.take(member("a", generation=5))
-        self.assertEqual(self.members.highest_generation(), 7)
+        self.members.take(member("a", generation=StorePosition(0, 3)))
+        self.assertFalse(self.members.take(member("a", generation=StorePosition(0, 7))))
+        self.assertEqual(self.members.highest_generation(), StorePosition(0, 7))
+        self.members.take(member("a", generation=StorePosition(0, 5)))
+        self.assertEqual(self.members.highest_generation(), StorePosition(0, 7))
 
     def test_leaving_entry_takes_no_callers(self):
         self.members.take(member("a", revision=1, state=MemberState.LEAVING))
@@ -89,7 +94,13 @@
     def test_datagram_survives_the_wire(self):
         sent = Datagram(
             DatagramKind.NEWS,
-            member("a", zone="z", cores=0.5, generation=9),
+            member(
+                "a",
+                zone="z",
+                cores=0.5,
+                generation=StorePosition(2, 9),
+                configuration=4,
+            ),
             7,
             (member("b", state=MemberState.DEAD),),
             "c",
@@ -133,7 +144,7 @@
     def add(self, name):
         self.queues[name] = curio.Queue()
         members = MemberList(member(name))
-        prober = Prober(members, lambda: (), PORT, lambda: 1, self.log, seed=name)
+        prober = Prober(members, lambda: (), PORT, IN_FORCE, self.log, seed=name)
         prober._sock = Endpoint(self, name)
         self.entries[name] = prober
         return prober
--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -6,6 +6,7 @@
 
 from .process.rows import RowSource, StoredRow
 from .process.store import RowStore
+from .process.store_era import StoreEra
 from .process.upstreams import Upstream
 from .request.routed_call import RoutedCall
 from .request.upstream_protocol import UpstreamProtocol
@@ -19,6 +20,7 @@
 
     rows: RowSource
     table: RowStore
+    store_era: StoreEra
     upstreams: UpstreamProtocol
     orders: OrderProtocol
     configuration_key: str
--- a/wisteriaarch/connection/copy_client.py
+++ b/wisteriaarch/connection/copy_client.py
@@ -14,7 +14,7 @@
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_state import FleetState
-from ..process.member_list import MemberList
+from ..process.member_list import MemberList, MemberRecord
 from ..wire import Address
 from .message_link import MessageLink
 from .scheduling_messages import CopyAnswer, CopyQuestion
@@ -71,14 +71,19 @@
                 await self._catch_up()
 
     def _is_behind(self) -> bool:
-        return self._members.highest_generation() > self._state.known_version
+        return any(self._is_ahead(item) for item in self._members.others())
+
+    def _is_ahead(self, other: MemberRecord) -> bool:
+        state = self._state
+        return (
+            other.generation > state.known_position
+            or other.configuration > state.configuration_version
+        )
 
     async def _catch_up(self) -> None:
         """Take a copy from a peer that is ahead, or else read the store."""
         ahead = [
-            item.entry_id
-            for item in self._members.others()
-            if item.generation > self._state.known_version
+            item.entry_id for item in self._members.others() if self._is_ahead(item)
         ]
         if ahead and await self._take_copy(self._rng.choice(ahead)):
             return
--- a/wisteriaarch/connection/member_codec.py
+++ b/wisteriaarch/connection/member_codec.py
@@ -10,7 +10,7 @@
 from ..errors import FrameError
 from ..process.digest import CrashRecord
 from ..process.member_list import MemberRecord, MemberState
-from ..process.rows import RowTable, StoredRow
+from ..process.rows import RowTable, StoredRow, StorePosition
 from ..process.table_news import TableNews
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "members.capnp"
@@ -109,6 +109,7 @@
         ],
         "confirmedAgeMs": _age_ms(news.confirmed_age_s),
         "returnedAgeMs": NO_AGE_MS if returned_s is None else _age_ms(returned_s),
+        "era": news.era,
     }
 
 
@@ -128,6 +129,7 @@
         ),
         item.confirmedAgeMs / MS_PER_S,
         None if returned_ms == NO_AGE_MS else returned_ms / MS_PER_S,
+        item.era,
     )
 
 
@@ -140,7 +142,9 @@
         "ready": item.ready,
         "zone": item.zone,
         "cores": item.cores,
-        "generation": item.generation,
+        "generation": item.generation.version,
+        "era": item.generation.era,
+        "configuration": item.configuration,
     }
 
 
@@ -157,5 +161,6 @@
         item.ready,
         item.zone,
         item.cores,
-        item.generation,
+        StorePosition(item.era, item.generation),
+        item.configuration,
     )
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
+from typing import Protocol
 
 import curio
 from curio import socket
@@ -20,6 +21,7 @@
 from ..process.clock import now_s
 from ..process.digest import CrashRecord
 from ..process.member_list import MemberList, MemberRecord, MemberState
+from ..process.rows import StorePosition
 from ..process.table_news import TableNews
 from ..wire import Address
 from .member_codec import Datagram, DatagramKind, decode_datagram, encode_datagram
@@ -39,6 +41,14 @@
 PAUSED_FACTOR = 2.0
 SEEDS_ASKED_EVERY_S = 0.5
 
+
+class InForce(Protocol):
+    """What is in force at this entry."""
+
+    generation: StorePosition
+    configuration_version: int
+
+
 TableNewsObserver = Callable[[str, tuple[TableNews, ...]], Awaitable[None]]
 
 
@@ -54,9 +64,10 @@
     """Keeps a ``MemberList`` up to date.
 
     ``listed`` returns the ids of entries that may exist; ``port`` is the one on which
-    all of them take datagrams, at the address that is their id. ``generation`` returns
-    the newest change of the store in force here. Crashes of upstreams and news of the
-    store travel in its datagrams; the ``absorb`` attributes take in those of others.
+    all of them take datagrams, at the address that is their id. ``in_force`` tells
+    which change of the store and which configuration are in force here. Crashes of
+    upstreams and news of the store travel in its datagrams; the ``absorb`` attributes
+    take in those of others.
     """
 
     def __init__(
@@ -64,7 +75,7 @@
         members: MemberList,
         listed: Callable[[], Iterable[str]],
         port: int,
-        generation: Callable[[], int],
+        in_force: InForce,
         log: EventLog,
         seed: int | None = None,
     ):
@@ -74,7 +85,7 @@
         self.absorb_table_news: TableNewsObserver | None = None
         self._listed = listed
         self._port = port
-        self._generation = generation
+        self._in_force = in_force
         self._log = log
         self._rng = random.Random(seed)
         self._sock = None
@@ -121,7 +132,8 @@
             )
 
     def _own(self) -> MemberRecord:
-        self.members.note_generation(self._generation())
+        state = self._in_force
+        self.members.note_generation(state.generation, state.configuration_version)
         return self.members.own
 
     async def _probe_in_turn(self) -> None:
--- a/wisteriaarch/connection/store_relay.py
+++ b/wisteriaarch/connection/store_relay.py
@@ -81,4 +81,5 @@
         (),
         news.confirmed_age_s,
         news.returned_age_s,
+        news.era,
     )
--- a/wisteriaarch/emulator/server.py
+++ b/wisteriaarch/emulator/server.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import json
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any
 
 from curio import socket
@@ -49,8 +49,14 @@
             return
 
 
-async def respond_json(conn: HttpServerConnection, status: int, content: Any) -> bool:
+async def respond_json(
+    conn: HttpServerConnection,
+    status: int,
+    content: Any,
+    headers: Iterable[tuple[str, str]] = (),
+) -> bool:
     """Send a JSON answer and keep the connection."""
     body = json.dumps(content).encode()
-    await conn.send_response(status, [("Content-Type", "application/json")], body)
+    all_headers = [("Content-Type", "application/json"), *headers]
+    await conn.send_response(status, all_headers, body)
     return True
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -47,7 +47,9 @@
             settings.front.port,
             settings.peer_port,
             tuple(Address.parse(seed).host for seed in settings.seeds),
+            adapter.store_era,
         )
+        self.state.highest_elsewhere = self._highest_elsewhere
         self._fleet = Fleet(
             self._entries,
             settings.entries_poll_every_s,
@@ -58,7 +60,7 @@
             self.members,
             self._listed,
             settings.peer_port,
-            lambda: self.state.generation,
+            self.state,
             log,
             settings.seed,
         )
@@ -114,5 +116,10 @@
             known.update(self._listed())
         return len(known)
 
+    def _highest_elsewhere(self) -> int | None:
+        if not self.members.others():
+            return None
+        return self.members.highest_configuration()
+
     def _listed(self) -> list[str]:
         return [item.instance_id for item in self._fleet.of_kind("entry")]
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -56,6 +56,9 @@
     )
     STORE_UNAVAILABLE = EventKind(210, logbook.WARNING, "platform store unavailable")
     STORE_AVAILABLE = EventKind(211, logbook.INFO, "platform store available again")
+    STORE_CAME_BACK = EventKind(
+        214, logbook.WARNING, "platform store came back from an older copy"
+    )
     CONFIGURATION_IN_FORCE = EventKind(206, logbook.INFO, "configuration is in force")
     CONFIGURATION_INVALID = EventKind(
         207, logbook.WARNING, "configuration can't be read; the last one stays"
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -137,6 +137,7 @@
             lambda: [item.entry_id for item in self.network.members.living()],
             self._choice.is_own,
             lambda: self.closing,
+            self._adapter.store_era,
             self.log,
         )
 
--- a/wisteriaarch/platform/adapter.py
+++ b/wisteriaarch/platform/adapter.py
@@ -21,6 +21,7 @@
 
     def __init__(self, store: Address):
         self.rows = self.table = PlatformStore(store)
+        self.store_era = self.rows.era
         self.upstreams = PlatformUpstreams()
         self.orders = PlatformOrders()
 
--- a/wisteriaarch/platform/store.py
+++ b/wisteriaarch/platform/store.py
@@ -15,8 +15,9 @@
 from ..http_client import fetch
 from ..process.rows import RowsRead, RowTable, StoredRow
 from ..process.store import NO_VERSION, Check, Put, Row, Transaction, encode_json
+from ..process.store_era import StoreEra
 from ..wire import Address, HttpResponse, load_json
-from .names import MS_PER_S
+from .names import MS_PER_S, STORE_ERA
 
 READ_TIMEOUT_S = 1.0
 FEED_EXTRA_S = 0.7
@@ -33,21 +34,30 @@
 
 
 class PlatformStore:
-    """Rows of the platform's store over HTTP; a connection for each call."""
+    """Rows of the platform's store over HTTP; a connection for each call.
+
+    ``era`` takes in the era of each answer. One of an older era than known counts as no
+    answer.
+    """
 
     def __init__(self, address: Address):
         self.address = address
+        self.era = StoreEra()
 
     async def read_all(self, table: RowTable) -> RowsRead:
         """Return all rows of a table; raises StoreUnavailable."""
         rows: list[StoredRow] = []
+        era = self.era.known
         query = {"table": TABLE_NAMES[table], "part": "", "limit": str(PAGE_ROWS)}
         while True:
-            content = await self._get("/api/rows-get", query, READ_TIMEOUT_S)
-            read = _rows_read(content)
+            response = await self._get("/api/rows-get", query, READ_TIMEOUT_S)
+            read, has_more = _answered_rows(response)
+            if "from" in query and read.era != era:
+                raise StoreUnavailable("the store came back from an older copy")
+            era = read.era
             rows += read.rows
-            if not content.get("has-more") or not read.rows:
-                return RowsRead(tuple(rows), read.version)
+            if not has_more or not read.rows:
+                return RowsRead(tuple(rows), read.version, era)
             query["from"] = read.rows[-1].key + "\0"
 
     async def wait_for_changes(
@@ -59,8 +69,8 @@
             "after": str(after),
             "wait-ms": str(int(wait_s * MS_PER_S)),
         }
-        content = await self._get("/api/rows-feed", query, wait_s + FEED_EXTRA_S)
-        return _rows_read(content)
+        response = await self._get("/api/rows-feed", query, wait_s + FEED_EXTRA_S)
+        return _answered_rows(response)[0]
 
     async def put(self, table: RowTable, key: str, value: bytes) -> None:
         """Write a row unconditionally; raises StoreUnavailable."""
@@ -73,12 +83,13 @@
     async def read(self, table: str, key: str) -> Row:
         """Return a row of a table of our own; raises StoreUnavailable."""
         query = {"table": table, "part": "", "from": key, "to": f"{key}\0"}
-        read = _rows_read(await self._get("/api/rows-get", query, READ_TIMEOUT_S))
+        response = await self._get("/api/rows-get", query, READ_TIMEOUT_S)
+        read, _ = _answered_rows(response)
         if not read.rows:
-            return Row(table, key, NO_VERSION, None)
+            return Row(table, key, NO_VERSION, None, era=read.era)
         row = read.rows[0]
         try:
-            return Row(table, key, row.version, load_json(row.value))
+            return Row(table, key, row.version, load_json(row.value), era=read.era)
         except ValueError as exc:
             raise StoreUnavailable(f"{table}/{key} can't be read: {exc}") from exc
 
@@ -107,9 +118,16 @@
                 for put in transaction.puts
                 if put.value is None
             ],
+            transaction.era,
         )
 
-    async def _transact(self, conditions: list, writes: list, removals: list) -> None:
+    async def _transact(
+        self,
+        conditions: list,
+        writes: list,
+        removals: list,
+        era: int | None = None,
+    ) -> None:
         content = {"if-rev": conditions, "writes": writes, "remove": removals}
         target = "/api/rows-tx"
         body = json.dumps(content).encode()
@@ -125,16 +143,13 @@
             raise StoreUnavailable(f"{target}: answered {response.status}")
         if response.status != 200:
             raise WriteOutcomeUnknown(f"{target}: answered {response.status}")
+        if era is not None and _era_of(response) != era:
+            raise WriteOutcomeUnknown(f"{target}: taken by another copy of the store")
 
-    async def _get(self, path: str, query: dict[str, str], timeout_s: float) -> Any:
+    async def _get(
+        self, path: str, query: dict[str, str], timeout_s: float
+    ) -> HttpResponse:
         target = f"{path}?{urlencode(query)}"
-        response = await self._read(target, timeout_s)
-        try:
-            return response.json()
-        except WireError as exc:
-            raise StoreUnavailable(str(exc)) from exc
-
-    async def _read(self, target: str, timeout_s: float) -> HttpResponse:
         try:
             response = await self._fetch("GET", target, b"", timeout_s)
         except (OSError, WireError) as exc:
@@ -149,7 +164,7 @@
         self, method: str, target: str, body: bytes, timeout_s: float
     ) -> HttpResponse:
         headers = [("Content-Type", "application/json")] if body else []
-        return await fetch(
+        response = await fetch(
             self.address,
             method,
             target,
@@ -157,6 +172,10 @@
             body=body,
             timeout_s=timeout_s,
         )
+        is_refused = response.status in REFUSED_STATUSES
+        if not self.era.note(_era_of(response)) and not is_refused:
+            raise WireError("the answer is of an older copy of the store")
+        return response
 
 
 def _address_of(table: str, key: str) -> dict[str, Any]:
@@ -167,10 +186,28 @@
     return {"value": base64.b64encode(value).decode()}
 
 
-def _rows_read(content: Any) -> RowsRead:
+def _era_of(response: HttpResponse) -> int:
+    """Return the era of an answer, 0 where it names none; raises WireError."""
+    text = response.headers.get(STORE_ERA.lower(), "0")
+    if not (text.isascii() and text.isdigit()):
+        raise WireError(f"{STORE_ERA} is {text!r}; expected a whole number")
+    return int(text)
+
+
+def _answered_rows(response: HttpResponse) -> tuple[RowsRead, bool]:
+    """Return the rows of an answer, and whether there are more to read."""
+    try:
+        content = response.json()
+    except WireError as exc:
+        raise StoreUnavailable(str(exc)) from exc
+    read = _rows_read(content, _era_of(response))
+    return read, bool(content.get("has-more"))
+
+
+def _rows_read(content: Any, era: int = 0) -> RowsRead:
     try:
         rows = tuple(_row(item) for item in content["rows"])
-        return RowsRead(rows, int(content["ver"]))
+        return RowsRead(rows, int(content["ver"]), era)
     except (KeyError, TypeError, ValueError, AttributeError) as exc:
         raise StoreUnavailable(f"the answer can't be read: {exc!r}") from exc
 
--- a/wisteriaarch/platform/store_emulator.py
+++ b/wisteriaarch/platform/store_emulator.py
@@ -12,7 +12,7 @@
 from ..http_server import HttpServerConnection
 from ..process.clock import now_s
 from ..wire import Address, HttpRequest
-from .names import MS_PER_S
+from .names import MS_PER_S, STORE_ERA
 
 HISTORY_ROWS = 1000
 FAULT_PATH = "/emulate"
@@ -23,6 +23,7 @@
     """Rows by table and key, with the history that watches read.
 
     ``refuse`` is a status that all calls get, ``calls`` counts the calls of each path.
+    ``era`` rises with each return from an older copy of the rows.
     """
 
     rows: dict[tuple[str, str], dict[str, Any]] = field(default_factory=dict)
@@ -30,7 +31,9 @@
     version: int = 0
     oldest: int = 0
     refuse: int = 0
+    era: int = 0
     calls: dict[str, int] = field(default_factory=dict)
+    _copy: tuple[int, dict[tuple[str, str], dict[str, Any]]] = (0, {})
     _changed: curio.Event = field(default_factory=curio.Event)
 
     async def handle(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
@@ -39,24 +42,53 @@
             return await self._set_faults(conn, req)
         self.calls[req.path] = self.calls.get(req.path, 0) + 1
         if self.refuse:
-            return await respond_json(conn, self.refuse, {})
+            return await self._respond(conn, self.refuse, {})
         query = {name: values[0] for name, values in parse_qs(_query(req)).items()}
         if req.path == "/api/rows-get":
-            return await respond_json(conn, 200, self._get(query))
+            return await self._respond(conn, 200, self._get(query))
         if req.path == "/api/rows-feed":
             return await self._feed(conn, query)
         if req.path == "/api/rows-tx":
             return await self._transact(conn, json.loads(req.body))
-        return await respond_json(conn, 404, {})
+        return await self._respond(conn, 404, {})
+
+    async def _respond(
+        self, conn: HttpServerConnection, status: int, content: Any
+    ) -> bool:
+        headers = [(STORE_ERA, str(self.era))] if self.era else []
+        return await respond_json(conn, status, content, headers)
 
     async def _set_faults(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
         faults = json.loads(req.body or b"{}")
         self.refuse = faults.get("refuse", 0)
         if faults.get("forget"):
-            self.history.clear()
-            self.oldest = self.version
+            self._forget_history()
+        if faults.get("copy"):
+            self.copy_rows()
+        if faults.get("come-back"):
+            await self.come_back()
         return await respond_json(conn, 200, {"calls": self.calls})
 
+    def copy_rows(self) -> None:
+        """Keep a copy of the rows as they are now."""
+        self._copy = (self.version, dict(self.rows))
+
+    async def come_back(self) -> None:
+        """Go on from the copy; all that was written since is lost."""
+        self.version, rows = self._copy
+        self.rows = dict(rows)
+        self.era += 1
+        self._forget_history()
+        await self._wake_watches()
+
+    def _forget_history(self) -> None:
+        self.history.clear()
+        self.oldest = self.version
+
+    async def _wake_watches(self) -> None:
+        changed, self._changed = self._changed, curio.Event()
+        await changed.set()
+
     def _get(self, query: dict[str, str]) -> dict[str, Any]:
         rows = [row for row in self.rows.values() if row["table"] == query["table"]]
         rows.sort(key=lambda row: row["key"])
@@ -65,12 +97,15 @@
     async def _feed(self, conn: HttpServerConnection, query: dict[str, str]) -> bool:
         after, table = int(query["after"]), query["table"]
         if not self.oldest <= after <= self.version:
-            return await respond_json(conn, 410, {})
+            return await self._respond(conn, 410, {})
+        era = self.era
         async with curio.ignore_after(int(query["wait-ms"]) / MS_PER_S):
-            while not self._changes(table, after):
+            while era == self.era and not self._changes(table, after):
                 await self._changed.wait()
+        if era != self.era:
+            return await self._respond(conn, 410, {})
         content = {"rows": self._changes(table, after), **self._moment()}
-        return await respond_json(conn, 200, content)
+        return await self._respond(conn, 200, content)
 
     def _changes(self, table: str, after: int) -> list[dict[str, Any]]:
         return [
@@ -81,7 +116,8 @@
         for row in content["if-rev"]:
             known = self.rows.get((row["table"], row["key"]))
             if (known["ver"] if known else 0) != row["ver"]:
-                return await respond_json(conn, 412, {"rows": [known] if known else []})
+                rows = [known] if known else []
+                return await self._respond(conn, 412, {"rows": rows})
         self.version += 1
         for row in content["writes"]:
             written = {**row, "ver": self.version}
@@ -91,9 +127,8 @@
             self.rows.pop((row["table"], row["key"]), None)
             self.history.append({**row, "ver": self.version, "deleted": True})
         del self.history[:-HISTORY_ROWS]
-        changed, self._changed = self._changed, curio.Event()
-        await changed.set()
-        return await respond_json(conn, 200, self._moment())
+        await self._wake_watches()
+        return await self._respond(conn, 200, self._moment())
 
     def _moment(self) -> dict[str, int]:
         return {"ver": self.version, "now-ms": int(now_s() * MS_PER_S)}
--- a/wisteriaarch/process/entry_list.py
+++ b/wisteriaarch/process/entry_list.py
@@ -1,6 +1,7 @@
 """Entries as they registered themselves in the platform's store."""
 
 import json
+import random
 
 import curio
 
@@ -8,9 +9,13 @@
 from ..wire import Address, load_json
 from .rows import RowSource, RowTable
 from .store import Instance
+from .store_era import StoreEra
 
 ENTRY_KIND = "entry"
 REGISTER_RETRY_S = 0.7
+ERA_LOOK_S = 1.0
+# Hundreds of entries write their rows again within this time.
+REGISTER_SPREAD_S = 1.0
 
 
 class EntryList:
@@ -27,6 +32,7 @@
         front_port: int,
         peer_port: int,
         seeds: tuple[str, ...],
+        era: StoreEra,
     ):
         self._source = source
         self._own_id = own_id
@@ -34,19 +40,27 @@
         self._front_port = front_port
         self._peer_port = peer_port
         self._seeds = seeds
+        self._era = era
+        self._rng = random.Random(own_id)
         self._registered: dict[str, str] = {}
 
     async def register(self) -> None:
-        """Write this entry's own row, trying until the store has taken it."""
+        """Write this entry's own row, for ever; again where the store may lack it."""
+        while True:
+            await self._write_own()
+            era = self._era.known
+            while era == self._era.known:
+                await curio.sleep(ERA_LOOK_S)
+            await curio.sleep(self._rng.uniform(0, REGISTER_SPREAD_S))
+
+    async def _write_own(self) -> None:
         value = json.dumps({"zone": self._zone}).encode()
         while True:
             try:
                 await self._source.put(RowTable.ENTRIES, self._own_id, value)
+                return
             except StoreUnavailable:
                 await curio.sleep(REGISTER_RETRY_S)
-            else:
-                break
-        await curio.Event().wait()
 
     def known(self) -> list[Instance]:
         """Return the entries that are known without asking."""
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 import curio
 
@@ -16,17 +17,25 @@
 from .manifest_copy import ManifestCopy
 from .row_copy import RowCopy
 from .row_watch import RowWatch
-from .rows import RowTable, StoredRow
+from .rows import RowTable, StoredRow, StorePosition
 from .table_news import TableNews
 from .upstreams import Upstream, UpstreamRegistry
 
 LEARN_PATIENCE_S = 0.4
 CONTACT_WAITS = 2
 FIRST_ROUTES_POLL_S = 0.02
+# How long a start waits to hear others, and for a copy of what they have in force.
+OTHERS_HEARD_WAIT_S = 0.3
+OTHERS_COPY_WAIT_S = 2.0
 
 
 class FleetState:
-    """Owns the watches of both tables."""
+    """Owns the watches of both tables.
+
+    A configuration that was in force stays so where the store has come back from an
+    older copy, until the operator's next one. ``highest_elsewhere`` returns the newest
+    version in force at another entry, None before any other was heard of.
+    """
 
     def __init__(
         self,
@@ -40,7 +49,10 @@
         self._wait_s = wait_s
         self._log = log
         self._learned = curio.Event()
-        self._learned_generation = 0
+        self._learned_generation = StorePosition()
+        self._started_at_s = now_s()
+        self._in_force_row: StoredRow | None = None
+        self.highest_elsewhere: Callable[[], int | None] = lambda: None
         self._unreadable: dict[str, int] = {}
         self._decoded: dict[StoredRow, Upstream] = {}
         self.routes: RouteTable | None = None
@@ -67,22 +79,34 @@
             RowTable.UPSTREAMS: self._upstream_rows,
         }
         self.registry = UpstreamRegistry(lambda: self._upstream_rows.regained_at_s, log)
+        self._era = adapter.store_era
+        self._era.follow(self._note_era)
 
     def task_mains(self) -> list[Callable]:
         """Return the tasks that must be running."""
-        return [self._configuration.run, self._upstream_rows.run, self._follow_peers]
+        return [
+            self._configuration.run,
+            self._upstream_rows.run,
+            self._follow_peers,
+            self._take_first_configuration,
+        ]
 
     @property
-    def generation(self) -> int:
-        """Store version of the newest change that is in force here; 0 before any."""
+    def generation(self) -> StorePosition:
+        """Position in the store's history of the newest change in force here."""
         return max(
-            self._configuration.changed_version, self._upstream_rows.changed_version
+            self._configuration.changed_position, self._upstream_rows.changed_position
         )
 
     @property
-    def known_version(self) -> int:
-        """Store version up to which all changes of both tables are known here."""
-        return min(self._configuration.version, self._upstream_rows.version)
+    def known_position(self) -> StorePosition:
+        """Position up to which all changes of both tables are known here."""
+        return min(self._configuration.position, self._upstream_rows.position)
+
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force here; 0 before the first."""
+        return 0 if self.routes is None else self.routes.version
 
     def follow_seen(self, on_seen: Callable[[TableNews], Awaitable[None]]) -> None:
         """Have ``on_seen`` called with changes that this entry sees at the store."""
@@ -96,12 +120,13 @@
 
     def take_news(self, news: TableNews) -> bool:
         """Take in what a watcher tells; False where changes before it are missing."""
+        self._era.note(news.era)
         return self._watches[news.table].take_news(news)
 
-    @property
-    def accepted_generation(self) -> int:
-        """Newest generation that the store has shown to this entry."""
-        return self.generation
+    def _note_era(self) -> None:
+        """Take in that the store came back from an older copy."""
+        self._log.write(Event.STORE_CAME_BACK, era=self._era.known)
+        self.registry.hold_departed()
 
     @property
     def confirmed_at_s(self) -> float | None:
@@ -127,9 +152,9 @@
             self._upstream_rows.has_contact(age_s)
         )
 
-    async def learn(self, generation: int) -> None:
+    async def learn(self, generation: StorePosition) -> None:
         """Read the tables soon, where a peer is ahead and the watches stay behind."""
-        if generation > max(self.known_version, self._learned_generation):
+        if generation > max(self.known_position, self._learned_generation):
             self._learned_generation = generation
             await self._learned.set()
 
@@ -138,7 +163,7 @@
             await self._learned.wait()
             self._learned.clear()
             await curio.sleep(LEARN_PATIENCE_S)
-            if self.known_version < self._learned_generation:
+            if self.known_position < self._learned_generation:
                 await self._configuration.refresh()
                 await self._upstream_rows.refresh()
 
@@ -148,29 +173,54 @@
             return None
         return ManifestCopy(
             head=self._upstream_rows.copy().encode(),
-            body=self._configuration.copy().encode(),
-            row_version=self.generation,
+            body=replace(self._configuration.copy(), kept=self._kept_rows()).encode(),
+            row_version=self.generation.version,
         )
 
+    def _kept_rows(self) -> tuple[StoredRow, ...]:
+        """Return the configuration in force where the store has an older one."""
+        row = self._configuration.rows.get(self._adapter.configuration_key)
+        if self._in_force_row is None or row is self._in_force_row:
+            return ()
+        return (self._in_force_row,)
+
     async def install_copy(self, copy: ManifestCopy) -> None:
         """Put a peer's copy in force where it is newer; raises ConfigError."""
         upstreams = RowCopy.decode(copy.head)
         configuration = RowCopy.decode(copy.body)
+        self._era.note(max(upstreams.era, configuration.era))
+        for row in configuration.kept:
+            if row.key == self._adapter.configuration_key:
+                self._put_in_force(row)
         self._configuration.install_copy(configuration)
         self._upstream_rows.install_copy(upstreams)
 
+    async def _take_first_configuration(self) -> None:
+        """Take the store's configuration once the others needn't be waited for."""
+        while self.routes is None:
+            await curio.sleep(FIRST_ROUTES_POLL_S)
+            if self._configuration.rows:
+                self._take_configuration()
+        await curio.Event().wait()
+
     def _take_configuration(self) -> None:
         row = self._configuration.rows.get(self._adapter.configuration_key)
-        if row is None:
-            return
+        if row is not None:
+            self._put_in_force(row)
+
+    def _put_in_force(self, row: StoredRow) -> None:
+        """Put a configuration in force, where it isn't older than the present one."""
         try:
             table = self._adapter.decode_configuration(row)
         except ConfigError as exc:
             self._log.write(Event.CONFIGURATION_INVALID, error=str(exc))
             return
-        if self.routes is not None and table.version < self.routes.version:
+        if table.version < self.configuration_version:
+            return
+        if self.routes is None and self._may_be_older(table):
             return
         self.routes = table
+        self._in_force_row = row
         self._log.write(
             Event.CONFIGURATION_IN_FORCE,
             version=table.version,
@@ -179,6 +229,20 @@
         )
         self._take_upstreams()
 
+    def _may_be_older(self, table: RouteTable) -> bool:
+        """Whether the others may have a later configuration than this first one.
+
+        Only where the store has ever come back from an older copy. For a while, so that
+        an entry serves by what the store has if the others can't be asked.
+        """
+        if self._era.known == 0:
+            return False
+        waited_s = now_s() - self._started_at_s
+        elsewhere = self.highest_elsewhere()
+        if elsewhere is None:
+            return waited_s < OTHERS_HEARD_WAIT_S
+        return table.version < elsewhere and waited_s < OTHERS_COPY_WAIT_S
+
     def _take_upstreams(self) -> None:
         rows = self._upstream_rows.rows
         decoded = (self._decode_upstream(row) for row in rows.values())
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -6,6 +6,11 @@
 
 A holder counts the term from before it sends a renewal. A contender takes a lease only
 after it has itself seen the same renewal count for the whole term and the drift margin.
+
+The store may come back from an older copy, and a takeover may be lost with what it has
+forgotten. So every tenure ends with the store's era, epochs of a later era are greater,
+and what is on record from an earlier one counts as held by another until a term has
+passed since the return.
 """
 
 import hashlib
@@ -18,9 +23,10 @@
 from ..events import Event, EventLog
 from ..steps import Step, reach
 from .clock import now_s
-from .lease_record import NO_HOLDER, Contender, LeaseRecord, Tenure
+from .lease_record import NO_HOLDER, Contender, LeaseRecord, Tenure, next_epoch
 from .settings_models import LeaseSettings
 from .store import Check, Put, Row, RowStore, Transaction
+from .store_era import StoreEra
 
 LEASE_TABLE = "leases"
 EPOCH_TABLE = "epochs"
@@ -32,6 +38,7 @@
 
     ``candidates`` returns the ids of the entries that compete; rendezvous hashing over
     them decides who tries first, or ``is_first`` where the caller has chosen one.
+    ``era`` is that of the table, where it may come back from an older copy.
     """
 
     def __init__(
@@ -43,9 +50,11 @@
         candidates: Callable[[], Iterable[str]],
         log: EventLog,
         is_first: Callable[[], bool] | None = None,
+        era: StoreEra | None = None,
     ):
         self.group = group
-        self.tenure: Tenure | None = None
+        self._tenure: Tenure | None = None
+        self._era = era or StoreEra()
         self._contender = contender
         self._table = table
         self._settings = settings
@@ -74,6 +83,19 @@
         """Time between two tries to take or renew the lease."""
         return self._settings.renew_every_s
 
+    @property
+    def tenure(self) -> Tenure | None:
+        """Time of this entry as holder, lapsed or not; None before and after it."""
+        if self._tenure is not None and self._tenure.era != self._era.known:
+            self._log.write(
+                Event.LEASE_LOST,
+                group=self.group,
+                epoch=self._tenure.epoch,
+                era=self._era.known,
+            )
+            self._tenure = None
+        return self._tenure
+
     @property
     def rank(self) -> int:
         """How many other entries are to try before this one."""
@@ -88,9 +110,10 @@
 
     def has_left(self, share: float) -> bool:
         """Whether the lease is held, with more than a share of its term left."""
-        if self.tenure is None:
+        tenure = self.tenure
+        if tenure is None:
             return False
-        return self.tenure.expires_at_s - now_s() > share * self._settings.term_s
+        return tenure.expires_at_s - now_s() > share * self._settings.term_s
 
     def may_order(self) -> bool:
         """Whether the lease is held and no former holder's orders are too recent."""
@@ -98,15 +121,16 @@
 
     def require(self, left_s: float) -> Tenure:
         """Return the tenure if more than ``left_s`` of it is left; raises LeaseLost."""
-        if self.tenure is None:
+        tenure = self.tenure
+        if tenure is None:
             raise LeaseLost(f"the lease of group {self.group!r} is not held")
-        remaining_s = self.tenure.expires_at_s - now_s()
+        remaining_s = tenure.expires_at_s - now_s()
         if remaining_s <= left_s:
             raise LeaseLost(
                 f"the lease of group {self.group!r} has {remaining_s:.3f} s left; "
                 f"more than {left_s:.3f} s are needed"
             )
-        return self.tenure
+        return tenure
 
     def epoch_check(self) -> Check:
         """Return the condition that nobody else has taken over; raises LeaseLost."""
@@ -115,7 +139,7 @@
 
     def drop(self) -> None:
         """Act on the lease no more until it is renewed or taken again."""
-        self.tenure = None
+        self._tenure = None
 
     async def raise_epoch(self, above: int) -> None:
         """Make the epoch greater than ``above``, that of another group's order.
@@ -125,15 +149,19 @@
         if self.require(0.0).epoch > above:
             return
         async with self._changing:
+            era = self.require(0.0).era
             row = await self._table.read(EPOCH_TABLE, self.group)
-            if row.value["incarnation"] != self._contender.incarnation:
+            is_own = row.exists and (
+                row.value["incarnation"] == self._contender.incarnation
+            )
+            if not is_own or row.era != era:
                 raise LeaseLost(f"the lease of group {self.group!r} was taken over")
             value = {"epoch": above + 1, **asdict(self._contender)}
             put = Put(EPOCH_TABLE, self.group, value, row.version)
             # The next renewal reads the epoch; until then nothing can be ordered.
-            self.tenure = None
+            self._tenure = None
             if row.value["epoch"] <= above:
-                await self._table.write(Transaction((put,)))
+                await self._table.write(Transaction((put,), era=era))
         self._log.write(Event.EPOCH_RAISED, group=self.group, epoch=above + 1)
 
     async def run(self) -> None:
@@ -155,11 +183,11 @@
             record = LeaseRecord.from_row(row)
             self._watch(record)
             await reach(Step.LEASE_READ)
-            if record.belongs_to(self._contender):
+            if record.belongs_to(self._contender) and record.is_of(row.era):
                 await self._renew(row, record)
                 return
             self._lose(record)
-            if self._may_take(record):
+            if self._may_take(row, record):
                 await self._take(row, record)
         except WriteConflict:
             return
@@ -190,8 +218,11 @@
             self._watched = record
             self._watched_since_s = now_s()
 
-    def _may_take(self, record: LeaseRecord) -> bool:
+    def _may_take(self, row: Row, record: LeaseRecord) -> bool:
         wait_s = min(self.rank * self._settings.renew_every_s, self._settings.term_s)
+        if not record.is_of(row.era):
+            wait_s += self._settings.term_s + self._settings.drift_margin_s
+            return now_s() - self._era.since_s >= wait_s
         if record.holder != NO_HOLDER:
             wait_s += record.term_s + self._settings.drift_margin_s
         return now_s() - self._watched_since_s >= wait_s
@@ -200,29 +231,36 @@
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
         put = self._put(row, record.renewals + 1)
-        await self._table.write(Transaction((put,)))
-        await self._extend(sent_at_s)
+        await self._table.write(Transaction((put,), era=row.era))
+        await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
     async def _take(self, row: Row, record: LeaseRecord) -> None:
         epoch_row = await self._table.read(EPOCH_TABLE, self.group)
-        epoch = epoch_row.value["epoch"] + 1 if epoch_row.exists else 1
+        if epoch_row.era != row.era:
+            return
+        former = epoch_row.value["epoch"] if epoch_row.exists else 0
+        epoch = next_epoch(former, row.era)
         value = {"epoch": epoch, **asdict(self._contender)}
-        self._orders_from_s = now_s() + self._quiet_s(record)
+        self._orders_from_s = now_s() + self._quiet_s(row, record)
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
         put = self._put(row, 0)
         put_epoch = Put(EPOCH_TABLE, self.group, value, epoch_row.version)
-        await self._table.write(Transaction((put, put_epoch)))
-        await self._extend(sent_at_s)
+        await self._table.write(Transaction((put, put_epoch), era=row.era))
+        await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
-    def _quiet_s(self, record: LeaseRecord) -> float:
+    def _quiet_s(self, row: Row, record: LeaseRecord) -> float:
         """Return how long no order may be given after taking over from a holder.
 
         It gave none after the end of its term, which began before its last renewal was
-        seen here. One that released the lease did so a term after its last order.
+        seen here. One that released the lease did so a term after its last order. A
+        holder that the store has forgotten began its last term before the return.
         """
+        if not record.is_of(row.era):
+            silent_s = now_s() - self._era.since_s
+            return max(0.0, 2 * self._settings.term_s - silent_s)
         if record.holder in (NO_HOLDER, self._contender.entry_id):
             return 0.0
         watched_s = now_s() - self._watched_since_s
@@ -234,42 +272,48 @@
             self._contender.incarnation,
             renewals,
             self._settings.term_s,
+            row.era,
         )
         return Put(LEASE_TABLE, self.group, asdict(record), row.version)
 
-    async def _extend(self, sent_at_s: float) -> None:
+    async def _extend(self, sent_at_s: float, era: int) -> None:
         """Count the term from ``sent_at_s``, on taking it over read the epoch."""
         expires_at_s = sent_at_s + self._settings.term_s
-        if self.tenure is not None:
-            self.tenure.expires_at_s = expires_at_s
+        tenure = self.tenure
+        if tenure is not None:
+            tenure.expires_at_s = expires_at_s
             return
         row = await self._table.read(EPOCH_TABLE, self.group)
         if not row.exists or row.value["incarnation"] != self._contender.incarnation:
             return
-        self.tenure = Tenure(
+        if row.era != era:
+            return
+        self._tenure = Tenure(
             row.value["epoch"],
             row.version,
             now_s(),
             expires_at_s,
             self._orders_from_s,
+            era,
         )
         self._log.write(
             Event.LEASE_TAKEN,
             group=self.group,
-            epoch=self.tenure.epoch,
+            epoch=self._tenure.epoch,
             rank=self.rank,
         )
 
     def _lose(self, record: LeaseRecord) -> None:
-        if self.tenure is None:
+        tenure = self.tenure
+        if tenure is None:
             return
         self._log.write(
             Event.LEASE_LOST,
             group=self.group,
-            epoch=self.tenure.epoch,
+            epoch=tenure.epoch,
             holder=record.holder,
         )
-        self.tenure = None
+        self._tenure = None
 
     async def release(self) -> None:
         """Give the lease up, so that another entry needn't wait for its end.
@@ -277,13 +321,15 @@
         The caller has ended the task of ``run``. Where orders follow ``may_order``, it
         has given none for a term. A failed release leaves the lease to lapse.
         """
-        self.tenure = None
+        self._tenure = None
         try:
             row = await self._table.read(LEASE_TABLE, self.group)
-            if not LeaseRecord.from_row(row).belongs_to(self._contender):
+            record = LeaseRecord.from_row(row)
+            if not (record.belongs_to(self._contender) and record.is_of(row.era)):
                 return
-            put = Put(LEASE_TABLE, self.group, asdict(LeaseRecord()), row.version)
-            await self._table.write(Transaction((put,)))
+            released = asdict(LeaseRecord(era=row.era))
+            put = Put(LEASE_TABLE, self.group, released, row.version)
+            await self._table.write(Transaction((put,), era=row.era))
         except PlatformError as exc:
             self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
             return
--- a/wisteriaarch/process/lease_record.py
+++ b/wisteriaarch/process/lease_record.py
@@ -5,6 +5,8 @@
 from .store import Row
 
 NO_HOLDER = ""
+# Takeovers within one era; engines read epochs as numbers of up to 53 bits.
+ERA_SHIFT = 32
 
 
 @dataclass(frozen=True)
@@ -17,12 +19,13 @@
 
 @dataclass(frozen=True)
 class LeaseRecord:
-    """Content of a lease row."""
+    """Content of a lease row; ``era`` is that of the store when it was written."""
 
     holder: str = NO_HOLDER
     incarnation: str = ""
     renewals: int = 0
     term_s: float = 0.0
+    era: int = 0
 
     @classmethod
     def from_row(cls, row: Row) -> "LeaseRecord":
@@ -34,13 +37,17 @@
         mine = (contender.entry_id, contender.incarnation)
         return (self.holder, self.incarnation) == mine
 
+    def is_of(self, era: int) -> bool:
+        """Whether it was written in an era; else a later one may have been lost."""
+        return self.era == era
+
 
 @dataclass
 class Tenure:
     """Time of one holder; ``since_s`` is when it learnt that it took the lease.
 
     Orders may be given from ``orders_from_s`` on, a whole term after any order of a
-    former holder.
+    former holder. The tenure ends with the store's ``era``.
     """
 
     epoch: int
@@ -48,3 +55,9 @@
     since_s: float
     expires_at_s: float
     orders_from_s: float
+    era: int = 0
+
+
+def next_epoch(former: int, era: int) -> int:
+    """Return the epoch after a former one, greater than any of an earlier era."""
+    return max(former, era << ERA_SHIFT) + 1
--- a/wisteriaarch/process/member_list.py
+++ b/wisteriaarch/process/member_list.py
@@ -12,6 +12,7 @@
 from enum import IntEnum
 
 from .clock import now_s
+from .rows import StorePosition
 
 FORGET_DEAD_AFTER_S = 60.0
 TELL_FOR_S = 10.0
@@ -29,8 +30,9 @@
 class MemberRecord:
     """Record of one entry.
 
-    ``cores`` is its share of a processor, ``generation`` the store version of the
-    newest change in force there; a newer generation alone is no later record.
+    ``cores`` is its share of a processor, ``generation`` the position of the newest
+    change of the store in force there, ``configuration`` the version of its
+    configuration, 0 before the first; a newer one of these alone is no later record.
     """
 
     entry_id: str
@@ -40,7 +42,8 @@
     ready: bool = False
     zone: str = ""
     cores: float = 1.0
-    generation: int = 0
+    generation: StorePosition = StorePosition()
+    configuration: int = 0
 
     @property
     def order(self) -> tuple[int, int, bool]:
@@ -82,10 +85,12 @@
         self.version += 1
         return True
 
-    def note_generation(self, generation: int) -> None:
-        """Take in which change is in force here."""
-        if generation != self.own.generation:
-            self.own = replace(self.own, generation=generation)
+    def note_generation(self, generation: StorePosition, configuration: int) -> None:
+        """Take in which change of the store and which configuration are in force."""
+        if (generation, configuration) != (self.own.generation, self.own.configuration):
+            self.own = replace(
+                self.own, generation=generation, configuration=configuration
+            )
 
     def take(self, record: MemberRecord) -> bool:
         """Take in a record; True where it says something new.
@@ -98,8 +103,11 @@
         known = self._known.get(record.entry_id)
         if known is not None and record.order <= known.record.order:
             if record.order == known.record.order:
-                newest = max(record.generation, known.record.generation)
-                known.record = replace(known.record, generation=newest)
+                known.record = replace(
+                    known.record,
+                    generation=max(record.generation, known.record.generation),
+                    configuration=max(record.configuration, known.record.configuration),
+                )
             return False
         at_s = now_s()
         heard_at_s = known.heard_at_s if known else at_s
@@ -175,6 +183,10 @@
         drawn = random.sample(rest, min(count - len(newest), len(rest)))
         return [item.record for item in newest + drawn]
 
-    def highest_generation(self) -> int:
-        """Return the highest generation in force at another entry that lives."""
-        return max((item.generation for item in self.others()), default=0)
+    def highest_generation(self) -> StorePosition:
+        """Return the newest change in force at another entry that lives."""
+        return max((item.generation for item in self.others()), default=StorePosition())
+
+    def highest_configuration(self) -> int:
+        """Return the newest configuration in force at another entry that lives."""
+        return max((item.configuration for item in self.others()), default=0)
--- a/wisteriaarch/process/row_watch.py
+++ b/wisteriaarch/process/row_watch.py
@@ -1,4 +1,7 @@
-"""Follows one table of the platform's store and never goes back to an older state."""
+"""Follows one table of the platform's store and never goes back to an older state.
+
+A store that comes back from an older copy begins a new era: all rows are read again.
+"""
 
 import random
 from collections.abc import Awaitable, Callable
@@ -10,7 +13,7 @@
 from .backoff import Backoff
 from .clock import now_s
 from .row_copy import RowCopy
-from .rows import RowSource, RowsRead, RowTable, StoredRow
+from .rows import RowSource, RowsRead, RowTable, StoredRow, StorePosition
 from .table_news import TableNews
 
 RETRY_MIN_S = 0.15
@@ -35,7 +38,8 @@
     """Last known rows of a table; ``on_change`` is called after each change of them.
 
     ``version`` is the store's version up to which changes are known, and
-    ``changed_version`` that of the newest change seen in this table.
+    ``changed_version`` that of the newest change seen in this table, both of the
+    store's ``era``.
     ``confirmed_at_s`` is when the store was last asked successfully, ``regained_at_s``
     when it answered again after it had not. ``on_seen`` is called with changes that
     this entry has seen at the store itself; it asks only while ``is_due``, and once in
@@ -65,6 +69,7 @@
         self._available = True
         self._answered_at_s = float("-inf")
         self.rows: dict[str, StoredRow] = {}
+        self.era = 0
         self.version = 0
         self.changed_version = 0
         self.confirmed_at_s: float | None = None
@@ -98,6 +103,16 @@
         self._backoff.next_s(True)
         return True
 
+    @property
+    def position(self) -> StorePosition:
+        """Point in the store's history up to which changes are known."""
+        return StorePosition(self.era, self.version)
+
+    @property
+    def changed_position(self) -> StorePosition:
+        """Point of the newest change seen in this table."""
+        return StorePosition(self.era, self.changed_version)
+
     def has_contact(self, age_s: float) -> bool:
         """Whether the store answers, and did so within the last ``age_s``."""
         if not self._available:
@@ -114,27 +129,30 @@
             )
 
     async def _take_all(self) -> None:
-        known_before = self.changed_version
         read = await self._source.read_all(self._table)
-        if read.version < self.version:
+        if read.position < self.position:
             raise StoreUnavailable(
-                f"the answer is of version {read.version}, older than {self.version}"
+                f"the answer is of {read.position}, older than {self.position}"
             )
+        known_before = self.changed_position
         self._note_available()
+        self._enter_era(read.era)
         rows = {row.key: row for row in read.rows}
         self._following = True
         self.version = read.version
         self._install(rows)
-        if self.changed_version > known_before:
+        if self.changed_position > known_before:
             await self.on_seen(self._news(self.changed_version))
 
     async def _take_changes(self) -> None:
-        after, known_before = self.version, self.changed_version
-        read = await self._source.wait_for_changes(self._table, after, self._wait_s)
-        if read.version < after:
-            raise HistoryLost(f"the store went back to version {read.version}")
+        after, known_before = self.position, self.changed_version
+        read = await self._source.wait_for_changes(
+            self._table, after.version, self._wait_s
+        )
+        if read.era != after.era or read.version < after.version:
+            raise HistoryLost(f"the store went from {after} to {read.position}")
         self._note_available()
-        if read.version < self.version:
+        if read.position < self.position:
             # Another entry told of later changes meanwhile.
             return
         self._merge(read)
@@ -155,6 +173,7 @@
             rows,
             now - confirmed_at_s,
             returned_age_s,
+            self.era,
         )
 
     def confirmed_news(self) -> TableNews | None:
@@ -168,12 +187,17 @@
         return self._news(self.changed_version)
 
     def take_news(self, news: TableNews) -> bool:
-        """Take in what a watcher tells; False where changes before it are missing."""
+        """Take in what a watcher tells; False where changes before it are missing.
+
+        News of an older era says nothing.
+        """
+        if news.era < self.era:
+            return True
         if news.returned_age_s is not None:
             returned_at_s = now_s() - news.returned_age_s
             if self.regained_at_s is None or returned_at_s > self.regained_at_s:
                 self.regained_at_s = returned_at_s
-        if self.version < news.changed_before:
+        if news.era > self.era or self.version < news.changed_before:
             return False
         if news.version >= self.version:
             self._merge(RowsRead(news.rows, news.version))
@@ -198,12 +222,15 @@
 
     def copy(self) -> RowCopy:
         """Return the rows as a peer can take them over."""
-        return RowCopy(tuple(self.rows.values()), self.version, self.changed_version)
+        return RowCopy(
+            tuple(self.rows.values()), self.version, self.changed_version, self.era
+        )
 
     def install_copy(self, copy: RowCopy) -> None:
         """Take over a peer's rows where they are newer than what is known."""
-        if copy.version <= self.version:
+        if copy.position <= self.position:
             return
+        self._enter_era(copy.era)
         self.version = copy.version
         self.changed_version = max(self.changed_version, copy.changed_version)
         self._following = False
@@ -217,6 +244,17 @@
         self.rows = rows
         self._on_change()
 
+    def _enter_era(self, era: int) -> None:
+        """Count versions anew where the store has come back from an older copy.
+
+        Registrations that it has forgotten are about to be written again.
+        """
+        if era == self.era:
+            return
+        self.era = era
+        self.changed_version = 0
+        self.regained_at_s = now_s()
+
     def _note_unavailable(self, exc: StoreUnavailable) -> None:
         if self._available:
             self._log.write(
--- a/wisteriaarch/process/rows.py
+++ b/wisteriaarch/process/rows.py
@@ -13,6 +13,19 @@
     ENTRIES = "entries"
 
 
+@dataclass(frozen=True, order=True)
+class StorePosition:
+    """Point in the store's history.
+
+    The store may come back from an older copy. Its versions then go back and are given
+    out again, and its ``era`` rises by one; within an era a greater ``version`` is the
+    later one.
+    """
+
+    era: int = 0
+    version: int = 0
+
+
 @dataclass(frozen=True)
 class StoredRow:
     """Row as read; ``deleted`` marks one that was removed."""
@@ -25,10 +38,19 @@
 
 @dataclass(frozen=True)
 class RowsRead:
-    """Rows of one answer; ``version`` is the store's newest version at that moment."""
+    """Rows of one answer; ``version`` is the store's newest version at that moment.
+
+    Versions are those of the store's ``era``.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Point in the store's history that the rows are as of."""
+        return StorePosition(self.era, self.version)
 
 
 class RowSource(Protocol):
@@ -42,7 +64,8 @@
     ) -> RowsRead:
         """Return rows that changed after a version; none where ``wait_s`` passes.
 
-        Raises HistoryLost where that version is no longer known, StoreUnavailable.
+        The answer's era tells in which history. Raises HistoryLost where that version
+        is not or no longer known, StoreUnavailable.
         """
 
     async def put(self, table: RowTable, key: str, value: bytes) -> None:
--- a/wisteriaarch/process/store.py
+++ b/wisteriaarch/process/store.py
@@ -11,13 +11,17 @@
 
 @dataclass(frozen=True)
 class Row:
-    """Row of a table; ``version`` is NO_VERSION where there is no such row."""
+    """Row of a table; ``version`` is NO_VERSION where there is no such row.
+
+    ``era`` tells in which of the store's histories the version counts.
+    """
 
     table: str
     key: str
     version: int
     value: Any
     write_ids: tuple[str, ...] = ()
+    era: int = 0
 
     @property
     def exists(self) -> bool:
@@ -49,10 +53,15 @@
 
 @dataclass(frozen=True)
 class Transaction:
-    """Writes and checks that take effect together or not at all."""
+    """Writes and checks that take effect together or not at all.
+
+    ``era`` is that of the reads which the expected versions come from; None where the
+    writes are right in any.
+    """
 
     puts: tuple[Put, ...]
     checks: tuple[Check, ...] = ()
+    era: int | None = None
 
 
 class RowStore(Protocol):
@@ -65,7 +74,7 @@
         """Apply a transaction once or not at all.
 
         Raises WriteConflict (not applied), StoreUnavailable (not applied) or
-        WriteOutcomeUnknown.
+        WriteOutcomeUnknown, also where the store's era isn't the transaction's.
         """
 
 
--- a/wisteriaarch/process/table_news.py
+++ b/wisteriaarch/process/table_news.py
@@ -12,7 +12,8 @@
     ``changed_before`` is the version of the newest change before these rows: who knows
     the table up to it knows all up to ``version`` after taking them in. The store
     confirmed this ``confirmed_age_s`` ago; it had been away and returned
-    ``returned_age_s`` ago, None where it was not away of late.
+    ``returned_age_s`` ago, None where it was not away of late. All versions are those
+    of the store's ``era``.
     """
 
     table: RowTable
@@ -21,3 +22,4 @@
     rows: tuple[StoredRow, ...] = ()
     confirmed_age_s: float = 0.0
     returned_age_s: float | None = None
+    era: int = 0
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -9,6 +9,10 @@
 from .clock import now_s
 
 RETURN_GRACE_S = 2.5
+# An older copy of the store may list an upstream that has left for as long as the
+# platform waits for its heartbeats; a departure is remembered for the copy's age.
+DEPARTED_HELD_S = 8.0
+DEPARTED_KEPT_S = 60.0
 
 
 class Stage(StrEnum):
@@ -37,12 +41,21 @@
     started_at_ms: int = 0
 
 
+@dataclass(frozen=True)
+class _Departure:
+    started_at_ms: int
+    at_s: float
+
+
 class UpstreamRegistry:
     """Upstreams in use.
 
     Registrations lapse while the store is away and return shortly after it. One that is
     missing then is kept until ``RETURN_GRACE_S`` after the store's return.
     ``on_lost`` is called with the id of an upstream that is gone or has restarted.
+
+    A store that comes back from an older copy lists upstreams that have left. These
+    aren't used for ``DEPARTED_HELD_S`` unless they have started again.
     """
 
     def __init__(
@@ -59,6 +72,9 @@
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         self._first_listed_at_s: float | None = None
         self._said_leaving: dict[str, int] = {}
+        self._departed: dict[str, _Departure] = {}
+        self._held_away_until_s = float("-inf")
+        self._holds_away = False
         self._usable: dict[str, tuple[Upstream, ...]] = {}
 
     def update(self, listed: Iterable[Upstream]) -> None:
@@ -85,14 +101,43 @@
             )
         for name in upstreams.keys() & self._listed.keys():
             self._note_restart(self._listed[name], upstreams[name])
+        for item in upstreams.values():
+            if item.leaving:
+                self._note_departed(item)
         self._listed = upstreams
         self._index()
 
+    def hold_departed(self) -> None:
+        """Leave upstreams away that have left, though the store may list them again."""
+        self._held_away_until_s = now_s() + DEPARTED_HELD_S
+        self._holds_away = True
+        self._usable.clear()
+
+    def _note_departed(self, upstream: Upstream) -> None:
+        """Remember that an upstream leaves or has left."""
+        now = now_s()
+        if now >= self._held_away_until_s:
+            self._departed = {
+                name: item
+                for name, item in self._departed.items()
+                if now - item.at_s < DEPARTED_KEPT_S
+            }
+        self._departed[upstream.upstream_id] = _Departure(upstream.started_at_ms, now)
+
+    def _is_held_away(self, upstream: Upstream) -> bool:
+        departure = self._departed.get(upstream.upstream_id)
+        return (
+            departure is not None
+            and departure.started_at_ms == upstream.started_at_ms
+            and now_s() < self._held_away_until_s
+        )
+
     def _note_gone(self, upstream: Upstream) -> None:
         held = self._in_grace() and not upstream.leaving
         if held:
             self._missing[upstream.upstream_id] = upstream
         else:
+            self._note_departed(upstream)
             self.on_lost(upstream.upstream_id)
         self._log.write(Event.UPSTREAM_GONE, upstream=upstream.upstream_id, kept=held)
 
@@ -139,6 +184,9 @@
         if self._missing and not self._in_grace():
             self._missing = {}
             self._index()
+        if self._holds_away and now_s() >= self._held_away_until_s:
+            self._holds_away = False
+            self._usable.clear()
         usable = self._usable.get(service)
         if usable is None:
             usable = self._usable[service] = tuple(
@@ -153,7 +201,7 @@
         upstream = self.get(upstream_id)
         if upstream is None or upstream.leaving or self._has_said_leaving(upstream):
             return None
-        return upstream
+        return None if self._is_held_away(upstream) else upstream
 
     def get(self, upstream_id: str) -> Upstream | None:
         """Return a known upstream."""
--- a/wisteriaarch/schema/members.capnp
+++ b/wisteriaarch/schema/members.capnp
@@ -20,6 +20,7 @@
   rows @3 :List(Row);
   confirmedAgeMs @4 :UInt32;     # since the sender asked the store
   returnedAgeMs @5 :UInt32;      # since the store's return; 0xffffffff for none
+  era @6 :UInt32;                # of the store, in which all versions here count
 }
 
 struct Row {
@@ -38,6 +39,8 @@
   zone @5 :Text;
   cores @6 :Float32;             # processor share
   generation @7 :UInt64;         # newest change of the store in force there
+  era @8 :UInt32;                # of the store, in which the generation counts
+  configuration @9 :UInt64;      # version of the configuration in force there; 0 for none
 }
 
 struct Crash {
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -12,6 +12,7 @@
 from ..process.lease_record import Contender
 from ..process.settings_models import LeaseSettings
 from ..process.store import RowStore
+from ..process.store_era import StoreEra
 from ..process.supervision import run_supervised
 from ..process.upstreams import Stage, Upstream
 from .route_table import RouteTable
@@ -66,9 +67,11 @@
         entries: Callable[[], Iterable[str]],
         is_scheduler: Callable[[str], bool],
         is_closing: Callable[[], bool],
+        era: StoreEra,
         log: EventLog,
     ):
         self._contender = contender
+        self._era = era
         self._store = store
         self._lease = lease
         self._orders = StageOrders(protocol)
@@ -120,6 +123,7 @@
             self._entries,
             self._log,
             partial(self._is_scheduler, service),
+            self._era,
         )
         return StageControl(
             service,
