--- a/wisteriaarch/process/fleet_knowledge.py
+++ b/wisteriaarch/process/fleet_knowledge.py
@@ -46,8 +46,6 @@
         """Take over the reading speed that a scheduler has learnt."""
         self._rates[service].value = rate
 
-    def note_reading(
-        self, service: str, input_tokens: int, tokens_before: int, elapsed_s: float
-    ) -> None:
+    def note_reading(self, service: str, tokens: int, elapsed_s: float) -> None:
         """Learn the reading speed of a service's engines from one prompt."""
-        self._rates[service].note(input_tokens, tokens_before, elapsed_s)
+        self._rates[service].note(tokens, elapsed_s)
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -127,9 +127,11 @@
         rate = self._knowledge.rate_of(call.service)
         whole_s = PREFILL_OVERHEAD_S + (queued_tokens + input_tokens) / rate
         load.pace.note(max(elapsed_s, whole_s), whole_s, now_s())
-        self._knowledge.note_reading(
-            call.service, input_tokens, queued_tokens, elapsed_s
-        )
+        if queued_tokens <= choice.tokens:
+            # A longer queue is itself predicted by the speed.
+            self._knowledge.note_reading(
+                call.service, queued_tokens + choice.tokens, elapsed_s
+            )
         self._part_placed(call, choice, 0, ready=True)
 
     def _answered(
