Tell apart how much of a chain of shared parts each engine holds

Cause: only the first shared part of a prompt was followed. Where prompts begin with one of four parts and go on with one of 1,176, every engine counted as holding all of it: prompts went anywhere, a fifth of all tokens were shared parts read again, and parts were copied from engines that lacked them.

Change: beliefs are kept for each shared part; what counts is the chain up to the first part that isn't held. Copies come from whom has most, homes follow the last shared part, waiting for a part counts what is missing.

Tests failed before by construction (no chain).

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -62,7 +62,7 @@
     reading: Asked | None = None
 
     def candidate(self, asked):
-        is_held = asked.prompt.first_part in self.parts
+        is_held = asked.prompt.last_shared_part in self.parts
         tokens = self.left_tokens + sum(item[2] for item in self.queue)
         item = candidate(self.name, Stage.PREFILL, self.zone, prompt_tokens=int(tokens))
         return replace(item, holding=Holding.HELD if is_held else Holding.NONE)
@@ -81,7 +81,7 @@
             if self.left_tokens <= 0:
                 self.reading.first_s = now - self.reading.at_s
                 self.reading.served = self.reading.first_s <= PATIENCE_S
-                self.parts.add(self.reading.prompt.first_part)
+                self.parts.add(self.reading.prompt.last_shared_part)
                 self.reading = None
 
 
@@ -143,7 +143,7 @@
                 served = Counter()
                 times = defaultdict(list)
                 for item in filter(is_long, asked):
-                    part = item.prompt.first_part
+                    part = item.prompt.last_shared_part
                     served[part] += item.served
                     times[part].append(item.at_s)
                 lasting = [
--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -1,6 +1,7 @@
 """Where calls are placed and who reads a prompt, without I/O."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from wisteriaarch.process.cache_belief import Holding
@@ -141,6 +142,17 @@
         plan = plan_stages(items, prompt(17_000, 13_000), CALM, "z1", 0.15)
         self.assertEqual(plan.prefill.fetch_from.upstream_id, "d1")
 
+    def test_part_is_copied_from_who_has_most_of_the_chain(self):
+        """Load: all engines have the part that every prompt begins with."""
+        items = [replace(item, held_tokens=2_500) for item in fleet()]
+        items[3] = replace(items[3], holding=Holding.HELD)
+        plan = plan_stages(items, prompt(9_200, 6_300), CALM, "z1", 0.15)
+        self.assertEqual(plan.prefill.fetch_from.upstream_id, "d1")
+        few = [replace(item, held_tokens=2_500) for item in fleet()]
+        plan = plan_stages(few, prompt(9_200, 6_300), CALM, "z1", 0.15)
+        self.assertIsNone(plan.prefill.fetch_from)
+        self.assertEqual(plan.prefill.tokens, 9_200 - 2_500)
+
     def test_holder_reads_by_itself_unless_its_queue_is_long(self):
         holder = candidate("p0", Stage.PREFILL, holding=Holding.HELD)
         idle = candidate("p1", Stage.PREFILL)
@@ -151,7 +163,7 @@
         queued = candidate(
             "p0", Stage.PREFILL, holding=Holding.HELD, prompt_tokens=60_000
         )
-        choice = place_prefill([queued, idle], long, RATE, "z1", [queued])
+        choice = place_prefill([queued, idle], long, RATE, "z1", 13_000)
         self.assertEqual(choice.candidate, idle)
 
     def test_runs_stay_with_their_shared_part_until_the_engine_is_full(self):
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -172,7 +172,9 @@
         call = read_call()
         self.assertEqual(call.call_id, "9c41")
         self.assertEqual(call.prompt.input_tokens, 1460)
-        self.assertEqual(call.prompt.first_part, "5c1e07a2")
+        shared = [part.part_id for part in call.prompt.shared_parts]
+        self.assertEqual(shared, ["5c1e07a2", "91bd3f06"])
+        self.assertEqual(call.prompt.last_shared_part, "91bd3f06")
         self.assertEqual(
             (call.prompt.own_tokens, call.prompt.shared_tokens), (250, 1210)
         )
--- a/tests/test_reading_decisions.py
+++ b/tests/test_reading_decisions.py
@@ -14,39 +14,62 @@
     Turn,
     choose_turn,
 )
+from wisteriaarch.request.routed_call import PromptPart
 from wisteriaarch.request.shared_reading import wait_for_part, wait_limit_s
 
 from .route_support import RATE, candidate, fleet, prompt
 
 
 class CacheBeliefTest(unittest.TestCase):
+    def whole(self, belief, part, capacity):
+        return belief.holding("u", [PromptPart(part, 1)], capacity).whole
+
     def test_least_recently_used_parts_yield(self):
         belief = CacheBelief()
         for number in range(5):
-            belief.note("u", f"p{number}", 100, ready=True)
-        self.assertEqual(belief.holding("u", "p0", 500), Holding.MAYBE)
-        self.assertEqual(belief.holding("u", "p4", 500), Holding.HELD)
-        belief.note("u", "p1", 10)
-        self.assertEqual(belief.holding("u", "p1", 500), Holding.HELD)
+            belief.note("u", [f"p{number}"], 100, ready=True)
+        self.assertEqual(self.whole(belief, "p0", 500), Holding.MAYBE)
+        self.assertEqual(self.whole(belief, "p4", 500), Holding.HELD)
+        belief.note("u", ["p1"], 10)
+        self.assertEqual(self.whole(belief, "p1", 500), Holding.HELD)
 
     def test_part_is_held_once_it_was_read(self):
         now = [0.0]
         belief = CacheBelief(lambda: now[0])
-        belief.note("u", "p", 100)
-        self.assertEqual(belief.holding("u", "p", 500), Holding.READING)
+        belief.note("u", ["p"], 100)
+        self.assertEqual(self.whole(belief, "p", 500), Holding.READING)
         now[0] = 2 * READING_MAX_S
-        self.assertEqual(belief.holding("u", "p", 500), Holding.MAYBE)
-        belief.note("u", "p", 0, ready=True)
-        self.assertEqual(belief.holding("u", "p", 500), Holding.HELD)
+        self.assertEqual(self.whole(belief, "p", 500), Holding.MAYBE)
+        belief.note("u", ["p"], 0, ready=True)
+        self.assertEqual(self.whole(belief, "p", 500), Holding.HELD)
+
+    def test_chain_is_held_as_far_as_all_parts_before_are(self):
+        """Load: four parts that every prompt begins with, then one of a thousand."""
+        belief = CacheBelief()
+        belief.note("u", ["system", "shop-1"], 9_000, ready=True)
+        belief.note("u", ["system", "shop-2"], 3_000)
+        system = PromptPart("system", 2_500)
+        for shop, whole, held in (
+            ("shop-1", Holding.HELD, 6_300),
+            ("shop-2", Holding.READING, 2_500),
+            ("shop-3", Holding.NONE, 2_500),
+        ):
+            with self.subTest(shop=shop):
+                found = belief.holding("u", [system, PromptPart(shop, 3_800)], 1e6)
+                self.assertEqual((found.whole, found.held_tokens), (whole, held))
+        other = belief.holding(
+            "u", [PromptPart("other", 2_500), PromptPart("shop-1", 3_800)], 1e6
+        )
+        self.assertEqual((other.whole, other.held_tokens), (Holding.NONE, 0))
 
     def test_restarted_engine_holds_nothing(self):
         belief = CacheBelief()
-        belief.note("u", "p", 10, ready=True)
+        belief.note("u", ["p"], 10, ready=True)
         belief.forget("u")
-        self.assertEqual(belief.holding("u", "p", 1e9), Holding.NONE)
+        self.assertEqual(self.whole(belief, "p", 1e9), Holding.NONE)
 
     def test_unknown_engine_holds_nothing(self):
-        self.assertEqual(CacheBelief().holding("u", "p", 1e9), Holding.NONE)
+        self.assertEqual(self.whole(CacheBelief(), "p", 1e9), Holding.NONE)
 
 
 class SharedReadingTest(unittest.TestCase):
@@ -78,12 +101,12 @@
 
     def test_wait_ends_as_soon_as_the_part_is_there(self):
         belief = CacheBelief()
-        belief.note("p0", "part", 17_000)
+        belief.note("p0", ["part"], 17_000)
         self.assertLess(self.wait(belief, ready_after_s=0.1), 0.2)
 
     def test_reading_that_never_ends_is_waited_for_in_bounds(self):
         belief = CacheBelief()
-        belief.note("p0", "part", 17_000)
+        belief.note("p0", ["part"], 17_000)
         self.assertLess(self.wait(belief, ready_after_s=9.0), 0.5)
 
     def wait(self, belief, ready_after_s):
@@ -95,13 +118,13 @@
         now = [0.0]
 
         def find():
-            holding = belief.holding("p0", "part", 1e6)
+            holding = belief.holding("p0", [PromptPart("part", 1)], 1e6).whole
             return [candidate("p0", Stage.PREFILL, holding=holding)]
 
         async def sleep(seconds):
             now[0] += seconds
             if now[0] >= ready_after_s:
-                belief.note("p0", "part", 0, ready=True)
+                belief.note("p0", ["part"], 0, ready=True)
 
         waiting = wait_for_part(
             call, find(), find, RATE, mock.Mock(), clock=lambda: now[0], sleep=sleep
--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -133,6 +133,7 @@
             placed.prompt_tokens,
             placed.pace,
             holding=Holding(placed.holding),
+            held_tokens=placed.held_tokens,
         )
         source = self._registry.get(placed.fetch_from_id)
         return Choice(candidate, placed.cost_s, source, placed.tokens)
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -114,6 +114,7 @@
         item.promptTokens,
         item.pace,
         item.holding,
+        item.heldTokens,
     )
 
 
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -94,6 +94,7 @@
                 "promptTokens": choice.prompt_tokens,
                 "pace": choice.pace,
                 "holding": choice.holding,
+                "heldTokens": choice.held_tokens,
             }
     return {"placed": content}
 
--- a/wisteriaarch/connection/scheduling_messages.py
+++ b/wisteriaarch/connection/scheduling_messages.py
@@ -30,6 +30,7 @@
     prompt_tokens: int
     pace: float
     holding: int
+    held_tokens: int = 0
 
     @classmethod
     def from_choice(cls, choice: Choice) -> "PlacedChoice":
@@ -44,6 +45,7 @@
             candidate.prompt_tokens,
             candidate.pace,
             int(candidate.holding),
+            candidate.held_tokens,
         )
 
 
--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -4,12 +4,16 @@
 the engines that read prompts. Reading a part anew takes a hundred times as long as
 copying it. The entry that schedules a service knows which parts were placed where, for
 all entries, without asking any engine.
+
+Shared parts come in chains: a few that all prompts begin with, then one of thousands. A
+part is of use only where all parts before it are held too.
 """
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
+from typing import Protocol
 
 from .clock import now_s
 
@@ -33,6 +37,28 @@
     HELD = 3
 
 
+class SharedPart(Protocol):
+    """Part of a prompt that other prompts may begin with too."""
+
+    part_id: str
+    tokens: int
+
+
+@dataclass(frozen=True)
+class PrefixHolding:
+    """What is believed of a chain of shared parts at one engine.
+
+    ``whole`` is believed of all of them together; ``held_tokens`` are in its memory and
+    need not be read.
+    """
+
+    whole: Holding = Holding.NONE
+    held_tokens: int = 0
+
+
+NOTHING_HELD = PrefixHolding()
+
+
 @dataclass
 class PartUse:
     """Last use of a part: tokens ever added by then, and whether it was read.
@@ -55,14 +81,17 @@
     added_tokens: int = 0
     uses: dict[str, PartUse] = field(default_factory=dict)
 
-    def note(self, part_id: str, tokens: int, ready: bool, at_s: float) -> None:
-        """Take in the use of a part by a prompt that added ``tokens``."""
+    def note(
+        self, part_ids: Iterable[str], tokens: int, ready: bool, at_s: float
+    ) -> None:
+        """Take in the use of parts by a prompt that added ``tokens``."""
         self.added_tokens += tokens
-        use = self.uses.pop(part_id, None) or PartUse(0, ready, at_s)
-        use.added_tokens = self.added_tokens
-        use.ready = use.ready or ready
-        self.uses[part_id] = use
-        if len(self.uses) > PARTS_KEPT:
+        for part_id in part_ids:
+            use = self.uses.pop(part_id, None) or PartUse(0, ready, at_s)
+            use.added_tokens = self.added_tokens
+            use.ready = use.ready or ready
+            self.uses[part_id] = use
+        while len(self.uses) > PARTS_KEPT:
             del self.uses[next(iter(self.uses))]
 
     def holding(self, part_id: str, capacity_tokens: float, now: float) -> Holding:
@@ -94,20 +123,33 @@
         return self._clock() - self._started_at_s < YOUNG_S
 
     def note(
-        self, upstream_id: str, part_id: str, tokens: int, ready: bool = False
+        self,
+        upstream_id: str,
+        part_ids: Iterable[str],
+        tokens: int,
+        ready: bool = False,
     ) -> None:
-        """Take in a prompt that was placed, or with ``ready`` was read."""
-        self._engines[upstream_id].note(part_id, tokens, ready, self._clock())
+        """Take in a prompt that was placed, or with ``ready`` was read.
+
+        ``part_ids`` are its shared parts, ``tokens`` what it added to the memory.
+        """
+        self._engines[upstream_id].note(part_ids, tokens, ready, self._clock())
 
     def holding(
-        self, upstream_id: str, part_id: str, capacity_tokens: float
-    ) -> Holding:
-        """Return what is believed of a part at an engine."""
+        self, upstream_id: str, parts: Sequence[SharedPart], capacity_tokens: float
+    ) -> PrefixHolding:
+        """Return what is believed of a chain of shared parts at an engine."""
         memory = self._engines.get(upstream_id)
-        if memory is None:
-            return Holding.NONE
+        if memory is None or not parts:
+            return NOTHING_HELD
         usable_tokens = USABLE_SHARE * capacity_tokens
-        return memory.holding(part_id, usable_tokens, self._clock())
+        now = self._clock()
+        whole, held_tokens = Holding.HELD, 0
+        for part in parts:
+            whole = min(whole, memory.holding(part.part_id, usable_tokens, now))
+            if whole is Holding.HELD:
+                held_tokens += part.tokens
+        return PrefixHolding(whole, held_tokens)
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an engine that has restarted or is gone."""
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -25,7 +25,8 @@
 
     ``requests`` are in flight, ``prompt_tokens`` are left to be read, ``pace`` is how
     much longer than others it takes, ``failure_share`` of recent attempts failed.
-    ``holding`` is what is believed of the prompt's shared parts in its memory.
+    ``holding`` is what is believed of the prompt's shared parts in its memory, and
+    ``held_tokens`` how many of their tokens are there, where not all are.
     """
 
     upstream: Upstream
@@ -36,12 +37,17 @@
     suspended: bool = False
     full: bool = False
     holding: Holding = Holding.NONE
+    held_tokens: int = 0
 
     @property
     def holds_shared(self) -> bool:
         """Whether it need not read the shared parts of a prompt."""
         return self.holding is Holding.HELD
 
+    def tokens_held(self, prompt: Prompt) -> int:
+        """Return how many tokens of a prompt it need not read."""
+        return prompt.shared_tokens if self.holds_shared else self.held_tokens
+
 
 @dataclass(frozen=True)
 class Choice:
@@ -63,9 +69,12 @@
     return item.upstream.stage is not Stage.PREFILL
 
 
-def holders_of(candidates: Iterable[Candidate]) -> list[Candidate]:
-    """Return those that others can copy the shared parts from."""
-    return [item for item in candidates if item.holds_shared]
+def tokens_to_copy(candidates: Iterable[Candidate], prompt: Prompt) -> int:
+    """Return how many tokens of the shared parts can be copied from some engine."""
+    return max(
+        (item.tokens_held(prompt) for item in candidates if not item.suspended),
+        default=0,
+    )
 
 
 def guess_holders(
@@ -79,7 +88,7 @@
     if any(item.holding for item in candidates):
         return candidates
     homes = {
-        find_home(prompt.first_part, group)
+        find_home(prompt.last_shared_part, group)
         for group in (
             [item for item in candidates if not can_run(item)],
             [item for item in candidates if can_run(item)],
@@ -111,15 +120,14 @@
     ]
 
 
-def tokens_to_read(
-    prompt: Prompt, item: Candidate, copies: Sequence[Candidate]
-) -> float:
-    """Return how many tokens an engine is expected to read for a prompt."""
-    if item.holds_shared:
-        return prompt.own_tokens
-    if copies:
-        return prompt.own_tokens + COPIED_SHARE * prompt.shared_tokens
-    return prompt.input_tokens
+def tokens_to_read(prompt: Prompt, item: Candidate, copyable: int = 0) -> float:
+    """Return how many tokens an engine is expected to read for a prompt.
+
+    ``copyable`` tokens of the shared parts can be copied from another engine instead.
+    """
+    held = item.tokens_held(prompt)
+    copied = max(0, copyable - held)
+    return prompt.input_tokens - held - (1 - COPIED_SHARE) * copied
 
 
 def find_home(part_id: str, candidates: Iterable[Candidate]) -> str | None:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..process.cache_belief import PART_MIN_TOKENS, Holding
+from ..process.cache_belief import NOTHING_HELD, PART_MIN_TOKENS, PrefixHolding
 from ..process.clock import now_s
 from ..process.fleet_knowledge import FleetKnowledge
 from ..process.upstreams import Stage, Upstream
@@ -77,11 +77,12 @@
         upstream: Upstream,
         now: float,
         rate: float,
-        holding_of: Callable[[str], Holding],
+        holding_of: Callable[[str], PrefixHolding],
     ) -> Candidate:
         name = upstream.upstream_id
         load = self._loads.of(name)
         health = load.health
+        held = holding_of(name)
         is_changing = self._stage_changes.target(upstream) is not None
         return Candidate(
             upstream,
@@ -91,20 +92,21 @@
             failure_share=health.failure_share(now),
             suspended=is_changing or health.is_suspended(now),
             full=health.is_full(now),
-            holding=holding_of(name),
+            holding=held.whole,
+            held_tokens=held.held_tokens,
         )
 
-    def _holdings(self, call: RoutedCall) -> Callable[[str], Holding]:
+    def _holdings(self, call: RoutedCall) -> Callable[[str], PrefixHolding]:
         """Return what tells the holding of the call's shared parts by engine."""
         engine = self.engine_of(call.service)
-        if call.prompt is None or engine is None:
+        if engine is None or not _shares_much(call):
             return _holds_nothing
-        part, tokens = call.prompt.first_part, engine.cache_tokens
-        return lambda upstream_id: self._cache.holding(upstream_id, part, tokens)
+        parts, tokens = call.prompt.shared_parts, engine.cache_tokens
+        return lambda upstream_id: self._cache.holding(upstream_id, parts, tokens)
 
 
-def _holds_nothing(_upstream_id: str) -> Holding:
-    return Holding.NONE
+def _holds_nothing(_upstream_id: str) -> PrefixHolding:
+    return NOTHING_HELD
 
 
 def _shares_much(call: RoutedCall) -> bool:
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -50,9 +50,8 @@
 
     def memory_placed(self, call: RoutedCall, choice: Choice) -> None:
         """Take in that an engine takes over a prompt that another has read."""
-        moved = call.prompt.own_tokens
-        if not choice.candidate.holds_shared:
-            moved += call.prompt.shared_tokens
+        prompt = call.prompt
+        moved = prompt.input_tokens - choice.candidate.tokens_held(prompt)
         self._part_placed(call, choice, moved, ready=False)
 
     def _part_placed(
@@ -62,7 +61,8 @@
         if prompt is None or prompt.shared_tokens < PART_MIN_TOKENS:
             return
         upstream_id = choice.candidate.upstream.upstream_id
-        self._knowledge.cache.note(upstream_id, prompt.first_part, tokens, ready)
+        part_ids = [part.part_id for part in prompt.shared_parts]
+        self._knowledge.cache.note(upstream_id, part_ids, tokens, ready)
 
     def ended(
         self,
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -38,19 +38,21 @@
     prompt: Prompt,
     rate: float,
     zone: str,
-    copies: Sequence[Candidate] = (),
+    copyable: int = 0,
 ) -> Choice | None:
     """Return the engine that has read the prompt first; ``rate`` in tokens a second.
 
+    ``copyable`` tokens of its shared parts can be copied from some engine.
+
     Load pattern: many long prompts that share long parts, more of these than one
     engine's memory holds. They go where these parts are, unless the queue there costs
     more than copying or reading the parts elsewhere. What no engine holds goes where
     all entries expect it.
     """
-    home = find_home(prompt.first_part, candidates)
+    home = find_home(prompt.last_shared_part, candidates)
 
     def cost_s(item: Candidate) -> float:
-        tokens = tokens_to_read(prompt, item, copies)
+        tokens = tokens_to_read(prompt, item, copyable)
         gain_s = _keeping_gain_s(prompt, item, home, rate)
         return item.pace * (item.prompt_tokens + tokens) / rate - gain_s
 
@@ -65,7 +67,7 @@
     Load pattern: prompts whose shared parts come back. They are run where these parts
     were run before, so that this engine can pass them on, or read such a prompt itself.
     """
-    home = find_home(prompt.first_part, candidates)
+    home = find_home(prompt.last_shared_part, candidates)
 
     def cost_s(item: Candidate) -> float:
         delay_s = item.pace * (_running_s(item) + item.prompt_tokens / rate)
@@ -79,7 +81,7 @@
     prompt: Prompt,
     rate: float,
     zone: str,
-    copies: Sequence[Candidate] = (),
+    copyable: int = 0,
 ) -> Choice | None:
     """Return the engine that both reads and runs a prompt with the least delay.
 
@@ -89,7 +91,7 @@
     direct_rate = rate / DIRECT_SLOWDOWN
 
     def cost_s(item: Candidate) -> float:
-        tokens = tokens_to_read(prompt, item, copies)
+        tokens = tokens_to_read(prompt, item, copyable)
         reading_s = (item.prompt_tokens + tokens) / direct_rate
         return item.pace * (reading_s + _running_s(item))
 
@@ -107,10 +109,10 @@
     prompt: Prompt, item: Candidate, home: str | None, rate: float
 ) -> float:
     """Return what it is worth that the shared parts are kept on few engines."""
-    share = HOLDER_GAIN_SHARE if item.holds_shared else 0.0
+    tokens = HOLDER_GAIN_SHARE * item.tokens_held(prompt)
     if item.upstream.upstream_id == home:
-        share += HOME_GAIN_SHARE
-    return share * prompt.shared_tokens / rate
+        tokens += HOME_GAIN_SHARE * prompt.shared_tokens
+    return tokens / rate
 
 
 def _cheapest(candidates, zone: str, cost_s) -> Choice | None:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -25,9 +25,17 @@
     parts: tuple[PromptPart, ...] = ()
 
     @property
-    def first_part(self) -> str:
-        """Id of the part that most other requests share; empty where there is none."""
-        return self.parts[0].part_id if self.parts else ""
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts that other requests may share, those that most share first."""
+        return self.parts[:-1]
+
+    @property
+    def last_shared_part(self) -> str:
+        """Id of the part that fewest other requests share; empty where there is none.
+
+        Who has this part in memory has all that can be shared.
+        """
+        return self.parts[-2].part_id if len(self.parts) > 1 else ""
 
     @property
     def own_tokens(self) -> int:
--- a/wisteriaarch/request/shared_reading.py
+++ b/wisteriaarch/request/shared_reading.py
@@ -35,14 +35,14 @@
     The part is there once its engine has read all that waits there. ``rate`` is how
     many tokens an engine reads in a second.
     """
-    if prompt.shared_tokens < SHARED_MIN_TOKENS:
-        return 0.0
-    if any(item.holds_shared for item in candidates):
+    held = max((item.tokens_held(prompt) for item in candidates), default=0)
+    missing = prompt.shared_tokens - held
+    if missing < SHARED_MIN_TOKENS:
         return 0.0
     queues = [item.prompt_tokens for item in candidates if _is_reading(item)]
     if not queues:
         return 0.0
-    return PATIENCE * max(prompt.shared_tokens, *queues) / rate
+    return PATIENCE * max(missing, *queues) / rate
 
 
 async def wait_for_part(
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -5,7 +5,7 @@
 
 from ..process.cache_belief import Holding
 from ..process.upstreams import Stage
-from .candidate import Candidate, Choice, can_run, holders_of, tokens_to_read
+from .candidate import Candidate, Choice, can_run, tokens_to_copy, tokens_to_read
 from .placement import DIRECT_SLOWDOWN, place_direct, place_prefill
 from .routed_call import Prompt
 
@@ -53,9 +53,9 @@
     """
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
     decodes = [item for item in candidates if can_run(item)]
-    copies = holders_of(candidates)
-    direct = place_direct(decodes, prompt, fleet.rate, zone, copies)
-    apart = place_prefill(prefills, prompt, fleet.rate, zone, copies)
+    copyable = tokens_to_copy(candidates, prompt)
+    direct = place_direct(decodes, prompt, fleet.rate, zone, copyable)
+    apart = place_prefill(prefills, prompt, fleet.rate, zone, copyable)
     if direct is None:
         return StagePlan(None, None)
     direct = _with_source(direct, prompt, candidates)
@@ -93,15 +93,16 @@
 
     One that may hold them is asked as well: where it doesn't, nothing is lost.
     """
-    copies = holders_of(candidates)
-    tokens = int(tokens_to_read(prompt, choice.candidate, copies))
+    copyable = tokens_to_copy(candidates, prompt)
+    tokens = int(tokens_to_read(prompt, choice.candidate, copyable))
     choice = replace(choice, tokens=tokens)
     if choice.candidate.holds_shared:
         return choice
+    held = choice.candidate.tokens_held(prompt)
     sources = [
         item
         for item in candidates
-        if item.holding in (Holding.HELD, Holding.MAYBE)
+        if (item.tokens_held(prompt) > held or item.holding is Holding.MAYBE)
         and not item.suspended
         and item is not choice.candidate
     ]
@@ -110,6 +111,10 @@
     zone = choice.candidate.upstream.zone
     source = min(
         sources,
-        key=lambda item: (-item.holding, item.upstream.zone != zone, item.requests),
+        key=lambda item: (
+            -item.tokens_held(prompt),
+            item.upstream.zone != zone,
+            item.requests,
+        ),
     )
     return replace(choice, fetch_from=source.upstream)
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -67,6 +67,7 @@
   promptTokens @5 :UInt32;
   pace @6 :Float32;
   holding @7 :UInt8;
+  heldTokens @8 :UInt32;         # of the shared parts, where not all are held
 }
 
 struct Refused {
