--- /dev/null
+++ b/extras/replay/engines.py
@@ -0,0 +1,160 @@
+"""Simulated engines: they read prompts in turn, keep parts, and run streams."""
+
+import heapq
+import itertools
+import random
+from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import curio
+
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.upstreams import Stage, Upstream
+from wisteriaarch.request.outcomes import AttemptFailed, FailureReason
+from wisteriaarch.request.routed_call import Prompt
+
+DIRECT_SLOWDOWN = 2.0
+
+
+@dataclass(frozen=True)
+class EngineCosts:
+    """Times of one engine; rates in tokens a second."""
+
+    read_rate: float
+    copy_rate: float
+    first_event_s: float
+    step_s: float
+    step_per_request_s: float
+    slots: int
+    cache_tokens: int
+
+
+@dataclass(frozen=True)
+class EngineFault:
+    """Trouble of one engine between two times of the replay.
+
+    ``slowdown`` stretches its work, ``failed_share`` of its runs fail.
+    """
+
+    from_s: float
+    until_s: float
+    slowdown: float = 1.0
+    failed_share: float = 0.0
+
+
+@dataclass
+class ReadTokens:
+    """Tokens that engines read, and those of shared parts that some engine held."""
+
+    all: int = 0
+    again: int = 0
+
+
+@dataclass
+class SimulatedEngine:
+    """One engine; parts of prompts yield in the order of their last use."""
+
+    upstream: Upstream
+    costs: EngineCosts
+    read_tokens: ReadTokens
+    rng: random.Random
+    faults: tuple[EngineFault, ...] = ()
+    running: int = 0
+    _parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    _waiting: list = field(default_factory=list)
+    _is_reading: bool = False
+    _numbers: Iterator[int] = field(default_factory=itertools.count)
+
+    async def read(
+        self, prompt: Prompt, source: "SimulatedEngine | None", urgency: int
+    ) -> None:
+        """Read a prompt in its turn, after copying what ``source`` has of it."""
+        await self._take_turn(urgency)
+        try:
+            held = self._held_tokens(prompt)
+            copied = max(0, source._held_tokens(prompt) - held) if source else 0
+            missing = prompt.input_tokens - held - copied
+            self.read_tokens.all += missing
+            self.read_tokens.again += max(0, missing - prompt.own_tokens)
+            slowdown = DIRECT_SLOWDOWN if self._runs else 1.0
+            work_s = missing * slowdown / self.costs.read_rate
+            work_s += copied / self.costs.copy_rate
+            await curio.sleep(work_s * self._slowdown())
+        finally:
+            await self._pass_turn()
+        await curio.sleep(self.costs.first_event_s)
+        self._keep(prompt)
+
+    async def take_over(self, prompt: Prompt) -> None:
+        """Copy a prompt that another engine has read."""
+        missing = prompt.input_tokens - self._held_tokens(prompt)
+        await curio.sleep(self.costs.first_event_s + missing / self.costs.copy_rate)
+        self._keep(prompt)
+
+    async def run(self, tokens: int) -> None:
+        """Write the answer; raises AttemptFailed where a fault strikes."""
+        with self._place():
+            for fault in self._faults_now():
+                if self.rng.random() < fault.failed_share:
+                    raise AttemptFailed(FailureReason.FAILED, "simulated")
+            step_s = self.costs.step_s + self.costs.step_per_request_s * self.running
+            await curio.sleep(tokens * step_s * self._slowdown())
+
+    @property
+    def _runs(self) -> bool:
+        return self.upstream.stage is Stage.DECODE
+
+    @contextmanager
+    def _place(self):
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+    async def _take_turn(self, urgency: int) -> None:
+        if not self._is_reading:
+            self._is_reading = True
+            return
+        turn = curio.Event()
+        entry = (urgency, next(self._numbers), turn)
+        heapq.heappush(self._waiting, entry)
+        try:
+            await turn.wait()
+        except curio.CancelledError:
+            if turn.is_set():
+                await self._pass_turn()
+            else:
+                self._waiting.remove(entry)
+                heapq.heapify(self._waiting)
+            raise
+
+    async def _pass_turn(self) -> None:
+        if self._waiting:
+            await heapq.heappop(self._waiting)[2].set()
+        else:
+            self._is_reading = False
+
+    def _held_tokens(self, prompt: Prompt) -> int:
+        held = 0
+        for part in prompt.shared_parts:
+            if part.part_id not in self._parts:
+                break
+            held += part.tokens
+        return held
+
+    def _keep(self, prompt: Prompt) -> None:
+        for part in prompt.parts:
+            self._parts[part.part_id] = part.tokens
+            self._parts.move_to_end(part.part_id)
+        while sum(self._parts.values()) > self.costs.cache_tokens:
+            self._parts.popitem(last=False)
+
+    def _faults_now(self) -> list[EngineFault]:
+        now = now_s()
+        return [item for item in self.faults if item.from_s <= now < item.until_s]
+
+    def _slowdown(self) -> float:
+        return max((item.slowdown for item in self._faults_now()), default=1.0)
--- /dev/null
+++ b/extras/replay/fleet.py
@@ -0,0 +1,283 @@
+"""Callers, one scheduler and simulated engines, played on a clock that jumps ahead."""
+
+import random
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import curio
+
+from wisteriaarch.connection.scheduling_server import Grant
+from wisteriaarch.errors import RequestError
+from wisteriaarch.events import EventLog
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.fleet_knowledge import FleetKnowledge
+from wisteriaarch.process.upstreams import Stage, Upstream, UpstreamRegistry
+from wisteriaarch.request.attempt_outcome import (
+    ANSWERED,
+    LEFT,
+    AttemptOutcome,
+    AttemptStage,
+)
+from wisteriaarch.request.candidate import Choice
+from wisteriaarch.request.learner import Learner
+from wisteriaarch.request.outcomes import AttemptFailed
+from wisteriaarch.request.retry_share import RetryShare
+from wisteriaarch.request.routed_call import RoutedCall
+from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
+from wisteriaarch.request.urgency import urgency_of
+from wisteriaarch.version.route_table import (
+    CallKind,
+    EngineSpec,
+    Route,
+    RouteTable,
+    ServiceSpec,
+    WeightedService,
+)
+from wisteriaarch.wire import Address
+
+from .engines import EngineFault, ReadTokens, SimulatedEngine
+from .load import ZONES, Arrival, Deployment, KindSpec, arrivals
+from .virtual_time import VirtualTime
+
+SERVICE = "llm"
+NETWORK_S = 0.004
+PAUSE_S = 0.15
+TRIES_MAX = 2
+# Callers come back for up to this share of the time that they have left.
+RETURN_SHARE = 1 / 3
+LEAVE_MIN_S = 2.0
+LEAVE_OBJECTIVES = 4.0
+
+
+@dataclass
+class KindResult:
+    """What became of the requests of one kind; waits are until the first event."""
+
+    kind: KindSpec
+    ends: Counter = field(default_factory=Counter)
+    first_event_s: list[float] = field(default_factory=list)
+    refused_after_s: list[float] = field(default_factory=list)
+
+    @property
+    def asked(self) -> int:
+        """Requests that came; one that comes back is the same request."""
+        return sum(self.ends.values())
+
+    @property
+    def worth(self) -> float:
+        """Worth earned by what came in time or late, of all that could be."""
+        kind = self.kind
+        earned = kind.worth * self.ends["in time"] + kind.late_worth * self.ends["late"]
+        return earned / max(1.0, kind.worth * self.asked)
+
+
+@dataclass
+class ReplayResult:
+    """What became of a replay; ``queued`` is (second, prompts that wait)."""
+
+    kinds: dict[str, KindResult]
+    read_tokens: ReadTokens
+    rate: float = 0.0
+    queued: list[tuple[float, int]] = field(default_factory=list)
+
+    @property
+    def worth(self) -> float:
+        """Worth earned of all that could be, over all kinds."""
+        owed = sum(item.kind.worth * item.asked for item in self.kinds.values())
+        earned = sum(
+            item.worth * item.kind.worth * item.asked for item in self.kinds.values()
+        )
+        return earned / owed if owed else 1.0
+
+
+class FleetReplay:
+    """One replay of a deployment."""
+
+    def __init__(
+        self, deployment: Deployment, seed: int, faults: dict[str, EngineFault]
+    ):
+        self._deployment = deployment
+        self._rng = random.Random(seed)
+        self._faults = faults
+        self._tokens = ReadTokens()
+        self._result = ReplayResult(
+            {item.name: KindResult(item) for item in deployment.kinds}, self._tokens
+        )
+
+    def run(self) -> ReplayResult:
+        """Play all arrivals and return what became of them."""
+        VirtualTime().run(self._main)
+        return self._result
+
+    async def _main(self) -> None:
+        log = EventLog("replay")
+        registry = UpstreamRegistry(lambda: None, log)
+        self._knowledge = FleetKnowledge.from_registry(registry)
+        self._engines = {
+            item.upstream.upstream_id: item for item in self._build_engines()
+        }
+        registry.update(item.upstream for item in self._engines.values())
+        table = _table_of(self._deployment)
+        parts = SchedulingParts.from_knowledge(self._knowledge, lambda: table, log)
+        retries = RetryShare(0.2, 56.0, 10.0, lambda: 1)
+        self._scheduler = Scheduler(parts, retries)
+        self._learner = Learner(self._knowledge, log)
+        self._routes = {route.name: route for route in table.routes}
+        await self._play()
+
+    async def _play(self) -> None:
+        started_at_s = now_s()
+        async with curio.TaskGroup() as group:
+            for arrival in arrivals(self._deployment, self._rng):
+                await curio.sleep(max(0.0, started_at_s + arrival.at_s - now_s()))
+                await group.spawn(self._ask, arrival)
+                self._note_queue(arrival.at_s)
+        self._result.rate = self._knowledge.rate_of(SERVICE)
+
+    def _note_queue(self, at_s: float) -> None:
+        queued = self._result.queued
+        if not queued or at_s - queued[-1][0] >= 1.0:
+            queue = self._scheduler.parts.planner.queue_length(SERVICE)
+            queued.append((at_s, queue))
+
+    def _build_engines(self) -> Iterable[SimulatedEngine]:
+        deployment = self._deployment
+        stages = [Stage.PREFILL] * deployment.prefills
+        stages += [Stage.DECODE] * deployment.decodes
+        for number, stage in enumerate(stages):
+            name = f"{stage.value}-{number}"
+            upstream = Upstream(
+                name,
+                SERVICE,
+                Address("10.0.0.1", 1 + number),
+                ZONES[number % len(ZONES)],
+                deployment.costs.slots,
+                stage=stage,
+            )
+            fault = self._faults.get(name)
+            faults = (fault,) if fault else ()
+            yield SimulatedEngine(
+                upstream, deployment.costs, self._tokens, self._rng, faults
+            )
+
+    async def _ask(self, arrival: Arrival) -> None:
+        result = self._result.kinds[arrival.kind.name]
+        asked_at_s = now_s()
+        deadline_at_s = asked_at_s + arrival.kind.deadline_s
+        for number in range(TRIES_MAX):
+            call = self._call(arrival, number, deadline_at_s)
+            came_at_s = now_s()
+            end, back_after_s = await self._try(call, arrival, asked_at_s, result)
+            if end == "refused":
+                result.refused_after_s.append(now_s() - came_at_s)
+            left_s = deadline_at_s - now_s()
+            if back_after_s is None or back_after_s > RETURN_SHARE * left_s:
+                break
+            await curio.sleep(back_after_s)
+        result.ends[end] += 1
+
+    async def _try(
+        self,
+        call: RoutedCall,
+        arrival: Arrival,
+        asked_at_s: float,
+        result: KindResult,
+    ) -> tuple[str, float | None]:
+        """Return how a try ended, and when the caller comes back; None for never."""
+        kind = arrival.kind
+        leave_s = max(LEAVE_MIN_S, LEAVE_OBJECTIVES * kind.aim_s)
+        try:
+            async with curio.timeout_after(min(leave_s, call.remaining_s())):
+                await curio.sleep(NETWORK_S)
+                first_at_s, choice = await self._serve(call)
+            first_s = first_at_s - asked_at_s
+            result.first_event_s.append(first_s)
+            engine = self._engines[choice.candidate.upstream.upstream_id]
+            await engine.run(arrival.output_tokens)
+            return ("in time" if first_s <= kind.aim_s else "late"), None
+        except RequestError as exc:
+            return "refused", exc.retry_after_s or 0.0
+        except AttemptFailed:
+            return "failed", None
+        except curio.TaskTimeout:
+            return "left", None
+
+    async def _serve(self, call: RoutedCall) -> tuple[float, Choice]:
+        """Return when the first event came, and the engine that goes on."""
+        plan = await self._scheduler.place(call)
+        call.placements += 1
+        if plan.prefill is None:
+            return await self._attempt(call, plan.decode, AttemptStage.RUN)
+        await self._attempt(call, plan.prefill, AttemptStage.PREFILL)
+        reader = plan.prefill.candidate.upstream
+        choice = self._scheduler.place_run(call, reader)
+        return await self._attempt(call, choice, AttemptStage.RUN, reads_here=False)
+
+    async def _attempt(
+        self,
+        call: RoutedCall,
+        choice: Choice,
+        stage: AttemptStage,
+        reads_here: bool = True,
+    ) -> tuple[float, Choice]:
+        grant = Grant(call, choice, stage, reads_here)
+        grant.begin(self._scheduler, self._learner)
+        started_at_s = now_s()
+        cause = LEFT
+        try:
+            await curio.sleep(NETWORK_S)
+            await self._work(call, choice, reads_here)
+            cause = ANSWERED
+            return now_s(), choice
+        finally:
+            grant.end()
+            elapsed_s = now_s() - started_at_s
+            first_s = elapsed_s if cause == ANSWERED else None
+            outcome = AttemptOutcome(cause, elapsed_s, first_s)
+            self._learner.ended(call, choice, stage, outcome, reads_here)
+
+    async def _work(self, call: RoutedCall, choice: Choice, reads_here: bool) -> None:
+        engine = self._engines[choice.candidate.upstream.upstream_id]
+        if not reads_here:
+            await engine.take_over(call.prompt)
+            return
+        source = choice.fetch_from
+        source_engine = self._engines[source.upstream_id] if source else None
+        urgency = urgency_of(call.prompt.own_tokens, call.favoured)
+        await engine.read(call.prompt, source_engine, urgency)
+
+    def _call(self, arrival: Arrival, number: int, deadline_at_s: float) -> RoutedCall:
+        return RoutedCall(
+            f"{arrival.number}-{number}",
+            self._routes[arrival.kind.name],
+            SERVICE,
+            "POST",
+            "/",
+            [],
+            b"",
+            now_s(),
+            deadline_at_s,
+            prompt=arrival.prompt,
+            zone=arrival.zone,
+        )
+
+
+def _table_of(deployment: Deployment) -> RouteTable:
+    routes = tuple(
+        Route(
+            kind.name,
+            "host",
+            f"/{kind.name}/",
+            CallKind.STREAM,
+            (WeightedService(SERVICE, 1.0),),
+            kind.deadline_s,
+            kind.aim_s,
+            attempts_max=2,
+            pause_s=PAUSE_S,
+        )
+        for kind in deployment.kinds
+    )
+    costs = deployment.costs
+    engine = EngineSpec(costs.slots, costs.cache_tokens)
+    return RouteTable(1, routes, {SERVICE: ServiceSpec(SERVICE, 100, engine)})
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -80,6 +80,10 @@
             raise self._refusal(call, decision.plan)
         return decision.plan
 
+    def queue_length(self, service: str) -> int:
+        """Return how many prompts of a service wait for their turn."""
+        return len(self._queues[service])
+
     def _is_behind_others(self, call: RoutedCall, decision: TimedPlan) -> bool:
         """Whether a long prompt would go before those that wait already."""
         if not len(self._queues[call.service]) or decision.turn is Turn.HOPELESS:
