--- a/extras/replay/__main__.py
+++ b/extras/replay/__main__.py
@@ -32,7 +32,7 @@
     """Replay each deployment and seed and print what became of the requests."""
     options = _parser().parse_args(args)
     constants = dict(item.split("=", 1) for item in options.set)
-    for name in options.deployments:
+    for name in options.deployments or (*DEPLOYMENTS, DRAWN):
         play = partial(_play, name, FAULTS[options.fault], constants)
         with ProcessPoolExecutor(options.jobs) as pool:
             results = list(pool.map(play, range(1, options.seeds + 1)))
@@ -43,7 +43,7 @@
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="python -m extras.replay")
     names = (*DEPLOYMENTS, DRAWN)
-    parser.add_argument("deployments", nargs="*", choices=names, default=names)
+    parser.add_argument("deployments", nargs="*", help=f"of {names}; all where empty")
     parser.add_argument("--seeds", type=int, default=4, help="replays of each")
     parser.add_argument("--jobs", type=int, default=2, help="processes at a time")
     parser.add_argument("--fault", choices=FAULTS, default="none")
--- a/extras/replay/engines.py
+++ b/extras/replay/engines.py
@@ -46,10 +46,20 @@
 
 @dataclass
 class ReadTokens:
-    """Tokens that engines read, and those of shared parts that some engine held."""
+    """Tokens that engines read, and those of shared parts that were read before."""
 
     all: int = 0
     again: int = 0
+    _parts: set[str] = field(default_factory=set)
+
+    def note(self, prompt: Prompt, held: int) -> None:
+        """Take in that a prompt is read of which an engine has ``held`` tokens."""
+        self.all += prompt.input_tokens - held
+        for part in prompt.shared_parts:
+            held -= part.tokens
+            if held < 0 and part.part_id in self._parts:
+                self.again += part.tokens
+            self._parts.add(part.part_id)
 
 
 @dataclass
@@ -76,8 +86,7 @@
             held = self._held_tokens(prompt)
             copied = max(0, source._held_tokens(prompt) - held) if source else 0
             missing = prompt.input_tokens - held - copied
-            self.read_tokens.all += missing
-            self.read_tokens.again += max(0, missing - prompt.own_tokens)
+            self.read_tokens.note(prompt, held + copied)
             slowdown = DIRECT_SLOWDOWN if self._runs else 1.0
             work_s = missing * slowdown / self.costs.read_rate
             work_s += copied / self.costs.copy_rate
