Refuse calls whose turn won't come when they come

A call's forecast left out those who waited before it; late calls counted on all engines though calls in time kept taking them; a call was tried on an idle engine however little time it had.

Change: a call that comes is told its turn from the queue before it; where it can't be in time, it counts on what calls in time leave (offered reading of the last second), one tenth at least. What can't be answered is refused then, with the time that the queue takes. While others wait, no engine's time is spent on a call predicted to miss.

Ruled out: a shorter queue by a fixed length (unlike engines); last come, first served.

--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,6 +1,5 @@
 """Plans a completion: which engines read and run it, and when."""
 
-from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -25,6 +24,8 @@
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSES = 8.0
 RETURN_MIN_S = 0.3
+# Calls that are late get at least this share of the reading stage.
+SPARE_SHARE_MIN = 0.1
 
 
 @dataclass(frozen=True)
@@ -51,7 +52,8 @@
         self._sizes = sizes
         self._rate_of = rate_of
         self._log = log
-        self._queues: dict[str, TurnQueue[TimedPlan]] = defaultdict(TurnQueue)
+        self._queues: dict[str, TurnQueue[TimedPlan]] = {}
+        self._readers: dict[str, int] = {}
 
     async def plan(
         self,
@@ -72,7 +74,7 @@
         candidates = await wait_for_part(
             call, candidates, find, rate, self._log, on_wait
         )
-        decision = self._decide(call, candidates)
+        decision = self._decide(call, candidates, comes_now=True)
         if decision.turn is Turn.LATER or self._is_behind_others(call, decision):
             await on_wait()
             decision = await self._wait_for_turn(call, decision.plan, find)
@@ -82,11 +84,24 @@
 
     def queue_length(self, service: str) -> int:
         """Return how many prompts of a service wait for their turn."""
-        return len(self._queues[service])
+        return len(self._queue_of(service))
+
+    def _queue_of(self, service: str) -> TurnQueue[TimedPlan]:
+        queue = self._queues.get(service)
+        if queue is None:
+            spare_share = partial(self._spare_share, service)
+            queue = self._queues[service] = TurnQueue(spare_share=spare_share)
+        return queue
+
+    def _spare_share(self, service: str) -> float:
+        """Return the share of the reading stage that calls in time leave to others."""
+        readers = max(1, self._readers.get(service, 1))
+        needed = self._busyness.engines_needed(service, Stage.PREFILL)
+        return max(SPARE_SHARE_MIN, 1 - needed / readers)
 
     def _is_behind_others(self, call: RoutedCall, decision: TimedPlan) -> bool:
         """Whether a long prompt would go before those that wait already."""
-        if not len(self._queues[call.service]) or decision.turn is Turn.HOPELESS:
+        if not self.queue_length(call.service) or decision.turn is Turn.HOPELESS:
             return False
         choice = decision.plan.prefill
         return choice is not None and choice.tokens >= LONG_READING_TOKENS
@@ -113,7 +128,7 @@
             decide=decide,
             refuse=lambda: TimedPlan(plan, Turn.HOPELESS),
         )
-        decision = await self._queues[call.service].wait(waiter)
+        decision = await self._queue_of(call.service).wait(waiter)
         self._log.write(
             Event.CALL_DEFERRED,
             request=call.call_id,
@@ -122,9 +137,22 @@
         )
         return decision
 
+    def _turn_s(
+        self, call: RoutedCall, choice: Choice, candidates: list[Candidate]
+    ) -> float:
+        """Return how long a prompt that comes now waits for its turn."""
+        forecast = self._forecast(call, choice)
+        soonest_s = forecast.reading_s + forecast.running_s
+        return self._queue_of(call.service).wait_s(
+            (not call.favoured, call.arrived_at_s),
+            forecast.aim_left_s - soonest_s,
+            self._fleet_rate(call.service, candidates),
+        )
+
     def _fleet_rate(self, service: str, candidates: list[Candidate]) -> float:
         """Return how many tokens the engines of the reading stage read in a second."""
         readers = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
+        self._readers[service] = readers
         return max(1, readers) * self._rate_of(service)
 
     def _note_demand(self, call: RoutedCall, choice: Choice) -> None:
@@ -135,15 +163,19 @@
 
     def _refusal(self, call: RoutedCall, plan: StagePlan) -> RequestError:
         """Return the error of a hopeless call; it may come back to shorter queues."""
-        forecast = self._forecast(call, plan.prefill)
+        turn_s = self._turn_s(call, plan.prefill, self._finder.now(call))
+        forecast = self._forecast(call, plan.prefill, turn_s)
         return RequestError(
             ErrorKind.UPSTREAM_OVERLOADED,
             f"the first event would take {forecast.first_event_s:.1f} s",
             ran=call.ran,
-            retry_after_s=max(RETURN_MIN_S, forecast.queue_s),
+            retry_after_s=max(RETURN_MIN_S, forecast.turn_s + forecast.queue_s),
         )
 
-    def _decide(self, call: RoutedCall, candidates: list[Candidate]) -> TimedPlan:
+    def _decide(
+        self, call: RoutedCall, candidates: list[Candidate], comes_now: bool = False
+    ) -> TimedPlan:
+        """Return what becomes of a call; one that ``comes_now`` has others before it."""
         plan = plan_stages(
             candidates,
             call.prompt,
@@ -151,13 +183,19 @@
             call.zone,
             call.route.pause_s,
         )
-        return TimedPlan(plan, self._turn(call, plan))
+        choice = plan.prefill
+        if choice is None or choice.tokens < LONG_READING_TOKENS:
+            return TimedPlan(plan, Turn.IN_TIME)
+        turn_s = self._turn_s(call, choice, candidates) if comes_now else 0.0
+        others_wait = self.queue_length(call.service) > 0
+        forecast = self._forecast(call, choice, turn_s)
+        return TimedPlan(plan, choose_turn(forecast, others_wait))
 
     def _fleet_pace(self, call: RoutedCall, candidates: list[Candidate]) -> FleetPace:
         service = call.service
         rate = self._rate_of(service)
         order = (not call.favoured, call.arrived_at_s)
-        queued_tokens = self._queues[service].tokens_before(order)
+        queued_tokens = self._queue_of(service).tokens_before(order)
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
         return FleetPace(
@@ -167,13 +205,9 @@
             queued_tokens / (max(1, prefills) * rate),
         )
 
-    def _turn(self, call: RoutedCall, plan: StagePlan) -> Turn:
-        choice = plan.prefill
-        if choice is None or choice.tokens < LONG_READING_TOKENS:
-            return Turn.IN_TIME
-        return choose_turn(self._forecast(call, choice))
-
-    def _forecast(self, call: RoutedCall, choice: Choice) -> ReadingForecast:
+    def _forecast(
+        self, call: RoutedCall, choice: Choice, turn_s: float = 0.0
+    ) -> ReadingForecast:
         candidate = choice.candidate
         rate = self._rate_of(call.service) / candidate.pace
         elapsed_s = now_s() - call.arrived_at_s
@@ -183,6 +217,7 @@
             running_s=MOVE_COST_S,
             aim_left_s=call.route.objective_s - elapsed_s,
             left_s=min(call.remaining_s(), _patience_s(call) - elapsed_s),
+            turn_s=turn_s,
         )
 
 
--- a/wisteriaarch/request/reading_turn.py
+++ b/wisteriaarch/request/reading_turn.py
@@ -4,7 +4,7 @@
 Engines read in order of arrival, so that a standing queue there makes every prompt late
 until long after the burst. A prompt goes to an engine that has little else to read; the
 others wait where they are scheduled. What can't be answered before its caller leaves is
-refused at once.
+refused at once: to wait for that would take engines' time from others, and the caller's.
 """
 
 from dataclasses import dataclass
@@ -13,7 +13,7 @@
 LONG_READING_TOKENS = 2048
 # Work that an engine is given in advance: it covers the time until it is told of more.
 BACKLOG_S = 0.1
-# Predictions are off by about this; what may be in time is tried.
+# Predictions are off by about this; what may be in time is tried where none waits.
 HOPELESS_FACTOR = 1.3
 
 
@@ -35,7 +35,8 @@
 
     ``queue_s`` is the work before it at its engine, ``reading_s`` its own reading,
     ``running_s`` what comes after until the first event. ``aim_left_s`` is left of the
-    route's objective, ``left_s`` until the deadline.
+    route's objective, ``left_s`` until the deadline. ``turn_s`` is how long it would
+    wait for its turn behind the prompts that wait already.
     """
 
     queue_s: float
@@ -43,19 +44,24 @@
     running_s: float
     aim_left_s: float
     left_s: float
+    turn_s: float = 0.0
 
     @property
     def first_event_s(self) -> float:
         """Time until the first event."""
-        return self.queue_s + self.reading_s + self.running_s
+        return self.turn_s + self.queue_s + self.reading_s + self.running_s
 
 
-def choose_turn(forecast: ReadingForecast) -> Turn:
-    """Return whether a prompt is to be placed now."""
+def choose_turn(forecast: ReadingForecast, others_wait: bool = False) -> Turn:
+    """Return whether a prompt is to be placed now.
+
+    Where others wait, an engine's time isn't spent on what will hardly be answered.
+    """
+    tried_for_s = forecast.left_s if others_wait else HOPELESS_FACTOR * forecast.left_s
+    soonest_s = forecast.first_event_s - forecast.queue_s
+    if soonest_s > tried_for_s:
+        return Turn.HOPELESS
     if forecast.queue_s <= BACKLOG_S:
         is_in_time = forecast.first_event_s <= forecast.aim_left_s
         return Turn.IN_TIME if is_in_time else Turn.IDLE_ENGINE
-    soonest_s = forecast.first_event_s - forecast.queue_s
-    if soonest_s > HOPELESS_FACTOR * forecast.left_s:
-        return Turn.HOPELESS
     return Turn.LATER
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -3,8 +3,9 @@
 Load pattern: for tens of seconds more long prompts come than engines can read. Were
 they all sent to the engines, each would be late there; so the engines are kept with
 little to read, and the prompts wait here, in the order in which they came, those of a
-size that starves first. Prompts that can still be in time go before late ones. Hundreds
-may wait at the entry that schedules them, and only a few are looked at a time.
+size that starves first. Prompts that can still be in time go before late ones, which
+are read by what these leave; a late one whose turn won't come is refused at once.
+Hundreds may wait at the entry that schedules them, and only a few are looked at a time.
 """
 
 from collections.abc import Callable
@@ -50,10 +51,18 @@
 
 
 class TurnQueue(Generic[Decision]):
-    """Calls of one service that wait; a task looks at them while there are any."""
+    """Calls of one service that wait; a task looks at them while there are any.
 
-    def __init__(self, clock: Callable[[], float] = now_s):
+    ``spare_share`` returns the share of the engines' reading that calls in time leave.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float] = now_s,
+        spare_share: Callable[[], float] = lambda: 1.0,
+    ):
         self._clock = clock
+        self._spare_share = spare_share
         self._waiters: list[Waiter[Decision]] = []
         self._is_looking = False
 
@@ -64,6 +73,25 @@
         """Return how many tokens are to be read for the calls before one."""
         return sum(item.tokens for item in self._waiters if item.order < order)
 
+    def wait_s(
+        self, order: tuple[bool, float], timely_for_s: float, fleet_rate: float
+    ) -> float:
+        """Return how long a call that comes now would wait for its turn.
+
+        It is in time if it starts within ``timely_for_s``; else it waits for what calls
+        in time leave, behind all that wait now.
+        """
+        now = self._clock()
+        timely_tokens = sum(
+            item.tokens
+            for item in self._waiters
+            if item.order < order and now <= item.timely_until_s
+        )
+        if timely_tokens / fleet_rate <= timely_for_s:
+            return timely_tokens / fleet_rate
+        tokens = sum(item.tokens for item in self._waiters)
+        return tokens / (fleet_rate * self._spare_share())
+
     async def wait(self, waiter: Waiter[Decision]) -> Decision:
         """Return the decision on a call, once there is one."""
         self._waiters.append(waiter)
@@ -101,15 +129,16 @@
         self._waiters = [item for item in self._waiters if item not in decided]
         return decided
 
-    @staticmethod
     def _hopeless(
-        timely: list[Waiter[Decision]], late: list[Waiter[Decision]], now: float
+        self, timely: list[Waiter[Decision]], late: list[Waiter[Decision]], now: float
     ) -> list[Waiter[Decision]]:
         """Return the late calls whose time is over before their turn comes."""
         hopeless = []
+        spare_share = self._spare_share()
         tokens = sum(waiter.tokens for waiter in timely)
         for waiter in late:
-            starts_at_s = now + tokens / waiter.fleet_rate / HOPELESS_FACTOR
+            rate = waiter.fleet_rate * spare_share
+            starts_at_s = now + tokens / rate / HOPELESS_FACTOR
             if starts_at_s > waiter.hopeless_at_s:
                 hopeless.append(waiter)
             else:
