--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -175,7 +175,7 @@
     def _decide(
         self, call: RoutedCall, candidates: list[Candidate], comes_now: bool = False
     ) -> TimedPlan:
-        """Return what becomes of a call; one that ``comes_now`` has others before it."""
+        """Return what becomes of a call; those that wait go before one just come."""
         plan = plan_stages(
             candidates,
             call.prompt,
--- a/wisteriaarch/request/reading_turn.py
+++ b/wisteriaarch/request/reading_turn.py
@@ -4,7 +4,7 @@
 Engines read in order of arrival, so that a standing queue there makes every prompt late
 until long after the burst. A prompt goes to an engine that has little else to read; the
 others wait where they are scheduled. What can't be answered before its caller leaves is
-refused at once: to wait for that would take engines' time from others, and the caller's.
+refused at once: trying it would take engines' time from others, and the caller's.
 """
 
 from dataclasses import dataclass
