Learn how long engines take to run what others have read

Cause: 35 ms were taken for it everywhere.

Change: a moving average for each service, from the attempts themselves.

--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,71 @@
+"""Replays of drawn loads: deployments of any size and speed are held to floors."""
+
+import random
+import unittest
+from statistics import median
+
+import logbook
+
+from extras.replay.fleet import FleetReplay
+from extras.replay.load import DEEP_PREFIX, draw_deployment
+
+
+class DrawnDeploymentsTest(unittest.TestCase):
+    """Load: 1.2 times what the reading stage reads, and 1.6 times that for 6 s.
+
+    Engines of 10,000 to 400,000 tokens a second; nothing in the decisions knows which.
+    """
+
+    SEEDS = (1, 2, 3)
+
+    @classmethod
+    def setUpClass(cls):
+        cls.enterClassContext(logbook.NullHandler().applicationbound())
+        cls.results = {}
+        for seed in cls.SEEDS:
+            deployment = draw_deployment(random.Random(f"deployment-{seed}"))
+            cls.results[seed] = FleetReplay(deployment, seed, {}).run()
+
+    def test_most_are_served_in_time(self):
+        for seed, result in self.results.items():
+            with self.subTest(seed=seed):
+                self.assertGreater(result.worth, 0.75)
+
+    def test_short_prompts_are_served_beside_long_ones(self):
+        for seed, result in self.results.items():
+            with self.subTest(seed=seed):
+                self.assertGreater(result.kinds["short"].worth, 0.95)
+
+    def test_who_can_not_be_served_is_told_at_once(self):
+        refused_s = [
+            seconds
+            for result in self.results.values()
+            for seconds in result.kinds["long"].refused_after_s
+        ]
+        self.assertGreater(len(refused_s), 20)
+        self.assertLess(median(refused_s), 0.05)
+
+    def test_nobody_is_held_until_it_leaves(self):
+        for seed, result in self.results.items():
+            with self.subTest(seed=seed):
+                long = result.kinds["long"]
+                self.assertLess(long.ends["left"], 0.01 * long.asked)
+
+    def test_speed_of_the_engines_is_learnt(self):
+        for seed, result in self.results.items():
+            deployment = draw_deployment(random.Random(f"deployment-{seed}"))
+            with self.subTest(seed=seed):
+                share = result.rate / deployment.costs.read_rate
+                self.assertGreater(share, 0.6)
+                self.assertLess(share, 1.6)
+
+
+class ChainTest(unittest.TestCase):
+    """Load: four parts that every prompt begins with, then one of a thousand."""
+
+    def test_known_parts_are_seldom_read_again(self):
+        with logbook.NullHandler().applicationbound():
+            result = FleetReplay(DEEP_PREFIX, 1, {}).run()
+        again = result.read_tokens.again / result.read_tokens.all
+        self.assertLess(again, 0.33)
+        self.assertGreater(result.worth, 0.97)
--- a/wisteriaarch/process/fleet_knowledge.py
+++ b/wisteriaarch/process/fleet_knowledge.py
@@ -8,6 +8,7 @@
 from .prefill_rate import PrefillRate
 from .stage_busyness import StageBusyness
 from .stage_changes import StageChanges
+from .takeover_time import TakeoverTime
 from .upstream_loads import UpstreamLoads
 from .upstreams import UpstreamRegistry
 
@@ -21,6 +22,9 @@
     loads: UpstreamLoads = field(default_factory=UpstreamLoads)
     changes: StageChanges = field(default_factory=StageChanges)
     cache: CacheBelief = field(default_factory=CacheBelief)
+    _takeovers: dict[str, TakeoverTime] = field(
+        default_factory=lambda: defaultdict(TakeoverTime)
+    )
     _rates: dict[str, PrefillRate] = field(
         default_factory=lambda: defaultdict(PrefillRate)
     )
@@ -42,6 +46,14 @@
         """Return how many tokens an engine of a service reads in a second."""
         return self._rates[service].value
 
+    def takeover_s(self, service: str) -> float:
+        """Return how long engines take to the first event of a prompt read elsewhere."""
+        return self._takeovers[service].value_s
+
+    def note_takeover(self, service: str, first_event_s: float) -> None:
+        """Learn that time from one prompt."""
+        self._takeovers[service].note(first_event_s)
+
     def take_rate(self, service: str, rate: float) -> None:
         """Take over the reading speed that a scheduler has learnt."""
         self._rates[service].value = rate
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -145,5 +145,7 @@
         self._loads.of(upstream_id).health.note_success(now_s())
         self._part_placed(call, choice, 0, ready=True)
         if outcome.first_event_s is not None:
+            if not reads_here:
+                self._knowledge.note_takeover(call.service, outcome.first_event_s)
             work = f"{call.route.name} {'direct' if reads_here else 'apart'}"
             self._loads.note_time(upstream_id, work, outcome.first_event_s)
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -15,7 +15,7 @@
 from .routed_call import RoutedCall
 from .shared_reading import OnWait, ignore_wait, wait_for_part
 from .size_shares import SizeShares
-from .stage_plan import MOVE_COST_S, FleetPace, StagePlan, plan_stages
+from .stage_plan import FleetPace, StagePlan, plan_stages
 from .turn_queue import TurnQueue, Waiter
 from .urgency import queue_ahead_s
 
@@ -45,12 +45,14 @@
         busyness: StageBusyness,
         sizes: SizeShares,
         rate_of: Callable[[str], float],
+        takeover_s: Callable[[str], float],
         log: EventLog,
     ):
         self._finder = finder
         self._busyness = busyness
         self._sizes = sizes
         self._rate_of = rate_of
+        self._takeover_s = takeover_s
         self._log = log
         self._queues: dict[str, TurnQueue[TimedPlan]] = {}
         self._readers: dict[str, int] = {}
@@ -203,6 +205,7 @@
             self._busyness.share(service, Stage.PREFILL, prefills),
             self._busyness.share(service, Stage.DECODE, decodes),
             queued_tokens / (max(1, prefills) * rate),
+            self._takeover_s(service),
         )
 
     def _forecast(
@@ -214,7 +217,7 @@
         return ReadingForecast(
             queue_s=queue_ahead_s(candidate.prompt_tokens / rate, call.favoured),
             reading_s=choice.tokens / rate,
-            running_s=MOVE_COST_S,
+            running_s=self._takeover_s(call.service),
             aim_left_s=call.route.objective_s - elapsed_s,
             left_s=min(call.remaining_s(), _patience_s(call) - elapsed_s),
             turn_s=turn_s,
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -50,7 +50,12 @@
         finder = CandidateFinder(knowledge, routes)
         sizes = SizeShares()
         planner = CompletionPlanner(
-            finder, knowledge.busyness, sizes, knowledge.rate_of, log
+            finder,
+            knowledge.busyness,
+            sizes,
+            knowledge.rate_of,
+            knowledge.takeover_s,
+            log,
         )
         return cls(knowledge, finder, planner, sizes)
 
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -4,12 +4,12 @@
 from dataclasses import dataclass, replace
 
 from ..process.cache_belief import Holding
+from ..process.takeover_time import START_S
 from ..process.upstreams import Stage
 from .candidate import Candidate, Choice, can_run, tokens_to_copy, tokens_to_read
 from .placement import DIRECT_SLOWDOWN, place_direct, place_prefill
 from .routed_call import Prompt
 
-MOVE_COST_S = 0.035
 READING_SHARE_OF_PAUSE = 0.65
 
 
@@ -17,13 +17,15 @@
 class FleetPace:
     """Speed at which engines read prompts (tokens a second) and how busy stages are.
 
-    ``queued_s`` is how long a prompt waits for its turn at the reading stage.
+    ``queued_s`` is how long a prompt waits for its turn at the reading stage, and
+    ``takeover_s`` how long it takes from there to its first event elsewhere.
     """
 
     rate: float
     busy_prefill: float = 0.0
     busy_decode: float = 0.0
     queued_s: float = 0.0
+    takeover_s: float = START_S
 
 
 @dataclass(frozen=True)
@@ -64,7 +66,7 @@
     apart = _with_source(apart, prompt, candidates)
     direct_read_s = DIRECT_SLOWDOWN * direct.tokens / fleet.rate
     direct_s = direct.cost_s + waiting_s(direct_read_s, fleet.busy_decode)
-    apart_s = apart.cost_s + MOVE_COST_S + fleet.queued_s
+    apart_s = apart.cost_s + fleet.takeover_s + fleet.queued_s
     apart_s += waiting_s(apart.tokens / fleet.rate, fleet.busy_prefill)
     waiting_tokens = direct.candidate.prompt_tokens + direct.tokens
     if direct_s < apart_s and _fits_pause(waiting_tokens, fleet.rate, pause_s):
