Count a copied part as what its copying takes

Cause: a copy counted as a quarter of reading it.

Readings behind a queue of up to their own size teach the speed.

--- a/wisteriaarch/process/fleet_knowledge.py
+++ b/wisteriaarch/process/fleet_knowledge.py
@@ -47,7 +47,7 @@
         return self._rates[service].value
 
     def takeover_s(self, service: str) -> float:
-        """Return how long engines take to the first event of a prompt read elsewhere."""
+        """Return how long a prompt read elsewhere takes to its first event."""
         return self._takeovers[service].value_s
 
     def note_takeover(self, service: str, first_event_s: float) -> None:
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -10,7 +10,7 @@
 from .routed_call import Prompt
 
 # Copying shared parts takes at most this share of reading them.
-COPIED_SHARE = 0.25
+COPIED_SHARE = 0.06
 HASH_BYTES = 8
 HASH_MASK = (1 << 8 * HASH_BYTES) - 1
 HASHES_KEPT = 16_384
--- a/wisteriaarch/request/learner.py
+++ b/wisteriaarch/request/learner.py
@@ -17,6 +17,9 @@
 from .routed_call import RoutedCall
 
 PREFILL_OVERHEAD_S = 0.03
+# A longer queue than this share of a prompt is itself a prediction by the speed and
+# does not teach it.
+SURE_QUEUE_SHARE = 1.0
 
 UNREACHED = frozenset((FailureReason.NOT_CONNECTED, FailureReason.SILENT))
 DECLINED = frozenset((FailureReason.DECLINED, FailureReason.MEMORY_GONE))
@@ -127,8 +130,8 @@
         rate = self._knowledge.rate_of(call.service)
         whole_s = PREFILL_OVERHEAD_S + (queued_tokens + input_tokens) / rate
         load.pace.note(max(elapsed_s, whole_s), whole_s, now_s())
-        if queued_tokens <= choice.tokens:
-            # A longer queue is itself predicted by the speed.
+        is_sure = queued_tokens <= SURE_QUEUE_SHARE * choice.tokens
+        if is_sure:
             self._knowledge.note_reading(
                 call.service, queued_tokens + choice.tokens, elapsed_s
             )
