Count on the calls that were taken, not on those that were asked for

So refusals bred refusals, as clients would that repeat at once and often.

Change: only calls that can be in time and aren't refused count, kept by the queue itself. On its way to the queue a call is refused for its turn or its own work alone, each by the same margin for wrong predictions; an idle engine's time still goes to none that is predicted to miss while others wait.

--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,5 +1,6 @@
 """Plans a completion: which engines read and run it, and when."""
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -24,8 +25,6 @@
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_PAUSES = 8.0
 RETURN_MIN_S = 0.3
-# Calls that are late get at least this share of the reading stage.
-SPARE_SHARE_MIN = 0.1
 
 
 @dataclass(frozen=True)
@@ -54,8 +53,7 @@
         self._rate_of = rate_of
         self._takeover_s = takeover_s
         self._log = log
-        self._queues: dict[str, TurnQueue[TimedPlan]] = {}
-        self._readers: dict[str, int] = {}
+        self._queues: dict[str, TurnQueue[TimedPlan]] = defaultdict(TurnQueue)
 
     async def plan(
         self,
@@ -86,20 +84,7 @@
 
     def queue_length(self, service: str) -> int:
         """Return how many prompts of a service wait for their turn."""
-        return len(self._queue_of(service))
-
-    def _queue_of(self, service: str) -> TurnQueue[TimedPlan]:
-        queue = self._queues.get(service)
-        if queue is None:
-            spare_share = partial(self._spare_share, service)
-            queue = self._queues[service] = TurnQueue(spare_share=spare_share)
-        return queue
-
-    def _spare_share(self, service: str) -> float:
-        """Return the share of the reading stage that calls in time leave to others."""
-        readers = max(1, self._readers.get(service, 1))
-        needed = self._busyness.engines_needed(service, Stage.PREFILL)
-        return max(SPARE_SHARE_MIN, 1 - needed / readers)
+        return len(self._queues[service])
 
     def _is_behind_others(self, call: RoutedCall, decision: TimedPlan) -> bool:
         """Whether a long prompt would go before those that wait already."""
@@ -130,7 +115,7 @@
             decide=decide,
             refuse=lambda: TimedPlan(plan, Turn.HOPELESS),
         )
-        decision = await self._queue_of(call.service).wait(waiter)
+        decision = await self._queues[call.service].wait(waiter)
         self._log.write(
             Event.CALL_DEFERRED,
             request=call.call_id,
@@ -143,18 +128,20 @@
         self, call: RoutedCall, choice: Choice, candidates: list[Candidate]
     ) -> float:
         """Return how long a prompt that comes now waits for its turn."""
-        forecast = self._forecast(call, choice)
-        soonest_s = forecast.reading_s + forecast.running_s
-        return self._queue_of(call.service).wait_s(
+        return self._queues[call.service].wait_s(
             (not call.favoured, call.arrived_at_s),
-            forecast.aim_left_s - soonest_s,
+            self._timely_for_s(call, choice),
             self._fleet_rate(call.service, candidates),
         )
 
+    def _timely_for_s(self, call: RoutedCall, choice: Choice) -> float:
+        """Return within what time a call must start to be in time."""
+        forecast = self._forecast(call, choice)
+        return forecast.aim_left_s - forecast.reading_s - forecast.running_s
+
     def _fleet_rate(self, service: str, candidates: list[Candidate]) -> float:
         """Return how many tokens the engines of the reading stage read in a second."""
         readers = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
-        self._readers[service] = readers
         return max(1, readers) * self._rate_of(service)
 
     def _note_demand(self, call: RoutedCall, choice: Choice) -> None:
@@ -190,14 +177,26 @@
             return TimedPlan(plan, Turn.IN_TIME)
         turn_s = self._turn_s(call, choice, candidates) if comes_now else 0.0
         others_wait = self.queue_length(call.service) > 0
-        forecast = self._forecast(call, choice, turn_s)
-        return TimedPlan(plan, choose_turn(forecast, others_wait))
+        turn = choose_turn(self._forecast(call, choice, turn_s), others_wait)
+        if comes_now and turn is not Turn.HOPELESS:
+            self._note_taken(call, choice, candidates)
+        return TimedPlan(plan, turn)
+
+    def _note_taken(
+        self, call: RoutedCall, choice: Choice, candidates: list[Candidate]
+    ) -> None:
+        """Count a call that comes and isn't refused, whether it will wait or not."""
+        self._queues[call.service].note_taken(
+            choice.tokens,
+            self._timely_for_s(call, choice),
+            self._fleet_rate(call.service, candidates),
+        )
 
     def _fleet_pace(self, call: RoutedCall, candidates: list[Candidate]) -> FleetPace:
         service = call.service
         rate = self._rate_of(service)
         order = (not call.favoured, call.arrived_at_s)
-        queued_tokens = self._queue_of(service).tokens_before(order)
+        queued_tokens = self._queues[service].tokens_before(order)
         prefills = sum(item.upstream.stage is Stage.PREFILL for item in candidates)
         decodes = len(candidates) - prefills
         return FleetPace(
--- a/wisteriaarch/request/reading_turn.py
+++ b/wisteriaarch/request/reading_turn.py
@@ -13,7 +13,7 @@
 LONG_READING_TOKENS = 2048
 # Work that an engine is given in advance: it covers the time until it is told of more.
 BACKLOG_S = 0.1
-# Predictions are off by about this; what may be in time is tried where none waits.
+# Predictions are off by about this; what may be in time is tried.
 HOPELESS_FACTOR = 1.3
 
 
@@ -57,11 +57,12 @@
 
     Where others wait, an engine's time isn't spent on what will hardly be answered.
     """
-    tried_for_s = forecast.left_s if others_wait else HOPELESS_FACTOR * forecast.left_s
-    soonest_s = forecast.first_event_s - forecast.queue_s
-    if soonest_s > tried_for_s:
+    soonest_s = forecast.reading_s + forecast.running_s
+    if max(forecast.turn_s, soonest_s) > HOPELESS_FACTOR * forecast.left_s:
         return Turn.HOPELESS
     if forecast.queue_s <= BACKLOG_S:
+        if others_wait and soonest_s > forecast.left_s:
+            return Turn.HOPELESS
         is_in_time = forecast.first_event_s <= forecast.aim_left_s
         return Turn.IN_TIME if is_in_time else Turn.IDLE_ENGINE
     return Turn.LATER
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -15,10 +15,13 @@
 import curio
 
 from ..process.clock import now_s
+from ..process.stage_busyness import REMEMBERED_S, DecayingSum
 from .reading_turn import HOPELESS_FACTOR
 
 TICK_S = 0.01
 LOOKED_AT_MAX = 4
+# Late calls count on at least this share of the engines' reading.
+SPARE_SHARE_MIN = 0.1
 
 Decision = TypeVar("Decision")
 
@@ -51,18 +54,11 @@
 
 
 class TurnQueue(Generic[Decision]):
-    """Calls of one service that wait; a task looks at them while there are any.
+    """Calls of one service that wait; a task looks at them while there are any."""
 
-    ``spare_share`` returns the share of the engines' reading that calls in time leave.
-    """
-
-    def __init__(
-        self,
-        clock: Callable[[], float] = now_s,
-        spare_share: Callable[[], float] = lambda: 1.0,
-    ):
+    def __init__(self, clock: Callable[[], float] = now_s):
         self._clock = clock
-        self._spare_share = spare_share
+        self._timely_reading = DecayingSum()
         self._waiters: list[Waiter[Decision]] = []
         self._is_looking = False
 
@@ -73,13 +69,27 @@
         """Return how many tokens are to be read for the calls before one."""
         return sum(item.tokens for item in self._waiters if item.order < order)
 
+    @property
+    def _spare_share(self) -> float:
+        """Share of the engines' reading that calls which can be in time leave."""
+        offered = self._timely_reading.read(self._clock()) / REMEMBERED_S
+        return max(SPARE_SHARE_MIN, 1 - offered)
+
+    def note_taken(self, tokens: int, timely_for_s: float, fleet_rate: float) -> None:
+        """Take in a call that comes and isn't refused, whether it will wait or not.
+
+        It is in time if it starts within ``timely_for_s``. Calls that are refused take
+        no time of engines, however often their callers repeat them.
+        """
+        if timely_for_s >= 0:
+            self._timely_reading.add(tokens / fleet_rate, self._clock())
+
     def wait_s(
         self, order: tuple[bool, float], timely_for_s: float, fleet_rate: float
     ) -> float:
         """Return how long a call that comes now would wait for its turn.
 
-        It is in time if it starts within ``timely_for_s``; else it waits for what calls
-        in time leave, behind all that wait now.
+        Where it can't be in time it waits for what others leave, behind all that wait.
         """
         now = self._clock()
         timely_tokens = sum(
@@ -90,7 +100,7 @@
         if timely_tokens / fleet_rate <= timely_for_s:
             return timely_tokens / fleet_rate
         tokens = sum(item.tokens for item in self._waiters)
-        return tokens / (fleet_rate * self._spare_share())
+        return tokens / (fleet_rate * self._spare_share)
 
     async def wait(self, waiter: Waiter[Decision]) -> Decision:
         """Return the decision on a call, once there is one."""
@@ -134,7 +144,7 @@
     ) -> list[Waiter[Decision]]:
         """Return the late calls whose time is over before their turn comes."""
         hopeless = []
-        spare_share = self._spare_share()
+        spare_share = self._spare_share
         tokens = sum(waiter.tokens for waiter in timely)
         for waiter in late:
             rate = waiter.fleet_rate * spare_share
