Tests of the turn of calls that come while calls in time take all

Load: for some seconds calls in time alone would take all that engines read; refused callers come back at once and often. Holds waits before and after what others take, and that no engine's idle moment goes to a call that is predicted to miss.

--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -4,14 +4,15 @@
 
 import curio
 
+from wisteriaarch.request.reading_turn import ReadingForecast, Turn, choose_turn
 from wisteriaarch.request.turn_queue import LOOKED_AT_MAX, TICK_S, TurnQueue, Waiter
 
 TIMELY_S = 1.0
 PATIENCE_S = 5.0
 
 
-class TurnQueueTest(unittest.TestCase):
-    """Load: for some seconds far more long prompts come than engines read."""
+class QueueTestCase(unittest.TestCase):
+    """A queue on a clock that the test sets."""
 
     def setUp(self):
         self.now = 0.0
@@ -42,6 +43,10 @@
     def decisions(self):
         return [waiter.decision for waiter in self.queue.look_once()]
 
+
+class TurnQueueTest(QueueTestCase):
+    """Load: for some seconds far more long prompts come than engines read."""
+
     def test_cost_of_a_look_does_not_grow_with_the_queue(self):
         self.fill(*(self.waiter(number) for number in range(300)))
         self.queue.look_once()
@@ -98,3 +103,63 @@
             return left, len(self.queue), await task.join()
 
         self.assertEqual(curio.run(run), (0, 0, 2))
+
+
+class ComingCallTest(QueueTestCase):
+    """Load: for some seconds calls in time alone would take all that engines read."""
+
+    RATE = 1_000.0
+
+    def wait_s(self, timely_for_s, arrived_at_s=0.5):
+        return self.queue.wait_s((True, arrived_at_s), timely_for_s, self.RATE)
+
+    def test_call_in_time_waits_for_those_before_it_alone(self):
+        self.fill(*(self.waiter(number, number / 10) for number in range(10)))
+        self.assertAlmostEqual(self.wait_s(1.0), 5 * 10 / self.RATE)
+
+    def test_late_call_waits_for_what_calls_in_time_leave(self):
+        self.fill(*(self.waiter(number, number / 10) for number in range(10)))
+        calm_s = self.wait_s(-0.1)
+        self.assertAlmostEqual(calm_s, 10 * 10 / self.RATE)
+        self.queue.note_taken(800, 0.2, self.RATE)
+        self.assertAlmostEqual(self.wait_s(-0.1), calm_s / 0.2)
+
+    def test_refused_and_late_calls_take_nothing_from_others(self):
+        """Load: callers who are refused, or late, come back at once and often."""
+        self.fill(*(self.waiter(number, number / 10) for number in range(10)))
+        calm_s = self.wait_s(-0.1)
+        for _ in range(50):
+            self.queue.note_taken(800, -0.2, self.RATE)
+        self.assertAlmostEqual(self.wait_s(-0.1), calm_s)
+
+    def test_late_calls_that_calls_in_time_leave_nothing_are_refused_soon(self):
+        self.fleet_rate = self.RATE
+        self.now = TIMELY_S + 0.1
+        self.queue.note_taken(5_000, 0.2, self.RATE)
+        self.fill(*(self.waiter(number) for number in range(100)))
+        refused = [item for item in self.decisions() if item == "refused"]
+        self.assertGreater(len(refused), 40)
+        self.assertLess(len(refused), 100)
+
+
+class TakenTurnTest(unittest.TestCase):
+    """Load: engines are idle for a moment while others wait for them."""
+
+    def forecast(self, **more):
+        values = {
+            "queue_s": 0.0,
+            "reading_s": 0.1,
+            "running_s": 0.1,
+            "aim_left_s": -1.0,
+            "left_s": 0.18,
+            **more,
+        }
+        return ReadingForecast(**values)
+
+    def test_no_time_of_engines_goes_to_what_will_hardly_be_answered(self):
+        self.assertIs(choose_turn(self.forecast(), True), Turn.HOPELESS)
+        self.assertIs(choose_turn(self.forecast(), False), Turn.IDLE_ENGINE)
+
+    def test_call_whose_turn_will_not_come_is_refused_when_it_comes(self):
+        forecast = self.forecast(left_s=2.0, turn_s=3.0)
+        self.assertIs(choose_turn(forecast), Turn.HOPELESS)
