Remove the two import circles

Change: handlers name what they need of an entry as a protocol (request/served_entry.py); settings_relations.py holds what a relation is, settings.py which ones its fields have.

No change of behaviour. No module is imported under TYPE_CHECKING any more.

--- a/wisteriaarch/process/settings.py
+++ b/wisteriaarch/process/settings.py
@@ -1,9 +1,12 @@
 """Settings of an entry, read from a JSON file and checked."""
 
+from collections.abc import Iterator
 from typing import Literal, Self
 
 from pydantic import Field, model_validator
 
+from .backoff import JITTER
+from .loads import POLL_TIMEOUT_S
 from .settings_models import (
     AddressSettings,
     LeaseSettings,
@@ -12,7 +15,8 @@
     StrictModel,
     load_model,
 )
-from .settings_relations import check_relations
+from .settings_relations import Relation, describe_unmet
+from .upstream_view import MAX_REPORT_AGE_S
 
 PolicyName = Literal["predicted", "random", "least_load", "static_split", "reactive"]
 PolicyPart = Literal[
@@ -67,5 +71,37 @@
 
     @model_validator(mode="after")
     def _check_relations(self) -> Self:
-        check_relations(self)
+        """Raise ValueError that names every relation that doesn't hold."""
+        unmet = describe_unmet(_relations(self))
+        if unmet:
+            raise ValueError(unmet)
         return self
+
+
+def _relations(cfg: EntrySettings) -> Iterator[Relation]:
+    lease = cfg.lease
+    yield Relation(
+        "lease.term_s",
+        lease.term_s,
+        lease.renew_every_s + lease.drift_margin_s,
+        "lease.renew_every_s + lease.drift_margin_s",
+    )
+    yield Relation(
+        "freshness_bound_s",
+        cfg.freshness_bound_s,
+        (1 + JITTER) * cfg.head_poll_every_s,
+        f"head_poll_every_s with its jitter of {JITTER:.0%}",
+    )
+    yield Relation(
+        "freshness_bound_s",
+        cfg.freshness_bound_s,
+        cfg.heartbeat_every_s,
+        "heartbeat_every_s",
+    )
+    yield Relation(
+        "load_poll_every_s",
+        cfg.load_poll_every_s,
+        MAX_REPORT_AGE_S - POLL_TIMEOUT_S,
+        "the greatest age of a load report without the timeout of a poll",
+        above=False,
+    )
--- a/wisteriaarch/process/settings_relations.py
+++ b/wisteriaarch/process/settings_relations.py
@@ -1,15 +1,7 @@
-"""Relations between settings that leases, freshness and routing depend on."""
+"""Relations between settings, or settings and a manifest, that must hold."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
-
-from .backoff import JITTER
-from .loads import POLL_TIMEOUT_S
-from .upstream_view import MAX_REPORT_AGE_S
-
-if TYPE_CHECKING:
-    from .settings import EntrySettings
 
 
 @dataclass(frozen=True)
@@ -44,42 +36,6 @@
         )
 
 
-def check_relations(cfg: "EntrySettings") -> None:
-    """Raise ValueError that names every relation that doesn't hold."""
-    unmet = describe_unmet(_relations(cfg))
-    if unmet:
-        raise ValueError(unmet)
-
-
 def describe_unmet(relations: Iterable[Relation]) -> str:
     """Return the relations that don't hold in words; empty where all do."""
     return "; ".join(item.describe() for item in relations if not item.holds)
-
-
-def _relations(cfg: "EntrySettings") -> Iterator[Relation]:
-    lease = cfg.lease
-    yield Relation(
-        "lease.term_s",
-        lease.term_s,
-        lease.renew_every_s + lease.drift_margin_s,
-        "lease.renew_every_s + lease.drift_margin_s",
-    )
-    yield Relation(
-        "freshness_bound_s",
-        cfg.freshness_bound_s,
-        (1 + JITTER) * cfg.head_poll_every_s,
-        f"head_poll_every_s with its jitter of {JITTER:.0%}",
-    )
-    yield Relation(
-        "freshness_bound_s",
-        cfg.freshness_bound_s,
-        cfg.heartbeat_every_s,
-        "heartbeat_every_s",
-    )
-    yield Relation(
-        "load_poll_every_s",
-        cfg.load_poll_every_s,
-        MAX_REPORT_AGE_S - POLL_TIMEOUT_S,
-        "the greatest age of a load report without the timeout of a poll",
-        above=False,
-    )
--- a/wisteriaarch/request/routes.py
+++ b/wisteriaarch/request/routes.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from ..connection.caller import CallerConnection, unknown_path
 from ..errors import ErrorKind, RequestError
@@ -11,11 +10,9 @@
 from ..wire import HttpRequest
 from .call import Call
 from .incoming import authenticate, parse_completion, parse_routed, parse_service
+from .served_entry import ServedEntry
 from .status_view import describe_entry
 
-if TYPE_CHECKING:
-    from ..entry import Entry
-
 SERVICE_PREFIX = "/services/"
 METRICS_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 
@@ -25,7 +22,7 @@
 class Routes:
     """Finds the handler of a request; one instance serves the whole entry."""
 
-    def __init__(self, entry: "Entry"):
+    def __init__(self, entry: ServedEntry):
         self._entry = entry
         self._rng = random.Random(entry.settings.seed)
         self._handlers: dict[tuple[str, str], Handler] = {
--- a/wisteriaarch/request/status_view.py
+++ b/wisteriaarch/request/status_view.py
@@ -1,16 +1,13 @@
 """Assembly of what an entry shows at ``/v1/status``."""
 
 from dataclasses import asdict
-from typing import TYPE_CHECKING
 
 from ..process.entry_status import EntryStatus, MemberStatus
 from ..version.head import Head
+from .served_entry import ServedEntry
 
-if TYPE_CHECKING:
-    from ..entry import Entry
 
-
-def describe_entry(entry: "Entry") -> EntryStatus:
+def describe_entry(entry: ServedEntry) -> EntryStatus:
     """Return the state of ``entry`` now."""
     current = entry.watcher.current
     head = current.head if current else Head()
