Split when a lease may be taken from how it is kept

Cause: lease.py had grown to 342 lines with the store's era, and its rules of time were mixed with reads and writes of the table.

No change of behaviour: tests of leases, stage control and moves pass (44).

--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -13,7 +13,6 @@
 passed since the return.
 """
 
-import hashlib
 from collections.abc import Callable, Iterable
 from dataclasses import asdict
 
@@ -23,7 +22,8 @@
 from ..events import Event, EventLog
 from ..steps import Step, reach
 from .clock import now_s
-from .lease_record import NO_HOLDER, Contender, LeaseRecord, Tenure, next_epoch
+from .lease_record import Contender, LeaseRecord, Tenure, next_epoch, rank_of
+from .lease_watch import LeaseWatch
 from .settings_models import LeaseSettings
 from .store import Check, Put, Row, RowStore, Transaction
 from .store_era import StoreEra
@@ -61,8 +61,7 @@
         self._candidates = candidates
         self._log = log
         self._is_first = is_first
-        self._watched: LeaseRecord | None = None
-        self._watched_since_s = 0.0
+        self._watch = LeaseWatch(settings, self._era)
         self._looked_for: frozenset[str] = frozenset()
         self._look_from_s = float("-inf")
         self._orders_from_s = 0.0
@@ -101,8 +100,7 @@
         """How many other entries are to try before this one."""
         if self._is_first is not None and self._is_first():
             return 0
-        own_score = _score(self.group, self._contender.entry_id)
-        return sum(_score(self.group, name) > own_score for name in self._candidates())
+        return rank_of(self.group, self._contender.entry_id, self._candidates())
 
     def is_held(self) -> bool:
         """Whether this process holds the lease now."""
@@ -181,14 +179,14 @@
         try:
             row = await self._table.read(LEASE_TABLE, self.group)
             record = LeaseRecord.from_row(row)
-            self._watch(record)
+            self._watch.see(record, now_s())
             await reach(Step.LEASE_READ)
             if record.belongs_to(self._contender) and record.is_of(row.era):
                 await self._renew(row, record)
                 return
             self._lose(record)
-            if self._may_take(row, record):
-                await self._take(row, record)
+            if self._watch.may_take(self.rank, row.era, now_s()):
+                await self._take(row)
         except WriteConflict:
             return
         except PlatformError as exc:
@@ -207,26 +205,12 @@
             return
         try:
             row = await self._table.read(LEASE_TABLE, self.group)
-            self._watch(LeaseRecord.from_row(row))
+            self._watch.see(LeaseRecord.from_row(row), now_s())
         except PlatformError as exc:
             self._looked_for = frozenset()
             self._look_from_s = now_s() + self._settings.term_s
             self._log.write(Event.LEASE_READ_FAILED, group=self.group, error=str(exc))
 
-    def _watch(self, record: LeaseRecord) -> None:
-        if record != self._watched:
-            self._watched = record
-            self._watched_since_s = now_s()
-
-    def _may_take(self, row: Row, record: LeaseRecord) -> bool:
-        wait_s = min(self.rank * self._settings.renew_every_s, self._settings.term_s)
-        if not record.is_of(row.era):
-            wait_s += self._settings.term_s + self._settings.drift_margin_s
-            return now_s() - self._era.since_s >= wait_s
-        if record.holder != NO_HOLDER:
-            wait_s += record.term_s + self._settings.drift_margin_s
-        return now_s() - self._watched_since_s >= wait_s
-
     async def _renew(self, row: Row, record: LeaseRecord) -> None:
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
@@ -235,14 +219,16 @@
         await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
-    async def _take(self, row: Row, record: LeaseRecord) -> None:
+    async def _take(self, row: Row) -> None:
         epoch_row = await self._table.read(EPOCH_TABLE, self.group)
         if epoch_row.era != row.era:
             return
         former = epoch_row.value["epoch"] if epoch_row.exists else 0
         epoch = next_epoch(former, row.era)
         value = {"epoch": epoch, **asdict(self._contender)}
-        self._orders_from_s = now_s() + self._quiet_s(row, record)
+        now = now_s()
+        quiet_s = self._watch.quiet_s(self._contender.entry_id, row.era, now)
+        self._orders_from_s = now + quiet_s
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
         put = self._put(row, 0)
@@ -251,21 +237,6 @@
         await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
-    def _quiet_s(self, row: Row, record: LeaseRecord) -> float:
-        """Return how long no order may be given after taking over from a holder.
-
-        It gave none after the end of its term, which began before its last renewal was
-        seen here. One that released the lease did so a term after its last order. A
-        holder that the store has forgotten began its last term before the return.
-        """
-        if not record.is_of(row.era):
-            silent_s = now_s() - self._era.since_s
-            return max(0.0, 2 * self._settings.term_s - silent_s)
-        if record.holder in (NO_HOLDER, self._contender.entry_id):
-            return 0.0
-        watched_s = now_s() - self._watched_since_s
-        return max(0.0, record.term_s + self._settings.term_s - watched_s)
-
     def _put(self, row: Row, renewals: int) -> Put:
         record = LeaseRecord(
             self._contender.entry_id,
@@ -287,6 +258,7 @@
         if not row.exists or row.value["incarnation"] != self._contender.incarnation:
             return
         if row.era != era:
+            # Written before the store came back; the next try takes the lease anew.
             return
         self._tenure = Tenure(
             row.value["epoch"],
@@ -334,7 +306,3 @@
             self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
             return
         self._log.write(Event.LEASE_RELEASED, group=self.group)
-
-
-def _score(group: str, entry_id: str) -> bytes:
-    return hashlib.blake2b(f"{group}\0{entry_id}".encode(), digest_size=8).digest()
--- a/wisteriaarch/process/lease_record.py
+++ b/wisteriaarch/process/lease_record.py
@@ -1,5 +1,7 @@
 """What is on record of a lease, and what its holder knows of its own time."""
 
+import hashlib
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from .store import Row
@@ -7,6 +9,7 @@
 NO_HOLDER = ""
 # Takeovers within one era; engines read epochs as numbers of up to 53 bits.
 ERA_SHIFT = 32
+SCORE_BYTES = 8
 
 
 @dataclass(frozen=True)
@@ -61,3 +64,15 @@
 def next_epoch(former: int, era: int) -> int:
     """Return the epoch after a former one, greater than any of an earlier era."""
     return max(former, era << ERA_SHIFT) + 1
+
+
+def rank_of(group: str, entry_id: str, names: Iterable[str]) -> int:
+    """Return how many entries come before one in the rendezvous order of a group."""
+    own_score = _score(group, entry_id)
+    return sum(_score(group, name) > own_score for name in names)
+
+
+def _score(group: str, entry_id: str) -> bytes:
+    return hashlib.blake2b(
+        f"{group}\0{entry_id}".encode(), digest_size=SCORE_BYTES
+    ).digest()
