Use no connection again on which a body was cut

Cause: an upstream may answer before it has read a long body, keep the connection and read on. Where sending failed midway the answer was read and the connection kept: the next request's bytes would have come where the rest of the body is due.

Change: a connection notes whether its request was sent whole; otherwise it isn't used again.

Seen before: EarlyAnswerTest.test_connection_on_which_a_body_was_cut_is_not_used_again fails without it (True is not False).

--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -31,6 +31,7 @@
     address: Address
     sock: Any = None
     bytes_sent: bool = False
+    _sends_whole: bool = True
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _event_ahead: Any = None
 
@@ -60,8 +61,7 @@
         if body:
             data += self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
-        self.bytes_sent = True
-        await self.sock.sendall(data)
+        await self._send_whole(data)
 
     async def open_request(
         self, method: str, target: str, headers: Headers, body_bytes: int
@@ -86,8 +86,14 @@
         """Send the body of a request opened by ``open_request``."""
         data = self._h11.send(h11.Data(data=body))
         data += self._h11.send(h11.EndOfMessage())
+        await self._send_whole(data)
+
+    async def _send_whole(self, data: bytes) -> None:
+        """Send the end of a request; one that is cut off leaves its rest due."""
         self.bytes_sent = True
+        self._sends_whole = False
         await self.sock.sendall(data)
+        self._sends_whole = True
 
     def _request_head(
         self, method: str, target: str, headers: Headers, body_bytes: int
@@ -180,7 +186,12 @@
         return bool(poll.poll(0))
 
     def reuse(self) -> bool:
-        """Prepare for another request; False when the connection must be closed."""
+        """Prepare for another request; False when the connection must be closed.
+
+        A server that answered before it read a long body still expects the rest of it.
+        """
+        if not self._sends_whole:
+            return False
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         if self._h11.trailing_data[0]:
