--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -10,7 +10,6 @@
 import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass
 from typing import Protocol
 
 import curio
@@ -25,6 +24,7 @@
 from ..process.table_news import TableNews
 from ..wire import Address
 from .member_codec import Datagram, DatagramKind, decode_datagram, encode_datagram
+from .pending_pings import PendingPings, RelayedPing
 
 PROBE_EVERY_S = 0.5
 ACK_TIMEOUT_S = 0.25
@@ -54,14 +54,6 @@
 TableNewsObserver = Callable[[str, tuple[TableNews, ...]], Awaitable[None]]
 
 
-@dataclass(frozen=True)
-class RelayedPing:
-    """Ping that was sent on behalf of another entry."""
-
-    requester: tuple[str, int]
-    sequence: int
-
-
 class Prober:
     """Keeps a ``MemberList`` up to date.
 
@@ -91,9 +83,7 @@
         self._log = log
         self._rng = random.Random(seed)
         self._sock = None
-        self._sequences = itertools.count(1)
-        self._acked: dict[int, curio.Event] = {}
-        self._relayed: dict[int, RelayedPing] = {}
+        self._pings = PendingPings()
         self._order: list[str] = []
         self._heard_at_s = now_s()
 
@@ -167,9 +157,7 @@
 
     async def _probe(self, target: str) -> None:
         """Ping an entry, directly and through others; mark it dead without an ack."""
-        sequence = next(self._sequences)
-        acked = self._acked[sequence] = curio.Event()
-        try:
+        with self._pings.awaiting() as (sequence, acked):
             for ask, timeout_s in (
                 (self._ping, ACK_TIMEOUT_S),
                 (self._ping_through_others, RELAYED_TIMEOUT_S),
@@ -181,8 +169,6 @@
                     await acked.wait()
                 if acked.is_set() or self._was_paused(asked_at_s, timeout_s):
                     return
-        finally:
-            del self._acked[sequence]
         if not self._may_be_cut_off():
             await self._mark_dead(target)
 
@@ -277,22 +263,15 @@
         await self._send(encode_datagram(datagram), address)
 
     async def _relay(self, datagram: Datagram, address: tuple[str, int]) -> None:
-        sequence = next(self._sequences)
-        self._relayed[sequence] = RelayedPing(address, datagram.sequence)
+        sequence = self._pings.relay(RelayedPing(address, datagram.sequence))
         await self._ping(datagram.target, sequence)
-        await curio.spawn(self._forget_relayed, sequence, daemon=True)
-
-    async def _forget_relayed(self, sequence: int) -> None:
-        await curio.sleep(RELAYED_TIMEOUT_S)
-        self._relayed.pop(sequence, None)
+        forget = self._pings.forget_relayed
+        await curio.spawn(forget, sequence, RELAYED_TIMEOUT_S, daemon=True)
 
     async def _take_ack(self, sequence: int) -> None:
-        relayed = self._relayed.pop(sequence, None)
+        relayed = await self._pings.take_ack(sequence)
         if relayed is not None:
             await self._ack(relayed.sequence, relayed.requester)
-        acked = self._acked.get(sequence)
-        if acked is not None:
-            await acked.set()
 
     async def _tell_members(self, address: tuple[str, int]) -> None:
         """Send all records and known crashes to an entry that has just started."""
