--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -9,7 +9,7 @@
 from ..process.upstreams import Stage, Upstream
 from .routed_call import Prompt
 
-# Copying shared parts takes at most this share of reading them.
+# Copying shared parts takes about this share of reading them.
 COPIED_SHARE = 0.06
 HASH_BYTES = 8
 HASH_MASK = (1 << 8 * HASH_BYTES) - 1
