Refuse long prompts without waiting for a part first

Traced: all callers sent one and the same prompt (its own part was named after the first 8 letters of the attempt, which are the entry's name), and the stand-in of an engine read prompts for nothing where it ran them itself. Ruled out: the lease (never wanted), the era, the frozen entry as scheduler.

Change: each attempt has an own part; the stand-in reads one prompt after the other, also where it runs it (at half the speed, as the protocol says), and holds the parts that it read; rows are registered when the engine's change is over, as servers do; a stream that ends within its body is an end like any other (its thread had died without a word, unseen by the check).

--- a/extras/decision_share.py
+++ b/extras/decision_share.py
@@ -68,7 +68,6 @@
         "scoring",
         "settlement",
         "shapes",
-        "shared_reading",
         "stage_plan",
         "urgency",
     ),
--- a/tests/gateway_support.py
+++ b/tests/gateway_support.py
@@ -1,5 +1,6 @@
 """One entry before stand-ins of the platform's servers, for tests."""
 
+import hashlib
 import time
 import unittest
 
@@ -23,7 +24,8 @@
     @classmethod
     def ask_prompt(cls, path, attempt, tokens, entry, **headers):
         shared = tokens // 2
-        parts = f"ab12:{shared},{attempt.encode().hex()[:16]}:{tokens - shared}"
+        own_id = hashlib.blake2b(attempt.encode(), digest_size=8).hexdigest()
+        parts = f"ab12:{shared},{own_id}:{tokens - shared}"
         headers = {
             "Model": "m",
             "Token_Counts": f"{tokens},40",
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -3,15 +3,18 @@
 import signal
 import threading
 import time
+from http.client import HTTPException
 
 from extras.cluster import request, wait_until
 from extras.gateway_cluster import GatewayCluster, server_row
 from tests.gateway_support import RouteCluster
+from wisteriaarch.platform.order_emulator import SWITCH_S
 
 DECODERS = tuple(f"dec-{number}" for number in range(1, 7))
 LEASE_TERM_MS = 800
 TOKENS = 12_000
 CALLERS = 4
+SERVED_MIN = 4 * CALLERS
 ORDER_WAIT_S = 20.0
 RETURN_S = 0.3
 # Well within the time that a caller has; the clock is that of a busy machine.
@@ -68,7 +71,7 @@
     def send_prompt(self, path, attempt, tokens, entry):
         try:
             return self.ask_prompt(path, attempt, tokens, entry).status
-        except OSError:
+        except (OSError, HTTPException):
             return 0
 
     def assert_whole_or_refused(self):
@@ -87,9 +90,12 @@
         served = {attempt for attempt, status in ends.items() if status == 200}
         self.assertEqual(refused & ran, set())
         self.assertEqual(served - ran, set())
-        self.assertGreater(len(served), 4 * CALLERS)
+        self.assertGreater(len(served), SERVED_MIN)
         self.assertLess(max(self.refused_after_s, default=0.0), REFUSED_WITHIN_S)
 
+    def served(self):
+        return sum(status == 200 for _attempt, status in self.ends)
+
     def orders(self):
         """Return the orders that engines accepted, with the engines' names."""
         return [
@@ -99,7 +105,8 @@
         ]
 
     def register_changes(self):
-        """Write the stages that engines have into their rows, as they do themselves."""
+        """Write new stages into the engines' rows, as they do after each change."""
+        time.sleep(SWITCH_S)
         for name, order in self.orders():
             row = server_row(self.cluster.processes[name], "llm", order["stage"])
             self.cluster.write("servers", name, row)
@@ -109,6 +116,7 @@
         wait_until(self.orders, ORDER_WAIT_S)
         self.register_changes()
         time.sleep(1.0)
+        wait_until(lambda: self.served() > SERVED_MIN)
         self.loading.clear()
         (_name, order), *_more = self.orders()
         self.assertEqual((order["op"], order["stage"]), ("stage", "prefill"))
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -5,6 +5,7 @@
 import secrets
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import takewhile
 from typing import Any
 
 import curio
@@ -19,6 +20,8 @@
 EVENTS = 4
 EVENT_INTERVAL_S = 0.01
 TOKENS_PER_S = 50_000
+# A server that runs requests reads prompts between the tokens of other requests.
+DIRECT_READING_SHARE = 0.5
 WAIT_S = "1.5"
 REFUSED = [("Not-Executed", "1")]
 CONTROL_PATH = "/emulate"
@@ -33,7 +36,8 @@
     (answered 500), silent (never answered), leaving (answered, with the word that it
     leaves), foreign (another request's answer goes first), cut (a stream ends within
     its second event); ``fault_left`` counts them. A request with a header ``Crash``
-    ends the process.
+    ends the process. Prompts are read one after another, but for the parts at their
+    beginnings that are in ``parts_held``.
     """
 
     server_id: str
@@ -44,6 +48,8 @@
     seen: list[dict[str, str]] = field(default_factory=list)
     handles: set[str] = field(default_factory=set)
     orders: OrderEmulator = field(init=False)
+    parts_held: set[str] = field(default_factory=set)
+    _reading: curio.Lock = field(default_factory=curio.Lock)
 
     def __post_init__(self):
         self.orders = OrderEmulator(self.stage)
@@ -115,8 +121,7 @@
         return self.fault
 
     async def _prefill(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
-        tokens = int(req.headers[names.TOKEN_COUNTS].partition(",")[0])
-        await curio.sleep(tokens / TOKENS_PER_S)
+        tokens = await self._read_prompt(req, TOKENS_PER_S)
         handle = secrets.token_hex(6)
         self.handles.add(handle)
         content = {"handle": handle, "tokens": tokens, "version": 1}
@@ -152,6 +157,10 @@
     async def _stream(
         self, conn: HttpServerConnection, req: HttpRequest, headers: Headers, fault: str
     ) -> bool:
+        if names.KV_SOURCE.lower() in req.headers:
+            self.parts_held.update(part for part, _size in _parts(req))
+        else:
+            await self._read_prompt(req, DIRECT_READING_SHARE * TOKENS_PER_S)
         first = int(req.headers.get("last-event-id", 0)) + 1
         await conn.send_head(200, [*headers, ("Content-Type", "text/event-stream")])
         for number in range(first, EVENTS + 1):
@@ -164,6 +173,19 @@
         await conn.end_body()
         return True
 
+    async def _read_prompt(self, req: HttpRequest, tokens_per_s: float) -> int:
+        """Take the time of reading a prompt; returns how many tokens it has."""
+        tokens = int(req.headers[names.TOKEN_COUNTS].partition(",")[0])
+        parts = _parts(req)
+        async with self._reading:
+            held = sum(size for _part, size in takewhile(self._holds, parts))
+            await curio.sleep((tokens - held) / tokens_per_s)
+        self.parts_held.update(part for part, _size in parts)
+        return tokens
+
+    def _holds(self, part: tuple[str, int]) -> bool:
+        return part[0] in self.parts_held
+
     def _headers(self, req: HttpRequest) -> Headers:
         return [(names.ATTEMPT_ID, _attempt(req)), ("Server-Seal", self.server_id)]
 
@@ -181,3 +203,10 @@
 
 def _attempt(req: HttpRequest) -> str:
     return req.headers.get(names.ATTEMPT_ID.lower(), "")
+
+
+def _parts(req: HttpRequest) -> list[tuple[str, int]]:
+    """Return ids and sizes of the prompt's parts, from its beginning on."""
+    parts = filter(None, req.headers.get(names.PREFIX_HASH, "").split(","))
+    split = [part.partition(":") for part in parts]
+    return [(part, int(size)) for part, _colon, size in split]
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,7 +1,7 @@
 """Plans a completion: which engines read and run it, and when."""
 
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -14,7 +14,6 @@
 from .candidate_finder import CandidateFinder
 from .reading_turn import LONG_READING_TOKENS, ReadingForecast, Turn, choose_turn
 from .routed_call import RoutedCall
-from .shared_reading import OnWait, ignore_wait, wait_for_part
 from .size_shares import SizeShares
 from .stage_plan import FleetPace, StagePlan, plan_stages
 from .turn_queue import TurnQueue, Waiter
@@ -26,6 +25,12 @@
 PATIENCE_PAUSES = 8.0
 RETURN_MIN_S = 0.3
 
+OnWait = Callable[[], Awaitable[None]]
+
+
+async def ignore_wait() -> None:
+    """Do nothing where a call begins to wait."""
+
 
 @dataclass(frozen=True)
 class TimedPlan:
@@ -70,10 +75,6 @@
             call.call_id, call.route.name, call.prompt.own_tokens
         )
         find = partial(self._finder.now, call)
-        rate = self._rate_of(call.service)
-        candidates = await wait_for_part(
-            call, candidates, find, rate, self._log, on_wait
-        )
         decision = self._decide(call, candidates, comes_now=True)
         if decision.turn is Turn.LATER or self._is_behind_others(call, decision):
             await on_wait()
