--- a/extras/replay/load.py
+++ b/extras/replay/load.py
@@ -16,10 +16,14 @@
 
 @dataclass(frozen=True)
 class SharedPartSpec:
-    """Parts of one place in the chain: mean tokens, and how many there are."""
+    """Parts of one place in the chain: mean tokens, and how many there are.
+
+    Other parts take their places every ``renewed_s`` seconds; never where 0.
+    """
 
     tokens: int
     parts: int
+    renewed_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -106,7 +110,20 @@
     ),
     (Peak(5.0, 9.0, 1.7), Peak(14.0, 24.0, 2.2, "long")),
 )
-DEPLOYMENTS = {item.name: item for item in (DEEP_PREFIX, ONE_PREFIX)}
+NEW_PREFIXES = Deployment(
+    "new-prefixes",
+    2,
+    4,
+    EngineCosts(50_000.0, 1e6, 0.02, 0.005, 2e-5, 32, 442_000),
+    (
+        KindSpec(
+            "long", 17.0, 3_000, 10, (SharedPartSpec(12_000, 2, 2.0),), 0.8, 3.0, 5, 1.5
+        ),
+        KindSpec("short", 40.0, 200, 6, (), 0.3, 3.0, 1.5, 0.44),
+    ),
+    (Peak(8.0, 14.0, 1.5, "long"),),
+)
+DEPLOYMENTS = {item.name: item for item in (DEEP_PREFIX, ONE_PREFIX, NEW_PREFIXES)}
 
 
 def draw_deployment(rng: random.Random) -> Deployment:
@@ -162,7 +179,9 @@
 
 
 def _arrival(number: int, at_s: float, kind: KindSpec, rng: random.Random) -> Arrival:
-    parts = [_shared_part(place, spec, rng) for place, spec in enumerate(kind.chain)]
+    parts = [
+        _shared_part(place, spec, at_s, rng) for place, spec in enumerate(kind.chain)
+    ]
     own = max(16, int(_spread(kind.own_tokens, 0.9, rng)))
     parts.append(PromptPart(f"own-{number}", own))
     prompt = Prompt(
@@ -172,8 +191,12 @@
     return Arrival(number, at_s, kind, prompt, output, rng.choice(ZONES))
 
 
-def _shared_part(place: int, spec: SharedPartSpec, rng: random.Random) -> PromptPart:
+def _shared_part(
+    place: int, spec: SharedPartSpec, at_s: float, rng: random.Random
+) -> PromptPart:
     chosen = int(spec.parts * rng.random() ** 1.3)
+    if spec.renewed_s:
+        chosen += spec.parts * int(at_s / spec.renewed_s)
     # The size of a part is drawn from its name, so that it is always the same.
     size = _spread(spec.tokens, 0.5, random.Random(f"{place}-{chosen}"))
     return PromptPart(f"part-{place}-{chosen}", int(size))
--- a/wisteriaarch/process/upstream_view.py
+++ b/wisteriaarch/process/upstream_view.py
@@ -1,5 +1,6 @@
 """What one entry knows of one upstream: reports corrected by the work sent since."""
 
+import zlib
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -38,7 +39,10 @@
 
 @dataclass
 class UpstreamView:
-    """What this entry knows of one upstream."""
+    """What this entry knows of one upstream.
+
+    ``name`` is its instance id, ``name_hash`` the same at every entry.
+    """
 
     instance: Instance
     report: LoadReport | None = None
@@ -53,13 +57,14 @@
     report_valid_s: float = MAX_REPORT_AGE_S
     last_sent_s: float = NEVER_S
     asked_at_s: float = NEVER_S
+    name: str = field(init=False)
+    name_hash: int = field(init=False)
     _sent_at_report: LoadEstimate = field(default_factory=LoadEstimate)
     _sent_at_poll: LoadEstimate = field(default_factory=LoadEstimate)
 
-    @property
-    def name(self) -> str:
-        """Instance id."""
-        return self.instance.instance_id
+    def __post_init__(self):
+        self.name = self.instance.instance_id
+        self.name_hash = zlib.crc32(self.name.encode())
 
     @property
     def in_flight(self) -> int:
--- a/wisteriaarch/request/prefixes.py
+++ b/wisteriaarch/request/prefixes.py
@@ -1,7 +1,5 @@
 """Keys of a prompt's prefixes, to recognize prompts that begin alike."""
 
-from collections import OrderedDict
-
 BLOCK_TOKENS = 64
 BLOCK_BYTES = BLOCK_TOKENS * 4
 BLOCKS_MAX = 32
@@ -24,23 +22,27 @@
 
 
 class PrefixOwners:
-    """Engine that a prompt with each prefix was last sent to, by this entry."""
+    """Engine that a prompt with each prefix was last sent to, by this entry.
+
+    Prefixes are kept in two generations, of which the older one is dropped whole: the
+    latest half of the capacity is always there, without an order of single prefixes.
+    """
 
     def __init__(self, capacity: int = OWNERS_KEPT):
-        self._capacity = capacity
-        self._names: OrderedDict[int, str] = OrderedDict()
+        self._generation_size = capacity // 2
+        self._latest: dict[int, str] = {}
+        self._older: dict[int, str] = {}
 
     def note(self, prefixes: tuple[int, ...], name: str) -> None:
         """Remember where a prompt is sent."""
-        for key in prefixes:
-            self._names[key] = name
-            self._names.move_to_end(key)
-        while len(self._names) > self._capacity:
-            self._names.popitem(last=False)
+        if len(self._latest) + len(prefixes) > self._generation_size:
+            self._older, self._latest = self._latest, {}
+        self._latest.update(dict.fromkeys(prefixes, name))
 
     def find(self, prefixes: tuple[int, ...]) -> str | None:
         """Return the engine that had the longest known prefix."""
         for key in reversed(prefixes):
-            if key in self._names:
-                return self._names[key]
+            name = self._latest.get(key) or self._older.get(key)
+            if name is not None:
+                return name
         return None
--- a/wisteriaarch/request/shapes.py
+++ b/wisteriaarch/request/shapes.py
@@ -1,7 +1,6 @@
 """Spread of the work over prompt-to-output ratios, and each engine's part of it."""
 
 import math
-import zlib
 from collections.abc import Iterable
 
 from ..process.clock import now_s
@@ -62,7 +61,7 @@
 
 def _order_key(view: UpstreamView) -> tuple[int, int]:
     role = view.report.role if view.report else "mixed"
-    return ROLE_ORDER.get(role, 1), zlib.crc32(view.name.encode())
+    return ROLE_ORDER.get(role, 1), view.name_hash
 
 
 def _bin_of(prompt_tokens: int, output_tokens: int) -> int:
