Keep connections where a client can't be accepted

Cause: a listening socket that couldn't accept for a moment (no descriptors, a client that left) ended the server's task: all its connections were cancelled and its port was closed for 0.5 s; at the scheduling server those are the placements of all entries.

Change: one accept_client for all servers waits 0.05 s after such an error, says so (event 121) and goes on. Other errors end the server as before.

Test: tests.test_sockets.FailedAcceptTest; with the former code the second client's answer didn't come within 5 s.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -1,5 +1,6 @@
 """Servers that end while a client is being accepted."""
 
+import errno
 import socket
 import time
 import unittest
@@ -31,7 +32,9 @@
         """Cancel the server some turns of the event loop after a client connected."""
         sock = curio.tcp_server_socket("127.0.0.1", 0)
         address = sock.getsockname()
-        serving = await curio.spawn(serve_clients, sock, self.wait_for_end)
+        serving = await curio.spawn(
+            serve_clients, sock, self.wait_for_end, EventLog("ending")
+        )
         await curio.sleep(0.01)
         with socket.create_connection(address):
             for _ in range(turns):
@@ -43,6 +46,53 @@
         await client.recv(1)
 
 
+class FailedAcceptTest(unittest.TestCase):
+    """Load: clients come back all at once, and the process runs out of descriptors."""
+
+    def test_clients_that_are_connected_stay_and_others_come_later(self):
+        curio.run(self.serve)
+
+    async def serve(self):
+        sock = _OutOfDescriptors(socket.create_server(("127.0.0.1", 0)))
+        address = sock.getsockname()
+        serving = await curio.spawn(
+            serve_clients, sock, self.echo, EventLog("descriptors")
+        )
+        first = await curio.open_connection(*address)
+        await self.ask(first)
+        sock.failures = 2
+        second = await curio.open_connection(*address)
+        await self.ask(second)
+        await self.ask(first)
+        self.assertEqual(sock.failures, 0)
+        await serving.cancel()
+
+    async def ask(self, conn):
+        async with curio.timeout_after(TIMEOUT_S):
+            await conn.sendall(b"?")
+            self.assertEqual(await conn.recv(1), b"?")
+
+    async def echo(self, client):
+        while data := await client.recv(1):
+            await client.sendall(data)
+
+
+class _OutOfDescriptors(Socket):
+    """A listening socket that fails to accept some times, whoever waits."""
+
+    failures = 0
+    _waiting = None
+
+    async def accept(self):
+        # A client that can't be accepted stays in the backlog.
+        self._waiting = self._waiting or await super().accept()
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "Too many open files")
+        client, self._waiting = self._waiting, None
+        return client
+
+
 class LateCallersTest(unittest.TestCase):
     """Callers that connect in the moment in which a listening socket is closed."""
 
--- a/wisteriaarch/connection/callers.py
+++ b/wisteriaarch/connection/callers.py
@@ -7,6 +7,7 @@
 from curio.io import Socket
 
 from ..events import Event, EventLog
+from ..sockets import accept_client
 from .caller import CallerConnection
 from .late_callers import drop_new_handshakes
 
@@ -62,8 +63,7 @@
                 await self._start(Socket(client))
 
     async def _accept(self, sock) -> None:
-        client, _address = await sock.accept()
-        await self._start(client)
+        await self._start(await accept_client(sock, self._log))
 
     async def _start(self, client) -> None:
         conn = self._new_connection(client)
--- a/wisteriaarch/connection/info_server.py
+++ b/wisteriaarch/connection/info_server.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..errors import ANSWERS, RequestError
+from ..events import EventLog
 from ..http_server import HttpServerConnection
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, Headers, HttpRequest
@@ -30,15 +31,17 @@
         field: str,
         address: Address,
         answer: Callable[[HttpRequest], InfoAnswer],
+        log: EventLog,
     ):
         self._field = field
         self._address = address
         self._answer = answer
+        self._log = log
 
     async def run(self) -> None:
         """Answer for ever."""
         sock = listen_on(self._field, self._address)
-        await serve_clients(sock, self._serve)
+        await serve_clients(sock, self._serve, self._log)
 
     async def _serve(self, client) -> None:
         conn = HttpServerConnection(client, HEAD_MAX_BYTES, BODY_MAX_BYTES)
--- a/wisteriaarch/connection/peers.py
+++ b/wisteriaarch/connection/peers.py
@@ -59,7 +59,7 @@
         sock = listen_on("peer_listen", Address(listen.host, listen.port))
         try:
             async with curio.TaskGroup(wait=any) as group:
-                await group.spawn(serve_clients, sock, self._serve_peer)
+                await group.spawn(serve_clients, sock, self._serve_peer, self._log)
                 await group.spawn(self._follow_neighbours)
         finally:
             for task in self._tasks.values():
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -92,7 +92,7 @@
     async def run(self) -> None:
         """Serve for ever."""
         sock = listen_on("peer_port", self._address)
-        await serve_clients(sock, self._serve)
+        await serve_clients(sock, self._serve, self._log)
 
     async def _serve(self, client) -> None:
         peer = str(Address(*client.getpeername()))
--- a/wisteriaarch/emulator/proxy.py
+++ b/wisteriaarch/emulator/proxy.py
@@ -18,6 +18,7 @@
 import curio
 from curio import socket
 
+from ..events import EventLog
 from ..http_server import HttpServerConnection
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, HttpRequest
@@ -101,5 +102,5 @@
         announce(f"{Address(*sock.getsockname())} {control}")
 
     async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(serve_clients, sock, proxy.handle_client)
+        await group.spawn(serve_clients, sock, proxy.handle_client, EventLog("proxy"))
         await group.spawn(serve_http, host, 0, proxy.handle_control, announce_both)
--- a/wisteriaarch/emulator/server.py
+++ b/wisteriaarch/emulator/server.py
@@ -8,6 +8,7 @@
 from curio import socket
 
 from ..errors import WisteriaError
+from ..events import EventLog
 from ..http_server import HttpServerConnection
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, HttpRequest
@@ -35,7 +36,7 @@
         with contextlib.suppress(OSError, WisteriaError):
             await _serve_requests(conn, handler, read_body)
 
-    await serve_clients(sock, serve_connection)
+    await serve_clients(sock, serve_connection, EventLog("emulator"))
 
 
 async def _serve_requests(conn, handler: Handler, read_body: bool) -> None:
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -42,6 +42,9 @@
     LOG_LINES_LOST = EventKind(
         119, logbook.WARNING, "log lines lost; the reader of the log was too slow"
     )
+    CLIENT_NOT_ACCEPTED = EventKind(
+        121, logbook.WARNING, "a client can't be accepted now; trying again"
+    )
     LIBRARY_MESSAGE = EventKind(120, logbook.WARNING, "message of a library")
     TASK_FAILED = EventKind(110, logbook.ERROR, "task failed; starting it again")
     MANIFEST_IN_FORCE = EventKind(200, logbook.INFO, "manifest is in force")
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -25,6 +25,7 @@
 from .process.lease_record import Contender
 from .process.metrics import Metrics
 from .process.scheduler_choice import SchedulerChoice
+from .process.settings_models import AddressSettings
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_supervised
@@ -186,15 +187,16 @@
                 self.log,
             ).run,
             *([self._stages.run] if settings.change_stages else ()),
-            InfoServer("ready", settings.ready.address(), self._answer_info).run,
-            InfoServer(
-                "directory", settings.directory.address(), self._answer_info
-            ).run,
-            InfoServer(
-                "metrics_port", settings.metrics_listen.address(), self._answer_metrics
+            self._info_server("ready", settings.ready, self._answer_info).run,
+            self._info_server("directory", settings.directory, self._answer_info).run,
+            self._info_server(
+                "metrics_port", settings.metrics_listen, self._answer_metrics
             ).run,
         ]
 
+    def _info_server(self, field: str, listen: AddressSettings, answer) -> InfoServer:
+        return InfoServer(field, listen.address(), answer, self.log)
+
     async def _follow_signals(
         self, signals: ProcessSignals, watch: SettingsWatch, sock, accepting
     ) -> None:
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -1,5 +1,6 @@
 """Opening of TCP connections and listening sockets."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -7,10 +8,23 @@
 from curio import socket
 
 from .errors import ConfigError
+from .events import Event, EventLog
 from .wire import Address
 
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 512
+ACCEPT_PAUSE_S = 0.05
+# Errors of one client, or of a moment without descriptors or memory.
+PASSING_ACCEPT_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPROTO,
+    )
+)
 
 
 def listen_on(field: str, address: Address) -> Any:
@@ -27,7 +41,26 @@
         ) from exc
 
 
-async def serve_clients(sock: Any, serve_client: Callable[[Any], Awaitable]) -> None:
+async def accept_client(sock: Any, log: EventLog) -> Any:
+    """Return the socket of the next client; waits while none can be accepted.
+
+    Load pattern: a return of all callers takes the last descriptors. Clients that are
+    connected stay, and others are accepted as soon as some have gone.
+    """
+    while True:
+        try:
+            client, _address = await sock.accept()
+            return client
+        except OSError as exc:
+            if exc.errno not in PASSING_ACCEPT_ERRORS:
+                raise
+            log.write(Event.CLIENT_NOT_ACCEPTED, error=str(exc))
+        await curio.sleep(ACCEPT_PAUSE_S)
+
+
+async def serve_clients(
+    sock: Any, serve_client: Callable[[Any], Awaitable], log: EventLog
+) -> None:
     """Run ``serve_client`` in a task for each client that connects, until cancelled.
 
     The tasks are then cancelled as well, and the listening socket is closed. In curio's
@@ -45,7 +78,7 @@
     try:
         async with sock:
             while True:
-                client, _address = await sock.accept()
+                client = await accept_client(sock, log)
                 tasks.add(await curio.spawn(serve, client, daemon=True))
     finally:
         for task in tuple(tasks):
