--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -14,7 +14,6 @@
 """
 
 from collections.abc import Callable, Iterable
-from dataclasses import asdict
 
 import curio
 
@@ -22,14 +21,13 @@
 from ..events import Event, EventLog
 from ..steps import Step, reach
 from .clock import now_s
-from .lease_record import Contender, LeaseRecord, Tenure, next_epoch, rank_of
+from .lease_record import Contender, LeaseRecord, Tenure, rank_of
+from .lease_rows import EPOCH_TABLE, LeaseRows
 from .lease_watch import LeaseWatch
 from .settings_models import LeaseSettings
-from .store import Check, Put, Row, RowStore, Transaction
+from .store import Check, Row, RowStore
 from .store_era import StoreEra
 
-LEASE_TABLE = "leases"
-EPOCH_TABLE = "epochs"
 CONTENDERS_MAX = 8
 
 
@@ -56,7 +54,7 @@
         self._tenure: Tenure | None = None
         self._era = era or StoreEra()
         self._contender = contender
-        self._table = table
+        self._rows = LeaseRows(group, contender, settings.term_s, table)
         self._settings = settings
         self._candidates = candidates
         self._log = log
@@ -148,18 +146,13 @@
             return
         async with self._changing:
             era = self.require(0.0).era
-            row = await self._table.read(EPOCH_TABLE, self.group)
-            is_own = row.exists and (
-                row.value["incarnation"] == self._contender.incarnation
-            )
-            if not is_own or row.era != era:
+            row = await self._rows.read_epoch()
+            if not self._rows.is_own_epoch(row) or row.era != era:
                 raise LeaseLost(f"the lease of group {self.group!r} was taken over")
-            value = {"epoch": above + 1, **asdict(self._contender)}
-            put = Put(EPOCH_TABLE, self.group, value, row.version)
             # The next renewal reads the epoch; until then nothing can be ordered.
             self._tenure = None
             if row.value["epoch"] <= above:
-                await self._table.write(Transaction((put,), era=era))
+                await self._rows.raise_epoch(row, above + 1)
         self._log.write(Event.EPOCH_RAISED, group=self.group, epoch=above + 1)
 
     async def run(self) -> None:
@@ -177,7 +170,7 @@
         if self.tenure is None and self.rank >= CONTENDERS_MAX:
             return
         try:
-            row = await self._table.read(LEASE_TABLE, self.group)
+            row = await self._rows.read_lease()
             record = LeaseRecord.from_row(row)
             self._watch.see(record, now_s())
             await reach(Step.LEASE_READ)
@@ -204,7 +197,7 @@
         if self.rank >= CONTENDERS_MAX:
             return
         try:
-            row = await self._table.read(LEASE_TABLE, self.group)
+            row = await self._rows.read_lease()
             self._watch.see(LeaseRecord.from_row(row), now_s())
         except PlatformError as exc:
             self._looked_for = frozenset()
@@ -214,39 +207,23 @@
     async def _renew(self, row: Row, record: LeaseRecord) -> None:
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
-        put = self._put(row, record.renewals + 1)
-        await self._table.write(Transaction((put,), era=row.era))
+        await self._rows.renew(row, record)
         await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
     async def _take(self, row: Row) -> None:
-        epoch_row = await self._table.read(EPOCH_TABLE, self.group)
+        epoch_row = await self._rows.read_epoch()
         if epoch_row.era != row.era:
             return
-        former = epoch_row.value["epoch"] if epoch_row.exists else 0
-        epoch = next_epoch(former, row.era)
-        value = {"epoch": epoch, **asdict(self._contender)}
         now = now_s()
         quiet_s = self._watch.quiet_s(self._contender.entry_id, row.era, now)
         self._orders_from_s = now + quiet_s
         sent_at_s = now_s()
         await reach(Step.LEASE_WRITE)
-        put = self._put(row, 0)
-        put_epoch = Put(EPOCH_TABLE, self.group, value, epoch_row.version)
-        await self._table.write(Transaction((put, put_epoch), era=row.era))
+        await self._rows.take(row, epoch_row)
         await self._extend(sent_at_s, row.era)
         await reach(Step.LEASE_RENEWED)
 
-    def _put(self, row: Row, renewals: int) -> Put:
-        record = LeaseRecord(
-            self._contender.entry_id,
-            self._contender.incarnation,
-            renewals,
-            self._settings.term_s,
-            row.era,
-        )
-        return Put(LEASE_TABLE, self.group, asdict(record), row.version)
-
     async def _extend(self, sent_at_s: float, era: int) -> None:
         """Count the term from ``sent_at_s``, on taking it over read the epoch."""
         expires_at_s = sent_at_s + self._settings.term_s
@@ -254,8 +231,8 @@
         if tenure is not None:
             tenure.expires_at_s = expires_at_s
             return
-        row = await self._table.read(EPOCH_TABLE, self.group)
-        if not row.exists or row.value["incarnation"] != self._contender.incarnation:
+        row = await self._rows.read_epoch()
+        if not self._rows.is_own_epoch(row):
             return
         if row.era != era:
             # Written before the store came back; the next try takes the lease anew.
@@ -295,13 +272,11 @@
         """
         self._tenure = None
         try:
-            row = await self._table.read(LEASE_TABLE, self.group)
+            row = await self._rows.read_lease()
             record = LeaseRecord.from_row(row)
             if not (record.belongs_to(self._contender) and record.is_of(row.era)):
                 return
-            released = asdict(LeaseRecord(era=row.era))
-            put = Put(LEASE_TABLE, self.group, released, row.version)
-            await self._table.write(Transaction((put,), era=row.era))
+            await self._rows.release(row)
         except PlatformError as exc:
             self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
             return
