Say that an entry is ready once it names itself to callers

Cause: the demo, once: an entry that had just said it was ready answered the question for addresses with 503. It was ready as soon as its routes were there, but took callers in the members' list up to 0.05 s later.

Change: ready is answered once the entry has been announced. The demo also lets the store come back from an older copy, and the drill of the store's eras lets an entry stop or stand still during the return.

--- a/extras/era_drill.py
+++ b/extras/era_drill.py
@@ -1,16 +1,20 @@
 """Plays returns of the store from an older copy, under load, with real entries.
 
 ``python -m extras.era_drill --entries 8 --seeds 20`` starts a fleet for each seed, has
-callers ask it all the while, and lets the store go back once or twice. It checks what
-callers and engines saw: no configuration that goes back, no broken answer, no fencing
-token of two holders, service again within a bound.
+callers ask it all the while, and lets the store go back once or twice, also while an
+entry stops or stands still. It checks what callers and engines saw: no configuration
+that goes back, no broken answer, no fencing token of two holders, service again within
+a bound.
 """
 
 import argparse
 import random
+import signal
 import sys
 import threading
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager, nullcontext
 from dataclasses import dataclass, field
 
 from extras.cluster import request, wait_until
@@ -139,10 +143,33 @@
         wait_until(lambda: self._statuses("/get/x") <= {200}, RECOVERY_S)
 
     def _return_once(self) -> None:
+        """Let the store go back while an entry stops, or stands still, or neither."""
+        rng = self._rng
+        beside = rng.choice((nullcontext, self._stopping, self._standing_still))
         self._control_store(refuse=503)
-        time.sleep(self._rng.uniform(0.05, 1.0))
-        self._control_store(**{"come-back": True})
-        time.sleep(self._rng.uniform(0.05, 0.5))
+        time.sleep(rng.uniform(0.05, 1.0))
+        with beside():
+            self._control_store(**{"come-back": True})
+            time.sleep(rng.uniform(0.05, 0.5))
+
+    @contextmanager
+    def _stopping(self) -> Iterator[None]:
+        """Stop one entry as its operator does."""
+        leaving = self._entries.pop(self._rng.randrange(len(self._entries)))
+        leaving.send_signal(signal.SIGTERM)
+        yield
+        if leaving.wait(RECOVERY_S) != 0:
+            self.findings.add(f"{leaving.name}: ended with {leaving.popen.returncode}")
+
+    @contextmanager
+    def _standing_still(self) -> Iterator[None]:
+        """Let one entry see the return later than the others; no caller asks it."""
+        still = self._entries.pop(self._rng.randrange(len(self._entries)))
+        still.send_signal(signal.SIGSTOP)
+        yield
+        time.sleep(self._rng.uniform(0.0, 2 * LEASE_TERM_MS / 1000))
+        still.send_signal(signal.SIGCONT)
+        self._entries.append(still)
 
     def _control_store(self, **faults) -> None:
         self._cluster.processes["store"].request("POST", "/emulate", faults)
--- a/extras/gateway_demo.py
+++ b/extras/gateway_demo.py
@@ -7,8 +7,10 @@
 from extras.cluster import request, wait_until
 from extras.demo import run_steps
 from extras.gateway_cluster import HOST, GatewayCluster, configuration, is_ready
+from wisteriaarch.events import Event
 
 EVENTS = 4
+STORE_CAME_BACK = f'"event": {Event.STORE_CAME_BACK.value.number},'
 
 
 class GatewayDemo:
@@ -55,12 +57,24 @@
 
     def change_configuration(self) -> None:
         """Write a configuration and see it in force."""
+        self.cluster.processes["store"].request("POST", "/emulate", {"copy": True})
         content = configuration(2)
         content["routes"][0]["prefix"] = "/moved/"
         self.cluster.write("op", "config", content)
         wait_until(lambda: self.send("GET", "/moved/x", "call-2").status == 200)
         assert self.send("GET", "/get/x", "call-3").status == 404
 
+    def go_back_in_time(self) -> None:
+        """Let the store come back from a copy that lacks the configuration in force."""
+        store = self.cluster.processes["store"]
+        store.request("POST", "/emulate", {"refuse": 503})
+        store.request("POST", "/emulate", {"come-back": True})
+        for entry in ("gateway-2", "gateway-3"):
+            log_path = self.cluster.processes[entry].log_path
+            wait_until(lambda path=log_path: STORE_CAME_BACK in path.read_text())
+        assert self.send("GET", "/moved/x", "call-5").status == 200
+        assert self.send("GET", "/get/x", "call-6").status == 404
+
     def stop_entry(self) -> None:
         """Stop an entry; it leaves the addresses and serves until its end."""
         leaving = self.cluster.processes["gateway-2"]
@@ -97,6 +111,7 @@
             self.stream_short,
             self.stream_long,
             self.change_configuration,
+            self.go_back_in_time,
             self.stop_entry,
         ]
 
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -415,6 +415,11 @@
         )
         return answer.json()["addresses"] if answer.status == 200 else []
 
+    def test_entry_that_says_it_is_ready_names_itself_to_callers(self):
+        gateway = self.cluster.start_gateway()
+        wait_until(lambda: is_ready(gateway), every_s=0.001)
+        self.assertEqual(self._addresses(gateway), [gateway.address])
+
     def test_leaving_entry_is_off_the_addresses_and_still_serves(self):
         first = self.start(2)
         second = self.start(3, ports=first.ports)
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -57,6 +57,7 @@
         self.log = EventLog(settings.entry_id)
         self.metrics = Metrics()
         self.closing = False
+        self._announced = False
         self._adapter = adapter
         self._rng = random.Random(settings.seed)
         self.network = EntryNetwork(settings, adapter, self.log)
@@ -232,6 +233,7 @@
         while self.state.routes is None:
             await curio.sleep(FIRST_ROUTES_POLL_S)
         await self._announce_own()
+        self._announced = True
         await curio.Event().wait()
 
     async def _announce_own(self) -> None:
@@ -260,7 +262,7 @@
 
     def _answer_info(self, req: HttpRequest) -> InfoAnswer:
         if self._adapter.is_readiness(req):
-            return InfoAnswer(200 if self.is_ready else 503)
+            return InfoAnswer(200 if self.is_ready and self._announced else 503)
         if not self._adapter.is_address_query(req):
             return InfoAnswer(404)
         addresses = self.network.caller_addresses(self._adapter.asker_zone(req))
