--- a/extras/decision_share.py
+++ b/extras/decision_share.py
@@ -68,6 +68,7 @@
         "scoring",
         "settlement",
         "shapes",
+        "shared_reading",
         "stage_plan",
         "urgency",
     ),
--- a/tests/test_reading_decisions.py
+++ b/tests/test_reading_decisions.py
@@ -2,8 +2,12 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
+
+import curio
 
 from wisteriaarch.process.cache_belief import READING_MAX_S, CacheBelief, Holding
+from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.reading_turn import (
     BACKLOG_S,
     ReadingForecast,
@@ -11,6 +15,9 @@
     choose_turn,
 )
 from wisteriaarch.request.routed_call import PromptPart
+from wisteriaarch.request.shared_reading import wait_for_part, wait_limit_s
+
+from .route_support import RATE, candidate, fleet, prompt
 
 
 class CacheBeliefTest(unittest.TestCase):
@@ -65,6 +72,67 @@
         self.assertEqual(self.whole(CacheBelief(), "p", 1e9), Holding.NONE)
 
 
+class SharedReadingTest(unittest.TestCase):
+    """Prompts with the same new part, within the time that it takes to read it."""
+
+    LONG = prompt(17_000, 13_000)
+
+    def test_part_that_is_being_read_is_waited_for(self):
+        items = fleet()
+        items[0] = candidate("p0", Stage.PREFILL, holding=Holding.READING)
+        limit_s = wait_limit_s(items, self.LONG, RATE)
+        self.assertGreater(limit_s, 13_000 / RATE)
+        self.assertLess(limit_s, 2 * 13_000 / RATE)
+
+    def test_part_behind_a_queue_is_waited_for_longer(self):
+        items = fleet()
+        items[0] = candidate(
+            "p0", Stage.PREFILL, holding=Holding.READING, prompt_tokens=50_000
+        )
+        self.assertGreater(wait_limit_s(items, self.LONG, RATE), 50_000 / RATE)
+
+    def test_no_wait_where_it_saves_nothing(self):
+        items = fleet()
+        self.assertEqual(wait_limit_s(items, self.LONG, RATE), 0.0)
+        items[0] = candidate("p0", Stage.PREFILL, holding=Holding.READING)
+        self.assertEqual(wait_limit_s(items, prompt(1_000, 500), RATE), 0.0)
+        items[1] = candidate("p1", Stage.PREFILL, holding=Holding.HELD)
+        self.assertEqual(wait_limit_s(items, self.LONG, RATE), 0.0)
+
+    def test_wait_ends_as_soon_as_the_part_is_there(self):
+        belief = CacheBelief()
+        belief.note("p0", ["part"], 17_000)
+        self.assertLess(self.wait(belief, ready_after_s=0.1), 0.2)
+
+    def test_reading_that_never_ends_is_waited_for_in_bounds(self):
+        belief = CacheBelief()
+        belief.note("p0", ["part"], 17_000)
+        self.assertLess(self.wait(belief, ready_after_s=9.0), 0.5)
+
+    def wait(self, belief, ready_after_s):
+        """Return how long a call waits whose part is ready after some time.
+
+        The clock is simulated, so that the verdict doesn't depend on the machine.
+        """
+        call = mock.Mock(prompt=self.LONG, remaining_s=lambda: 5.0)
+        now = [0.0]
+
+        def find():
+            holding = belief.holding("p0", [PromptPart("part", 1)], 1e6).whole
+            return [candidate("p0", Stage.PREFILL, holding=holding)]
+
+        async def sleep(seconds):
+            now[0] += seconds
+            if now[0] >= ready_after_s:
+                belief.note("p0", ["part"], 0, ready=True)
+
+        waiting = wait_for_part(
+            call, find(), find, RATE, mock.Mock(), clock=lambda: now[0], sleep=sleep
+        )
+        curio.run(waiting)
+        return now[0]
+
+
 class ReadingTurnTest(unittest.TestCase):
     """A burst of long prompts beyond what engines read, then a calmer load."""
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,7 +7,7 @@
 import logbook
 
 from extras.replay.fleet import FleetReplay
-from extras.replay.load import DEEP_PREFIX, draw_deployment
+from extras.replay.load import DEEP_PREFIX, NEW_PREFIXES, draw_deployment
 
 
 class DrawnDeploymentsTest(unittest.TestCase):
@@ -60,6 +60,18 @@
                 self.assertLess(share, 2.0)
 
 
+class NewPartsTest(unittest.TestCase):
+    """Load: every 2 s other parts, each wanted by many prompts while it is read."""
+
+    def test_new_part_is_read_once_and_nobody_is_refused_for_it(self):
+        with logbook.NullHandler().applicationbound():
+            result = FleetReplay(NEW_PREFIXES, 1, {}).run()
+        again = result.read_tokens.again / result.read_tokens.all
+        self.assertLess(again, 0.1)
+        long = result.kinds["long"]
+        self.assertLess(long.ends["refused"], 0.01 * long.asked)
+
+
 class ChainTest(unittest.TestCase):
     """Load: four parts that every prompt begins with, then one of a thousand."""
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -89,6 +89,12 @@
         311, logbook.INFO, "attempt failed", Importance.FAILURE
     )
     CALL_ANSWERED = EventKind(312, logbook.INFO, "call answered", Importance.PROGRESS)
+    CALL_WAITED_FOR_PART = EventKind(
+        314,
+        logbook.INFO,
+        "call waited for a prompt part that was being read",
+        Importance.PROGRESS,
+    )
     CALL_DEFERRED = EventKind(
         315,
         logbook.INFO,
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -1,7 +1,7 @@
 """Plans a completion: which engines read and run it, and when."""
 
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 
@@ -14,6 +14,7 @@
 from .candidate_finder import CandidateFinder
 from .reading_turn import LONG_READING_TOKENS, ReadingForecast, Turn, choose_turn
 from .routed_call import RoutedCall
+from .shared_reading import OnWait, ignore_wait, wait_for_part
 from .size_shares import SizeShares
 from .stage_plan import FleetPace, StagePlan, plan_stages
 from .turn_queue import TurnQueue, Waiter
@@ -25,12 +26,6 @@
 PATIENCE_PAUSES = 8.0
 RETURN_MIN_S = 0.3
 
-OnWait = Callable[[], Awaitable[None]]
-
-
-async def ignore_wait() -> None:
-    """Do nothing where a call begins to wait."""
-
 
 @dataclass(frozen=True)
 class TimedPlan:
@@ -76,6 +71,10 @@
         )
         find = partial(self._finder.now, call)
         decision = self._decide(call, candidates, comes_now=True)
+        if decision.turn is not Turn.HOPELESS:
+            decision = await self._wait_for_part(
+                call, decision, candidates, find, on_wait
+            )
         if decision.turn is Turn.LATER or self._is_behind_others(call, decision):
             await on_wait()
             decision = await self._wait_for_turn(call, decision.plan, find)
@@ -83,6 +82,19 @@
             raise self._refusal(call, decision.plan)
         return decision.plan
 
+    async def _wait_for_part(
+        self,
+        call: RoutedCall,
+        decision: TimedPlan,
+        candidates: list[Candidate],
+        find: Callable[[], list[Candidate]],
+        on_wait: OnWait,
+    ) -> TimedPlan:
+        """Return the decision once no part that is being read is worth waiting for."""
+        rate = self._rate_of(call.service)
+        later = await wait_for_part(call, candidates, find, rate, self._log, on_wait)
+        return decision if later is candidates else self._decide(call, later)
+
     def queue_length(self, service: str) -> int:
         """Return how many prompts of a service wait for their turn."""
         return len(self._queues[service])
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -18,9 +18,10 @@
 from .candidate_finder import CandidateFinder
 from .outcomes import AttemptFailed, FailureReason
 from .placement import place_decode, place_service_call
-from .planner import CompletionPlanner, OnWait, ignore_wait
+from .planner import CompletionPlanner
 from .retry_share import RetryShare
 from .routed_call import RoutedCall
+from .shared_reading import OnWait, ignore_wait
 from .size_shares import SizeShares
 from .stage_plan import StagePlan
 
