Do no work on questions that were withdrawn meanwhile

A withdrawal that comes in the same read as its question cancelled the task only at its first wait, after the decision.

Change: a question that was withdrawn before its turn is dropped.

Test: tests.test_scheduling.OverloadedSchedulerTest; the former code decided.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -25,7 +25,10 @@
     WaitingNotice,
     WithdrawnNotice,
 )
-from wisteriaarch.connection.scheduling_server import SchedulingServer
+from wisteriaarch.connection.scheduling_server import (
+    SchedulingServer,
+    SchedulingSession,
+)
 from wisteriaarch.errors import ErrorKind, FrameError, RequestError
 from wisteriaarch.process.cache_belief import YOUNG_S
 from wisteriaarch.process.clock import now_s
@@ -365,6 +368,22 @@
         self.play(scenario)
 
 
+class OverloadedSchedulerTest(unittest.TestCase):
+    """Load: more questions than the scheduler answers before they are given up."""
+
+    def test_question_that_was_withdrawn_meanwhile_costs_nothing(self):
+        async def scenario():
+            scheduler = mock.Mock()
+            session = SchedulingSession(
+                mock.AsyncMock(), scheduler, mock.Mock(), mock.Mock()
+            )
+            await session._handle(PlaceQuestion(1, make_call(), ""))
+            await session._handle(WithdrawnNotice(1))
+            scheduler.place.assert_not_called()
+
+        curio.run(scenario)
+
+
 class BrokenConnectionTest(SchedulingCase):
     """Load: entries are killed while their scheduler writes to them."""
 
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -121,7 +121,7 @@
         self._scheduler = scheduler
         self._learner = learner
         self._copies = copies
-        self._placing: dict[int, curio.Task] = {}
+        self._placing: dict[int, curio.Task | None] = {}
         self._grants: dict[int, Grant] = {}
 
     async def run(self) -> None:
@@ -129,7 +129,7 @@
         try:
             await self._link.run(self._handle, self._sweep)
         finally:
-            for task in tuple(self._placing.values()):
+            for task in filter(None, self._placing.values()):
                 await task.cancel()
             for grant in self._grants.values():
                 grant.end()
@@ -140,8 +140,9 @@
 
     @_handle.register
     async def _(self, message: PlaceQuestion) -> None:
+        self._placing[message.number] = None
         task = await curio.spawn(self._place, message, daemon=True)
-        if not task.terminated:
+        if message.number in self._placing:
             self._placing[message.number] = task
 
     @_handle.register
@@ -164,6 +165,14 @@
         await self._link.send(CopyAnswer(self._copies.copy()))
 
     async def _place(self, question: PlaceQuestion) -> None:
+        """Answer a question, unless it was withdrawn before its turn came.
+
+        Load pattern: more questions come than this process can answer, and those who
+        ask give up after a tenth of a second. Work on what they have given up would
+        make the next answers late as well.
+        """
+        if question.number not in self._placing:
+            return
         try:
             answer = await self._answer(question)
         except RequestError as exc:
