Make a placement cheaper at many engines

Change: candidates are scaled in place instead of made anew; where a chain of parts begins with one that isn't there, the rest isn't looked up; a prompt that was read is run by candidates of the running stage alone; the tokens that can be copied are counted once.

--- a/wisteriaarch/process/cache_belief.py
+++ b/wisteriaarch/process/cache_belief.py
@@ -105,6 +105,23 @@
             return Holding.HELD
         return Holding.READING if now - use.since_s < READING_MAX_S else Holding.MAYBE
 
+    def chain(
+        self, parts: Sequence[SharedPart], capacity_tokens: float, now: float
+    ) -> PrefixHolding:
+        """Return what is believed of a chain of parts at a time."""
+        whole, held_tokens = Holding.HELD, 0
+        for part in parts:
+            found = self.holding(part.part_id, capacity_tokens, now)
+            if found < whole:
+                whole = found
+            if whole is Holding.NONE:
+                break
+            if whole is Holding.HELD:
+                held_tokens += part.tokens
+        if whole is Holding.NONE and not held_tokens:
+            return NOTHING_HELD
+        return PrefixHolding(whole, held_tokens)
+
 
 class CacheBelief:
     """Memories of all engines, as far as they follow from what was placed."""
@@ -139,17 +156,22 @@
         self, upstream_id: str, parts: Sequence[SharedPart], capacity_tokens: float
     ) -> PrefixHolding:
         """Return what is believed of a chain of shared parts at an engine."""
-        memory = self._engines.get(upstream_id)
-        if memory is None or not parts:
-            return NOTHING_HELD
+        return self.holdings(parts, capacity_tokens)(upstream_id)
+
+    def holdings(
+        self, parts: Sequence[SharedPart], capacity_tokens: float
+    ) -> Callable[[str], PrefixHolding]:
+        """Return what tells the holding of a chain as of now by engine."""
         usable_tokens = USABLE_SHARE * capacity_tokens
         now = self._clock()
-        whole, held_tokens = Holding.HELD, 0
-        for part in parts:
-            whole = min(whole, memory.holding(part.part_id, usable_tokens, now))
-            if whole is Holding.HELD:
-                held_tokens += part.tokens
-        return PrefixHolding(whole, held_tokens)
+
+        def holding_of(upstream_id: str) -> PrefixHolding:
+            memory = self._engines.get(upstream_id)
+            if memory is None or not parts:
+                return NOTHING_HELD
+            return memory.chain(parts, usable_tokens, now)
+
+        return holding_of
 
     def forget(self, upstream_id: str) -> None:
         """Drop what is known of an engine that has restarted or is gone."""
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -46,7 +46,9 @@
 
     def tokens_held(self, prompt: Prompt) -> int:
         """Return how many tokens of a prompt it need not read."""
-        return prompt.shared_tokens if self.holds_shared else self.held_tokens
+        if self.holding is Holding.HELD:
+            return prompt.shared_tokens
+        return self.held_tokens
 
 
 @dataclass(frozen=True)
@@ -102,22 +104,20 @@
     ]
 
 
-def relative_paces(candidates: Sequence[Candidate]) -> list[Candidate]:
-    """Return the candidates with paces against the best one of each stage.
+def relative_paces(candidates: list[Candidate]) -> list[Candidate]:
+    """Set the candidates' paces against the best one of each stage; returns them.
 
     Load pattern: at a peak all upstreams take longer than usual. That makes none of
-    them a slow one, and says nothing about another stage.
+    them a slow one, and says nothing about another stage. The scheduler decides a
+    thousand times a second then, so that no candidate is made twice.
     """
     best: dict[Stage | None, float] = {}
     for item in candidates:
         stage = item.upstream.stage
         best[stage] = min(item.pace, best.get(stage, item.pace))
-    if all(pace <= 1.0 for pace in best.values()):
-        return list(candidates)
-    return [
-        replace(item, pace=item.pace / max(1.0, best[item.upstream.stage]))
-        for item in candidates
-    ]
+    for item in candidates:
+        item.pace /= max(1.0, best[item.upstream.stage])
+    return candidates
 
 
 def tokens_to_read(prompt: Prompt, item: Candidate, copyable: int = 0) -> float:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -51,16 +51,19 @@
             await curio.sleep(SETTLING_POLL_S)
             waited_s += SETTLING_POLL_S
 
-    def now(self, call: RoutedCall) -> list[Candidate]:
+    def now(self, call: RoutedCall, without: Stage | None = None) -> list[Candidate]:
         """Return the candidates as of now, untried ones where any of these can run it.
 
+        Those of the stage ``without`` are left out.
+
         Load pattern: at a peak few engines run prompts, and a call was on all of them.
         """
         now = now_s()
         usable = [
             item
             for item in self._registry.usable(call.service)
-            if not self._loads.of(item.upstream_id).health.must_wait(now)
+            if (without is None or item.stage is not without)
+            and not self._loads.of(item.upstream_id).health.must_wait(now)
         ]
         fresh = [item for item in usable if item.upstream_id not in call.tried]
         if all(item.stage is Stage.PREFILL for item in fresh):
@@ -101,8 +104,7 @@
         engine = self.engine_of(call.service)
         if engine is None or not _shares_much(call):
             return _holds_nothing
-        parts, tokens = call.prompt.shared_parts, engine.cache_tokens
-        return lambda upstream_id: self._cache.holding(upstream_id, parts, tokens)
+        return self._cache.holdings(call.prompt.shared_parts, engine.cache_tokens)
 
 
 def _holds_nothing(_upstream_id: str) -> PrefixHolding:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -1,6 +1,7 @@
 """A call on a route, in the form that placement and retries work on."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ..errors import Ran
 from ..process.clock import now_s
@@ -42,7 +43,7 @@
         """Tokens of the last part, which no other request shares."""
         return self.parts[-1].tokens if self.parts else self.input_tokens
 
-    @property
+    @cached_property
     def shared_tokens(self) -> int:
         """Tokens of the parts that other requests may share."""
         return max(0, self.input_tokens - self.own_tokens)
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -138,11 +138,7 @@
 
         Raises AttemptFailed where there is none.
         """
-        runners = [
-            item
-            for item in self._parts.finder.now(call)
-            if item.upstream.stage is not reader.stage
-        ]
+        runners = self._parts.finder.now(call, without=reader.stage)
         rate = self._parts.knowledge.rate_of(call.service)
         choice = place_decode(runners, call.prompt, rate, reader.zone)
         if choice is None:
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -60,10 +60,10 @@
     apart = place_prefill(prefills, prompt, fleet.rate, zone, copyable)
     if direct is None:
         return StagePlan(None, None)
-    direct = _with_source(direct, prompt, candidates)
+    direct = _with_source(direct, prompt, candidates, copyable)
     if apart is None:
         return StagePlan(None, direct)
-    apart = _with_source(apart, prompt, candidates)
+    apart = _with_source(apart, prompt, candidates, copyable)
     direct_read_s = DIRECT_SLOWDOWN * direct.tokens / fleet.rate
     direct_s = direct.cost_s + waiting_s(direct_read_s, fleet.busy_decode)
     apart_s = apart.cost_s + fleet.takeover_s + fleet.queued_s
@@ -89,13 +89,12 @@
 
 
 def _with_source(
-    choice: Choice, prompt: Prompt, candidates: Sequence[Candidate]
+    choice: Choice, prompt: Prompt, candidates: Sequence[Candidate], copyable: int
 ) -> Choice:
     """Name an engine to copy the shared parts from, where the chosen one lacks them.
 
     One that may hold them is asked as well: where it doesn't, nothing is lost.
     """
-    copyable = tokens_to_copy(candidates, prompt)
     tokens = int(tokens_to_read(prompt, choice.candidate, copyable))
     choice = replace(choice, tokens=tokens)
     if choice.candidate.holds_shared:
