One way of accepting, running and stopping for both faces

Change: CallerServer owns its socket and its accepting task (start, stop), and run_all_until runs the tasks of a process until its stop has ended; an error of the stop is raised now instead of dropped with the group. What the stops do in between stays with the faces.

--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -106,10 +106,9 @@
         """Close as an entry does that stops, and return the callers of that moment."""
         sock = _SlowToClose(socket.create_server(("127.0.0.1", 0)), pool)
         server = CallerServer(_Answering, EventLog("late"))
-        serving = await curio.spawn(server.run, sock)
+        await server.start(sock)
         await curio.sleep(0.01)
-        await serving.cancel()
-        await server.close(sock)
+        await server.stop()
         return sock.asking
 
 
--- a/wisteriaarch/connection/callers.py
+++ b/wisteriaarch/connection/callers.py
@@ -2,11 +2,13 @@
 
 import contextlib
 from collections.abc import Callable
+from typing import Any
 
 import curio
 from curio.io import Socket
 
 from ..events import Event, EventLog
+from ..process.supervision import run_supervised
 from ..sockets import accept_client
 from .caller import CallerConnection
 from .late_callers import drop_new_handshakes
@@ -22,11 +24,13 @@
         self._new_connection = new_connection
         self._log = log
         self._open: set[CallerConnection] = set()
+        self._sock: Any = None
+        self._accepting: curio.Task | None = None
 
-    async def run(self, sock) -> None:
-        """Accept callers for ever."""
-        while True:
-            await self._accept(sock)
+    async def start(self, sock: Any) -> None:
+        """Accept callers on a socket until ``stop``."""
+        self._sock = sock
+        self._accepting = await curio.spawn(run_supervised, self._accept, self._log)
 
     async def end_connections(self) -> None:
         """End each connection once its request is answered; wait for those open now.
@@ -39,12 +43,14 @@
                 await conn.end_when_idle()
             await curio.sleep(CLOSE_POLL_S)
 
-    async def close(self, sock) -> None:
+    async def stop(self) -> None:
         """Stop listening; whoever has connected before still gets an answer.
 
         Closing a socket on which connections wait to be accepted would reset them, so
         that handshakes under way are let end first and new ones kept off.
         """
+        await self._accepting.cancel()
+        sock = self._sock
         try:
             drop_new_handshakes(sock)
         except OSError as exc:
@@ -62,8 +68,9 @@
                 client, _address = sock._socket.accept()
                 await self._start(Socket(client))
 
-    async def _accept(self, sock) -> None:
-        await self._start(await accept_client(sock, self._log))
+    async def _accept(self) -> None:
+        while True:
+            await self._start(await accept_client(self._sock, self._log))
 
     async def _start(self, client) -> None:
         conn = self._new_connection(client)
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -23,7 +23,7 @@
 from .process.metrics import Metrics
 from .process.settings import EntrySettings
 from .process.signals import StopSignals
-from .process.supervision import run_supervised
+from .process.supervision import run_all_until
 from .request.policy import build_admission, build_router
 from .request.request_path import RequestPath
 from .request.routes import Routes
@@ -141,15 +141,16 @@
     ) -> None:
         listen = self.settings.listen
         sock = listen_on("listen", Address(listen.host, listen.port))
-        async with curio.TaskGroup(wait=any) as group:
-            for task_main in self._task_mains():
-                await group.spawn(run_supervised, task_main, self.log)
-            accept = partial(self._callers.run, sock)
-            accepting = await curio.spawn(run_supervised, accept, self.log)
+
+        async def serve() -> None:
+            await self._callers.start(sock)
             address = Address(*sock.getsockname())
             self.log.write(Event.ENTRY_STARTED, address=str(address))
             announce(address)
-            await group.spawn(self._stop_gracefully, signals, sock, accepting)
+            await signals.wait()
+            await self._stop_gracefully()
+
+        await run_all_until(self._task_mains(), serve, self.log)
 
     def _task_mains(self) -> list[Callable[[], Awaitable]]:
         return [
@@ -163,8 +164,7 @@
             SettingsFit(self.settings, self.watcher, self.log).run,
         ]
 
-    async def _stop_gracefully(self, signals: StopSignals, sock, accepting) -> None:
-        await signals.wait()
+    async def _stop_gracefully(self) -> None:
         self.stopping = True
         self.log.write(Event.ENTRY_LEAVING, in_flight=self.admission.in_flight)
         settings = self.settings
@@ -179,8 +179,7 @@
             async with curio.timeout_after(settings.stop_timeout_s):
                 await self._callers.end_connections()
                 await self.requests.journal.close()
-                await accepting.cancel()
-                await self._callers.close(sock)
+                await self._callers.stop()
             await reach(Step.STOP_DRAINED)
         except curio.TaskTimeout:
             self.log.write(
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -28,7 +28,7 @@
 from .process.settings_models import AddressSettings
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
-from .process.supervision import run_supervised
+from .process.supervision import run_all_until
 from .request.call_runner import CallRunner
 from .request.retry_share import OWN_PART, SAFETY, SHARED_PART, RetryShare
 from .request.scheduler import Scheduler, SchedulingParts
@@ -161,19 +161,20 @@
     ) -> None:
         front = self.settings.front.address()
         sock = listen_on("front", front)
-        async with curio.TaskGroup(wait=any) as group:
-            for task_main in self._task_mains():
-                await group.spawn(run_supervised, task_main, self.log)
-            accept = partial(self._callers.run, sock)
-            accepting = await curio.spawn(run_supervised, accept, self.log)
-            watch = SettingsWatch(
-                settings_path, self.settings, self._apply_settings, self.log
-            )
-            await group.spawn(run_supervised, watch.run, self.log)
+        watch = SettingsWatch(
+            settings_path, self.settings, self._apply_settings, self.log
+        )
+
+        async def serve() -> None:
+            await self._callers.start(sock)
             self.log.write(
                 Event.ENTRY_STARTED, address=str(front), node=self.settings.node
             )
-            await group.spawn(self._follow_signals, signals, watch, sock, accepting)
+            while await signals.next() == RELOAD_SIGNAL:
+                watch.reload()
+            await self._stop_gracefully()
+
+        await run_all_until((*self._task_mains(), watch.run), serve, self.log)
 
     def _task_mains(self) -> list[Callable[[], Awaitable]]:
         settings = self.settings
@@ -198,14 +199,7 @@
     def _info_server(self, field: str, listen: AddressSettings, answer) -> InfoServer:
         return InfoServer(field, listen.address(), answer, self.log)
 
-    async def _follow_signals(
-        self, signals: ProcessSignals, watch: SettingsWatch, sock, accepting
-    ) -> None:
-        while await signals.next() == RELOAD_SIGNAL:
-            watch.reload()
-        await self._stop_gracefully(sock, accepting)
-
-    async def _stop_gracefully(self, sock, accepting) -> None:
+    async def _stop_gracefully(self) -> None:
         """Leave the addresses, serve whoever kept them, then end the connections."""
         self.closing = True
         self.log.write(Event.ENTRY_LEAVING)
@@ -217,8 +211,7 @@
             async with curio.timeout_after(limit_s):
                 await curio.sleep(min(serve_s, limit_s))
                 await self._callers.end_connections()
-                await accepting.cancel()
-                await self._callers.close(sock)
+                await self._callers.stop()
         except curio.TaskTimeout:
             self.log.write(Event.ENTRY_STOP_TIMED_OUT)
 
--- a/wisteriaarch/process/supervision.py
+++ b/wisteriaarch/process/supervision.py
@@ -1,6 +1,7 @@
 """Keeps the long-running tasks of a process going."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import Any
 
 import curio
 
@@ -9,6 +10,23 @@
 RESTART_DELAY_S = 0.5
 
 
+async def run_all_until(
+    task_mains: Iterable[Callable[[], Awaitable]],
+    until: Callable[[], Awaitable],
+    log: EventLog,
+) -> Any:
+    """Run all of ``task_mains``, each supervised, until ``until`` returns.
+
+    Raises what ``until`` raises.
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        for task_main in task_mains:
+            await group.spawn(run_supervised, task_main, log)
+        await group.spawn(until)
+    # The only one that ends by itself; its error is raised here.
+    return group.result
+
+
 async def run_supervised(task_main: Callable[[], Awaitable], log: EventLog) -> None:
     """Run ``task_main`` for ever; a failure is logged and the task is started again."""
     while True:
