Count each placement from the queue before the next decision

Cause: a look at the queue decided on up to four prompts at once, before any of them was counted at its engine; so an engine that had become idle got all four (seen in the logs of tests.test_gateway_stages: three prompts placed on one engine within 0.3 ms, each with the same queue before it).

Change: a look yields one call after the other, and the next one is decided on once the former has gone to its engine. How many are looked at stays.

Test: tests.test_turn_queue.PlacedInTurnTest failed with the former look.

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -251,7 +251,7 @@
         while coming or len(self.queue) or self.is_reading():
             while coming and coming[0].at_s <= self.now:
                 self.take(coming.pop(0))
-            self.queue.look_once()
+            list(self.queue.look())
             for engine in self.engines:
                 engine.step(self.now)
             for item in self.arrivals:
--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -41,7 +41,7 @@
         self.queue._waiters.extend(waiters)
 
     def decisions(self):
-        return [waiter.decision for waiter in self.queue.look_once()]
+        return [waiter.decision for waiter in self.queue.look()]
 
 
 class TurnQueueTest(QueueTestCase):
@@ -49,7 +49,7 @@
 
     def test_cost_of_a_look_does_not_grow_with_the_queue(self):
         self.fill(*(self.waiter(number) for number in range(300)))
-        self.queue.look_once()
+        self.assertEqual(list(self.queue.look()), [])
         self.assertLessEqual(len(self.looked), LOOKED_AT_MAX)
 
     def test_first_come_is_first_served(self):
@@ -105,6 +105,31 @@
         self.assertEqual(curio.run(run), (0, 0, 2))
 
 
+class PlacedInTurnTest(QueueTestCase):
+    """Load: several prompts wait, and engines become idle one after the other."""
+
+    def test_each_placement_counts_before_the_next_decision(self):
+        async def run():
+            idle = []
+
+            def decide():
+                return idle[0] if idle else None
+
+            async def place(number):
+                waiter = self.waiter(number, number / 10)
+                waiter.decide = decide
+                engine = await self.queue.wait(waiter)
+                idle.remove(engine)
+                return engine
+
+            tasks = [await curio.spawn(place, number) for number in range(3)]
+            await curio.sleep(2 * TICK_S)
+            idle += ["e1", "e2", "e3"]
+            return [await task.join() for task in tasks]
+
+        self.assertEqual(curio.run(run), ["e1", "e2", "e3"])
+
+
 class ComingCallTest(QueueTestCase):
     """Load: for some seconds calls in time alone would take all that engines read."""
 
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -5,10 +5,11 @@
 little to read, and the prompts wait here, in the order in which they came, those of a
 size that starves first. Prompts that can still be in time go before late ones, which
 are read by what these leave; a late one whose turn won't come is refused at once.
-Hundreds may wait at the entry that schedules them, and only a few are looked at a time.
+Hundreds may wait at the entry that schedules them; each look ends at the first few that
+no engine can take.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
@@ -118,26 +119,30 @@
     async def _look(self) -> None:
         try:
             while self._waiters:
-                for waiter in self.look_once():
+                for waiter in self.look():
                     await waiter.decided.set()
+                    # It goes now, so that the next one sees an engine with its prompt.
+                    await curio.sleep(0)
                 await curio.sleep(TICK_S)
         finally:
             self._is_looking = False
 
-    def look_once(self) -> list[Waiter[Decision]]:
-        """Decide on the calls whose turn it is; returns those that wait no more."""
+    def look(self) -> Iterator[Waiter[Decision]]:
+        """Yield the calls whose turn it is, each with its decision; they wait no more.
+
+        What is yielded may change the engines' load before the next one is decided on.
+        """
         now = self._clock()
         ordered = sorted(self._waiters, key=lambda waiter: waiter.order)
         timely = [waiter for waiter in ordered if now <= waiter.timely_until_s]
         late = [waiter for waiter in ordered if now > waiter.timely_until_s]
-        decided = self._hopeless(timely, late, now)
-        for waiter in decided:
+        for waiter in self._hopeless(timely, late, now):
             waiter.decision = waiter.refuse()
-        decided += self._decide_some(timely)
-        if all(waiter in decided for waiter in timely):
-            decided += self._decide_some([item for item in late if item not in decided])
-        self._waiters = [item for item in self._waiters if item not in decided]
-        return decided
+            self._waiters.remove(waiter)
+            late.remove(waiter)
+            yield waiter
+        if (yield from self._place_in_turn(timely)):
+            yield from self._place_in_turn(late)
 
     def _hopeless(
         self, timely: list[Waiter[Decision]], late: list[Waiter[Decision]], now: float
@@ -155,9 +160,15 @@
                 tokens += waiter.tokens
         return hopeless
 
-    @staticmethod
-    def _decide_some(waiters: list[Waiter[Decision]]) -> list[Waiter[Decision]]:
-        looked_at = waiters[:LOOKED_AT_MAX]
-        for waiter in looked_at:
+    def _place_in_turn(
+        self, waiters: list[Waiter[Decision]]
+    ) -> Generator[Waiter[Decision], None, bool]:
+        """Yield those of the first few that are placed; True where all have gone."""
+        for waiter in waiters[:LOOKED_AT_MAX]:
+            if waiter not in self._waiters:
+                continue
             waiter.decision = waiter.decide()
-        return [waiter for waiter in looked_at if waiter.decision is not None]
+            if waiter.decision is not None:
+                self._waiters.remove(waiter)
+                yield waiter
+        return not any(waiter in self._waiters for waiter in waiters)
