Keep looking at the queue when a caller leaves during a look

Cause: since a look lets placed and refused calls go before it goes on, a caller who has left meanwhile may be among those that are to be refused; taking it out of the queue once more ended the task that looks, and all that waited stood still until the next call came.

Change: who is in the queue no more is passed over.

Test: tests.test_turn_queue.LeavingWaiterTest; the former look raised ValueError.

--- a/tests/test_turn_queue.py
+++ b/tests/test_turn_queue.py
@@ -130,6 +130,21 @@
         self.assertEqual(curio.run(run), ["e1", "e2", "e3"])
 
 
+class LeavingWaiterTest(QueueTestCase):
+    """Load: callers leave by themselves while others are refused or placed."""
+
+    def test_one_that_leaves_during_a_look_stops_nobody(self):
+        for now, first in ((0.0, 0), (PATIENCE_S + 0.1, "refused")):
+            self.now = now
+            self.free = {0, 1, 2}
+            waiters = [self.waiter(number, number / 100) for number in range(3)]
+            self.queue._waiters = list(waiters)
+            look = self.queue.look()
+            self.assertEqual(next(look).decision, first)
+            self.queue._waiters.remove(waiters[1])
+            self.assertEqual(list(look), [waiters[2]])
+
+
 class ComingCallTest(QueueTestCase):
     """Load: for some seconds calls in time alone would take all that engines read."""
 
--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -130,17 +130,19 @@
     def look(self) -> Iterator[Waiter[Decision]]:
         """Yield the calls whose turn it is, each with its decision; they wait no more.
 
-        What is yielded may change the engines' load before the next one is decided on.
+        What is yielded may change the engines' load before the next one is decided on,
+        and others may leave meanwhile.
         """
         now = self._clock()
         ordered = sorted(self._waiters, key=lambda waiter: waiter.order)
         timely = [waiter for waiter in ordered if now <= waiter.timely_until_s]
         late = [waiter for waiter in ordered if now > waiter.timely_until_s]
         for waiter in self._hopeless(timely, late, now):
-            waiter.decision = waiter.refuse()
-            self._waiters.remove(waiter)
             late.remove(waiter)
-            yield waiter
+            if waiter in self._waiters:
+                waiter.decision = waiter.refuse()
+                self._waiters.remove(waiter)
+                yield waiter
         if (yield from self._place_in_turn(timely)):
             yield from self._place_in_turn(late)
 
