Count out all of an entry that is gone, whatever waits

Cause: had a session's end walk over its waiting questions while each of them took itself out: with two or more the walk raised RuntimeError, and what the entry had in flight was never counted out.

Change: the walk goes over a copy, as before.

Test: tests.test_scheduling.EndedSessionTest raised RuntimeError.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -368,6 +368,36 @@
         self.play(scenario)
 
 
+class EndedSessionTest(unittest.TestCase):
+    """Load: an entry is killed while several of its questions wait for their turn."""
+
+    def test_all_that_it_waits_for_or_has_in_flight_counts_no_more(self):
+        async def scenario():
+            started = curio.Event()
+
+            async def place(_call, _on_wait):
+                await started.set()
+                await curio.sleep(60.0)
+
+            scheduler = mock.Mock(place=place)
+            link, grant = mock.Mock(), mock.Mock()
+            session = SchedulingSession(link, scheduler, mock.Mock(), mock.Mock())
+
+            async def run(handle, _sweep):
+                for number in range(4):
+                    await handle(PlaceQuestion(number, make_call(), ""))
+                await started.wait()
+                session._grants[9] = grant
+                raise ConnectionResetError
+
+            link.run = run
+            with self.assertRaises(ConnectionResetError):
+                await session.run()
+            grant.end.assert_called_once()
+
+        curio.run(scenario)
+
+
 class OverloadedSchedulerTest(unittest.TestCase):
     """Load: more questions than the scheduler answers before they are given up."""
 
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -129,7 +129,8 @@
         try:
             await self._link.run(self._handle, self._sweep)
         finally:
-            for task in filter(None, self._placing.values()):
+            # A task that is cancelled takes itself out.
+            for task in tuple(filter(None, self._placing.values())):
                 await task.cancel()
             for grant in self._grants.values():
                 grant.end()
