--- a/wisteriaarch/request/turn_queue.py
+++ b/wisteriaarch/request/turn_queue.py
@@ -5,8 +5,7 @@
 little to read, and the prompts wait here, in the order in which they came, those of a
 size that starves first. Prompts that can still be in time go before late ones, which
 are read by what these leave; a late one whose turn won't come is refused at once.
-Hundreds may wait at the entry that schedules them; each look ends at the first few that
-no engine can take.
+Hundreds may wait at the entry that schedules them, and only a few are looked at a time.
 """
 
 from collections.abc import Callable, Generator, Iterator
