Read the request limits that upstreams state, log and show them

The platform's Server-Limit header was read by nothing (no occurrence of it in the code), and no line or metric told when an entry was told of a limit or how many requests an upstream got.

- The header is parsed in any answer; a malformed one is logged once (226) and says nothing.
- process/request_limits.py keeps what answers state.
Answers overtake each other, so one whose request was sent before the limit was last stated can only lower it.
- Events 227 and 228; gauges wisteriaarch_upstream_request_limit and wisteriaarch_requests_sent, which tell the hypotheses apart: no 227 at all (1), 227 at some entries only (2), or 227 at all and the sum of the sent requests a multiple (3).

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -21,6 +21,7 @@
 from wisteriaarch.platform.rows import decode_configuration, decode_upstream
 from wisteriaarch.platform.store import PlatformStore, _decode_rows
 from wisteriaarch.platform.upstreams import PlatformUpstreams
+from wisteriaarch.process.request_limits import UNLIMITED
 from wisteriaarch.process.rows import StoredRow
 from wisteriaarch.process.store import Put, Transaction
 from wisteriaarch.process.upstream_health import BACKOFF_MAX_S
@@ -287,6 +288,18 @@
             self.assertEqual(head.unreadable_headers, ("server-load",))
         self.assertEqual(self.head(200, own).unreadable_headers, ())
 
+    def test_request_limit_is_read_in_any_answer(self):
+        own = ("Attempt-Id", "9c41")
+        for status in (200, 500, 503):
+            for text, per_s in (("2.5", 2.5), ("40", 40.0), (" 0 ", 0.0)):
+                head = self.head(status, own, ("Server-Limit", text))
+                self.assertEqual(head.limit_per_s, per_s)
+        self.assertEqual(self.head(200, own).limit_per_s, UNLIMITED)
+        for text in ("-1", "nan", "inf", "1e3", "", "2,5", "1.2.3", "9" * 40):
+            head = self.head(200, own, ("Server-Limit", text))
+            self.assertIsNone(head.limit_per_s, text)
+            self.assertEqual(head.unreadable_headers, ("server-limit",))
+
 
 class StoreAnswerTest(unittest.TestCase):
     def test_rows_and_removed_rows(self):
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -93,6 +93,12 @@
     UPSTREAM_HEADER_INVALID = EventKind(
         226, logbook.WARNING, "upstream sent an invalid header; the header is ignored"
     )
+    REQUEST_LIMIT_CHANGED = EventKind(
+        227, logbook.INFO, "upstream stated another request limit"
+    )
+    REQUEST_LIMIT_ENDED = EventKind(
+        228, logbook.INFO, "upstream states no request limit any more"
+    )
     SETTINGS_RELOADED = EventKind(105, logbook.INFO, "settings reloaded")
     SETTINGS_INVALID = EventKind(
         106,
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -7,11 +7,13 @@
 from .process.fleet_state import FleetState
 from .process.member_list import MemberList
 from .process.metrics import Gauge, Labels
+from .process.request_limits import UNLIMITED
 from .process.upstreams import Stage, Upstream
 from .request.shared_retry_budget import SharedRetryBudget
 from .version.stage_supervisor import StageSupervisor
 
 UNCONFIRMED_AGE_S = -1.0
+NO_REQUEST_LIMIT = -1.0
 
 
 @dataclass(frozen=True)
@@ -66,7 +68,7 @@
         }
 
     def _upstream_values(self) -> dict[Gauge, dict[Labels, float]]:
-        loads = self.estimates.loads
+        loads, limits = self.estimates.loads, self.estimates.limits
 
         def by_upstream(value) -> dict[Labels, float]:
             return {(item.upstream_id,): value(item) for item in upstreams}
@@ -86,8 +88,16 @@
             Gauge.UPSTREAM_SUSPENDED: by_upstream(
                 lambda item: float(loads.is_suspended(item.upstream_id))
             ),
+            Gauge.UPSTREAM_REQUEST_LIMIT: by_upstream(
+                lambda item: _finite_limit(limits.per_s(item.upstream_id))
+            ),
+            Gauge.REQUESTS_SENT: by_upstream(lambda item: loads.sent(item.upstream_id)),
         }
 
 
+def _finite_limit(per_s: float) -> float:
+    return NO_REQUEST_LIMIT if per_s == UNLIMITED else per_s
+
+
 def _age_s(at_s: float | None) -> float:
     return UNCONFIRMED_AGE_S if at_s is None else now_s() - at_s
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -3,6 +3,7 @@
 import math
 
 from ..errors import WireError
+from ..process.request_limits import UNLIMITED
 from ..process.upstream_health import BACKOFF_MAX_S
 from ..process.upstream_loads import ReportedLoad
 from ..process.upstreams import Upstream
@@ -20,6 +21,7 @@
 UNAVAILABLE_STATUS = 503
 LOAD_FIELD_COUNT = 3
 COUNT_DIGITS_MAX = 7
+LIMIT_CHARS_MAX = 20
 EXCERPT_BYTES = 80
 
 
@@ -66,9 +68,11 @@
             else not not_run and bool(call.call_id)
         )
         backoff_s, load = _backoff_s(head), _reported_load(head)
+        limit_per_s = _request_limit(head)
         unreadable = {
             names.RETRY_AFTER: backoff_s is None,
             names.SERVER_LOAD: load is None and names.SERVER_LOAD in head.headers,
+            names.SERVER_LIMIT: limit_per_s is None,
         }
         return UpstreamHead(
             head.status,
@@ -80,6 +84,7 @@
             backoff_s=backoff_s or 0.0,
             is_draining=head.headers.get(names.SERVER_LEAVING, "").strip() == "1",
             load=load,
+            limit_per_s=limit_per_s,
             unreadable_headers=tuple(
                 name for name, is_bad in unreadable.items() if is_bad
             ),
@@ -133,6 +138,22 @@
     return ReportedLoad(*(int(item) for item in counts))
 
 
+def _request_limit(head: HttpResponse) -> float | None:
+    """Return the limit stated by a server in requests/s, UNLIMITED if it states none.
+
+    Returns None if the header is malformed. Only plain decimal notation is valid: no
+    sign, exponent, infinity or NaN.
+    """
+    text = head.headers.get(names.SERVER_LIMIT)
+    if text is None:
+        return UNLIMITED
+    text = text.strip()
+    digits = text.replace(".", "", 1)
+    if not (digits.isascii() and digits.isdecimal()) or len(text) > LIMIT_CHARS_MAX:
+        return None
+    return float(text)
+
+
 def _keep_alive_s(head: HttpResponse) -> float | None:
     for item in head.headers.get("keep-alive", "").split(","):
         name, _, value = item.strip().partition("=")
--- a/wisteriaarch/process/fleet_estimates.py
+++ b/wisteriaarch/process/fleet_estimates.py
@@ -7,6 +7,7 @@
 from .handoff_time import HandoffTime
 from .prefill_rate import PrefillRate
 from .prefix_cache_index import PrefixCacheIndex
+from .request_limits import RequestLimits
 from .stage_changes import StageChanges
 from .stage_utilization import StageUtilization
 from .upstream_loads import UpstreamLoads
@@ -20,6 +21,7 @@
     registry: UpstreamRegistry
     utilization: StageUtilization = field(default_factory=StageUtilization)
     loads: UpstreamLoads = field(default_factory=UpstreamLoads)
+    limits: RequestLimits = field(default_factory=RequestLimits)
     stage_changes: StageChanges = field(default_factory=StageChanges)
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     _handoff_times: dict[str, HandoffTime] = field(
@@ -40,6 +42,7 @@
         """Discard estimates of an upstream that has deregistered or restarted."""
         self.prefix_cache.discard(upstream_id)
         self.loads.discard(upstream_id)
+        self.limits.discard(upstream_id)
         self.stage_changes.cancel(upstream_id)
 
     def prefill_rate(self, service: str) -> float:
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -75,6 +75,14 @@
         "How much longer than expected an upstream takes", ("upstream",)
     )
     UPSTREAM_SUSPENDED = Metric("1 where an upstream is out of use", ("upstream",))
+    UPSTREAM_REQUEST_LIMIT = Metric(
+        "Requests a second that an upstream accepts from all entries; -1 for no limit",
+        ("upstream",),
+    )
+    REQUESTS_SENT = Metric(
+        "Requests that this entry has sent since the upstream registered",
+        ("upstream",),
+    )
 
 
 class DurationRecorder:
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -60,6 +60,7 @@
 class UpstreamLoad:
     """Requests of this entry in flight on one upstream, and observations of it.
 
+    ``sent`` counts the requests that this entry itself has sent there.
     ``prefills`` are the token counts of the prompts in prefill there; the first of them
     started at ``prefill_started_at_s``. ``last_seen_at_s`` is the time of the last
     response received here. ``untracked_requests`` is the number of requests that the
@@ -67,6 +68,7 @@
     """
 
     requests: int = 0
+    sent: int = 0
     prompt_tokens: int = 0
     prefills: list[int] = field(default_factory=list)
     prefill_started_at_s: float = 0.0
@@ -144,6 +146,7 @@
     def sending(self, upstream_id: str, prompt_tokens: int = 0) -> Iterator[None]:
         """Count one request, with its prompt tokens to prefill, as in flight."""
         load = self.begin(upstream_id, prompt_tokens)
+        load.sent += 1
         try:
             yield
         finally:
@@ -181,6 +184,10 @@
         load = self._loads[upstream_id]
         return load.requests + load.untracked_requests_at(now_s())
 
+    def sent(self, upstream_id: str) -> int:
+        """Return how many requests this entry itself has sent."""
+        return self._loads[upstream_id].sent
+
     def prompt_tokens(self, upstream_id: str) -> int:
         """Return the prompt tokens in prefill."""
         return self._loads[upstream_id].prompt_tokens
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -7,6 +7,7 @@
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
+from ..process.request_limits import UNLIMITED
 from ..process.upstreams import Upstream
 from .answer_relay import AnswerRelay
 from .attempt_failures import AttemptFailed, FailureReason
@@ -20,6 +21,7 @@
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
+CLIENT_ERROR_STATUS = 400
 UNREADABLE_HEADERS_MAX = 1024
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
@@ -165,6 +167,9 @@
         attempt.head = head = await exchange.send(req, timeout_s)
         self._loads.of(attempt.upstream.upstream_id).last_seen_at_s = now_s()
         self._log_unreadable(attempt.upstream.upstream_id, head)
+        self._estimate_updater.observe_limit(
+            attempt.upstream.upstream_id, stated_limit(head), attempt.started_at_s
+        )
         check_declined(head)
         return head
 
@@ -237,6 +242,20 @@
         )
 
 
+def stated_limit(head: UpstreamHead) -> float | None:
+    """Return the request limit that an answer states; None if it says nothing.
+
+    Only a successful answer without a limit states that there is none: a refusal or an
+    error may come from a part of the upstream that doesn't know of it. An answer of
+    another instance says nothing of this one.
+    """
+    if head.wrong_instance:
+        return None
+    if head.limit_per_s == UNLIMITED and head.status >= CLIENT_ERROR_STATUS:
+        return None
+    return head.limit_per_s
+
+
 def check_declined(head: UpstreamHead) -> None:
     """Raise AttemptFailed if the upstream states that it has not run the request."""
     if head.wrong_instance:
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -9,6 +9,7 @@
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
+from ..process.request_limits import UNLIMITED
 from ..process.upstreams import Stage
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
@@ -114,6 +115,25 @@
         ):
             self._log.write(Event.UPSTREAM_DRAINING, upstream=upstream_id)
 
+    def observe_limit(
+        self, upstream_id: str, per_s: float | None, sent_at_s: float
+    ) -> None:
+        """Record the request limit that an answer states; None if it says nothing.
+
+        ``sent_at_s`` is when the answer's request was sent.
+        """
+        if per_s is None:
+            return
+        limits = self._estimates.limits
+        if not limits.observe(upstream_id, per_s, sent_at_s):
+            return
+        if per_s == UNLIMITED:
+            self._log.write(Event.REQUEST_LIMIT_ENDED, upstream=upstream_id)
+        else:
+            self._log.write(
+                Event.REQUEST_LIMIT_CHANGED, upstream=upstream_id, per_s=per_s
+            )
+
     def _observe_failure(self, upstream_id: str, outcome: AttemptOutcome) -> None:
         health = self._loads.of(upstream_id).health
         reason = FailureReason(outcome.cause)
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..process.request_limits import UNLIMITED
 from ..process.upstream_loads import ReportedLoad
 from ..process.upstreams import Upstream
 from ..wire import Headers, HttpResponse, OutgoingRequest
@@ -42,7 +43,9 @@
     marks an answer to another request. ``keep_alive_s`` is the upstream's keep-alive
     timeout for idle connections if it reports one, ``backoff_s`` the backoff that it
     requests. With ``is_draining`` it reports that it accepts no new work; ``load`` is
-    its load report. ``unreadable_headers`` names headers whose values can't be parsed.
+    its load report, ``limit_per_s`` the limit that it states for the requests a second
+    of all entries together, None if that is malformed. ``unreadable_headers`` names
+    headers whose values can't be parsed.
     """
 
     status: int
@@ -54,6 +57,7 @@
     backoff_s: float = 0.0
     is_draining: bool = False
     load: ReportedLoad | None = None
+    limit_per_s: float | None = UNLIMITED
     unreadable_headers: tuple[str, ...] = ()
 
 
