--- /dev/null
+++ b/tests/test_gateway_limits.py
@@ -0,0 +1,119 @@
+"""Upstreams that state request limits, before several entries of real processes."""
+
+import time
+
+from extras.cluster import request, wait_until
+from extras.gateway_cluster import GatewayCluster, is_ready
+
+from .gateway_support import RouteCluster
+from .limit_support import SteadyLoad, allowed_requests, boot_time_s, most_in_window
+
+LIMIT_PER_S = 2.5
+# Within this time all entries have heard of a limit, or of its end.
+KNOWN_AFTER_S = 1.5
+LOADED_S = 6.0
+ENTRIES = 3
+
+
+class RequestLimitTest(RouteCluster):
+    """Load: calls enough for a multiple of the limit, through all entries alike."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = cls.enterClassContext(GatewayCluster())
+        cls.cluster.start_store()
+        for name in ("app-1", "app-2"):
+            cls.cluster.start_server(name, "app", slots=64)
+        for name in ("dec-1", "dec-2"):
+            cls.cluster.start_server(name, "llm", "decode")
+        cls.entries = [cls.cluster.start_gateway(2, change_stages=False)]
+        ports = cls.entries[0].ports
+        for number in range(3, 2 + ENTRIES):
+            entry = cls.cluster.start_gateway(number, ports=ports, change_stages=False)
+            cls.entries.append(entry)
+        for entry in cls.entries:
+            wait_until(lambda entry=entry: is_ready(entry))
+            wait_until(lambda entry=entry: cls.names_all(entry))
+        time.sleep(1.0)
+
+    @classmethod
+    def names_all(cls, entry) -> bool:
+        path = "/api/resolve?name=books.example&region=r&zone=z1"
+        answer = request(entry.directory_address, "GET", path)
+        return answer.status == 200 and len(answer.json()["addresses"]) == ENTRIES
+
+    def tearDown(self):
+        for name in ("app-1", "dec-1"):
+            self.cluster.control(name, limit="")
+
+    def get(self, number) -> int:
+        entry = self.entries[number % len(self.entries)]
+        return self.ask("GET", "/get/x", f"{self.id()}-{number}", entry).status
+
+    def chat(self, number) -> int:
+        entry = self.entries[number % len(self.entries)]
+        name = f"{self.id()}-{number}"
+        return self.ask_prompt("/chat/x", name, 60, entry).status
+
+    def arrivals(self, name) -> list[float]:
+        return self.cluster.control(name)["arrivals"]
+
+    def limit(self, name) -> float:
+        """Have a server state the limit, and return when entries must know of it."""
+        self.cluster.control(name, limit=str(LIMIT_PER_S))
+        return boot_time_s() + KNOWN_AFTER_S
+
+    def assert_kept(self, name, since_s):
+        most = most_in_window(self.arrivals(name), since_s)
+        self.assertLessEqual(most, allowed_requests(LIMIT_PER_S))
+
+    def test_limited_plain_server_gets_no_more_from_all_entries(self):
+        with SteadyLoad(self.get, 40) as load:
+            since_s = self.limit("app-1")
+            time.sleep(KNOWN_AFTER_S + LOADED_S)
+        self.assert_kept("app-1", since_s)
+        self.assertEqual(set(load.statuses), {200})
+
+    def test_limited_engine_gets_no_more_from_all_entries(self):
+        with SteadyLoad(self.chat, 30) as load:
+            since_s = self.limit("dec-1")
+            time.sleep(KNOWN_AFTER_S + LOADED_S)
+        self.assert_kept("dec-1", since_s)
+        self.assertEqual(set(load.statuses), {200})
+
+    def test_limit_outlives_the_restart_of_each_entry(self):
+        """Load: the same, and the entries are killed and started again in turn."""
+        with SteadyLoad(self.get, 40):
+            since_s = self.limit("app-1")
+            time.sleep(2 * KNOWN_AFTER_S)
+            for number, entry in enumerate(list(self.entries)):
+                entry.popen.kill()
+                entry.popen.wait()
+                entry.popen.stdout.close()
+                entry = self.cluster.start_gateway(
+                    2 + number, ports=entry.ports, change_stages=False
+                )
+                self.entries[number] = entry
+                wait_until(lambda entry=entry: is_ready(entry))
+                time.sleep(1.0)
+            time.sleep(1.0)
+        self.assert_kept("app-1", since_s)
+
+    def test_call_that_no_server_has_room_for_is_refused_at_once(self):
+        for name in ("app-1", "app-2"):
+            self.limit(name)
+            self.addCleanup(self.cluster.control, name, limit="")
+        with SteadyLoad(self.get, 40):
+            time.sleep(KNOWN_AFTER_S + 2.0)
+            asked_at_s = time.monotonic()
+            answers = [
+                self.ask("GET", "/get/x", f"full-{number}", self.entries[0])
+                for number in range(10)
+            ]
+            elapsed_s = time.monotonic() - asked_at_s
+        refused = [answer for answer in answers if answer.status == 503]
+        self.assertTrue(refused)
+        self.assertLess(elapsed_s, 10 * 0.5)
+        for answer in refused:
+            self.assertGreater(float(answer.headers["retry-after"]), 0.0)
+            self.assertEqual(answer.headers["x-ran"], "no")
--- a/wisteriaarch/emulator/engine.py
+++ b/wisteriaarch/emulator/engine.py
@@ -10,7 +10,7 @@
 from ..errors import ConnectionClosed, WisteriaError
 from ..http_server import HttpServerConnection
 from ..process.clock import now_s
-from ..wire import HttpRequest
+from ..wire import Headers, HttpRequest
 from .costs import EngineCosts
 from .orders import ALL_MODELS, OrderHandler, OrderOptions
 from .scheduler import Scheduler, Sequence
@@ -30,7 +30,11 @@
 
 
 class EngineEmulator:
-    """State of the emulated engine across its incarnations."""
+    """State of the emulated engine across its incarnations.
+
+    ``arrivals`` are the times of all completion requests, in seconds since boot.
+    ``POST /answer-headers`` sets ``headers``, which all their answers then include.
+    """
 
     def __init__(
         self,
@@ -44,6 +48,8 @@
         self.incarnation = 1
         self.crashes = 0
         self.runs: Counter[str] = Counter()
+        self.arrivals: list[float] = []
+        self.headers: list[tuple[str, str]] = []
         self.order_handler = OrderHandler(costs, options, self._abort_streams)
         self.aborted_streams = 0
         self.scheduler = Scheduler(costs, lambda: self.order_handler.engine_state.role)
@@ -63,6 +69,9 @@
             return await respond_json(conn, 200, self._delayed_report())
         if req.path == "/journal":
             return await respond_json(conn, 200, self._journal())
+        if req.path == "/answer-headers":
+            self.headers = json.loads(req.body)
+            return await respond_json(conn, 200, {})
         if req.path == "/report-lag":
             self._report_lag_s = json.loads(req.body)["lag_s"]
             return await respond_json(conn, 200, {})
@@ -74,10 +83,11 @@
         return await respond_json(conn, 404, {"detail": "unknown path"})
 
     async def _handle_completion(self, conn, req) -> bool:
+        self.arrivals.append(now_s())
         payload = json.loads(req.body)
         refusal = self._refusal_reason(payload["model"], req.headers)
         if refusal is not None:
-            headers = [*JSON_HEADERS, ("X-Ran", "no")]
+            headers = [*JSON_HEADERS, ("X-Ran", "no"), *self.headers]
             body = json.dumps({"detail": refusal}).encode()
             await conn.send_response(409, headers, body)
             return True
@@ -92,9 +102,9 @@
         chat = req.path.endswith("chat/completions")
         try:
             if payload.get("stream"):
-                await _stream_answer(conn, seq, chat)
+                await _stream_answer(conn, seq, chat, self.headers)
             else:
-                await _send_complete_answer(conn, seq, chat)
+                await _send_complete_answer(conn, seq, chat, self.headers)
             return True
         except (OSError, WisteriaError):
             return False
@@ -179,6 +189,7 @@
             "cut_streams": self.aborted_streams,
             "runs": self.runs,
             "crashes": self.crashes,
+            "arrivals": self.arrivals,
         }
 
 
@@ -209,21 +220,22 @@
             engine.restart()
 
 
-async def _stream_answer(conn, seq: Sequence, chat: bool) -> None:
-    await conn.send_head(200, SSE_HEADERS)
+async def _stream_answer(conn, seq: Sequence, chat: bool, headers: Headers) -> None:
+    await conn.send_head(200, [*SSE_HEADERS, *headers])
     while (token := await _next_token(seq)) is not None:
         await conn.send_block(b"data: " + _event_body(seq, token, chat) + b"\n\n")
     await conn.send_block(b"data: [DONE]\n\n")
     await conn.end_body()
 
 
-async def _send_complete_answer(conn, seq: Sequence, chat: bool) -> None:
+async def _send_complete_answer(
+    conn, seq: Sequence, chat: bool, headers: Headers
+) -> None:
     tokens = []
     while (token := await _next_token(seq)) is not None:
         tokens.append(token)
-    await conn.send_response(
-        200, JSON_HEADERS, _answer_body(seq, "".join(tokens), chat)
-    )
+    body = _answer_body(seq, "".join(tokens), chat)
+    await conn.send_response(200, [*JSON_HEADERS, *headers], body)
 
 
 async def _next_token(seq: Sequence) -> str | None:
--- a/wisteriaarch/emulator/service.py
+++ b/wisteriaarch/emulator/service.py
@@ -6,6 +6,7 @@
 import curio
 
 from ..http_server import HttpServerConnection
+from ..process.clock import now_s
 from ..wire import HttpRequest
 from .server import respond_json, serve_http
 
@@ -13,6 +14,7 @@
 class ServiceEmulator:
     """State of the emulated service.
 
+    ``GET /arrivals`` returns the times of all runs, in seconds since boot.
     ``POST /control`` sets ``delay_s`` (delay before each answer), ``padding_bytes`` and
     ``headers`` (included in each answer) and ``die`` (point at which the connection of
     the next run is closed: ``before``, ``during`` or ``after`` the run, or ``midway``
@@ -26,6 +28,7 @@
         self.die: str | None = None
         self.headers: list[tuple[str, str]] = []
         self.runs: dict[str, int] = {}
+        self.arrivals: list[float] = []
 
     async def handle(self, conn: HttpServerConnection, req: HttpRequest) -> bool:
         """Answer one request; False closes the connection without an answer."""
@@ -33,6 +36,8 @@
             return await self._apply_control(conn, req)
         if req.path == "/runs":
             return await respond_json(conn, 200, self.runs)
+        if req.path == "/arrivals":
+            return await respond_json(conn, 200, self.arrivals)
         return await self._run(conn, req)
 
     async def _apply_control(self, conn, req) -> bool:
@@ -41,6 +46,7 @@
         return await respond_json(conn, 200, {})
 
     async def _run(self, conn, req) -> bool:
+        self.arrivals.append(now_s())
         die, self.die = self.die, None
         if die == "before":
             return False
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -12,6 +12,7 @@
 
 from ..emulator.server import respond_json, serve_http
 from ..http_server import HttpServerConnection
+from ..process.clock import now_s
 from ..wire import Address, Headers, HttpRequest
 from . import names
 from .order_emulator import OrderEmulator
@@ -32,6 +33,9 @@
 class ServerEmulator:
     """One server; ``executed`` lists the attempt ids of the requests that it ran.
 
+    ``arrivals`` are the times of all received requests, in seconds since boot. If
+    ``limit`` is set, all answers state it as the request limit.
+
     ``fault`` applies to the next ``faults_left`` requests: shed (declined), wait
     (declined with a Retry-After header), close (the connection is closed after the
     request was received), error (answered with 500), silent (never answered), leaving
@@ -47,6 +51,8 @@
     faults_left: int = 0
     executed: list[str] = field(default_factory=list)
     received: list[dict[str, str]] = field(default_factory=list)
+    arrivals: list[float] = field(default_factory=list)
+    limit: str = ""
     handles: set[str] = field(default_factory=set)
     orders: OrderEmulator = field(init=False)
     cached_blocks: set[str] = field(default_factory=set)
@@ -69,6 +75,7 @@
         self.received.append(
             {"target": req.target, "body": req.body.decode(), **req.headers}
         )
+        self.arrivals.append(now_s())
         if req.headers.get("expect-instance", self.server_id) != self.server_id:
             await conn.send_response(421, [("Instance-Id", self.server_id)])
             return True
@@ -109,10 +116,12 @@
         content = json.loads(req.body or b"{}")
         self.fault = content.get("fault", self.fault)
         self.faults_left = content.get("count", 1 if "fault" in content else 0)
+        self.limit = content.get("limit", self.limit)
         state: dict[str, Any] = {
             "ran": self.executed,
             "seen": self.received,
             "handles": sorted(self.handles),
+            "arrivals": self.arrivals,
             "orders": self.orders.accepted_orders,
         }
         return await respond_json(conn, 200, state)
@@ -192,7 +201,13 @@
         return block[0] in self.cached_blocks
 
     def _headers(self, req: HttpRequest) -> Headers:
-        return [(names.ATTEMPT_ID, _attempt_id(req)), ("Server-Seal", self.server_id)]
+        headers = [
+            (names.ATTEMPT_ID, _attempt_id(req)),
+            ("Server-Seal", self.server_id),
+        ]
+        if self.limit:
+            headers.append(("Server-Limit", self.limit))
+        return headers
 
 
 async def run_server(
