Tell what an upstream says when it says it, not when its answer ends

An upstream's word that it drains, wants to be left alone or states a limit stands in the head of an answer; it was applied, here and at the scheduler, only when the attempt ended.

Cause: the word travelled as part of the attempt's outcome. A load report was counted as of that moment too, against requests that had ended since.

Change: UpstreamSignals, read from any answer, applied by the entry at the head, and told to the scheduler at once where others need to know (drains, backoff, limit); the report is an outcome that isn't final, which an entry of an earlier version takes for the end of the attempt and no more. The answers to releases of memory, to reports and to orders were read for nothing of the kind; they are now. An answer that may be older than the last word of the upstream is told by when its request was placed, on the scheduler's own clock.

--- a/tests/limit_support.py
+++ b/tests/limit_support.py
@@ -9,6 +9,7 @@
 # An upstream may get this multiple of its limit in a window, and some requests more.
 ALLOWED_FACTOR = 1.5
 ALLOWED_EXTRA = 5
+CALLERS_MAX = 100
 
 
 def allowed_requests(per_s: float) -> float:
@@ -41,7 +42,7 @@
         self._send = send
         self._interval_s = 1 / per_s
         self._ended = threading.Event()
-        self._pool = ThreadPoolExecutor(32)
+        self._pool = ThreadPoolExecutor(CALLERS_MAX)
         self._thread = threading.Thread(target=self._run)
 
     def __enter__(self) -> "SteadyLoad":
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -3,7 +3,7 @@
 import time
 
 from extras.cluster import request, wait_until
-from extras.gateway_cluster import GatewayCluster, is_ready
+from extras.gateway_cluster import GatewayCluster, configuration, is_ready, route_row
 
 from .gateway_support import RouteCluster
 from .limit_support import SteadyLoad, allowed_requests, boot_time_s, most_in_window
@@ -21,7 +21,9 @@
     @classmethod
     def setUpClass(cls):
         cls.cluster = cls.enterClassContext(GatewayCluster())
-        cls.cluster.start_store()
+        slow = {"timeout-ms": 10_000, "gap-slo-ms": 2000, "sticky": True}
+        routes = [route_row("slow", "/slow/", "stream", "llm", **slow)]
+        cls.cluster.start_store(configuration(routes=routes))
         for name in ("app-1", "app-2"):
             cls.cluster.start_server(name, "app", slots=64)
         for name in ("dec-1", "dec-2"):
@@ -55,6 +57,11 @@
         name = f"{self.id()}-{number}"
         return self.ask_prompt("/chat/x", name, 60, entry).status
 
+    def chat_slowly(self, number) -> int:
+        entry = self.entries[number % len(self.entries)]
+        name, headers = f"{self.id()}-{number}", {"Deadline_Remaining": "9000"}
+        return self.ask_prompt("/slow/x", name, 60, entry, **headers).status
+
     def arrivals(self, name) -> list[float]:
         return self.cluster.control(name)["arrivals"]
 
@@ -81,6 +88,16 @@
         self.assert_kept("dec-1", since_s)
         self.assertEqual(set(load.statuses), {200})
 
+    def test_limit_is_known_while_the_answers_that_state_it_go_on(self):
+        """Load: streams of four seconds."""
+        for name in ("dec-1", "dec-2"):
+            self.cluster.control(name, event_interval_s=1.0)
+            self.addCleanup(self.cluster.control, name, event_interval_s=0.01)
+        with SteadyLoad(self.chat_slowly, 20):
+            since_s = self.limit("dec-1")
+            time.sleep(KNOWN_AFTER_S + LOADED_S)
+        self.assert_kept("dec-1", since_s)
+
     def test_limit_that_has_ended_is_forgotten_by_all_entries(self):
         """Load: then the other server states a limit, so that this one must serve."""
         self.addCleanup(self.cluster.control, "app-2", limit="")
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -26,6 +26,7 @@
 from wisteriaarch.process.store import Put, Transaction
 from wisteriaarch.process.upstream_health import BACKOFF_MAX_S
 from wisteriaarch.process.upstream_loads import ReportedLoad
+from wisteriaarch.process.upstream_signals import UpstreamSignals
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.request.upstream_protocol import AttemptOptions, KvCacheHandle
 from wisteriaarch.version.route_table import CallKind
@@ -256,15 +257,19 @@
     def test_word_of_leaving_is_read_in_any_answer(self):
         own = ("Attempt-Id", "9c41")
         for status in (200, 500, 503):
-            self.assertTrue(self.head(status, own, ("Server-Leaving", "1")).is_draining)
-        self.assertFalse(self.head(200, own, ("Server-Leaving", "0")).is_draining)
-        self.assertFalse(self.head(200, own).is_draining)
+            self.assertTrue(
+                self.head(status, own, ("Server-Leaving", "1")).signals.is_draining
+            )
+        self.assertFalse(
+            self.head(200, own, ("Server-Leaving", "0")).signals.is_draining
+        )
+        self.assertFalse(self.head(200, own).signals.is_draining)
 
     def test_time_to_wait_is_read_and_bounded(self):
         refused = ("Not-Executed", "1")
 
         def wait_s(text, status=503):
-            return self.head(status, refused, ("Retry-After", text)).backoff_s
+            return self.head(status, refused, ("Retry-After", text)).signals.backoff_s
 
         self.assertEqual(wait_s("2.5"), 2.5)
         self.assertEqual(wait_s("2.5", 500), 0.0)
@@ -274,17 +279,18 @@
         for text in ("nan", "soon", ""):
             head = self.head(503, refused, ("Retry-After", text))
             self.assertEqual(
-                (head.backoff_s, head.unreadable_headers), (0.0, ("retry-after",))
+                (head.signals.backoff_s, head.unreadable_headers),
+                (0.0, ("retry-after",)),
             )
 
     def test_load_is_read_where_it_has_a_meaning(self):
         own = ("Attempt-Id", "9c41")
         head = self.head(200, own, ("Server-Load", "3, 2,8"))
-        self.assertEqual(head.load, ReportedLoad(running=3, waiting=2, slots=8))
+        self.assertEqual(head.signals.load, ReportedLoad(running=3, waiting=2, slots=8))
         self.assertEqual(head.unreadable_headers, ())
         for text in ("3,2", "3,2,8,9", "a,b,c", "-1,0,8", "1.5,0,8", "9" * 40 + ",0,8"):
             head = self.head(200, own, ("Server-Load", text))
-            self.assertIsNone(head.load)
+            self.assertIsNone(head.signals.load)
             self.assertEqual(head.unreadable_headers, ("server-load",))
         self.assertEqual(self.head(200, own).unreadable_headers, ())
 
@@ -293,11 +299,15 @@
         for status in (200, 500, 503):
             for text, per_s in (("2.5", 2.5), ("40", 40.0), (" 0 ", 0.0)):
                 head = self.head(status, own, ("Server-Limit", text))
-                self.assertEqual(head.limit_per_s, per_s)
-        self.assertEqual(self.head(200, own).limit_per_s, UNLIMITED)
+                self.assertEqual(head.signals.limit_per_s, per_s)
+        self.assertEqual(self.head(200, own).signals.limit_per_s, UNLIMITED)
+        for status in (404, 500, 503):
+            self.assertIsNone(self.head(status, own).signals.limit_per_s)
+        other = self.head(421, ("Server-Limit", "2.5"))
+        self.assertEqual(other.signals, UpstreamSignals())
         for text in ("-1", "nan", "inf", "1e3", "", "2,5", "1.2.3", "9" * 40):
             head = self.head(200, own, ("Server-Limit", text))
-            self.assertIsNone(head.limit_per_s, text)
+            self.assertIsNone(head.signals.limit_per_s, text)
             self.assertEqual(head.unreadable_headers, ("server-limit",))
 
 
@@ -338,6 +348,13 @@
         }
         self.assertEqual(json.loads(req.body), content)
 
+    def test_answers_to_reports_and_orders_say_what_others_do(self):
+        headers = {"server-limit": "2.5", "server-leaving": "1"}
+        signals = self.orders.read_signals(HttpResponse(200, headers))
+        self.assertEqual((signals.limit_per_s, signals.is_draining), (2.5, True))
+        other = self.orders.read_signals(HttpResponse(421, headers))
+        self.assertEqual(other, UpstreamSignals())
+
     def test_report(self):
         body = b'{"stage":"decode","busy":false,"seq":2,"num-waiting":1}'
         report = self.orders.read_report(body)
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -36,6 +36,7 @@
 from wisteriaarch.process.prefix_cache_index import WARM_UP_S
 from wisteriaarch.process.request_limits import UNLIMITED
 from wisteriaarch.process.upstream_loads import ReportedLoad
+from wisteriaarch.process.upstream_signals import UpstreamSignals
 from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
 from wisteriaarch.request.attempt_failures import AttemptFailed, FailureReason
 from wisteriaarch.request.attempt_outcome import (
@@ -87,7 +88,9 @@
 
     def test_messages_survive_the_wire(self):
         choice = PlacedChoice("u", 0.25, 900, "v", 3, 1200, 1.5, 2)
-        outcome = AttemptOutcome(ANSWERED, 0.5, 0.25, True, True, 2.0, True)
+        outcome = AttemptOutcome(
+            ANSWERED, 0.5, 0.25, True, True, UpstreamSignals(2.0, True)
+        )
         for message in (
             PlacedAnswer(4, choice, None, True, 7, 40_000.0),
             PlacedAnswer(4, None, choice, False, 0, 1.0),
@@ -95,11 +98,21 @@
             RefusedAnswer(5, "none is left"),
             OutcomeReport(6, outcome),
             OutcomeReport(
-                6, AttemptOutcome(ABANDONED, 0.5, load=ReportedLoad(1, 2, 8))
+                6,
+                AttemptOutcome(
+                    ABANDONED, 0.5, signals=UpstreamSignals(load=ReportedLoad(1, 2, 8))
+                ),
             ),
             *(
-                OutcomeReport(6, AttemptOutcome(ANSWERED, 0.5, limit_per_s=per_s))
+                OutcomeReport(
+                    6,
+                    AttemptOutcome(
+                        ANSWERED, 0.5, signals=UpstreamSignals(limit_per_s=per_s)
+                    ),
+                    is_final,
+                )
                 for per_s in (None, UNLIMITED, 0.0, 2.5)
+                for is_final in (True, False)
             ),
             WithdrawnNotice(9),
             CopyQuery(),
@@ -326,7 +339,7 @@
             alone = placement.plan.decode.candidate.upstream.upstream_id
             declined = FailureReason.DECLINED.value
             await placement.ticket.observe_outcome(
-                AttemptOutcome(declined, 0.1, backoff_s=5.0)
+                AttemptOutcome(declined, 0.1, signals=UpstreamSignals(backoff_s=5.0))
             )
             await self.settle()
             for number in range(6):
@@ -341,7 +354,9 @@
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
             leaving = placement.plan.decode.candidate.upstream.upstream_id
-            outcome = AttemptOutcome(ANSWERED, 0.1, 0.05, is_draining=True)
+            outcome = AttemptOutcome(
+                ANSWERED, 0.1, 0.05, signals=UpstreamSignals(is_draining=True)
+            )
             await placement.ticket.observe_outcome(outcome)
             await self.settle()
             for number in range(6):
@@ -358,7 +373,9 @@
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
             limited = placement.plan.decode.candidate.upstream.upstream_id
-            outcome = AttemptOutcome(ANSWERED, 0.1, 0.05, limit_per_s=5.0)
+            outcome = AttemptOutcome(
+                ANSWERED, 0.1, 0.05, signals=UpstreamSignals(limit_per_s=5.0)
+            )
             await placement.ticket.observe_outcome(outcome)
             await self.settle()
             chosen = []
@@ -374,6 +391,24 @@
 
         self.play(scenario)
 
+    def test_word_of_an_upstream_counts_while_its_answer_goes_on(self):
+        """Load: a stream of minutes from an upstream that drains and states a limit."""
+
+        async def scenario(one, _two):
+            placement = await one.place(make_call(prompt=prompt(300)))
+            name = placement.plan.decode.candidate.upstream.upstream_id
+            signals = UpstreamSignals(is_draining=True, limit_per_s=2.5)
+            await placement.ticket.observe_signals(signals)
+            await self.settle()
+            self.assertIsNone(self.home.registry.get_usable(name))
+            self.assertEqual(self.home.estimates.limits.per_s(name), 2.5)
+            self.assertEqual(self.in_flight()[name], 1)
+            await placement.ticket.observe_outcome(AttemptOutcome(ANSWERED, 60.0))
+            await self.settle()
+            self.assertEqual(self.in_flight()[name], 0)
+
+        self.play(scenario)
+
     def test_choice_that_is_not_usable_here_is_not_taken(self):
         """Load: the scheduler hasn't heard yet that an upstream is leaving."""
 
--- a/wisteriaarch/connection/scheduler_link.py
+++ b/wisteriaarch/connection/scheduler_link.py
@@ -8,7 +8,8 @@
 from ..errors import WisteriaError
 from ..events import Event, EventLog
 from ..process.clock import now_s
-from ..request.attempt_outcome import AttemptOutcome
+from ..process.upstream_signals import UpstreamSignals
+from ..request.attempt_outcome import ABANDONED, AttemptOutcome
 from ..request.routed_call import RoutedCall
 from ..wire import Address
 from .message_link import MessageLink
@@ -35,11 +36,16 @@
 
 @dataclass(frozen=True)
 class RemoteTicket:
-    """Reports the outcome of an attempt to the scheduler that placed it."""
+    """Reports on an attempt to the scheduler that placed it."""
 
     link: MessageLink
     number: int
 
+    async def observe_signals(self, signals: UpstreamSignals) -> None:
+        """Report what the upstream's answer says of it, before the attempt ends."""
+        interim = AttemptOutcome(ABANDONED, 0.0, signals=signals)
+        await self.link.send(OutcomeReport(self.number, interim, is_final=False))
+
     async def observe_outcome(self, outcome: AttemptOutcome) -> None:
         """Report the outcome.
 
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -11,6 +11,7 @@
 from ..process.manifest_copy import ManifestCopy
 from ..process.request_limits import UNLIMITED
 from ..process.upstream_loads import ReportedLoad
+from ..process.upstream_signals import UpstreamSignals
 from ..request.attempt_outcome import CAUSES, AttemptOutcome
 from ..request.routed_call import Prompt, PromptBlock, RoutedCall
 from ..version.route_table import CallKind, Route
@@ -134,21 +135,23 @@
     _check_finite(item.elapsedMs, item.firstMs)
     if item.cause not in CAUSES:
         raise FrameError(f"unknown outcome cause {item.cause!r}")
-    load = None
-    if item.hasLoad:
-        load = ReportedLoad(item.running, item.waitingRequests, item.slots)
     outcome = AttemptOutcome(
         item.cause,
         item.elapsedMs / MS_PER_S,
         None if item.firstMs < 0 else item.firstMs / MS_PER_S,
         item.isBusy,
         item.isDown,
-        item.waitMs / MS_PER_S,
-        item.isLeaving,
-        load,
-        _limit_from(item),
+        _signals_from(item),
     )
-    return OutcomeReport(item.number, outcome)
+    return OutcomeReport(item.number, outcome, not item.isInterim)
+
+
+def _signals_from(item) -> UpstreamSignals:
+    load = None
+    if item.hasLoad:
+        load = ReportedLoad(item.running, item.waitingRequests, item.slots)
+    backoff_s = item.waitMs / MS_PER_S
+    return UpstreamSignals(backoff_s, item.isLeaving, load, _limit_from(item))
 
 
 def _limit_from(item) -> float | None:
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -121,7 +121,7 @@
 
 @_fields_of.register
 def _(message: OutcomeReport) -> dict:
-    outcome = message.outcome
+    outcome, signals = message.outcome, message.outcome.signals
     first_s = outcome.first_event_s
     content = {
         "number": message.number,
@@ -130,16 +130,17 @@
         "firstMs": NO_DURATION_MS if first_s is None else first_s * MS_PER_S,
         "isBusy": outcome.is_overloaded,
         "isDown": outcome.is_down,
-        "waitMs": int(outcome.backoff_s * MS_PER_S),
-        "isLeaving": outcome.is_draining,
-        **_limit_fields(outcome.limit_per_s),
+        "waitMs": int(signals.backoff_s * MS_PER_S),
+        "isLeaving": signals.is_draining,
+        **_limit_fields(signals.limit_per_s),
+        "isInterim": not message.is_final,
     }
-    if outcome.load is not None:
+    if signals.load is not None:
         content |= {
             "hasLoad": True,
-            "running": outcome.load.running,
-            "waitingRequests": outcome.load.waiting,
-            "slots": outcome.load.slots,
+            "running": signals.load.running,
+            "waitingRequests": signals.load.waiting,
+            "slots": signals.load.slots,
         }
     return {"outcome": content}
 
--- a/wisteriaarch/connection/scheduling_messages.py
+++ b/wisteriaarch/connection/scheduling_messages.py
@@ -96,10 +96,15 @@
 
 @dataclass(frozen=True)
 class OutcomeReport:
-    """Outcome of the attempt that was placed by the answer of the same number."""
+    """Report on the attempt that was placed by the answer of the same number.
+
+    One that isn't final only carries the signals of the upstream's answer; the attempt
+    goes on. An entry of an earlier version takes it for the attempt's end.
+    """
 
     number: int
     outcome: AttemptOutcome
+    is_final: bool = True
 
 
 @dataclass(frozen=True)
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -52,6 +52,7 @@
         self.choice = choice
         self.stage = stage
         self.prefills_here = prefills_here
+        self.placed_at_s = now_s()
         self._tokens = choice.prefill_tokens if prefills_here else 0
         self._load: UpstreamLoad | None = None
 
@@ -159,18 +160,26 @@
 
     @_handle.register
     async def _(self, message: OutcomeReport) -> None:
-        grant = self._attempts.pop(message.number, None)
-        if grant is not None:
-            self._end(grant, message.outcome)
+        attempt = self._attempts.get(message.number)
+        if attempt is None:
+            return
+        self._estimate_updater.observe_signals(
+            attempt.choice.candidate.upstream.upstream_id,
+            message.outcome.signals,
+            attempt.placed_at_s,
+        )
+        if message.is_final:
+            del self._attempts[message.number]
+            self._end(attempt, message.outcome)
 
     @_handle.register
     async def _(self, message: WithdrawnNotice) -> None:
         task = self._place_tasks.pop(message.number, None)
         if task is not None:
             await task.cancel()
-        grant = self._attempts.pop(message.number, None)
-        if grant is not None:
-            grant.end()
+        attempt = self._attempts.pop(message.number, None)
+        if attempt is not None:
+            attempt.end()
 
     @_handle.register
     async def _(self, _message: CopyQuery) -> None:
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -163,6 +163,7 @@
             lambda: self.closing,
             self._adapter.store_era,
             self.log,
+            self._runner.estimate_updater.observe_signals,
         )
 
     async def __aenter__(self) -> "Gateway":
--- a/wisteriaarch/platform/orders.py
+++ b/wisteriaarch/platform/orders.py
@@ -3,10 +3,12 @@
 import json
 
 from ..errors import WireError
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from ..process.upstreams import Stage, Upstream
 from ..version.stage_orders import EngineReport, StageOrder
 from ..wire import HttpResponse, OutgoingRequest, load_json
 from . import names
+from .upstreams import MISDIRECTED_STATUS, read_signals
 
 # 200: the server is already in the ordered state; 202: the order is being executed.
 ACCEPTED_STATUSES = frozenset((200, 202))
@@ -34,6 +36,12 @@
         except (ValueError, KeyError, TypeError) as exc:
             raise WireError(f"invalid engine report: {body[:EXCERPT_BYTES]!r}") from exc
 
+    def read_signals(self, head: HttpResponse) -> UpstreamSignals:
+        """Return what a response says of the server; another server's says nothing."""
+        if head.status == MISDIRECTED_STATUS:
+            return NO_SIGNALS
+        return read_signals(head)[0]
+
     def order_request(self, order: StageOrder) -> OutgoingRequest:
         """Return the request that carries an order."""
         headers = [
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -34,7 +34,8 @@
     """One server; ``executed`` lists the attempt ids of the requests that it ran.
 
     ``arrivals`` are the times of all received requests, in seconds since boot. If
-    ``limit`` is set, all answers state it as the request limit.
+    ``limit`` is set, all answers state it as the request limit. ``event_interval_s`` is
+    the time between the events of a stream.
 
     ``fault`` applies to the next ``faults_left`` requests: shed (declined), wait
     (declined with a Retry-After header), close (the connection is closed after the
@@ -53,6 +54,7 @@
     received: list[dict[str, str]] = field(default_factory=list)
     arrivals: list[float] = field(default_factory=list)
     limit: str = ""
+    event_interval_s: float = EVENT_INTERVAL_S
     handles: set[str] = field(default_factory=set)
     orders: OrderEmulator = field(init=False)
     cached_blocks: set[str] = field(default_factory=set)
@@ -117,6 +119,7 @@
         self.fault = content.get("fault", self.fault)
         self.faults_left = content.get("count", 1 if "fault" in content else 0)
         self.limit = content.get("limit", self.limit)
+        self.event_interval_s = content.get("event_interval_s", self.event_interval_s)
         state: dict[str, Any] = {
             "ran": self.executed,
             "seen": self.received,
@@ -181,7 +184,7 @@
                 await conn.send_block(event[:6])
                 return False
             await conn.send_block(event)
-            await curio.sleep(EVENT_INTERVAL_S)
+            await curio.sleep(self.event_interval_s)
         await conn.end_body()
         return True
 
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -6,6 +6,7 @@
 from ..process.request_limits import UNLIMITED
 from ..process.upstream_health import BACKOFF_MAX_S
 from ..process.upstream_loads import ReportedLoad
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from ..process.upstreams import Upstream
 from ..request.routed_call import RoutedCall
 from ..request.upstream_protocol import (
@@ -67,13 +68,7 @@
             if echoed_id
             else not not_run and bool(call.call_id)
         )
-        backoff_s, load = _backoff_s(head), _reported_load(head)
-        limit_per_s = _request_limit(head)
-        unreadable = {
-            names.RETRY_AFTER: backoff_s is None,
-            names.SERVER_LOAD: load is None and names.SERVER_LOAD in head.headers,
-            names.SERVER_LIMIT: limit_per_s is None,
-        }
+        signals, unreadable = read_signals(head)
         return UpstreamHead(
             head.status,
             end_to_end_headers(head.header_list),
@@ -81,13 +76,8 @@
             wrong_instance=wrong_instance,
             foreign=foreign,
             keep_alive_s=_keep_alive_s(head),
-            backoff_s=backoff_s or 0.0,
-            is_draining=head.headers.get(names.SERVER_LEAVING, "").strip() == "1",
-            load=load,
-            limit_per_s=limit_per_s,
-            unreadable_headers=tuple(
-                name for name, is_bad in unreadable.items() if is_bad
-            ),
+            signals=NO_SIGNALS if wrong_instance else signals,
+            unreadable_headers=unreadable,
         )
 
     def read_kv_cache_handle(self, upstream: Upstream, body: bytes) -> KvCacheHandle:
@@ -99,6 +89,25 @@
             raise WireError(f"no handle in {body[:EXCERPT_BYTES]!r}") from exc
 
 
+def read_signals(head: HttpResponse) -> tuple[UpstreamSignals, tuple[str, ...]]:
+    """Return a server's signals, and the names of those headers that are malformed."""
+    backoff_s, load = _backoff_s(head), _reported_load(head)
+    limit_per_s = _request_limit(head)
+    unreadable = {
+        names.RETRY_AFTER: backoff_s is None,
+        names.SERVER_LOAD: load is None and names.SERVER_LOAD in head.headers,
+        names.SERVER_LIMIT: limit_per_s is None,
+    }
+    signals = UpstreamSignals(
+        backoff_s=backoff_s or 0.0,
+        is_draining=head.headers.get(names.SERVER_LEAVING, "").strip() == "1",
+        load=load,
+        limit_per_s=limit_per_s,
+    )
+    bad_names = tuple(name for name, is_bad in unreadable.items() if is_bad)
+    return signals.for_status(head.status), bad_names
+
+
 def _headers(call: RoutedCall, upstream: Upstream, options: AttemptOptions) -> Headers:
     remaining_ms = max(1, int(call.remaining_s() * names.MS_PER_S))
     headers = [
--- a/wisteriaarch/process/request_limits.py
+++ b/wisteriaarch/process/request_limits.py
@@ -20,6 +20,8 @@
 ENDED_RETENTION_S = 30.0
 RECENT_CHANGE_S = 5.0
 LIMITS_MAX = 8192
+# Messages between entries carry rates in single precision.
+RATE_TOLERANCE = 1e-6
 
 
 @dataclass
@@ -130,7 +132,7 @@
         known = self._limits.get(upstream_id)
         known_per_s = UNLIMITED if known is None else known.per_s
         since_s = now if known_per_s == UNLIMITED else known.in_force_since_s
-        changed = per_s != known_per_s
+        changed = not math.isclose(per_s, known_per_s, rel_tol=RATE_TOLERANCE)
         changed_at_s = now if changed else known.changed_at_s
         limit = RequestLimit(per_s, observed_at_s, since_s, changed_at_s)
         self._limits[upstream_id] = limit
--- a/wisteriaarch/request/attempt_outcome.py
+++ b/wisteriaarch/request/attempt_outcome.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..process.upstream_loads import ReportedLoad
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from .attempt_failures import FailureReason
 
 ANSWERED = "answered"
@@ -25,9 +25,7 @@
 
     ``cause`` is one of ``CAUSES``. ``is_overloaded`` marks an upstream that timed out
     here while it answered other requests, ``is_down`` one that no longer accepts
-    connections. ``backoff_s`` is the backoff that the upstream requested; with
-    ``is_draining`` it reports that it accepts no new work. ``load`` is its load report,
-    ``limit_per_s`` the request limit that its answer states; None if it says nothing.
+    connections. ``signals`` are those of its answer that weren't reported before.
     """
 
     cause: str
@@ -35,7 +33,4 @@
     first_event_s: float | None = None
     is_overloaded: bool = False
     is_down: bool = False
-    backoff_s: float = 0.0
-    is_draining: bool = False
-    load: ReportedLoad | None = None
-    limit_per_s: float | None = None
+    signals: UpstreamSignals = NO_SIGNALS
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -7,7 +7,7 @@
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
-from ..process.request_limits import UNLIMITED
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from ..process.upstreams import Upstream
 from .answer_relay import AnswerRelay
 from .attempt_failures import AttemptFailed, FailureReason
@@ -21,7 +21,6 @@
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
-CLIENT_ERROR_STATUS = 400
 UNREADABLE_HEADERS_MAX = 1024
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
@@ -30,8 +29,8 @@
 class TrackedAttempt:
     """An attempt in progress.
 
-    With ``includes_prefill`` the engine prefills the prompt itself. ``head`` is the
-    head of the upstream's answer, None until it is received.
+    With ``includes_prefill`` the engine prefills the prompt itself.
+    ``unreported_signals`` are those of the answer that the scheduler learns at the end.
     """
 
     call: RoutedCall
@@ -39,7 +38,7 @@
     stage: AttemptStage
     ticket: Ticket
     includes_prefill: bool = True
-    head: UpstreamHead | None = None
+    unreported_signals: UpstreamSignals = NO_SIGNALS
     started_at_s: float = field(default_factory=now_s)
     _cause: str = ABANDONED
     _first_event_s: float | None = None
@@ -69,17 +68,13 @@
 
     def outcome(self) -> AttemptOutcome:
         """Return the outcome; abandoned if neither answer nor failure was recorded."""
-        head = self.head
         return AttemptOutcome(
             self._cause,
             now_s() - self.started_at_s,
             self._first_event_s,
             self._is_overloaded,
             self._is_down,
-            backoff_s=head.backoff_s if head else 0.0,
-            is_draining=head.is_draining if head else False,
-            load=head.load if head else None,
-            limit_per_s=stated_limit(head) if head else None,
+            self.unreported_signals,
         )
 
 
@@ -165,12 +160,29 @@
         timeout_s: float,
     ) -> UpstreamHead:
         """Send a request and return the head of its answer; raises AttemptFailed."""
-        attempt.head = head = await exchange.send(req, timeout_s)
-        self._loads.of(attempt.upstream.upstream_id).last_seen_at_s = now_s()
-        self._log_unreadable(attempt.upstream.upstream_id, head)
+        head = await exchange.send(req, timeout_s)
+        upstream_id = attempt.upstream.upstream_id
+        self._loads.of(upstream_id).last_seen_at_s = now_s()
+        self._log_unreadable(upstream_id, head)
+        await self._observe_signals(attempt, head.signals)
         check_declined(head)
         return head
 
+    async def _observe_signals(
+        self, attempt: TrackedAttempt, signals: UpstreamSignals
+    ) -> None:
+        """Apply the signals of an answer, and report urgent ones to the scheduler.
+
+        The attempt itself may last as long as a stream.
+        """
+        self._estimate_updater.observe_signals(
+            attempt.upstream.upstream_id, signals, attempt.started_at_s
+        )
+        if signals.is_urgent:
+            await attempt.ticket.observe_signals(signals)
+        else:
+            attempt.unreported_signals = signals
+
     def _log_unreadable(self, upstream_id: str, head: UpstreamHead) -> None:
         """Log each unreadable header of an upstream once."""
         for name in head.unreadable_headers:
@@ -240,20 +252,6 @@
         )
 
 
-def stated_limit(head: UpstreamHead) -> float | None:
-    """Return the request limit that an answer states; None if it says nothing.
-
-    Only a successful answer without a limit states that there is none: a refusal or an
-    error may come from a part of the upstream that doesn't know of it. An answer of
-    another instance says nothing of this one.
-    """
-    if head.wrong_instance:
-        return None
-    if head.limit_per_s == UNLIMITED and head.status >= CLIENT_ERROR_STATUS:
-        return None
-    return head.limit_per_s
-
-
 def check_declined(head: UpstreamHead) -> None:
     """Raise AttemptFailed if the upstream states that it has not run the request."""
     if head.wrong_instance:
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -62,7 +62,9 @@
             estimates, self.crashes, announce_crashes, self._metrics, log
         )
         self._prefill_client = PrefillClient(pool, protocol, estimates, self._recorder)
-        self._kv_cache_releaser = KvCacheReleaser(pool, protocol, log)
+        self._kv_cache_releaser = KvCacheReleaser(
+            pool, protocol, self._recorder.estimate_updater, log
+        )
 
     @property
     def estimate_updater(self) -> EstimateUpdater:
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -10,6 +10,7 @@
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
 from ..process.request_limits import UNLIMITED
+from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Stage
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
@@ -89,7 +90,6 @@
         Without ``includes_prefill`` another engine had prefilled the prompt.
         """
         upstream_id = choice.candidate.upstream.upstream_id
-        self._apply_signals(upstream_id, outcome)
         if outcome.cause == ABANDONED:
             return
         if outcome.cause != ANSWERED:
@@ -99,24 +99,29 @@
         else:
             self._observe_answer(call, choice, outcome, includes_prefill)
 
-    def _apply_signals(self, upstream_id: str, outcome: AttemptOutcome) -> None:
-        if outcome.load is not None:
-            self._loads.record_report(upstream_id, outcome.load)
-        if outcome.backoff_s > 0:
+    def observe_signals(
+        self, upstream_id: str, signals: UpstreamSignals, sent_at_s: float
+    ) -> None:
+        """Record what an answer says of its upstream.
+
+        ``sent_at_s`` is when the answer's request was sent, or an earlier time.
+        """
+        if signals.load is not None:
+            self._loads.record_report(upstream_id, signals.load)
+        if signals.backoff_s > 0:
             health = self._loads.of(upstream_id).health
-            health.record_backoff(now_s(), outcome.backoff_s)
+            health.record_backoff(now_s(), signals.backoff_s)
             self._log.write(
                 Event.UPSTREAM_BACKOFF_REQUESTED,
                 upstream=upstream_id,
-                seconds=outcome.backoff_s,
+                seconds=signals.backoff_s,
             )
-        if outcome.is_draining and self._estimates.registry.record_draining(
+        if signals.is_draining and self._estimates.registry.record_draining(
             upstream_id
         ):
             self._log.write(Event.UPSTREAM_DRAINING, upstream=upstream_id)
-        if outcome.limit_per_s is not None:
-            sent_at_s = now_s() - outcome.elapsed_s
-            self._apply_limit(upstream_id, outcome.limit_per_s, sent_at_s)
+        if signals.limit_per_s is not None:
+            self._apply_limit(upstream_id, signals.limit_per_s, sent_at_s)
 
     def _apply_limit(self, upstream_id: str, per_s: float, sent_at_s: float) -> None:
         if not self._estimates.limits.observe(upstream_id, per_s, sent_at_s):
--- a/wisteriaarch/request/kv_cache_releaser.py
+++ b/wisteriaarch/request/kv_cache_releaser.py
@@ -5,6 +5,8 @@
 from ..connection.upstream_pool import UpstreamPool
 from ..errors import WisteriaError
 from ..events import Event, EventLog
+from ..process.clock import now_s
+from .estimate_updater import EstimateUpdater
 from .exchange import CONTROL_ANSWER_MAX_BYTES, Exchange
 from .routed_call import RoutedCall
 from .upstream_protocol import KvCacheHandle, UpstreamProtocol
@@ -15,9 +17,16 @@
 class KvCacheReleaser:
     """Releases KV caches in background tasks, so that no answer is delayed."""
 
-    def __init__(self, pool: UpstreamPool, protocol: UpstreamProtocol, log: EventLog):
+    def __init__(
+        self,
+        pool: UpstreamPool,
+        protocol: UpstreamProtocol,
+        estimate_updater: EstimateUpdater,
+        log: EventLog,
+    ):
         self._pool = pool
         self._protocol = protocol
+        self._estimate_updater = estimate_updater
         self._log = log
 
     async def release_unused(self, call: RoutedCall, kv_cache: KvCacheHandle) -> None:
@@ -28,11 +37,15 @@
 
     async def _release(self, call: RoutedCall, kv_cache: KvCacheHandle) -> None:
         req = self._protocol.release_request(kv_cache)
+        sent_at_s = now_s()
         try:
             async with Exchange(
                 self._pool, self._protocol, call, kv_cache.upstream
             ) as exchange:
-                await exchange.send(req, RELEASE_TIMEOUT_S)
+                head = await exchange.send(req, RELEASE_TIMEOUT_S)
+                self._estimate_updater.observe_signals(
+                    kv_cache.upstream.upstream_id, head.signals, sent_at_s
+                )
                 await exchange.read_body(CONTROL_ANSWER_MAX_BYTES)
         except (WisteriaError, OSError) as exc:
             self._log.write(
--- a/wisteriaarch/request/placer.py
+++ b/wisteriaarch/request/placer.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Upstream
 from .attempt_outcome import AttemptOutcome
 from .candidate import Choice
@@ -11,7 +12,10 @@
 
 
 class Ticket(Protocol):
-    """Reports the outcome of an attempt to the scheduler that placed it."""
+    """Reports on an attempt to the scheduler that placed it."""
+
+    async def observe_signals(self, signals: UpstreamSignals) -> None:
+        """Report what the upstream's answer says of it, before the attempt ends."""
 
     async def observe_outcome(self, outcome: AttemptOutcome) -> None:
         """Report the outcome of the attempt; called once."""
@@ -20,6 +24,9 @@
 class NoTicket:
     """Ticket of an attempt that was placed by this entry."""
 
+    async def observe_signals(self, signals: UpstreamSignals) -> None:
+        """Do nothing: this entry has already recorded the signals."""
+
     async def observe_outcome(self, outcome: AttemptOutcome) -> None:
         """Do nothing: this entry records the outcomes of its attempts anyway."""
 
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -3,8 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..process.request_limits import UNLIMITED
-from ..process.upstream_loads import ReportedLoad
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from ..process.upstreams import Upstream
 from ..wire import Headers, HttpResponse, OutgoingRequest
 from .routed_call import RoutedCall
@@ -41,11 +40,8 @@
 
     With ``not_run`` the upstream states that it has not run the request. ``foreign``
     marks an answer to another request. ``keep_alive_s`` is the upstream's keep-alive
-    timeout for idle connections if it reports one, ``backoff_s`` the backoff that it
-    requests. With ``is_draining`` it reports that it accepts no new work; ``load`` is
-    its load report, ``limit_per_s`` the limit that it states for the requests a second
-    of all entries together, None if that is malformed. ``unreadable_headers`` names
-    headers whose values can't be parsed.
+    timeout for idle connections if it reports one. ``unreadable_headers`` names headers
+    whose values can't be parsed.
     """
 
     status: int
@@ -54,10 +50,7 @@
     wrong_instance: bool = False
     foreign: bool = False
     keep_alive_s: float | None = None
-    backoff_s: float = 0.0
-    is_draining: bool = False
-    load: ReportedLoad | None = None
-    limit_per_s: float | None = UNLIMITED
+    signals: UpstreamSignals = NO_SIGNALS
     unreadable_headers: tuple[str, ...] = ()
 
 
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -91,7 +91,8 @@
   waitingRequests @10 :UInt32;
   slots @11 :UInt32;
   limitStated @12 :UInt8;        # 0 nothing said, 1 the upstream states no request limit, 2 it states limitPerS
-  limitPerS @13 :Float64;        # requests a second from all entries
+  limitPerS @13 :Float32;        # requests a second from all entries
+  isInterim @14 :Bool;           # the attempt goes on; only what the upstream says of itself counts
 }
 
 struct Copy {
--- a/wisteriaarch/version/stage_orders.py
+++ b/wisteriaarch/version/stage_orders.py
@@ -19,7 +19,9 @@
     WireError,
 )
 from ..http_client import HttpClientConnection
+from ..process.clock import now_s
 from ..process.lease import Lease
+from ..process.upstream_signals import SignalsObserver, UpstreamSignals, ignore_signals
 from ..process.upstreams import Stage, Upstream
 from ..wire import HttpResponse, OutgoingRequest
 
@@ -64,6 +66,9 @@
     def read_report(self, body: bytes) -> EngineReport:
         """Interpret a report; raises WireError."""
 
+    def read_signals(self, head: HttpResponse) -> UpstreamSignals:
+        """Return what an answer says of the engine that sent it."""
+
     def order_request(self, order: StageOrder) -> OutgoingRequest:
         """Return the request that carries an order."""
 
@@ -75,10 +80,16 @@
 
 
 class StageOrderClient:
-    """Requests engine reports and delivers orders, each over a new connection."""
+    """Requests engine reports and delivers orders, each over a new connection.
+
+    ``observe_signals`` receives what the answers say of their engines.
+    """
 
-    def __init__(self, protocol: OrderProtocol):
+    def __init__(
+        self, protocol: OrderProtocol, observe_signals: SignalsObserver = ignore_signals
+    ):
         self._protocol = protocol
+        self._observe_signals = observe_signals
 
     async def report(self, upstream: Upstream) -> EngineReport:
         """Return an engine's report; raises OrderError."""
@@ -86,7 +97,7 @@
         try:
             async with curio.timeout_after(ANSWER_TIMEOUT_S):
                 async with await _connect(upstream) as conn:
-                    response = await _exchange(conn, req)
+                    response = await self._exchange(upstream, conn, req)
             return self._protocol.read_report(response.body)
         except (OSError, WireError, curio.TaskTimeout) as exc:
             raise OrderError(f"{upstream.upstream_id} did not report: {exc!r}") from exc
@@ -103,7 +114,7 @@
             async with curio.timeout_after(ANSWER_TIMEOUT_S):
                 async with await _connect(order.upstream) as conn:
                     lease.require_remaining(LEASE_REMAINING_MIN_S)
-                    response = await _exchange(conn, req)
+                    response = await self._exchange(order.upstream, conn, req)
         except (OSError, WireError, curio.TaskTimeout) as exc:
             raise OrderUnconfirmed(f"{name} did not answer an order: {exc!r}") from exc
         if self._protocol.is_fenced(response):
@@ -111,13 +122,17 @@
         if not self._protocol.is_accepted(response):
             raise OrderRefused(f"{name} answered status {response.status} to an order")
 
+    async def _exchange(
+        self, upstream: Upstream, conn: HttpClientConnection, req: OutgoingRequest
+    ) -> HttpResponse:
+        sent_at_s = now_s()
+        await conn.send_request(req.method, req.target, req.headers, req.body)
+        response = await conn.read_head()
+        signals = self._protocol.read_signals(response)
+        self._observe_signals(upstream.upstream_id, signals, sent_at_s)
+        response.body = await conn.read_body(ANSWER_MAX_BYTES)
+        return response
+
 
 async def _connect(upstream: Upstream) -> HttpClientConnection:
     return await HttpClientConnection.connect(upstream.address, ANSWER_TIMEOUT_S)
-
-
-async def _exchange(conn: HttpClientConnection, req: OutgoingRequest) -> HttpResponse:
-    await conn.send_request(req.method, req.target, req.headers, req.body)
-    response = await conn.read_head()
-    response.body = await conn.read_body(ANSWER_MAX_BYTES)
-    return response
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -14,6 +14,7 @@
 from ..process.store import RowStore
 from ..process.store_era import StoreEra
 from ..process.supervision import run_supervised
+from ..process.upstream_signals import SignalsObserver, ignore_signals
 from ..process.upstreams import Stage, Upstream
 from .route_table import RouteTable
 from .stage_controller import StageController, StageView
@@ -70,12 +71,13 @@
         is_closing: Callable[[], bool],
         era: StoreEra,
         log: EventLog,
+        observe_signals: SignalsObserver = ignore_signals,
     ):
         self._contender = contender
         self._era = era
         self._store = store
         self._lease = lease
-        self._orders = StageOrderClient(protocol)
+        self._orders = StageOrderClient(protocol, observe_signals)
         self._estimates = estimates
         self._routes = routes
         self._entries = entries
