Tell all entries of the request limits of upstreams

An entry knew the limits that its own answers had told it, and a scheduler those that were reported to it. One that took over a service, or placed its own calls because no scheduler answered, sent at the full rate until it was told itself; at 400 entries that is a request from each before the first one keeps to anything. Class: an entry keeps to itself what an upstream says.

Change: pings and acks carry up to 8 limits, those that changed of late first, and the answer to an entry that starts all that fit. The end of a limit is told in the same way. A statement counts by its age, so that the later one wins wherever it was heard; limits of upstreams that are gone are neither taken nor told, as they would go round for ever. Cost: nothing while no upstream states a limit, else some 400 bytes a datagram of four a second.

Weighed: a datagram to all at each change, which costs an entry as many as there are others; limits in the questions to a scheduler, which leave out who asks none.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -88,6 +88,30 @@
         self.assert_kept("dec-1", since_s)
         self.assertEqual(set(load.statuses), {200})
 
+    def stated_limit(self, entry, name) -> float:
+        text = request(entry.metrics_address, "GET", "/metrics").body.decode()
+        start = f'wisteriaarch_upstream_request_limit{{upstream="{name}"}} '
+        line = next(line for line in text.splitlines() if line.startswith(start))
+        return float(line.removeprefix(start))
+
+    def test_limit_is_known_to_entries_that_no_answer_told(self):
+        """Load: calls through one entry alone."""
+        self.limit("app-1")
+        for number in range(20):
+            self.get(number * len(self.entries))
+        for per_s in (LIMIT_PER_S, -1.0):
+            wait_until(
+                lambda per_s=per_s: all(
+                    self.stated_limit(entry, "app-1") == per_s for entry in self.entries
+                ),
+                4.0,
+            )
+            self.cluster.control("app-1", limit="")
+            self.limit("app-2")
+            self.addCleanup(self.cluster.control, "app-2", limit="")
+            for number in range(20):
+                self.get(number * len(self.entries))
+
     def test_limit_is_known_while_the_answers_that_state_it_go_on(self):
         """Load: streams of four seconds."""
         for name in ("dec-1", "dec-2"):
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest import mock
 
@@ -20,8 +21,10 @@
     ADDRESSES_MIN,
     choose_entries,
 )
-from wisteriaarch.process.digest import CrashRecord
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.digest import CrashRecord, LimitRecord
 from wisteriaarch.process.member_list import MemberList, MemberRecord, MemberState
+from wisteriaarch.process.request_limits import UNLIMITED, RequestLimits
 from wisteriaarch.process.rows import StorePosition
 from wisteriaarch.process.scheduler_choice import rank_schedulers
 
@@ -109,12 +112,20 @@
             "c",
             True,
             (CrashRecord("f00d@u", 1, False),),
+            limits=(LimitRecord("u", 2.5, 0.251), LimitRecord("v", UNLIMITED, 3.001)),
         )
-        self.assertEqual(decode_datagram(encode_datagram(sent)), sent)
+        received = decode_datagram(encode_datagram(sent))
+        for limit, sent_limit in zip(received.limits, sent.limits, strict=True):
+            self.assertAlmostEqual(limit.age_s, sent_limit.age_s, delta=0.002)
+            self.assertEqual(replace(limit, age_s=sent_limit.age_s), sent_limit)
+        self.assertEqual(replace(received, limits=()), replace(sent, limits=()))
 
     def test_datagrams_changed_at_random_are_read_or_refused(self):
         rng = random.Random(5)
-        whole = encode_datagram(Datagram(DatagramKind.PING, member("a"), 1))
+        limits = (LimitRecord("u", 2.5, 0.251),)
+        whole = encode_datagram(
+            Datagram(DatagramKind.PING, member("a"), 1, limits=limits)
+        )
         read = 0
         for _ in range(3000):
             data = bytearray(whole)
@@ -206,7 +217,7 @@
         return await self.network.queues[self.name].get()
 
 
-class ProberTest(unittest.TestCase):
+class ProberCase(unittest.TestCase):
     ENTRIES = 60
 
     def play(self, scenario, **options):
@@ -229,6 +240,8 @@
         self.assertTrue(reached())
         return waited_s
 
+
+class ProberTest(ProberCase):
     def test_crash_is_known_everywhere_soon(self):
         async def scenario(network):
             await network.kill("e7")
@@ -344,6 +357,52 @@
         self.play(scenario, lost=0.0)
 
 
+class LimitGossipTest(ProberCase):
+    """Request limits of upstreams, which reach all entries with pings and acks."""
+
+    LIMIT_KNOWN_WITHIN_S = 3.0
+
+    def know_limits(self, prober):
+        limits = RequestLimits()
+        prober.known_limits = limits.export
+        prober.on_limits = limits.merge
+        return limits
+
+    def all_limits(self, network):
+        return {
+            name: self.know_limits(prober) for name, prober in network.entries.items()
+        }
+
+    def test_limit_and_its_end_are_known_everywhere_soon(self):
+        async def scenario(network):
+            limits = self.all_limits(network)
+            for per_s in (2.5, 4.0, UNLIMITED):
+                limits["e7"].observe("u", per_s, now_s())
+                await self.wait_for(
+                    lambda per_s=per_s: all(
+                        item.per_s("u") == per_s for item in limits.values()
+                    ),
+                    self.LIMIT_KNOWN_WITHIN_S,
+                )
+            self.assertFalse(any(item.any_in_force for item in limits.values()))
+
+        self.play(scenario, lost=0.1)
+
+    def test_entry_that_starts_is_told_at_once(self):
+        async def scenario(network):
+            limits = self.all_limits(network)
+            for item in limits.values():
+                item.observe("u", 2.5, now_s())
+            prober = network.add("new")
+            new = self.know_limits(prober)
+            prober._list_entry_ids = lambda: ("e1", "e2")
+            network.tasks["new"] = [await curio.spawn(prober._receive, daemon=True)]
+            await prober._request_members()
+            await self.wait_for(lambda: new.per_s("u") == 2.5, 0.5)
+
+        self.play(scenario, lost=0.0)
+
+
 class SchedulerChoiceTest(unittest.TestCase):
     def test_entries_choose_the_same_one_and_large_ones_more_often(self):
         large = [member(f"large{n}", cores=2.0) for n in range(10)]
--- a/wisteriaarch/connection/member_codec.py
+++ b/wisteriaarch/connection/member_codec.py
@@ -8,10 +8,11 @@
 import capnp
 
 from ..errors import FrameError
-from ..process.digest import CrashRecord
+from ..process.digest import CrashRecord, LimitRecord
 from ..process.member_list import MemberRecord, MemberState
 from ..process.rows import RowTable, StoredRow, StorePosition
 from ..process.table_update import TableUpdate
+from .limit_codec import limit_fields, limit_from
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "members.capnp"
 RECORDS_MAX = 64
@@ -42,7 +43,8 @@
     """Membership datagram; every kind carries the sender's record.
 
     ``sequence`` is that of a ping, repeated in its ack. ``target`` is the entry to ping
-    for RELAY. ``requests_all`` requests the records of all members.
+    for RELAY. ``requests_all`` requests the records of all members. ``limits`` are
+    request limits of upstreams, which any kind may carry.
     """
 
     kind: DatagramKind
@@ -53,6 +55,7 @@
     requests_all: bool = False
     crashes: tuple[CrashRecord, ...] = ()
     table_updates: tuple[TableUpdate, ...] = ()
+    limits: tuple[LimitRecord, ...] = ()
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -66,6 +69,7 @@
         wantsAll=datagram.requests_all,
         crashes=[{"fingerprint": item.fingerprint} for item in datagram.crashes],
         tableNews=[_update_fields(item) for item in datagram.table_updates],
+        limits=[limit_fields(item) for item in datagram.limits],
     )
     return message.to_bytes()
 
@@ -80,7 +84,8 @@
 
 
 def _datagram_from(message) -> Datagram:
-    if max(len(message.others), len(message.crashes)) > RECORDS_MAX:
+    lists = (message.others, message.crashes, message.limits)
+    if max(len(items) for items in lists) > RECORDS_MAX:
         raise FrameError(f"more than {RECORDS_MAX} records in a datagram")
     return Datagram(
         kind=DatagramKind(message.kind),
@@ -94,6 +99,7 @@
             for item in message.crashes
         ),
         table_updates=tuple(_update_from(item) for item in message.tableNews),
+        limits=tuple(limit_from(item) for item in message.limits),
     )
 
 
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -18,7 +18,7 @@
 from ..errors import FrameError
 from ..events import Event, EventLog
 from ..process.clock import now_s
-from ..process.digest import CrashRecord
+from ..process.digest import CrashRecord, LimitRecord
 from ..process.member_list import MemberList, MemberRecord, MemberState
 from ..process.rows import StorePosition
 from ..process.table_update import TableUpdate
@@ -33,6 +33,7 @@
 RELAYS_MAX = 3
 CHANGES_PER_PROBE_MAX = 4
 MEMBERS_PER_DATAGRAM_MAX = 32
+LIMITS_PER_PROBE_MAX = 8
 DATAGRAM_MAX_BYTES = 32 * 1024
 # An entry that receives nothing for this time may itself be isolated, and marks no
 # other entry dead. Skipped with ISOLATION_EXEMPT_OTHERS_MAX or fewer others.
@@ -55,17 +56,20 @@
     configuration_version: int
 
 
+LimitsExporter = Callable[[int], Iterable[LimitRecord]]
 TableUpdateHandler = Callable[[str, tuple[TableUpdate, ...]], Awaitable[None]]
 
 
 class Prober:
     """Keeps a ``MemberList`` up to date.
 
-    ``listed`` returns the ids of entries that may exist; an id is the IP address of its
-    entry, and ``port`` is the UDP port of all entries. ``versions`` has those in force
-    at this entry. The datagrams also carry upstream crashes and updates of store
+    ``list_entry_ids`` returns the ids of entries that may exist; an id is the IP
+    address of its entry, and ``port`` is the UDP port of all entries. ``versions`` has
+    those in force at this entry. The datagrams also carry upstream crashes and updates of store
     tables. ``on_crashes`` and ``on_table_updates`` are callbacks for those that
     other entries send; ``known_crashes`` returns the crashes to send to new entries.
+    Pings and acks carry request limits of upstreams: ``known_limits`` returns up to a
+    number of them, ``on_limits`` is the callback for those of other entries.
     """
 
     def __init__(
@@ -81,6 +85,8 @@
         self.on_crashes: Callable[[tuple[CrashRecord, ...]], None] | None = None
         self.known_crashes: Callable[[], Iterable[CrashRecord]] = tuple
         self.on_table_updates: TableUpdateHandler | None = None
+        self.known_limits: LimitsExporter = _no_limits
+        self.on_limits: Callable[[tuple[LimitRecord, ...]], None] | None = None
         self._list_entry_ids = list_entry_ids
         self._port = port
         self._versions = versions
@@ -211,6 +217,7 @@
             self._current_own_record(),
             sequence,
             self._recent_changes(),
+            limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
         )
         await self._send(encode_datagram(datagram), (target, self._port))
 
@@ -265,6 +272,8 @@
             await self.on_table_updates(sender.entry_id, datagram.table_updates)
         if datagram.crashes and self.on_crashes is not None:
             self.on_crashes(datagram.crashes)
+        if datagram.limits and self.on_limits is not None:
+            self.on_limits(datagram.limits)
         await self._answer(datagram, address, is_new)
         await self._notify_if_marked_dead(sender, address)
 
@@ -298,6 +307,7 @@
             self._current_own_record(),
             sequence,
             self._recent_changes(),
+            limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
         )
         await self._send(encode_datagram(datagram), address)
 
@@ -318,6 +328,7 @@
         crashes = tuple(
             itertools.islice(self.known_crashes(), MEMBERS_PER_DATAGRAM_MAX)
         )
+        limits = tuple(self.known_limits(MEMBERS_PER_DATAGRAM_MAX))
         for start in range(0, len(records), MEMBERS_PER_DATAGRAM_MAX):
             page = tuple(records[start : start + MEMBERS_PER_DATAGRAM_MAX])
             datagram = Datagram(
@@ -325,6 +336,7 @@
                 self._current_own_record(),
                 others=page,
                 crashes=crashes,
+                limits=limits,
             )
             await self._send(encode_datagram(datagram), address)
 
@@ -339,3 +351,7 @@
             DatagramKind.MEMBER_UPDATE, self._current_own_record(), others=(known,)
         )
         await self._send(encode_datagram(datagram), address)
+
+
+def _no_limits(_count: int) -> tuple[LimitRecord, ...]:
+    return ()
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -10,7 +10,7 @@
 from .connection.store_relay import StoreRelay
 from .events import EventLog
 from .process.address_choice import choose_entries
-from .process.digest import CrashRecord
+from .process.digest import CrashRecord, LimitRecord
 from .process.entry_list import EntryList
 from .process.fleet import Fleet
 from .process.fleet_state import FleetState
@@ -95,6 +95,18 @@
         self._prober.known_crashes = export
         self._prober.on_crashes = merge
 
+    def exchange_limits(
+        self,
+        export: Callable[[int], Iterable[LimitRecord]],
+        merge: Callable[[tuple[LimitRecord, ...]], None],
+    ) -> None:
+        """Exchange request limits of upstreams with the other entries.
+
+        ``export`` provides up to a number of them; ``merge`` receives those of others.
+        """
+        self._prober.known_limits = export
+        self._prober.on_limits = merge
+
     async def announce(self, *, ready: bool, leaving: bool) -> None:
         """Notify all other entries of this entry's state."""
         self.members.update_own_state(ready=ready, leaving=leaving)
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -85,6 +85,9 @@
         self.network.exchange_crashes(
             self._runner.crashes.export, self._runner.crashes.merge
         )
+        self.network.exchange_limits(
+            self.estimates.limits.export, self._runner.estimate_updater.merge_limits
+        )
         self._stage_supervisor = self._build_stage_supervisor()
         self._gauges = GatewayGauges(
             self.state,
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -5,8 +5,11 @@
 service collects the outcomes of all entries, so that a few attempts suffice.
 """
 
+from collections.abc import Iterable
+
 from ..events import Event, EventLog
 from ..process.clock import now_s
+from ..process.digest import LimitRecord
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
 from ..process.request_limits import UNLIMITED
@@ -123,14 +126,27 @@
         if signals.limit_per_s is not None:
             self._apply_limit(upstream_id, signals.limit_per_s, sent_at_s)
 
+    def merge_limits(self, records: Iterable[LimitRecord]) -> None:
+        """Record request limits that another entry knows."""
+        for upstream_id in self._estimates.limits.merge(records):
+            self._log_limit(upstream_id, "entry")
+
     def _apply_limit(self, upstream_id: str, per_s: float, sent_at_s: float) -> None:
-        if not self._estimates.limits.observe(upstream_id, per_s, sent_at_s):
-            return
+        if self._estimates.limits.observe(upstream_id, per_s, sent_at_s):
+            self._log_limit(upstream_id, "answer")
+
+    def _log_limit(self, upstream_id: str, source: str) -> None:
+        per_s = self._estimates.limits.per_s(upstream_id)
         if per_s == UNLIMITED:
-            self._log.write(Event.REQUEST_LIMIT_ENDED, upstream=upstream_id)
+            self._log.write(
+                Event.REQUEST_LIMIT_ENDED, upstream=upstream_id, source=source
+            )
         else:
             self._log.write(
-                Event.REQUEST_LIMIT_CHANGED, upstream=upstream_id, per_s=per_s
+                Event.REQUEST_LIMIT_CHANGED,
+                upstream=upstream_id,
+                per_s=per_s,
+                source=source,
             )
 
     def _observe_failure(self, upstream_id: str, outcome: AttemptOutcome) -> None:
--- a/wisteriaarch/schema/members.capnp
+++ b/wisteriaarch/schema/members.capnp
@@ -11,6 +11,7 @@
   wantsAll @5 :Bool;             # requests all member records; set by an entry that has just started
   crashes @6 :List(Crash);
   tableNews @7 :List(TableNews);
+  limits @8 :List(Limit);
 }
 
 struct TableNews {
@@ -46,3 +47,10 @@
 struct Crash {
   fingerprint @0 :Text;          # of a request in flight at the crash of an upstream
 }
+
+struct Limit {
+  upstream @0 :Text;
+  perS @1 :Float32;              # requests a second from all entries
+  hasEnded @2 :Bool;             # the upstream states no limit any more
+  ageMs @3 :UInt32;              # since an answer stated it last
+}
