--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -65,11 +65,11 @@
 
     ``list_entry_ids`` returns the ids of entries that may exist; an id is the IP
     address of its entry, and ``port`` is the UDP port of all entries. ``versions`` has
-    those in force at this entry. The datagrams also carry upstream crashes and updates of store
-    tables. ``on_crashes`` and ``on_table_updates`` are callbacks for those that
-    other entries send; ``known_crashes`` returns the crashes to send to new entries.
-    Pings and acks carry request limits of upstreams: ``known_limits`` returns up to a
-    number of them, ``on_limits`` is the callback for those of other entries.
+    those in force at this entry. The datagrams also carry upstream crashes and updates
+    of store tables. ``on_crashes`` and ``on_table_updates`` are callbacks for those
+    that other entries send; ``known_crashes`` returns the crashes to send to new
+    entries. Pings and acks carry request limits of upstreams: ``known_limits`` returns
+    up to a number of them, ``on_limits`` is the callback for those of other entries.
     """
 
     def __init__(
