Keep to the request limits of upstreams on the own interface, too

The own interface read no limit at all: a plain service that states 2.5 requests a second got 82 in 4 s, an engine 61, 20 allowed.

Change: the header X-Request-Limit in answers of engines and plain services, read by one SignalReader for all attempts. Each entry places its own calls there, so each uses an equal part of 0.9 of a limit; upstreams with a free turn go first, a call waits up to 0.5 s for the next one, and is refused at once with the time to come back where there is none (503 no_upstream, ran: no). Heartbeats carry up to 64 limits (Digest.limits @10). The limiter, what is known of limits, and their codec are the same for both faces. The header isn't passed on to callers.

Not read: the answers to polls of load, which need no limit by this contract.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -29,6 +29,7 @@
 from wisteriaarch.process.digest import (
     CrashRecord,
     EntryRecord,
+    LimitRecord,
     PeerDigest,
     SentWork,
 )
@@ -45,6 +46,7 @@
     Membership,
 )
 from wisteriaarch.process.neighbours import choose_neighbours
+from wisteriaarch.process.request_limits import UNLIMITED
 from wisteriaarch.process.staleness import ServingBasis, StalenessCheck
 from wisteriaarch.wire import Address
 
@@ -69,13 +71,15 @@
                 (record("entry-2", 6, leaving=True),),
                 (CrashRecord("f00d", 2, True),),
                 (SentWork("engine-1", 3, 4000),),
+                (LimitRecord("engine-1", 2.5, 0.0), LimitRecord("e-2", UNLIMITED, 0.0)),
                 needs_manifest=True,
             )
         )
         received = decode_message(encode_message(sent))
         own = replace(received.digest.entry, heard_age_s=0.0)
         others = tuple(replace(r, heard_age_s=0.0) for r in received.digest.others)
-        digest = replace(received.digest, entry=own, others=others)
+        limits = tuple(replace(r, age_s=0.0) for r in received.digest.limits)
+        digest = replace(received.digest, entry=own, others=others, limits=limits)
         self.assertEqual(replace(received, digest=digest), sent)
 
     def test_ages_are_never_understated(self):
@@ -87,7 +91,7 @@
         text = SCHEMA_PATH.read_text()
         text = text.replace("@0xc3f1a9d27be40586", "@0xc3f1a9d27be40587")
         later = text.replace(
-            "needsManifest @4 :Bool;", "needsManifest @4 :Bool; more @10 :List(Text);"
+            "needsManifest @4 :Bool;", "needsManifest @4 :Bool; more @11 :List(Text);"
         )
         with Cluster() as cluster:
             path = cluster.path / "later.capnp"
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -352,6 +352,8 @@
         headers = {"server-limit": "2.5", "server-leaving": "1"}
         signals = self.orders.read_signals(HttpResponse(200, headers))
         self.assertEqual((signals.limit_per_s, signals.is_draining), (2.5, True))
+        silent = self.orders.read_signals(HttpResponse(200, {}))
+        self.assertIsNone(silent.limit_per_s)
         other = self.orders.read_signals(HttpResponse(421, headers))
         self.assertEqual(other, UpstreamSignals())
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -10,8 +10,10 @@
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.digest import SentWork
 from wisteriaarch.process.load_monitor import LoadMonitor, choose_subset
+from wisteriaarch.process.request_limits import RequestLimits
 from wisteriaarch.process.sent_request import SentRequest
 from wisteriaarch.request.length_prediction import PercentilePredictor
+from wisteriaarch.request.request_limiter import RequestLimiter
 from wisteriaarch.request.routing import POLL_AGE_MAX_S, Router
 from wisteriaarch.request.scoring import PredictedScorer
 from wisteriaarch.version.head import Head
@@ -50,7 +52,9 @@
 
 def make_router(fleet, scorer=None, seed=1):
     scorer = scorer or predicted_scorer()
-    return Router(fleet, fleet, scorer, mock.Mock(), random.Random(seed))
+    generator = random.Random(seed)
+    limiter = RequestLimiter(RequestLimits(), lambda: 1.0, generator)
+    return Router(fleet, fleet, scorer, limiter, mock.Mock(), generator)
 
 
 def predicted_scorer(**options):
--- a/wisteriaarch/connection/peer_codec.py
+++ b/wisteriaarch/connection/peer_codec.py
@@ -19,6 +19,7 @@
     SentWork,
 )
 from ..process.manifest_copy import ManifestCopy
+from .limit_codec import limit_fields, limit_from
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "peer.capnp"
 PROTOCOL_VERSION = 1
@@ -111,6 +112,7 @@
         digest.others,
         digest.crashRecords,
         digest.sentWork,
+        digest.limits,
     )
     if any(len(items) > MAX_RECORDS for items in lists):
         raise FrameError(f"more than {MAX_RECORDS} records in a frame")
@@ -128,6 +130,7 @@
             SentWork(item.upstream, item.requests, item.prefillTokens)
             for item in digest.sentWork
         ),
+        limits=tuple(limit_from(item) for item in digest.limits),
         needs_manifest=digest.needsManifest,
     )
 
@@ -158,6 +161,7 @@
             }
             for item in digest.sent_work
         ],
+        "limits": [limit_fields(item) for item in digest.limits],
         "needsManifest": digest.needs_manifest,
     }
 
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -1,5 +1,6 @@
 """Entry daemon: builds its components and serves callers until it is stopped."""
 
+import random
 import secrets
 from collections.abc import Awaitable, Callable
 from functools import partial
@@ -14,7 +15,7 @@
 from .events import Event, EventLog
 from .process.clock import now_s
 from .process.demand import DemandMeter
-from .process.digest import EntryRecord
+from .process.digest import EntryRecord, LimitRecord
 from .process.fleet import Fleet
 from .process.http_store import HttpInstanceList, HttpObjectStore, HttpTableStore
 from .process.load_monitor import LoadMonitor
@@ -25,8 +26,10 @@
 from .process.staleness import ServingBasis, StalenessCheck
 from .process.supervision import run_all_until
 from .request.policy import build_admission, build_router
+from .request.request_limiter import RequestLimiter, entry_share
 from .request.request_path import RequestPath
 from .request.routes import Routes
+from .request.signal_reader import SignalReader, log_limit
 from .sockets import listen_on
 from .steps import Step, reach_step
 from .version.control import ControlPlane
@@ -89,6 +92,8 @@
         )
         self.peers.hooks.sent_work = self.loads.export_sent_work
         self.peers.hooks.apply_sent_work = self.loads.replace_peer_work
+        self.peers.hooks.limits = self.loads.limits.export
+        self.peers.hooks.apply_limits = self._merge_limits
         self.control = ControlPlane(
             settings,
             str(self.incarnation),
@@ -101,7 +106,10 @@
             self._new_role_policy,
         )
         self.pool = UpstreamPool()
-        router = build_router(settings, self.fleet, self.loads, self.log)
+        limiter = RequestLimiter(
+            self.loads.limits, self._own_limit_share, random.Random(settings.seed)
+        )
+        router = build_router(settings, self.fleet, self.loads, limiter, self.log)
         self.admission = build_admission(
             settings, router, self.active_manifest, self.log, self.demand
         )
@@ -115,6 +123,8 @@
             router,
             self.admission,
             self.pool,
+            limiter,
+            SignalReader(self.loads.limits, self.log),
             self.log,
         )
         self.runner = self.requests.runner
@@ -242,6 +252,15 @@
             ready=self.is_ready(self.settings.entry_id),
         )
 
+    def _own_limit_share(self) -> float:
+        """Return this entry's share of a request limit: an equal one."""
+        return entry_share(len(self._listed_entries()), has_scheduler=False)
+
+    def _merge_limits(self, records: tuple[LimitRecord, ...]) -> None:
+        limits = self.loads.limits
+        for name in limits.merge(records):
+            log_limit(self.log, name, limits.per_s(name), source="entry")
+
     def _listed_entries(self) -> list[str]:
         return [item.instance_id for item in self.fleet.of_kind("entry")]
 
--- a/wisteriaarch/platform/orders.py
+++ b/wisteriaarch/platform/orders.py
@@ -40,7 +40,8 @@
         """Return what a response says of the server; another server's says nothing."""
         if head.status == MISDIRECTED_STATUS:
             return NO_SIGNALS
-        return read_signals(head)[0]
+        signals, _malformed = read_signals(head)
+        return signals.without_absent_limit()
 
     def order_request(self, order: StageOrder) -> OutgoingRequest:
         """Return the request that carries an order."""
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -1,12 +1,9 @@
 """Encoding of requests to the platform's servers and decoding of their responses."""
 
-import math
-
 from ..errors import WireError
-from ..process.request_limits import UNLIMITED
-from ..process.upstream_health import BACKOFF_MAX_S
+from ..process.request_limits import UNLIMITED, parse_rate
 from ..process.upstream_loads import ReportedLoad
-from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
+from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals, parse_backoff_s
 from ..process.upstreams import Upstream
 from ..request.routed_call import RoutedCall
 from ..request.upstream_protocol import (
@@ -22,7 +19,6 @@
 UNAVAILABLE_STATUS = 503
 LOAD_FIELD_COUNT = 3
 COUNT_DIGITS_MAX = 7
-LIMIT_CHARS_MAX = 20
 EXCERPT_BYTES = 80
 
 
@@ -131,10 +127,9 @@
     if head.status != UNAVAILABLE_STATUS or text is None:
         return 0.0
     try:
-        backoff_s = float(text)
+        return parse_backoff_s(text)
     except ValueError:
         return None
-    return None if math.isnan(backoff_s) else min(BACKOFF_MAX_S, max(0.0, backoff_s))
 
 
 def _reported_load(head: HttpResponse) -> ReportedLoad | None:
@@ -150,17 +145,15 @@
 def _request_limit(head: HttpResponse) -> float | None:
     """Return the limit stated by a server in requests/s, UNLIMITED if it states none.
 
-    Returns None if the header is malformed. Only plain decimal notation is valid: no
-    sign, exponent, infinity or NaN.
+    Returns None if the header is malformed.
     """
     text = head.headers.get(names.SERVER_LIMIT)
     if text is None:
         return UNLIMITED
-    text = text.strip()
-    digits = text.replace(".", "", 1)
-    if not (digits.isascii() and digits.isdecimal()) or len(text) > LIMIT_CHARS_MAX:
+    try:
+        return parse_rate(text)
+    except ValueError:
         return None
-    return float(text)
 
 
 def _keep_alive_s(head: HttpResponse) -> float | None:
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -64,4 +64,5 @@
     others: tuple[EntryRecord, ...] = ()
     crash_records: tuple[CrashRecord, ...] = ()
     sent_work: tuple[SentWork, ...] = ()
+    limits: tuple[LimitRecord, ...] = ()
     needs_manifest: bool = False
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -7,6 +7,7 @@
 from .digest import (
     CrashRecord,
     EntryRecord,
+    LimitRecord,
     PeerDigest,
     SentWork,
 )
@@ -17,9 +18,10 @@
 CHANGED_RECORDS_MAX = PEER_RECORDS_MAX // 2
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
+LIMIT_RECORDS_MAX = 64
 
 
-def _no_records() -> tuple:
+def _no_records(*_arguments: object) -> tuple:
     return ()
 
 
@@ -35,6 +37,8 @@
     apply_crash_records: Callable[[Iterable[CrashRecord]], None] = _ignore
     sent_work: Callable[[], Iterable[SentWork]] = _no_records
     apply_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
+    limits: Callable[[int], Iterable[LimitRecord]] = _no_records
+    apply_limits: Callable[[tuple[LimitRecord, ...]], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +70,7 @@
             needs_manifest=needs_manifest,
             crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
+            limits=tuple(hooks.limits(LIMIT_RECORDS_MAX)),
         )
 
     def _peer_records(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/process/load_monitor.py
+++ b/wisteriaarch/process/load_monitor.py
@@ -12,6 +12,7 @@
 from .engine_speeds import SpeedEstimates
 from .fleet import Fleet
 from .poll_schedule import PollCandidate, PollSchedule
+from .request_limits import RequestLimits
 from .store import Instance
 from .upstream_view import MAX_REPORT_AGE_S, PeerWork, UpstreamView
 
@@ -48,8 +49,12 @@
         self._corrects_reports = corrects_reports
         self._schedule = PollSchedule(poll_interval_s, polls_per_s)
         self.speeds = SpeedEstimates()
+        self.limits = RequestLimits(self._may_exist)
         self.views: dict[str, UpstreamView] = {}
 
+    def _may_exist(self, name: str) -> bool:
+        return not self._fleet.instances or self._fleet.get(name) is not None
+
     def view(self, instance: Instance) -> UpstreamView:
         """Return the view of an instance, following a change of its address."""
         view = self.views.get(instance.instance_id)
--- a/wisteriaarch/process/request_limits.py
+++ b/wisteriaarch/process/request_limits.py
@@ -22,6 +22,19 @@
 LIMITS_MAX = 8192
 # Messages between entries carry rates in single precision.
 RATE_TOLERANCE = 1e-6
+RATE_CHARS_MAX = 20
+
+
+def parse_rate(text: str) -> float:
+    """Parse a limit in requests a second; raises ValueError.
+
+    Only plain decimal notation is valid: no sign, exponent, infinity or NaN.
+    """
+    text = text.strip()
+    digits = text.replace(".", "", 1)
+    if not (digits.isascii() and digits.isdecimal()) or len(text) > RATE_CHARS_MAX:
+        raise ValueError(f"expected a decimal number, got {text[:RATE_CHARS_MAX]!r}")
+    return float(text)
 
 
 @dataclass
--- a/wisteriaarch/process/upstream_signals.py
+++ b/wisteriaarch/process/upstream_signals.py
@@ -1,10 +1,12 @@
 """What an upstream's answer says of the upstream itself, beside answering a request."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Self
 
 from .request_limits import UNLIMITED
+from .upstream_health import BACKOFF_MAX_S
 from .upstream_loads import ReportedLoad
 
 CLIENT_ERROR_STATUS = 400
@@ -40,7 +42,11 @@
         Only a successful answer without a limit states that there is none: a refusal or
         an error may come from a part of the upstream that doesn't know of it.
         """
-        if self.limit_per_s == UNLIMITED and status >= CLIENT_ERROR_STATUS:
+        return self if status < CLIENT_ERROR_STATUS else self.without_absent_limit()
+
+    def without_absent_limit(self) -> Self:
+        """Return the signals of an answer whose lack of a limit states nothing."""
+        if self.limit_per_s == UNLIMITED:
             return replace(self, limit_per_s=None)
         return self
 
@@ -55,3 +61,11 @@
     _upstream_id: str, _signals: UpstreamSignals, _sent_at_s: float
 ) -> None:
     """Do nothing with the signals of an answer."""
+
+
+def parse_backoff_s(text: str) -> float:
+    """Parse a requested backoff in seconds, up to BACKOFF_MAX_S; raises ValueError."""
+    backoff_s = float(text)
+    if math.isnan(backoff_s):
+        raise ValueError("the backoff is not a number")
+    return min(BACKOFF_MAX_S, max(0.0, backoff_s))
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -14,12 +14,14 @@
     WireError,
 )
 from ..http_client import HttpClientConnection
+from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
 from ..steps import Step, reach_step
 from ..wire import HttpResponse
 from .answer import AnswerSink
 from .call import Call, CompletionCall
 from .forwarding import has_no_body, outgoing_request, returned_headers
+from .signal_reader import SignalReader
 
 EVENT_END = b"\n\n"
 STREAM_END = b"data: [DONE]\n\n"
@@ -44,10 +46,17 @@
 class Attempt:
     """One attempt of a call; raises an UpstreamError if it fails."""
 
-    def __init__(self, call: Call, view: UpstreamView, pool: UpstreamPool):
+    def __init__(
+        self,
+        call: Call,
+        view: UpstreamView,
+        pool: UpstreamPool,
+        signal_reader: SignalReader,
+    ):
         self._call = call
         self._view = view
         self._pool = pool
+        self._signal_reader = signal_reader
 
     async def run(self, sink: AnswerSink, progress: CallProgress) -> None:
         """Send the call and relay the answer.
@@ -78,12 +87,14 @@
         ran_before = progress.ran
         if progress.ran is Ran.NO:
             progress.ran = Ran.UNKNOWN
+        sent_at_s = now_s()
         try:
             await conn.send_request(*outgoing_request(self._call, progress.events))
             await reach_step(Step.REQUEST_SENT)
             head = await conn.read_head()
         except (OSError, WireError) as exc:
             raise UpstreamDisconnected(f"{self._view.name}: {exc}") from exc
+        self._signal_reader.observe(self._view, head, sent_at_s)
         if not isinstance(self._call, CompletionCall):
             return await self._relay_complete(conn, head, sink, progress)
         if head.status >= 400:
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -17,11 +17,11 @@
 from .crash_history import CrashHistory
 from .estimate_updater import EstimateUpdater
 from .exchange import Exchange, is_down
+from .invalid_header_log import InvalidHeaderLog
 from .placer import Ticket
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
-UNREADABLE_HEADERS_MAX = 1024
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
 
@@ -95,7 +95,7 @@
         self._announce_crashes = announce_crashes
         self._metrics = metrics
         self._log = log
-        self._logged_unreadable: dict[tuple[str, str], None] = {}
+        self._invalid_headers = InvalidHeaderLog(log)
 
     @property
     def estimate_updater(self) -> EstimateUpdater:
@@ -163,7 +163,7 @@
         head = await exchange.send(req, timeout_s)
         upstream_id = attempt.upstream.upstream_id
         self._loads.of(upstream_id).last_seen_at_s = now_s()
-        self._log_unreadable(upstream_id, head)
+        self._invalid_headers.write(upstream_id, head.unreadable_headers)
         await self._observe_signals(attempt, head.signals)
         check_declined(head)
         return head
@@ -183,17 +183,6 @@
         else:
             attempt.unreported_signals = signals
 
-    def _log_unreadable(self, upstream_id: str, head: UpstreamHead) -> None:
-        """Log each unreadable header of an upstream once."""
-        for name in head.unreadable_headers:
-            if (upstream_id, name) not in self._logged_unreadable:
-                self._logged_unreadable[upstream_id, name] = None
-                self._log.write(
-                    Event.UPSTREAM_HEADER_INVALID, upstream=upstream_id, name=name
-                )
-            while len(self._logged_unreadable) > UNREADABLE_HEADERS_MAX:
-                del self._logged_unreadable[next(iter(self._logged_unreadable))]
-
     async def _record_failure(
         self, attempt: TrackedAttempt, exc: AttemptFailed
     ) -> None:
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -12,7 +12,6 @@
 from ..process.digest import LimitRecord
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
-from ..process.request_limits import UNLIMITED
 from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Stage
 from .attempt_failures import FailureReason
@@ -20,6 +19,7 @@
 from .candidate import Choice
 from .placement import DIRECT_SLOWDOWN
 from .routed_call import RoutedCall
+from .signal_reader import log_limit
 
 PREFILL_OVERHEAD_S = 0.03
 # Above this ratio of queued to prompt tokens, the queue estimate (itself derived from
@@ -129,25 +129,12 @@
     def merge_limits(self, records: Iterable[LimitRecord]) -> None:
         """Record request limits that another entry knows."""
         for upstream_id in self._estimates.limits.merge(records):
-            self._log_limit(upstream_id, "entry")
+            per_s = self._estimates.limits.per_s(upstream_id)
+            log_limit(self._log, upstream_id, per_s, source="entry")
 
     def _apply_limit(self, upstream_id: str, per_s: float, sent_at_s: float) -> None:
         if self._estimates.limits.observe(upstream_id, per_s, sent_at_s):
-            self._log_limit(upstream_id, "answer")
-
-    def _log_limit(self, upstream_id: str, source: str) -> None:
-        per_s = self._estimates.limits.per_s(upstream_id)
-        if per_s == UNLIMITED:
-            self._log.write(
-                Event.REQUEST_LIMIT_ENDED, upstream=upstream_id, source=source
-            )
-        else:
-            self._log.write(
-                Event.REQUEST_LIMIT_CHANGED,
-                upstream=upstream_id,
-                per_s=per_s,
-                source=source,
-            )
+            log_limit(self._log, upstream_id, per_s, source="answer")
 
     def _observe_failure(self, upstream_id: str, outcome: AttemptOutcome) -> None:
         health = self._loads.of(upstream_id).health
--- a/wisteriaarch/request/forwarding.py
+++ b/wisteriaarch/request/forwarding.py
@@ -9,6 +9,7 @@
     end_to_end_headers,
 )
 from .call import Call, CompletionCall, ServiceCall
+from .signal_reader import LIMIT_HEADER
 
 FORWARDED_HEADERS = ("content-type", "accept", "idempotency-key")
 RETURNED_HEADERS = ("content-type", "cache-control", "location", "etag")
@@ -61,7 +62,8 @@
 @returned_headers.register
 def _(call: ServiceCall, head: HttpResponse) -> Headers:
     # Only the entry reports whether a call ran: it tracks all of its attempts.
-    dropped = {RAN_HEADER}
+    # A request limit is meant for the entries.
+    dropped = {RAN_HEADER, LIMIT_HEADER}
     if not has_no_body(call, head):
         dropped.add(LENGTH_HEADER)
     return [
--- a/wisteriaarch/request/kv_cache_releaser.py
+++ b/wisteriaarch/request/kv_cache_releaser.py
@@ -44,7 +44,9 @@
             ) as exchange:
                 head = await exchange.send(req, RELEASE_TIMEOUT_S)
                 self._estimate_updater.observe_signals(
-                    kv_cache.upstream.upstream_id, head.signals, sent_at_s
+                    kv_cache.upstream.upstream_id,
+                    head.signals.without_absent_limit(),
+                    sent_at_s,
                 )
                 await exchange.read_body(CONTROL_ANSWER_MAX_BYTES)
         except (WisteriaError, OSError) as exc:
--- a/wisteriaarch/request/policy.py
+++ b/wisteriaarch/request/policy.py
@@ -16,6 +16,7 @@
     PercentilePredictor,
     PonderPredictor,
 )
+from .request_limiter import RequestLimiter
 from .routing import Router
 from .scoring import (
     LeastLoadScorer,
@@ -27,11 +28,16 @@
 
 
 def build_router(
-    settings: EntrySettings, fleet: Fleet, loads: LoadMonitor, log: EventLog
+    settings: EntrySettings,
+    fleet: Fleet,
+    loads: LoadMonitor,
+    limiter: RequestLimiter,
+    log: EventLog,
 ) -> Router:
     """Return the router with the scorer selected in the settings."""
     generator = random.Random(settings.seed)
-    return Router(fleet, loads, _build_scorer(settings, generator), log, generator)
+    scorer = _build_scorer(settings, generator)
+    return Router(fleet, loads, scorer, limiter, log, generator)
 
 
 def build_admission(
--- a/wisteriaarch/request/request_limiter.py
+++ b/wisteriaarch/request/request_limiter.py
@@ -92,7 +92,7 @@
         else:
             period.last_call_at_s = now
 
-    def rate(self, upstream_id: str, service: str) -> float:
+    def rate(self, upstream_id: str, service: str = "") -> float:
         """Return the requests a second that this entry may send or place now.
 
         UNLIMITED if the upstream states no limit.
@@ -102,14 +102,14 @@
             return UNLIMITED
         return max(RATE_MIN_PER_S, per_s) * self._share(service)
 
-    def wait_s(self, upstream_id: str, service: str) -> float:
+    def wait_s(self, upstream_id: str, service: str = "") -> float:
         """Return how long a request to an upstream would have to wait now."""
         rate = self.rate(upstream_id, service)
         if rate == UNLIMITED:
             return 0.0
         return self._refilled_bucket(upstream_id, rate).wait_s(rate)
 
-    def acquire(self, upstream_id: str, service: str) -> float:
+    def acquire(self, upstream_id: str, service: str = "") -> float:
         """Take the next turn at an upstream; returns how long to wait for it."""
         rate = self.rate(upstream_id, service)
         if rate == UNLIMITED:
--- a/wisteriaarch/request/request_path.py
+++ b/wisteriaarch/request/request_path.py
@@ -19,8 +19,10 @@
 from .isolation import Isolation
 from .owner_probe import OwnerProbe
 from .quarantine import Quarantine
+from .request_limiter import RequestLimiter
 from .request_runner import RequestRunner
 from .routing import Router
+from .signal_reader import SignalReader
 
 
 def commit_interval_s(settings: EntrySettings, fleet: Fleet) -> float:
@@ -58,6 +60,8 @@
         router: Router,
         admission: Admission,
         pool: UpstreamPool,
+        limiter: RequestLimiter,
+        signal_reader: SignalReader,
         log: EventLog,
     ) -> Self:
         """Build all parts for one entry."""
@@ -81,6 +85,8 @@
             journal,
             quarantine,
             Isolation(locks, log),
+            limiter,
+            signal_reader,
             log,
         )
         return cls(runner, journal, quarantine, commit, sweep)
--- a/wisteriaarch/request/request_runner.py
+++ b/wisteriaarch/request/request_runner.py
@@ -28,8 +28,10 @@
 from .crash_probe import CrashProbe
 from .isolation import Isolation
 from .quarantine import Quarantine
+from .request_limiter import RequestLimiter
 from .retry import ExcludedUpstreams, RetryBudget, may_retry
 from .routing import Router
+from .signal_reader import SignalReader
 
 RETRY_AFTER_S = 1.0
 UPSTREAM_WAIT_S = 5.0
@@ -49,6 +51,8 @@
         journal: ClaimJournal,
         quarantine: Quarantine,
         isolation: Isolation,
+        limiter: RequestLimiter,
+        signal_reader: SignalReader,
         log: EventLog,
     ):
         self._active_manifest = active_manifest
@@ -58,6 +62,8 @@
         self._journal = journal
         self._quarantine = quarantine
         self._isolation = isolation
+        self._limiter = limiter
+        self._signal_reader = signal_reader
         self._log = log
         self._retry_budget = RetryBudget()
         self._crash_probe = CrashProbe()
@@ -166,9 +172,12 @@
             await curio.sleep(UPSTREAM_POLL_S)
 
     async def _send(self, call, view, sink, progress) -> UpstreamError | None:
+        await curio.sleep(self._limiter.acquire(view.name))
         incarnation = view.report.incarnation if view.report else None
         try:
-            await Attempt(call, view, self._pool).run(sink, progress)
+            await Attempt(call, view, self._pool, self._signal_reader).run(
+                sink, progress
+            )
         except UpstreamDisconnected as exc:
             crash_id = await self._crash_probe.find_crash(call, view, incarnation)
             if crash_id is not None:
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -1,5 +1,6 @@
 """Selection of the upstream for one attempt."""
 
+import math
 import random
 from collections.abc import Iterator, Sequence
 from functools import singledispatch, singledispatchmethod
@@ -13,6 +14,7 @@
 from ..version.publication import ActiveManifest
 from .call import Call, CompletionCall, ServiceCall
 from .prefix_assignments import PrefixAssignments
+from .request_limiter import RequestLimiter
 from .scoring import Candidate, Scorer
 
 SMALL_FLEET_MAX = 12
@@ -22,6 +24,9 @@
 TIE_MARGIN = 0.05
 ENGINE_KIND = "engine"
 POLL_AGE_MAX_S = 2.0
+# Longest wait of a call for its turn at an upstream that states a request limit.
+LIMIT_PATIENCE_S = 0.5
+RETRY_AFTER_MIN_S = 1.0
 
 
 class Router:
@@ -32,12 +37,14 @@
         fleet: Fleet,
         loads: LoadMonitor,
         scorer: Scorer,
+        limiter: RequestLimiter,
         log: EventLog,
         generator: random.Random,
     ):
         self._fleet = fleet
         self._loads = loads
         self._scorer = scorer
+        self._limiter = limiter
         self._log = log
         self._random = generator
         self._prefix_assignments = PrefixAssignments()
@@ -49,7 +56,9 @@
         candidates = self.score_upstreams(call, active_manifest, excluded)
         if not candidates:
             raise RequestError(
-                ErrorKind.NO_UPSTREAM, "no upstream that could run the request is left"
+                ErrorKind.NO_UPSTREAM,
+                "no upstream that could run the request is left",
+                retry_after_s=self._shortest_wait_s(call, active_manifest),
             )
         chosen = self._pick_among_ties(candidates)
         call.sent_request = (
@@ -76,12 +85,38 @@
         active_manifest: ActiveManifest,
         excluded: set[str] = frozenset(),
     ) -> list[Candidate]:
-        """Return the scored candidates, best first."""
+        """Return the scored candidates, best first.
+
+        Upstreams whose request limit allows a request now go before those where it has
+        to wait for its turn, and the shortest such wait comes first.
+        """
         views = self._eligible_views(call, active_manifest, excluded)
+        if views and self._limiter.is_active:
+            views = self._views_with_shortest_wait(views)
         candidates = self._scorer.score_upstreams(call, views)
         candidates.sort(key=lambda candidate: candidate.score)
         return candidates
 
+    def _views_with_shortest_wait(
+        self, views: list[UpstreamView]
+    ) -> list[UpstreamView]:
+        waits = [self._limiter.wait_s(view.name) for view in views]
+        shortest_s = min(waits)
+        return [
+            view
+            for view, wait_s in zip(views, waits, strict=True)
+            if wait_s == shortest_s
+        ]
+
+    def _shortest_wait_s(self, call: Call, active_manifest: ActiveManifest) -> float:
+        """Return after what whole number of seconds a caller may find an upstream."""
+        waits = [
+            self._limiter.wait_s(instance.instance_id)
+            for instance in map(self._fleet.get, _upstream_names(call, active_manifest))
+            if instance is not None
+        ]
+        return max(RETRY_AFTER_MIN_S, math.ceil(min(waits, default=0.0)))
+
     def awaits_load_report(self, call: Call, active_manifest: ActiveManifest) -> bool:
         """Whether an outstanding load report may reveal a usable upstream.
 
@@ -151,12 +186,19 @@
             if instance is None or instance.leaving:
                 continue
             view = self._loads.view(instance)
-            if is_eligible(view):
+            if is_eligible(view) and self._accepts_requests(view):
                 views[name] = view
             if len(views) == views_max:
                 break
         return list(views.values())
 
+    def _accepts_requests(self, view: UpstreamView) -> bool:
+        """Whether a request limit allows a call soon."""
+        return (
+            not self._limiter.is_active
+            or self._limiter.wait_s(view.name) <= LIMIT_PATIENCE_S
+        )
+
     def _sampling_order(self, names, last_engine: str | None) -> Iterator[str]:
         """Yield ``last_engine``, a random sample, then all; names may be repeated."""
         if last_engine in names:
--- /dev/null
+++ b/wisteriaarch/request/signal_reader.py
@@ -0,0 +1,58 @@
+"""Reads what upstreams say of themselves in answers on the own interface.
+
+``platform`` has the headers of an upstream on a platform (``gateway``).
+"""
+
+from ..events import Event, EventLog
+from ..process.request_limits import UNLIMITED, RequestLimits, parse_rate
+from ..process.upstream_signals import UpstreamSignals
+from ..process.upstream_view import UpstreamView
+from ..wire import HttpResponse
+from .invalid_header_log import InvalidHeaderLog
+
+LIMIT_HEADER = "x-request-limit"
+
+
+def read_signals(head: HttpResponse) -> tuple[UpstreamSignals, tuple[str, ...]]:
+    """Return an upstream's signals, and the names of malformed headers."""
+    malformed = []
+    limit_per_s = UNLIMITED
+    if LIMIT_HEADER in head.headers:
+        try:
+            limit_per_s = parse_rate(head.headers[LIMIT_HEADER])
+        except ValueError:
+            limit_per_s = None
+            malformed.append(LIMIT_HEADER)
+    signals = UpstreamSignals(limit_per_s=limit_per_s)
+    return signals.for_status(head.status), tuple(malformed)
+
+
+class SignalReader:
+    """Applies the signals of answers to what this entry knows of upstreams."""
+
+    def __init__(self, limits: RequestLimits, log: EventLog):
+        self._limits = limits
+        self._log = log
+        self._invalid_headers = InvalidHeaderLog(log)
+
+    def observe(self, view: UpstreamView, head: HttpResponse, sent_at_s: float) -> None:
+        """Apply an answer's signals; ``sent_at_s`` is when its request was sent."""
+        signals, malformed = read_signals(head)
+        self._invalid_headers.write(view.name, malformed)
+        if signals.limit_per_s is not None:
+            self._observe_limit(view.name, signals.limit_per_s, sent_at_s)
+
+    def _observe_limit(self, name: str, per_s: float, sent_at_s: float) -> None:
+        if not self._limits.observe(name, per_s, sent_at_s):
+            return
+        log_limit(self._log, name, per_s, source="answer")
+
+
+def log_limit(log: EventLog, upstream_id: str, per_s: float, source: str) -> None:
+    """Log a changed limit; ``source`` tells whether an answer or an entry told it."""
+    if per_s == UNLIMITED:
+        log.write(Event.REQUEST_LIMIT_ENDED, upstream=upstream_id, source=source)
+        return
+    log.write(
+        Event.REQUEST_LIMIT_CHANGED, upstream=upstream_id, per_s=per_s, source=source
+    )
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -22,6 +22,7 @@
   readingDecode @7 :Float32;
   stageNotices @8 :List(StageNotice);
   readingDemands @9 :List(ReadingDemand);
+  limits @10 :List(Limit);
 }
 
 struct EntryRecord {
@@ -71,3 +72,10 @@
   body @1 :Data;                 # canonical bytes of the manifest
   rowVersion @2 :UInt64;         # version of the head row
 }
+
+struct Limit {
+  upstream @0 :Text;
+  perS @1 :Float32;              # requests a second from all entries
+  hasEnded @2 :Bool;             # the upstream states no limit any more
+  ageMs @3 :UInt32;              # since an answer stated it last
+}
