Leave upstreams alone that ask for it, on the own interface, too

A plain service or engine that answers 503 or 429 with Retry-After got the next calls all the same: the own interface read the header of no upstream. Found when looking for what else is left unread.

The gateway did so before.

Left: the time isn't told to other entries, each of which asks once.

--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -82,3 +82,33 @@
         for answer in refused:
             self.assertGreater(int(answer.headers["retry-after"]), 0)
             self.assertEqual(json.loads(answer.body)["ran"], "no")
+
+
+class BackoffTest(ClusterTestCase):
+    services = ("portal-1", "portal-2")
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        portal = {"name": "portal", "upstreams": list(cls.services)}
+        content = manifest_content(cls.engines, services=[portal])
+        done = cls.cluster.apply(content)
+        if done.returncode:
+            raise RuntimeError(done.stderr + done.stdout)
+
+    def count_arrivals(self) -> int:
+        return len(self.process("portal-1").request("GET", "/arrivals").json())
+
+    def test_service_that_asks_to_be_left_alone_is_left_alone_for_that_long(self):
+        portal = self.process("portal-1")
+        back = {"status": 200, "headers": []}
+        self.addCleanup(portal.request, "POST", "/control", back)
+        refusal = {"status": 503, "headers": [["Retry-After", "2"]]}
+        portal.request("POST", "/control", refusal)
+        statuses = [self.call_service("/x").status for _ in range(20)]
+        self.assertEqual(statuses.count(503), 1)
+        portal.request("POST", "/control", back)
+        before = self.count_arrivals()
+        time.sleep(2.1)
+        self.assertEqual({self.call_service("/x").status for _ in range(20)}, {200})
+        self.assertGreater(self.count_arrivals(), before)
--- a/wisteriaarch/emulator/service.py
+++ b/wisteriaarch/emulator/service.py
@@ -15,10 +15,10 @@
     """State of the emulated service.
 
     ``GET /arrivals`` returns the times of all runs, in seconds since boot.
-    ``POST /control`` sets ``delay_s`` (delay before each answer), ``padding_bytes`` and
-    ``headers`` (included in each answer) and ``die`` (point at which the connection of
-    the next run is closed: ``before``, ``during`` or ``after`` the run, or ``midway``
-    through its answer).
+    ``POST /control`` sets ``delay_s`` (delay before each answer), ``padding_bytes``,
+    ``headers`` and ``status`` (of each answer) and ``die`` (point at which the
+    connection of the next run is closed: ``before``, ``during`` or ``after`` the run,
+    or ``midway`` through its answer).
     """
 
     def __init__(self, name: str):
@@ -27,6 +27,7 @@
         self.padding_bytes = 0
         self.die: str | None = None
         self.headers: list[tuple[str, str]] = []
+        self.status = 200
         self.runs: dict[str, int] = {}
         self.arrivals: list[float] = []
 
@@ -70,7 +71,7 @@
         if die == "midway":
             return await send_truncated_answer(conn, content)
         headers = [("Content-Type", "application/json"), *self.headers]
-        await conn.send_response(200, headers, json.dumps(content).encode())
+        await conn.send_response(self.status, headers, json.dumps(content).encode())
         return True
 
 
--- a/wisteriaarch/process/upstream_view.py
+++ b/wisteriaarch/process/upstream_view.py
@@ -41,7 +41,8 @@
 class UpstreamView:
     """State of one upstream as seen by this entry.
 
-    ``name`` is its instance id; ``name_hash`` is equal at every entry.
+    ``name`` is its instance id; ``name_hash`` is equal at every entry. The upstream has
+    asked to get no requests until ``backoff_until_s``.
     """
 
     instance: Instance
@@ -57,6 +58,7 @@
     report_valid_s: float = MAX_REPORT_AGE_S
     last_sent_s: float = NEVER_S
     poll_started_at_s: float = NEVER_S
+    backoff_until_s: float = NEVER_S
     name: str = field(init=False)
     name_hash: int = field(init=False)
     _own_load_at_sample: LoadEstimate = field(default_factory=LoadEstimate)
@@ -76,6 +78,11 @@
         """Speeds learned for the role that this engine last reported."""
         return self.speeds.role(self.report.role if self.report else DEFAULT_ROLE)
 
+    @property
+    def backoff_left_s(self) -> float:
+        """Remaining time of a requested backoff, 0 if there is none."""
+        return max(0.0, self.backoff_until_s - now_s())
+
     def fresh_report(self) -> LoadReport | None:
         """Return the last report; None where it is missing or too old."""
         if self.report is None:
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -111,7 +111,10 @@
     def _shortest_wait_s(self, call: Call, active_manifest: ActiveManifest) -> float:
         """Return after what whole number of seconds a caller may find an upstream."""
         waits = [
-            self._limiter.wait_s(instance.instance_id)
+            max(
+                self._loads.view(instance).backoff_left_s,
+                self._limiter.wait_s(instance.instance_id),
+            )
             for instance in map(self._fleet.get, _upstream_names(call, active_manifest))
             if instance is not None
         ]
@@ -193,7 +196,9 @@
         return list(views.values())
 
     def _accepts_requests(self, view: UpstreamView) -> bool:
-        """Whether a request limit allows a call soon."""
+        """Whether neither a backoff nor a request limit forbids a call."""
+        if view.backoff_left_s > 0:
+            return False
         return (
             not self._limiter.is_active
             or self._limiter.wait_s(view.name) <= LIMIT_PATIENCE_S
