Let the calls of the busy-server test be in flight at once

Finding on: test_busy_server_is_not_taken_for_a_dead_one failed once in a whole run and in 2 of 22 runs beside 8 busy processes, app-2 suspended as silent.

Traced: each server leaves one call unanswered. The product is right and the test's load wasn't what it says.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -144,7 +144,14 @@
             self.assertEqual(self.send("GET", "/get/x", f"q{number}").status, 200)
 
     def test_busy_server_is_not_taken_for_a_dead_one(self):
-        """Load: answers slower than the patience of repeatable calls, at a peak."""
+        """Load: twelve calls in flight at once, and one on each server isn't answered.
+
+        Answers take longer than the calls to arrive, also on a busy machine: a server
+        of which nothing else is heard meanwhile is suspended, and rightly so.
+        """
+        for name in APPS:
+            self.cluster.control(name, answer_delay_s=0.4)
+            self.addCleanup(self.cluster.control, name, answer_delay_s=0.0)
         self.fail_next(APPS, "silent", 1)
         with ThreadPoolExecutor(12) as pool:
             answers = [
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -35,7 +35,8 @@
 
     ``arrivals`` are the times of all received requests, in seconds since boot. If
     ``limit`` is set, all answers state it as the request limit. ``event_interval_s`` is
-    the time between the events of a stream.
+    the time between the events of a stream, ``answer_delay_s`` that before a plain
+    answer.
 
     ``fault`` applies to the next ``faults_left`` requests: shed (declined), wait
     (declined with a Retry-After header), close (the connection is closed after the
@@ -55,6 +56,7 @@
     arrivals: list[float] = field(default_factory=list)
     limit: str = ""
     event_interval_s: float = EVENT_INTERVAL_S
+    answer_delay_s: float = 0.0
     handles: set[str] = field(default_factory=set)
     orders: OrderEmulator = field(init=False)
     cached_blocks: set[str] = field(default_factory=set)
@@ -120,6 +122,7 @@
         self.faults_left = content.get("count", 1 if "fault" in content else 0)
         self.limit = content.get("limit", self.limit)
         self.event_interval_s = content.get("event_interval_s", self.event_interval_s)
+        self.answer_delay_s = content.get("answer_delay_s", self.answer_delay_s)
         state: dict[str, Any] = {
             "ran": self.executed,
             "seen": self.received,
@@ -158,6 +161,7 @@
             await conn.send_response(500, headers, b"failed")
             return True
         if names.TOKEN_COUNTS not in req.headers:
+            await curio.sleep(self.answer_delay_s)
             body = f"{req.method} {req.target} at {self.server_id}".encode()
             await conn.send_response(200, headers, body)
             return True
