--- a/extras/era_drill.py
+++ b/extras/era_drill.py
@@ -1,4 +1,4 @@
-"""Plays returns of the store from an older copy, under load, with real entries.
+"""Restores the store from older snapshots under load, with real entries.
 
 ``python -m extras.era_drill --entries 8 --seeds 20`` starts a fleet for each seed, has
 callers ask it all the while, and lets the store go back once or twice, also while an
@@ -45,25 +45,25 @@
 
 @dataclass
 class Findings:
-    """What was seen and must not be; ``counts`` are answers by status."""
+    """Violations that were observed; ``counts`` are answers by status."""
 
     violations: list[str] = field(default_factory=list)
     counts: dict[int, int] = field(default_factory=dict)
     _lock: threading.Lock = field(default_factory=threading.Lock)
 
     def count(self, status: int) -> None:
-        """Take in one answer."""
+        """Count one answer."""
         with self._lock:
             self.counts[status] = self.counts.get(status, 0) + 1
 
     def add(self, text: str) -> None:
-        """Take in a violation."""
+        """Record a violation."""
         with self._lock:
             self.violations.append(text)
 
 
 class Drill:
-    """One seed's fleet, load and returns."""
+    """Fleet, load and restores of one seed."""
 
     def __init__(self, cluster: GatewayCluster, entries: int, seed: int):
         self._cluster = cluster
@@ -97,17 +97,17 @@
         )
 
     def run(self) -> Findings:
-        """Play the returns and return what was seen."""
+        """Perform the restores and return the findings."""
         self._running.set()
         threads = [threading.Thread(target=self._call) for _ in range(CALLERS)]
         threads += [
-            threading.Thread(target=self._look, args=(entry,))
+            threading.Thread(target=self._watch_configuration, args=(entry,))
             for entry in self._entries
         ]
         for thread in threads:
             thread.start()
         try:
-            self._go_back()
+            self._restore()
         except TimeoutError as exc:
             self.findings.add(f"not served again: {exc}")
         finally:
@@ -117,7 +117,7 @@
         self._check_orders()
         return self.findings
 
-    def _go_back(self) -> None:
+    def _restore(self) -> None:
         rng = self._rng
         time.sleep(rng.uniform(0.3, 1.5))
         self._control_store(copy=True)
@@ -128,7 +128,7 @@
         wait_until(lambda: self._statuses("/new/x") <= {200}, RECOVERY_S)
         time.sleep(rng.uniform(0.2, 2.0))
         for _ in range(rng.choice((1, 1, 2))):
-            self._return_once()
+            self._restore_once()
         again = None
         if rng.random() < 0.5:
             again = self._start_entry(len(self._entries) + 2)
@@ -142,10 +142,10 @@
         wait_until(lambda: self._statuses("/later/x") <= {200}, RECOVERY_S)
         wait_until(lambda: self._statuses("/get/x") <= {200}, RECOVERY_S)
 
-    def _return_once(self) -> None:
-        """Let the store go back while an entry stops, or stands still, or neither."""
+    def _restore_once(self) -> None:
+        """Restore the store while an entry stops, is paused, or neither."""
         rng = self._rng
-        beside = rng.choice((nullcontext, self._stopping, self._standing_still))
+        beside = rng.choice((nullcontext, self._stopping, self._pausing))
         self._control_store(refuse=503)
         time.sleep(rng.uniform(0.05, 1.0))
         with beside():
@@ -154,7 +154,7 @@
 
     @contextmanager
     def _stopping(self) -> Iterator[None]:
-        """Stop one entry as its operator does."""
+        """Stop one entry gracefully."""
         leaving = self._entries.pop(self._rng.randrange(len(self._entries)))
         leaving.send_signal(signal.SIGTERM)
         yield
@@ -162,8 +162,8 @@
             self.findings.add(f"{leaving.name}: ended with {leaving.popen.returncode}")
 
     @contextmanager
-    def _standing_still(self) -> Iterator[None]:
-        """Let one entry see the return later than the others; no caller asks it."""
+    def _pausing(self) -> Iterator[None]:
+        """Pause one entry, so that it notices the restore later than the others."""
         still = self._entries.pop(self._rng.randrange(len(self._entries)))
         still.send_signal(signal.SIGSTOP)
         yield
@@ -196,7 +196,7 @@
         }
 
     def _call(self) -> None:
-        """Ask for plain answers and for streams until the drill ends."""
+        """Send plain calls and streams until the drill ends."""
         rng = random.Random(next(self._numbers))
         while self._running.is_set():
             entry = rng.choice(self._entries)
@@ -227,8 +227,8 @@
         elif answer.status == 200 and body and not answer.body.endswith(STREAM_END):
             self.findings.add(f"{entry.name} {path}: cut short")
 
-    def _look(self, entry: GatewayProcess) -> None:
-        """Watch which configuration an entry goes by until the drill ends."""
+    def _watch_configuration(self, entry: GatewayProcess) -> None:
+        """Watch the configuration in force at an entry until the drill ends."""
         newer_since_s = None
         while self._running.is_set():
             status = self._get("/old/x", entry)
@@ -260,7 +260,7 @@
 
 
 def main(args: list[str]) -> int:
-    """Play the seeds; returns 1 where one shows a violation."""
+    """Run the seeds; returns 1 if one shows a violation."""
     parser = argparse.ArgumentParser(prog="python -m extras.era_drill")
     parser.add_argument("--entries", type=int, default=8)
     parser.add_argument("--seeds", type=int, default=20)
--- a/extras/reading_bound.py
+++ b/extras/prefill_bound.py
@@ -1,10 +1,10 @@
-"""How many long prompts a scheduler that knows the future could answer in time.
+"""Upper bound on the long prompts that any scheduler could answer in time.
 
 Reads the JSON log lines of entries (event "attempt placed on an upstream", stage
-prefill) and asks two questions of what arrived. Which prompts take longer to read than
-their objective, even on an idle engine? And which of the others fit into the reading
-stage, taken as one engine of all engines' speed that is never idle while work is
-there, switches between prompts at no cost and drops the largest prompts first? No real
+prefill) and answers two questions. Which prompts take longer to prefill than
+their objective, even on an idle engine? And which of the others fit into the prefill
+stage, modelled as one engine of the combined rate that is never idle while work is
+queued, switches between prompts at no cost and drops the largest prompts first? No real
 scheduler does better than both together; the difference to what was served in time is
 the gap.
 """
@@ -24,8 +24,8 @@
 
 
 @dataclass(frozen=True)
-class Reading:
-    """One long prompt: when it came, what had to be read and when it was answered.
+class PrefillRecord:
+    """One long prompt: its arrival, the tokens to prefill and its first event.
 
     Times in seconds; ``first_s`` is None where no answer began.
     """
@@ -53,7 +53,7 @@
         )
 
 
-def read_log(lines: Iterable[str]) -> list[Reading]:
+def read_log(lines: Iterable[str]) -> list[PrefillRecord]:
     """Return the long prompts of a log in the order of their arrival."""
     first: dict[str, dict] = {}
     answered: dict[str, float] = {}
@@ -63,39 +63,39 @@
             first.setdefault(name, content)
         elif content["event"] == ANSWERED_EVENT and content.get("status") == 200:
             answered[name] = content["first_s"]
-    readings = [
-        Reading(_seconds(content["time"]), _tokens(content), answered.get(name))
+    prefills = [
+        PrefillRecord(_seconds(content["time"]), _tokens(content), answered.get(name))
         for name, content in first.items()
         if content["input_tokens"] >= LONG_TOKENS
     ]
-    return sorted(readings, key=lambda item: item.arrived_at_s)
+    return sorted(prefills, key=lambda item: item.arrived_at_s)
 
 
 def bound(
-    readings: list[Reading],
+    prefills: list[PrefillRecord],
     engines: int,
     rate: float,
     objective_s: float,
     rest_s: float,
 ) -> Bound:
-    """Return the bound; ``rest_s`` is what comes between the reading and the event.
+    """Return the bound; ``rest_s`` is the time from the prefill to the first event.
 
     ``rate`` is the tokens that one engine reads in a second.
     """
     time_s = objective_s - rest_s
-    possible = [item for item in readings if item.tokens / rate <= time_s]
+    possible = [item for item in prefills if item.tokens / rate <= time_s]
     served = sum(
-        item.first_s is not None and item.first_s <= objective_s for item in readings
+        item.first_s is not None and item.first_s <= objective_s for item in prefills
     )
     return Bound(
-        prompts=len(readings),
-        too_long=len(readings) - len(possible),
+        prompts=len(prefills),
+        too_long=len(prefills) - len(possible),
         at_best=_pooled(possible, engines * rate, time_s),
         served=served,
     )
 
 
-def _pooled(readings: list[Reading], rate: float, time_s: float) -> int:
+def _pooled(prefills: list[PrefillRecord], rate: float, time_s: float) -> int:
     """Count the prompts in time on one engine; the largest are dropped first.
 
     All have the same time, so that they are due in the order of their arrival.
@@ -103,7 +103,7 @@
     kept: list[int] = []
     free_at_s = 0.0
     dropped = 0
-    for item in readings:
+    for item in prefills:
         if free_at_s <= item.arrived_at_s:
             kept.clear()
             free_at_s = item.arrived_at_s
@@ -112,7 +112,7 @@
         if free_at_s > item.arrived_at_s + time_s:
             free_at_s += heapq.heappop(kept) / rate
             dropped += 1
-    return len(readings) - dropped
+    return len(prefills) - dropped
 
 
 def _contents(lines: Iterable[str]) -> Iterator[dict]:
@@ -137,16 +137,16 @@
 
 def main() -> int:
     """Print the bound for a log."""
-    parser = argparse.ArgumentParser(prog="reading_bound", description=__doc__)
+    parser = argparse.ArgumentParser(prog="prefill_bound", description=__doc__)
     parser.add_argument("file", type=argparse.FileType(encoding="utf-8"))
     parser.add_argument("--engines", type=int, required=True, help="that read prompts")
     parser.add_argument("--rate", type=float, required=True, help="tokens/s of one")
     parser.add_argument("--objective-s", type=float, required=True)
     parser.add_argument("--rest-s", type=float, default=0.06)
     options = parser.parse_args()
-    readings = read_log(options.file)
+    prefills = read_log(options.file)
     result = bound(
-        readings, options.engines, options.rate, options.objective_s, options.rest_s
+        prefills, options.engines, options.rate, options.objective_s, options.rest_s
     )
     print(result)
     return 0
--- a/extras/replay/engines.py
+++ b/extras/replay/engines.py
@@ -1,4 +1,4 @@
-"""Simulated engines: they read prompts in turn, keep parts, and run streams."""
+"""Simulated engines that prefill prompts, cache prefix blocks and run streams."""
 
 import heapq
 import itertools
@@ -33,7 +33,7 @@
 
 @dataclass(frozen=True)
 class EngineFault:
-    """Trouble of one engine between two times of the replay.
+    """Fault of one engine between two times of the replay.
 
     ``slowdown`` stretches its work, ``failed_share`` of its runs fail.
     """
@@ -45,15 +45,15 @@
 
 
 @dataclass
-class ReadTokens:
-    """Tokens that engines read, and those of shared parts that were read before."""
+class PrefilledTokens:
+    """Tokens prefilled, and those of shared blocks that were prefilled before."""
 
     all: int = 0
     again: int = 0
     _parts: set[str] = field(default_factory=set)
 
     def note(self, prompt: Prompt, held: int) -> None:
-        """Take in that a prompt is read of which an engine has ``held`` tokens."""
+        """Count a prefill by an engine that has ``held`` of the tokens cached."""
         self.all += prompt.input_tokens - held
         for part in prompt.shared_blocks:
             held -= part.tokens
@@ -64,11 +64,11 @@
 
 @dataclass
 class SimulatedEngine:
-    """One engine; parts of prompts yield in the order of their last use."""
+    """One engine; the least recently used blocks are evicted first."""
 
     upstream: Upstream
     costs: EngineCosts
-    read_tokens: ReadTokens
+    read_tokens: PrefilledTokens
     rng: random.Random
     faults: tuple[EngineFault, ...] = ()
     running: int = 0
@@ -80,11 +80,11 @@
     async def read(
         self, prompt: Prompt, source: "SimulatedEngine | None", urgency: int
     ) -> None:
-        """Read a prompt in its turn, after copying what ``source`` has of it."""
-        await self._take_turn(urgency)
+        """Prefill a queued prompt, after copying what ``source`` has cached of it."""
+        await self._wait_for_prefill(urgency)
         try:
-            held = self._held_tokens(prompt)
-            copied = max(0, source._held_tokens(prompt) - held) if source else 0
+            held = self._cached_tokens(prompt)
+            copied = max(0, source._cached_tokens(prompt) - held) if source else 0
             missing = prompt.input_tokens - held - copied
             self.read_tokens.note(prompt, held + copied)
             slowdown = DIRECT_SLOWDOWN if self._runs else 1.0
@@ -92,18 +92,18 @@
             work_s += copied / self.costs.copy_rate
             await curio.sleep(work_s * self._slowdown())
         finally:
-            await self._pass_turn()
+            await self._end_prefill()
         await curio.sleep(self.costs.first_event_s)
-        self._keep(prompt)
+        self._cache(prompt)
 
     async def take_over(self, prompt: Prompt) -> None:
-        """Copy a prompt that another engine has read."""
-        missing = prompt.input_tokens - self._held_tokens(prompt)
+        """Copy the KV cache of a prompt that another engine has prefilled."""
+        missing = prompt.input_tokens - self._cached_tokens(prompt)
         await curio.sleep(self.costs.first_event_s + missing / self.costs.copy_rate)
-        self._keep(prompt)
+        self._cache(prompt)
 
     async def run(self, tokens: int) -> None:
-        """Write the answer; raises AttemptFailed where a fault strikes."""
+        """Generate the answer; raises AttemptFailed if a fault occurs."""
         with self._place():
             for fault in self._faults_now():
                 if self.rng.random() < fault.failed_share:
@@ -123,7 +123,7 @@
         finally:
             self.running -= 1
 
-    async def _take_turn(self, urgency: int) -> None:
+    async def _wait_for_prefill(self, urgency: int) -> None:
         if not self._is_reading:
             self._is_reading = True
             return
@@ -134,19 +134,19 @@
             await turn.wait()
         except curio.CancelledError:
             if turn.is_set():
-                await self._pass_turn()
+                await self._end_prefill()
             else:
                 self._waiting.remove(entry)
                 heapq.heapify(self._waiting)
             raise
 
-    async def _pass_turn(self) -> None:
+    async def _end_prefill(self) -> None:
         if self._waiting:
             await heapq.heappop(self._waiting)[2].set()
         else:
             self._is_reading = False
 
-    def _held_tokens(self, prompt: Prompt) -> int:
+    def _cached_tokens(self, prompt: Prompt) -> int:
         held = 0
         for part in prompt.shared_blocks:
             if part.block_id not in self._parts:
@@ -154,7 +154,7 @@
             held += part.tokens
         return held
 
-    def _keep(self, prompt: Prompt) -> None:
+    def _cache(self, prompt: Prompt) -> None:
         for part in prompt.blocks:
             self._parts[part.block_id] = part.tokens
             self._parts.move_to_end(part.block_id)
--- a/extras/replay/fleet.py
+++ b/extras/replay/fleet.py
@@ -1,4 +1,4 @@
-"""Callers, one scheduler and simulated engines, played on a clock that jumps ahead."""
+"""Replay of callers, one scheduler and simulated engines in virtual time."""
 
 import random
 from collections import Counter
@@ -36,7 +36,7 @@
 )
 from wisteriaarch.wire import Address
 
-from .engines import EngineFault, ReadTokens, SimulatedEngine
+from .engines import EngineFault, PrefilledTokens, SimulatedEngine
 from .load import ZONES, Arrival, Deployment, KindSpec, arrivals
 from .virtual_time import VirtualTime
 
@@ -52,7 +52,7 @@
 
 @dataclass
 class KindResult:
-    """What became of the requests of one kind; waits are until the first event."""
+    """Results of the requests of one kind; waits are until the first event."""
 
     kind: KindSpec
     ends: Counter = field(default_factory=Counter)
@@ -61,12 +61,12 @@
 
     @property
     def asked(self) -> int:
-        """Requests that came; one that comes back is the same request."""
+        """Number of requests; a caller's retry is the same request."""
         return sum(self.ends.values())
 
     @property
     def worth(self) -> float:
-        """Worth earned by what came in time or late, of all that could be."""
+        """Earned share of the worth of all requests."""
         kind = self.kind
         earned = kind.worth * self.ends["in time"] + kind.late_worth * self.ends["late"]
         return earned / max(1.0, kind.worth * self.asked)
@@ -74,16 +74,16 @@
 
 @dataclass
 class ReplayResult:
-    """What became of a replay; ``queued`` is (second, prompts that wait)."""
+    """Results of a replay; ``queued`` is (second, queued prompts)."""
 
     kinds: dict[str, KindResult]
-    read_tokens: ReadTokens
+    read_tokens: PrefilledTokens
     rate: float = 0.0
     queued: list[tuple[float, int]] = field(default_factory=list)
 
     @property
     def worth(self) -> float:
-        """Worth earned of all that could be, over all kinds."""
+        """Earned share of the worth of all requests, over all kinds."""
         owed = sum(item.kind.worth * item.asked for item in self.kinds.values())
         earned = sum(
             item.worth * item.kind.worth * item.asked for item in self.kinds.values()
@@ -100,13 +100,13 @@
         self._deployment = deployment
         self._rng = random.Random(seed)
         self._faults = faults
-        self._tokens = ReadTokens()
+        self._tokens = PrefilledTokens()
         self._result = ReplayResult(
             {item.name: KindResult(item) for item in deployment.kinds}, self._tokens
         )
 
     def run(self) -> ReplayResult:
-        """Play all arrivals and return what became of them."""
+        """Play all arrivals and return the results."""
         VirtualTime().run(self._main)
         return self._result
 
@@ -131,7 +131,7 @@
         async with curio.TaskGroup() as group:
             for arrival in arrivals(self._deployment, self._rng):
                 await curio.sleep(max(0.0, started_at_s + arrival.at_s - now_s()))
-                await group.spawn(self._ask, arrival)
+                await group.spawn(self._send_request, arrival)
                 self._note_queue(arrival.at_s)
         self._result.rate = self._estimates.prefill_rate(SERVICE)
 
@@ -161,7 +161,7 @@
                 upstream, deployment.costs, self._tokens, self._rng, faults
             )
 
-    async def _ask(self, arrival: Arrival) -> None:
+    async def _send_request(self, arrival: Arrival) -> None:
         result = self._result.kinds[arrival.kind.name]
         asked_at_s = now_s()
         deadline_at_s = asked_at_s + arrival.kind.deadline_s
@@ -184,7 +184,7 @@
         asked_at_s: float,
         result: KindResult,
     ) -> tuple[str, float | None]:
-        """Return how a try ended, and when the caller comes back; None for never."""
+        """Return the outcome of a try, and the delay of the caller's retry, if any."""
         kind = arrival.kind
         leave_s = max(LEAVE_MIN_S, LEAVE_OBJECTIVES * kind.aim_s)
         try:
@@ -204,7 +204,7 @@
             return "left", None
 
     async def _serve(self, call: RoutedCall) -> tuple[float, Choice]:
-        """Return when the first event came, and the engine that goes on."""
+        """Return the time of the first event, and the engine that continues."""
         plan = await self._scheduler.place(call)
         call.placements += 1
         if plan.prefill is None:
@@ -212,22 +212,22 @@
         await self._attempt(call, plan.prefill, AttemptStage.PREFILL)
         reader = plan.prefill.candidate.upstream
         choice = await self._scheduler.place_decode(call, reader)
-        return await self._attempt(call, choice, AttemptStage.RUN, reads_here=False)
+        return await self._attempt(call, choice, AttemptStage.RUN, prefills_here=False)
 
     async def _attempt(
         self,
         call: RoutedCall,
         choice: Choice,
         stage: AttemptStage,
-        reads_here: bool = True,
+        prefills_here: bool = True,
     ) -> tuple[float, Choice]:
-        grant = PlacedAttempt(call, choice, stage, reads_here)
+        grant = PlacedAttempt(call, choice, stage, prefills_here)
         grant.begin(self._scheduler, self._estimate_updater)
         started_at_s = now_s()
         cause = ABANDONED
         try:
             await curio.sleep(NETWORK_S)
-            await self._work(call, choice, reads_here)
+            await self._work(call, choice, prefills_here)
             cause = ANSWERED
             return now_s(), choice
         finally:
@@ -236,12 +236,14 @@
             first_s = elapsed_s if cause == ANSWERED else None
             outcome = AttemptOutcome(cause, elapsed_s, first_s)
             self._estimate_updater.observe_outcome(
-                call, choice, stage, outcome, reads_here
+                call, choice, stage, outcome, prefills_here
             )
 
-    async def _work(self, call: RoutedCall, choice: Choice, reads_here: bool) -> None:
+    async def _work(
+        self, call: RoutedCall, choice: Choice, prefills_here: bool
+    ) -> None:
         engine = self._engines[choice.candidate.upstream.upstream_id]
-        if not reads_here:
+        if not prefills_here:
             await engine.take_over(call.prompt)
             return
         source = choice.fetch_from
--- a/extras/replay/load.py
+++ b/extras/replay/load.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True)
 class SharedPartSpec:
-    """Parts of one place in the chain: mean tokens, and how many there are.
+    """Blocks at one position of the prefix: mean tokens, and their number.
 
     Other parts take their places every ``renewed_s`` seconds; never where 0.
     """
@@ -28,7 +28,7 @@
 
 @dataclass(frozen=True)
 class KindSpec:
-    """Kind of request; times in seconds, ``worth`` in time and late."""
+    """Kind of request; times in seconds, ``worth`` within and after the objective."""
 
     name: str
     per_s: float
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True)
 class Peak:
-    """Time in which a kind of request comes more often; all kinds where empty."""
+    """Period in which a kind of request arrives more often; all kinds if empty."""
 
     from_s: float
     until_s: float
@@ -127,7 +127,7 @@
 
 
 def draw_deployment(rng: random.Random) -> Deployment:
-    """Return a deployment of like load, with engines and sizes drawn at random."""
+    """Return a deployment of similar load with random engines and sizes."""
     prefills, decodes = rng.randint(1, 5), rng.randint(2, 8)
     rate = math.exp(rng.uniform(math.log(10_000), math.log(400_000)))
     costs = EngineCosts(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -186,7 +186,7 @@
 
 
 class EntryPollTest(unittest.TestCase):
-    """What ``apply`` asks of 100 entries, of which one never answers."""
+    """How often ``apply`` polls 100 entries, one of which never answers."""
 
     ENTRIES = 100
 
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -57,7 +57,7 @@
 
 
 def _answer(engine, target) -> dict:
-    """Ask an engine that may be restarting."""
+    """Send a request to an engine that may be restarting."""
     with contextlib.suppress(OSError, http.client.HTTPException):
         return engine.request("GET", target).json()
     return {}
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Upstreams whose bytes never end, or come one by one: memory and time stay bounded."""
+"""Answers without an end, or of single bytes: memory and time stay bounded."""
 
 import time
 import unittest
--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -14,7 +14,7 @@
 
 
 class EntryLimitTest(ClusterTestCase):
-    """Load: calls enough for a multiple of the limit, through all entries alike."""
+    """All entries together get calls for a multiple of an upstream's request limit."""
 
     engines = ("engine-1", "engine-2")
     entries = ("entry-1", "entry-2", "entry-3")
@@ -99,7 +99,7 @@
     def count_arrivals(self) -> int:
         return len(self.process("portal-1").request("GET", "/arrivals").json())
 
-    def test_service_that_asks_to_be_left_alone_is_left_alone_for_that_long(self):
+    def test_requested_backoff_of_a_service_is_kept(self):
         portal = self.process("portal-1")
         back = {"status": 200, "headers": []}
         self.addCleanup(portal.request, "POST", "/control", back)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -59,7 +59,7 @@
         self.assertEqual(line["detail"], "took longer")
 
     def test_progress_is_written_some_lines_at_a_time_and_failures_at_once(self):
-        """Load: hundreds of calls a second, each with lines of its own."""
+        """Without batching, hundreds of calls a second cost one write for each line."""
         stream = mock.Mock()
         with open_log("json", "info", stream, LogBudget(1e6, 1e9)).applicationbound():
             log = EventLog("entry-1")
--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -52,7 +52,7 @@
 
 @dataclass
 class Engine:
-    """Reads one prompt after the other, the most urgent first."""
+    """Engine that prefills one prompt at a time, the most urgent first."""
 
     name: str
     zone: str
@@ -88,7 +88,7 @@
 
 
 class FairnessTest(unittest.TestCase):
-    """Loads that take 1.1 and 1.7 times what three engines read, for 20 s."""
+    """Loads of 1.1 and 1.7 times the prefill capacity of three engines, for 20 s."""
 
     RATES = (60.0, 120.0)
 
@@ -111,7 +111,7 @@
                 self.assertGreater(share_of(asked), 0.8)
 
     def test_largest_prompts_are_served_half_as_often_as_all_at_least(self):
-        """Load: a few very long prompts among many, in every second of a peak."""
+        """A few very long prompts arrive among many others in each second of a peak."""
         for rate, asked in self.runs.items():
             with self.subTest(prompts_per_s=rate):
                 long = [item for item in asked if is_long(item)]
@@ -139,7 +139,7 @@
                     )
 
     def test_no_subject_is_never_served(self):
-        """Load: the same shared parts are asked for all day, some of them seldom."""
+        """Prompts use the same shared prefixes all the time, some of them rarely."""
         for rate, asked in self.runs.items():
             with self.subTest(prompts_per_s=rate):
                 served = Counter()
@@ -159,7 +159,7 @@
 
 
 class PeakTest(unittest.TestCase):
-    """Load: 1.3 and 1.6 times what eleven engines read, for 20 s."""
+    """Loads of 1.3 and 1.6 times the prefill capacity of eleven engines, for 20 s."""
 
     # Prompts a second, and the share of the long ones that is to be in time.
     PEAKS = ((220.0, 0.8), (300.0, 0.55))
@@ -186,7 +186,7 @@
     LOADS = ((60.0, 8), (160.0, 7))
 
     def test_largest_prompts_are_served_half_as_often_as_all_at_least(self):
-        """Load: another draw of the first one, and 2.4 times what engines read."""
+        """The first load with another seed, and 2.4 times the prefill capacity."""
         for rate, seed in self.LOADS:
             with self.subTest(prompts_per_s=rate, seed=seed):
                 asked = play(ask(random.Random(seed), rate), random.Random(8))
@@ -203,12 +203,12 @@
 
 
 def is_long(asked) -> bool:
-    """Whether a prompt is of the kind with a shared part."""
+    """Whether a prompt has a shared prefix."""
     return asked.prompt.shared_tokens > 0
 
 
 def ask(rng, prompts_per_s) -> list[Asked]:
-    """Return prompts of two kinds, a quarter of them long, from all zones."""
+    """Return prompts of two sizes, a quarter of them long, from all zones."""
     arrivals = []
     at_s = 0.0
     while at_s < LENGTH_S:
@@ -270,7 +270,7 @@
         return any(engine.queue or engine.reading for engine in self.engines)
 
     def take(self, asked):
-        """Place a prompt that has just come, or put it into the queue."""
+        """Place a prompt that has just arrived, or queue it."""
         own_tokens = asked.prompt.own_tokens
         asked.prioritized = self.shares.is_prioritized(
             asked.call_id, route_of(asked), own_tokens
@@ -332,5 +332,5 @@
 
 
 def share_of(items) -> float:
-    """Return which share of some prompts was served."""
+    """Return the share of prompts that were served."""
     return sum(item.served for item in items) / max(1, len(items))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -73,8 +73,8 @@
         self.assertEqual(answer.status, 502)
         self.assertEqual(len(self.ran("n1")), 1)
 
-    def test_prompt_is_read_elsewhere_where_its_reading_is_not_answered(self):
-        """Load: engines that read prompts go dark, and no call on the route repeats."""
+    def test_unanswered_prefill_is_retried_on_another_engine(self):
+        """A prefill engine stops responding, and the route allows no retries."""
         self.fail_next(("pre-1",), "silent", 1)
         started_at_s = time.monotonic()
         answer = self.send_prompt(
@@ -97,7 +97,7 @@
         self.assertEqual(self.ran("n3"), [])
         self.assertGreater(float(answer.headers["retry-after"]), 0)
 
-    def test_server_that_asks_to_be_left_alone_is_left_alone_for_that_long(self):
+    def test_requested_backoff_of_a_server_is_kept(self):
         self.fail_next(APPS[:1], "wait", 1)
         began_at_s = time.monotonic()
         number = 0
@@ -172,7 +172,7 @@
 
 
 class ExplainTest(GatewayTestCase):
-    def test_story_of_a_refused_request_names_each_attempt(self):
+    def test_explanation_of_a_refused_request_names_each_attempt(self):
         self.fail_next(APPS, "shed", 9)
         self.assertEqual(self.send("POST", "/post/x", "why1").status, 503)
         log = str(self.gateway.log_path)
@@ -184,14 +184,14 @@
         self.assertIn("kind=upstream_overloaded ran=no", lines[-1])
         self.assertIn("answered 503", lines[-1])
 
-    def test_unknown_request_is_said(self):
+    def test_unknown_request_is_reported(self):
         done = self.cluster.run_cli("explain", "nobody", str(self.gateway.log_path))
         self.assertNotEqual(done.returncode, 0)
         self.assertIn("not in the logs", done.stderr)
 
 
 class StreamTest(GatewayTestCase):
-    def test_long_prompt_is_read_apart(self):
+    def test_long_prompt_is_prefilled_by_the_prefill_stage(self):
         answer = self.send_prompt("/chat/x", "long1", 12_000)
         self.assertEqual(answer.body, WHOLE_STREAM)
         seen = self.cluster.control("pre-1")["seen"]
@@ -200,13 +200,13 @@
         )
         self.assertEqual(len(self.ran("long1")), 1)
 
-    def test_short_prompt_is_read_by_the_engine_that_runs_it(self):
+    def test_short_prompt_is_prefilled_by_the_decode_engine(self):
         answer = self.send_prompt("/chat/x", "short1", 200)
         self.assertEqual(answer.body, WHOLE_STREAM)
         seen = self.cluster.control("pre-1")["seen"]
         self.assertNotIn("short1", [s["attempt-id"] for s in seen])
 
-    def test_shared_part_is_copied_from_where_it_is(self):
+    def test_shared_prefix_is_copied_from_another_engine(self):
         for number in range(3):
             self.send_prompt("/chat/x", f"copy{number}", 16_000)
         self.cluster.write("servers", "pre-1", b"{}")
@@ -260,7 +260,7 @@
             self.send_prompt("/chat/x", "cut3", 200)
         self.assertEqual(len(self.ran("cut3")), 1)
 
-    def test_unused_memory_is_freed(self):
+    def test_unused_kv_cache_is_released(self):
         self.fail_next(DECODERS, "shed", 4)
         answer = self.send_prompt("/chat/x", "free1", 12_000)
         self.assertEqual(answer.status, 503)
@@ -323,8 +323,8 @@
             self.cluster.write("servers", "app-1", row)
             self.assertEqual(waiting.result(), 200)
 
-    def test_server_that_says_it_leaves_gets_nothing_from_any_entry(self):
-        """Its registration says that it is ready; a restart ends its word."""
+    def test_draining_server_gets_no_new_work_from_any_entry(self):
+        """The header overrides the registration until the server restarts."""
         self.cluster.start_server("app-2", "app")
         first = self.start(2)
         second = self.start(3, ports=first.ports)
@@ -392,7 +392,7 @@
             return False
         return True
 
-    def test_lost_history_is_read_anew(self):
+    def test_all_rows_are_read_again_if_the_history_is_unavailable(self):
         gateway = self.start()
         store = self.cluster.processes["store"]
         store.request("POST", "/emulate", {"forget": True})
@@ -422,12 +422,12 @@
         )
         return answer.json()["addresses"] if answer.status == 200 else []
 
-    def test_entry_that_says_it_is_ready_names_itself_to_callers(self):
+    def test_ready_entry_is_in_its_address_list(self):
         gateway = self.cluster.start_gateway()
         wait_until(lambda: is_ready(gateway), every_s=0.001)
         self.assertEqual(self._addresses(gateway), [gateway.address])
 
-    def test_leaving_entry_is_off_the_addresses_and_still_serves(self):
+    def test_draining_entry_is_off_the_address_list_and_still_serves(self):
         first = self.start(2)
         second = self.start(3, ports=first.ports)
         wait_until(lambda: len(self._addresses(first)) == 2)
@@ -440,7 +440,7 @@
     def test_request_that_crashes_servers_is_stopped_at_all_entries(self):
         self.assert_three_crashes()
 
-    def test_entries_tell_of_a_crash_before_the_next_heartbeat(self):
+    def test_crashes_are_announced_before_the_next_heartbeat(self):
         self.assert_three_crashes(heartbeat_every_s=2.0)
 
     def assert_three_crashes(self, **settings):
--- a/tests/test_gateway_callers.py
+++ b/tests/test_gateway_callers.py
@@ -1,4 +1,4 @@
-"""Callers that leave or stall, and addresses that another server has taken over."""
+"""Callers that disconnect or stall, and addresses reused by another server."""
 
 import contextlib
 import os
@@ -29,7 +29,7 @@
 
 
 class LeavingCallerTest(CallerTestCase):
-    def test_work_ends_when_its_caller_leaves(self):
+    def test_work_is_cancelled_when_its_caller_disconnects(self):
         self.fail_next(APPS, "silent")
         with self.connect() as caller:
             caller.sendall(
@@ -43,12 +43,12 @@
         wait_until(lambda: self.requests_left() == ["l1"])
 
     def requests_left(self):
-        """Return the requests whose callers left, as the log has them."""
+        """Return the logged requests whose callers disconnected."""
         lines = self.gateway.log_lines()
         return [line["request"] for line in lines if line["event"] == 304]
 
     def in_flight(self):
-        """Return how many requests the entry has at the plain servers."""
+        """Return the entry's requests in flight on plain servers."""
         text = request(self.gateway.metrics_address, "GET", "/metrics").body.decode()
         return sum(
             float(line.split()[1])
@@ -60,7 +60,7 @@
 class StalledCallersTest(CallerTestCase):
     """Half of the callers send nothing, the others half of a request's head."""
 
-    def test_stalled_callers_cost_little_and_hold_up_nobody(self):
+    def test_stalled_callers_use_little_memory_and_delay_no_other(self):
         memory_kb, descriptors = self.memory_kb(), self.descriptors()
         with contextlib.ExitStack() as stack:
             for number in range(STALLED_CALLERS):
@@ -107,7 +107,7 @@
         )
 
     def listed(self) -> set[str]:
-        """Return the upstreams that the entry has found registered."""
+        """Return the registered upstreams that the entry knows."""
         lines = self.gateway.log_lines()
         return {line["upstream"] for line in lines if line["event"] == 220}
 
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -16,7 +16,7 @@
 
 
 class RequestLimitTest(RouteCluster):
-    """Load: calls enough for a multiple of the limit, through all entries alike."""
+    """All entries together get calls for a multiple of a server's request limit."""
 
     @classmethod
     def setUpClass(cls):
@@ -94,8 +94,8 @@
         line = next(line for line in text.splitlines() if line.startswith(start))
         return float(line.removeprefix(start))
 
-    def test_limit_is_known_to_entries_that_no_answer_told(self):
-        """Load: calls through one entry alone."""
+    def test_limit_is_known_to_entries_without_answers_of_the_server(self):
+        """Only one entry gets calls; no answer states the limit to the others."""
         self.limit("app-1")
         for number in range(20):
             self.get(number * len(self.entries))
@@ -112,8 +112,8 @@
             for number in range(20):
                 self.get(number * len(self.entries))
 
-    def test_limit_is_known_while_the_answers_that_state_it_go_on(self):
-        """Load: streams of four seconds."""
+    def test_limit_is_kept_while_streams_that_state_it_continue(self):
+        """A limit must not become known only when a stream of four seconds ends."""
         for name in ("dec-1", "dec-2"):
             self.cluster.control(name, event_interval_s=1.0)
             self.addCleanup(self.cluster.control, name, event_interval_s=0.01)
@@ -123,7 +123,7 @@
         self.assert_kept("dec-1", since_s)
 
     def test_limit_that_has_ended_is_forgotten_by_all_entries(self):
-        """Load: then the other server states a limit, so that this one must serve."""
+        """Then the other server states a limit, so that this one must serve."""
         self.addCleanup(self.cluster.control, "app-2", limit="")
         with SteadyLoad(self.get, 40) as load:
             self.limit("app-1")
@@ -137,7 +137,7 @@
         self.assertEqual(set(load.statuses), {200})
 
     def test_limit_outlives_the_restart_of_each_entry(self):
-        """Load: the same, and the entries are killed and started again in turn."""
+        """A new scheduler has received none of the answers that stated the limit."""
         with SteadyLoad(self.get, 40):
             since_s = self.limit("app-1")
             time.sleep(2 * KNOWN_AFTER_S)
--- a/tests/test_gateway_load.py
+++ b/tests/test_gateway_load.py
@@ -1,4 +1,4 @@
-"""What callers are told at an entry while prompts queue at the engines."""
+"""Answers of an entry while prompts are queued at the engines."""
 
 import threading
 import time
@@ -26,7 +26,7 @@
         return self.send_prompt("/chat/x", name, LONG_TOKENS, Prefix_Hash=parts)
 
     def queue(self, name):
-        """Have the only engine that reads prompts read a long one."""
+        """Occupy the only prefill engine with a long prompt."""
         thread = threading.Thread(target=self.send_long, args=(name,))
         thread.start()
         self.addCleanup(thread.join)
@@ -37,8 +37,8 @@
         lines = [line for line in text.splitlines() if line.startswith(IN_FLIGHT)]
         return sum(float(line.split()[-1]) for line in lines)
 
-    def test_prompt_that_no_engine_can_read_in_time_is_refused_at_once(self):
-        """Load: a long prompt is being read, and another one comes."""
+    def test_prompt_that_no_engine_can_prefill_in_time_is_refused_at_once(self):
+        """A long prompt arrives while the only prefill engine works on another one."""
         self.queue("first")
         asked_at_s = time.monotonic()
         answer = self.send_long("second")
@@ -52,6 +52,6 @@
         self.assertEqual(self.send_prompt("/chat/x", "second-again", 9000).status, 200)
 
     def test_short_prompt_is_served_beside_a_queue_of_long_ones(self):
-        """Load: the same, and a caller with a question of usual size."""
+        """A short prompt arrives while the only prefill engine works on a long one."""
         self.queue("long")
         self.assertEqual(self.send_prompt("/chat/x", "short", 400).status, 200)
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -1,4 +1,4 @@
-"""The log of an entry costs its callers nothing, whoever reads it."""
+"""A slow reader of the log doesn't delay callers."""
 
 import json
 import os
@@ -49,7 +49,7 @@
         self.assertLess(slower_s, SLOWER_MAX_S)
         self.assertLess(sorted(unread)[int(0.95 * REQUESTS)] - max(read), SLOWER_MAX_S)
 
-    def test_lines_over_the_budget_are_left_out_and_told(self):
+    def test_lines_over_the_budget_are_suppressed_and_counted(self):
         gateway, reader = self.start(4, log={"form": "json", "lines_per_s": 5})
         for number in range(REQUESTS):
             self.time_s(gateway, f"over-{number}")
--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -23,7 +23,7 @@
 
 
 class StagesTest(RouteCluster):
-    """Two entries, one engine that reads prompts and six that run them."""
+    """Two entries, one prefill engine and six decode engines."""
 
     def setUp(self):
         self.cluster = self.enterContext(GatewayCluster())
@@ -113,7 +113,7 @@
             row = server_row(self.cluster.processes[name], "llm", order["stage"])
             self.cluster.write("servers", name, row)
 
-    def test_lasting_demand_for_reading_changes_a_stage_and_cuts_no_call(self):
+    def test_lasting_prefill_demand_changes_a_stage_and_cuts_no_call(self):
         self.load(*self.entries)
         wait_until(self.orders, ORDER_WAIT_S)
         self.register_changes()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -11,7 +11,7 @@
 
 
 class AnsweringSocket:
-    """Takes some bytes, fails then, and has an answer to read all the same."""
+    """Socket that fails after some sent bytes, with an answer to receive."""
 
     def __init__(self, takes_bytes):
         self.takes_bytes = takes_bytes
@@ -27,7 +27,7 @@
 
 
 class EarlyAnswerTest(unittest.TestCase):
-    """Load: an upstream answers before it has read a long body, and reads on later."""
+    """An upstream answers before it has read a long body, and reads the rest later."""
 
     def ask(self, takes_bytes):
         async def run():
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -140,7 +140,7 @@
         self.assertEqual(contender.lease_term.epoch, 2)
 
     def test_successor_orders_a_term_after_the_last_order_that_was_possible(self):
-        """Holders must not give orders by turns within a term."""
+        """Two holders must not issue orders within one term."""
         holder, contender = self.lease("a"), self.lease("b")
         self.advance(holder)
         self.advance(contender)
--- a/tests/test_log_budget.py
+++ b/tests/test_log_budget.py
@@ -35,18 +35,18 @@
         self.assertIsNone(self.budget.take_suppressed())
 
     def test_lines_are_bounded_in_a_burst(self):
-        """Load: fifty times as many requests as usual for ten seconds."""
+        """Fifty times as many requests as usual for ten seconds."""
         self.play(10, progress_per_s=5000)
         self.assertLessEqual(self.written.total(), 11 * LINES_PER_S)
         self.assertGreater(self.written.total(), 9 * LINES_PER_S)
 
     def test_failures_are_kept_while_progress_is_left_out(self):
-        """Load: a burst in which one request in fifty is refused."""
+        """A burst in which one request in fifty is refused."""
         self.play(10, progress_per_s=5000, failures_per_s=100)
         self.assertGreaterEqual(self.written[FAILURE_EVENT], 0.9 * 10 * LINES_PER_S)
 
     def test_what_changes_beliefs_is_kept_while_every_request_fails(self):
-        """Load: all upstreams are gone, and every request is refused."""
+        """All upstreams are down, and every request is refused."""
         self.play(10, progress_per_s=5000, failures_per_s=5000)
         before = self.written.total()
         self.offer(Importance.STATE, STATE_EVENT, 8)
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -83,7 +83,7 @@
         self.process("entry-2").send_signal(signal.SIGCONT)
 
     def cut(self, name, mode="hold", *, peers=True, **faults):
-        """Part an entry from the platform and, if told so, from its peers."""
+        """Cut an entry off from the platform and, optionally, from its peers."""
         self.cluster.set_proxy(f"{name}-platform", mode=mode)
         if peers:
             self.cluster.set_proxy("entry-1-peers", mode=mode, **faults)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -62,7 +62,7 @@
                 members.merge(record)
             self.assertEqual(members.get("a"), records[-1])
 
-    def test_dead_entry_is_back_only_by_its_own_word(self):
+    def test_dead_entry_is_alive_again_only_by_its_own_record(self):
         self.members.merge(member("a"))
         self.assertIsNotNone(self.members.mark_dead("a"))
         self.assertFalse(self.members.merge(member("a")))
@@ -70,7 +70,7 @@
         self.assertTrue(self.members.merge(member("a", revision=1)))
         self.assertIs(self.state_of("a"), MemberState.ALIVE)
 
-    def test_entry_supersedes_who_calls_it_dead(self):
+    def test_entry_refutes_a_record_that_marks_it_dead(self):
         self.assertTrue(self.members.merge(member("me", state=MemberState.DEAD)))
         self.assertGreater(
             self.members.own_record.precedence,
@@ -82,7 +82,7 @@
         later = member("me", incarnation=9, revision=4, state=MemberState.DEAD)
         self.assertGreater(self.members.own_record.precedence, later.precedence)
 
-    def test_newer_generation_alone_is_no_news_and_is_kept(self):
+    def test_newer_generation_alone_is_kept_but_is_no_change(self):
         self.members.merge(member("a", generation=StorePosition(0, 3)))
         self.assertFalse(
             self.members.merge(member("a", generation=StorePosition(0, 7)))
@@ -265,7 +265,7 @@
 
         self.play(scenario)
 
-    def test_lost_datagrams_kill_nobody(self):
+    def test_lost_datagrams_mark_no_entry_dead(self):
         async def scenario(network):
             await curio.sleep(3.0)
             for name in network.entries:
@@ -273,8 +273,8 @@
 
         self.play(scenario, lost=0.1)
 
-    def test_probe_whose_first_ways_are_lost_finds_another(self):
-        """Load: links lose datagrams; a ping, its relays and the next ping are lost."""
+    def test_probe_succeeds_after_lost_pings(self):
+        """A ping, its relayed pings and the next direct ping are lost."""
 
         async def scenario(network):
             asked = []
@@ -296,8 +296,8 @@
 
         self.play(scenario, lost=0.0)
 
-    def test_refutation_that_is_lost_once_is_heard_soon(self):
-        """Load: who loses the word of an entry that lives would take it for dead."""
+    def test_lost_refutation_is_repeated(self):
+        """An entry that loses the refutation would keep a living entry marked dead."""
 
         async def scenario(network):
             e1, e2 = network.entries["e1"], network.entries["e2"]
@@ -322,7 +322,7 @@
 
         self.play(scenario, lost=0.0)
 
-    def test_entry_cut_off_from_all_judges_nobody(self):
+    def test_isolated_entry_marks_no_other_dead(self):
         async def scenario(network):
             network.cut = {(other, "e1") for other in network.entries}
             await curio.sleep(4.0)
@@ -388,7 +388,7 @@
 
         self.play(scenario, lost=0.1)
 
-    def test_entry_that_starts_is_told_at_once(self):
+    def test_starting_entry_receives_the_limits(self):
         async def scenario(network):
             limits = self.all_limits(network)
             for item in limits.values():
@@ -429,7 +429,7 @@
 
 
 class AddressChoiceTest(unittest.TestCase):
-    """Load: hundreds of entries, a tenth of them four times as large as the others."""
+    """Hundreds of entries, a tenth of them with four times the processor share."""
 
     def setUp(self):
         self.rng = random.Random(3)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -26,7 +26,7 @@
         self.assertEqual(answer.body.count(b"\n\n"), 5)
 
     def test_first_call_of_a_new_entry_waits_for_its_first_reports(self):
-        """Its list of engines is there before it has asked any of them."""
+        """The entry knows the engines before it has polled any of them."""
         self.cluster.start_entry("entry-new", load_poll_every_s=0.5)
         process = self.process("entry-new")
         body = {"model": MODEL, "prompt": "first", "max_tokens": 1}
--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -1,4 +1,4 @@
-"""Where calls are placed and who reads a prompt, without I/O."""
+"""Placement of calls and of prefill, without I/O."""
 
 import random
 import unittest
@@ -49,7 +49,7 @@
 
 
 class CandidateFinderTest(unittest.TestCase):
-    """Load: at a peak few engines run prompts, and a call was on all of them."""
+    """At peak load a call may have tried all of a few decode engines."""
 
     def setUp(self):
         log = mock.Mock()
@@ -64,33 +64,33 @@
         found = self.finder.current(call)
         return {item.upstream.upstream_id for item in found}
 
-    def test_tried_one_is_left_out_while_another_can_run_the_call(self):
+    def test_tried_upstream_is_excluded_while_another_can_run_the_call(self):
         self.assertEqual(self.find("p"), {"d"})
 
-    def test_tried_one_is_asked_again_where_no_other_can_run_the_call(self):
+    def test_tried_upstream_is_used_again_if_no_other_can_run_the_call(self):
         self.assertEqual(self.find("d"), {"p", "d"})
 
 
-class ReadingPatienceTest(unittest.TestCase):
-    """Load: an engine that reads prompts goes dark with prompts in flight."""
+class PrefillTimeoutTest(unittest.TestCase):
+    """A prefill engine stops responding while prompts are in flight."""
 
     def patience_s(self, predicted_s, left_s=6.0, repeats=5):
         call = mock.Mock(remaining_s=lambda: left_s)
         return prefill_timeout_s(call, predicted_s, repeats)
 
-    def test_prompt_of_usual_size_is_read_elsewhere_in_time(self):
+    def test_timeout_leaves_time_to_prefill_on_another_engine(self):
         self.assertLess(self.patience_s(0.4), 1.5)
 
-    def test_long_queue_is_waited_for(self):
+    def test_timeout_includes_the_engine_queue(self):
         self.assertGreater(self.patience_s(1.5), 3.0)
 
-    def test_nothing_is_given_up_that_cannot_be_read_again(self):
+    def test_no_timeout_if_the_prefill_can_not_be_retried(self):
         self.assertEqual(self.patience_s(0.4, repeats=0), 6.0)
         self.assertEqual(self.patience_s(0.4, left_s=1.5), 1.5)
 
 
 class StagePlanTest(unittest.TestCase):
-    def test_short_prompt_is_not_behind_long_ones(self):
+    def test_short_prompt_does_not_queue_behind_long_ones(self):
         items = [
             candidate("p0", Stage.PREFILL, prompt_tokens=40_000),
             candidate("d0", Stage.DECODE, requests=4),
@@ -99,7 +99,7 @@
         self.assertIsNone(plan.prefill)
         self.assertEqual(plan.decode.candidate.upstream.upstream_id, "d0")
 
-    def test_long_prompt_is_read_apart_in_the_calm(self):
+    def test_long_prompt_is_disaggregated_at_low_load(self):
         plan = plan_stages(fleet(), prompt(9000), CALM, "z1", 0.15)
         self.assertIsNotNone(plan.prefill)
 
@@ -108,15 +108,15 @@
         plan = plan_stages(fleet(), prompt(600), busy, "z1", 0.15)
         self.assertIsNotNone(plan.prefill)
 
-    def test_prompts_that_wait_are_in_the_way_of_reading_apart(self):
-        """Load: engines that read prompts have little in advance, and a queue waits."""
+    def test_queued_prompts_count_against_disaggregated_prefill(self):
+        """Prefill engines have a short backlog while prompts are queued."""
         calm = plan_stages(fleet(), prompt(1900), CALM, "z1", 0.15)
         self.assertIsNotNone(calm.prefill)
         queued = FleetLoad(RATE, queue_wait_s=0.5)
         plan = plan_stages(fleet(), prompt(1900), queued, "z1", 0.15)
         self.assertIsNone(plan.prefill)
 
-    def test_reading_never_holds_streams_longer_than_their_pause(self):
+    def test_direct_prefill_fits_into_the_pause_of_streams(self):
         items = [
             candidate("p0", Stage.PREFILL, prompt_tokens=400_000),
             candidate("d0", Stage.DECODE),
@@ -126,27 +126,27 @@
         plan = plan_stages(items, prompt(9000), CALM, "z1", None)
         self.assertIsNone(plan.prefill)
 
-    def test_one_stage_missing(self):
+    def test_plan_without_engines_of_one_stage(self):
         decodes = [item for item in fleet() if item.upstream.stage is Stage.DECODE]
         self.assertIsNone(plan_stages(decodes, prompt(9000), CALM, "z1", 0.15).prefill)
         plan = plan_stages([], prompt(9000), CALM, "z1", 0.15)
         self.assertIsNone(plan.prefill)
         self.assertIsNone(plan.decode)
 
-    def test_nothing_is_read_while_no_engine_runs_prompts(self):
+    def test_nothing_is_prefilled_without_a_decode_engine(self):
         prefills = [item for item in fleet() if item.upstream.stage is Stage.PREFILL]
         plan = plan_stages(prefills, prompt(9000), CALM, "z1", 0.15)
         self.assertIsNone(plan.prefill)
         self.assertIsNone(plan.decode)
 
-    def test_shared_part_is_copied_from_its_holder(self):
+    def test_shared_prefix_is_copied_from_an_engine_that_has_it_cached(self):
         items = fleet()
         items[3] = candidate("d1", Stage.DECODE, cache_state=CacheState.HELD)
         plan = plan_stages(items, prompt(17_000, 13_000), CALM, "z1", 0.15)
         self.assertEqual(plan.prefill.fetch_from.upstream_id, "d1")
 
-    def test_part_is_copied_from_who_has_most_of_the_chain(self):
-        """Load: all engines have the part that every prompt begins with."""
+    def test_prefix_is_copied_from_the_engine_with_most_of_it(self):
+        """All engines have the first block of every prompt cached."""
         items = [replace(item, cached_prefix_tokens=2_500) for item in fleet()]
         items[3] = replace(items[3], cache_state=CacheState.HELD)
         plan = plan_stages(items, prompt(9_200, 6_300), CALM, "z1", 0.15)
@@ -156,7 +156,7 @@
         self.assertIsNone(plan.prefill.fetch_from)
         self.assertEqual(plan.prefill.prefill_tokens, 9_200 - 2_500)
 
-    def test_holder_reads_by_itself_unless_its_queue_is_long(self):
+    def test_engine_with_the_prefix_prefills_unless_its_queue_is_long(self):
         holder = candidate("p0", Stage.PREFILL, cache_state=CacheState.HELD)
         idle = candidate("p1", Stage.PREFILL)
         long = prompt(17_000, 13_000)
@@ -169,7 +169,9 @@
         choice = place_prefill([queued, idle], long, RATE, "z1", 13_000)
         self.assertEqual(choice.candidate, idle)
 
-    def test_runs_stay_with_their_shared_part_until_the_engine_is_full(self):
+    def test_prompts_with_one_prefix_are_decoded_together_until_the_engine_is_full(
+        self,
+    ):
         home = candidate("d0", Stage.DECODE, requests=4, cache_state=CacheState.HELD)
         other = candidate("d1", Stage.DECODE)
         long = prompt(17_000, 13_000)
@@ -177,7 +179,7 @@
         full = candidate("d0", Stage.DECODE, requests=8, cache_state=CacheState.HELD)
         self.assertEqual(place_decode([full, other], long, RATE, "z1").candidate, other)
 
-    def test_homes_spread_and_move_only_with_their_engine(self):
+    def test_owners_are_spread_and_move_only_with_their_engine(self):
         items = fleet(prefills=0, decodes=6)
         parts = [f"part-{number}" for number in range(300)]
         homes = {part: find_owner(part, items) for part in parts}
@@ -191,14 +193,14 @@
         self.assertEqual(moved, [])
 
 
-class RelativePaceTest(unittest.TestCase):
-    def test_a_peak_makes_no_upstream_a_slow_one(self):
+class RelativeSlowdownTest(unittest.TestCase):
+    def test_peak_load_marks_no_upstream_as_slow(self):
         items = [candidate("a", slowdown=4.0), candidate("b", slowdown=5.0)]
         items += [candidate("p", Stage.PREFILL, slowdown=1.0)]
         paces = [item.slowdown for item in normalize_slowdowns(items)]
         self.assertEqual(paces, [1.0, 1.25, 1.0])
 
-    def test_a_fast_upstream_does_not_make_the_others_slow(self):
+    def test_fast_upstream_does_not_mark_the_others_as_slow(self):
         items = [candidate("a", slowdown=0.5), candidate("b", slowdown=1.0)]
         self.assertEqual(
             [item.slowdown for item in normalize_slowdowns(items)], [0.5, 1.0]
@@ -206,15 +208,15 @@
 
 
 class UrgencyTest(unittest.TestCase):
-    def test_less_to_read_is_never_less_urgent(self):
+    def test_shorter_prefill_is_never_less_urgent(self):
         levels = [urgency_of(tokens) for tokens in range(0, 200_000, 500)]
         self.assertEqual(levels, sorted(levels))
         self.assertGreaterEqual(min(levels), 0)
         self.assertLessEqual(max(levels), 9)
 
 
-class BusynessTest(unittest.TestCase):
-    def test_swing_of_the_mix_is_seen_within_a_second(self):
+class UtilizationTest(unittest.TestCase):
+    def test_utilization_follows_the_mix_within_a_second(self):
         now = [0.0]
         busy = StageUtilization(lambda: now[0])
         for _ in range(20):
@@ -225,7 +227,7 @@
         now[0] += 2.0
         self.assertLess(busy.utilization("s", Stage.DECODE, 3), 0.01)
 
-    def test_what_is_placed_counts_once_and_fades(self):
+    def test_placed_work_counts_once_and_decays(self):
         now = [0.0]
         busy = StageUtilization(lambda: now[0])
         for _ in range(2):
@@ -234,8 +236,8 @@
         now[0] = 20.0
         self.assertAlmostEqual(busy.engines_needed("s", Stage.PREFILL), 0.0)
 
-    def test_services_with_engines_of_their_own_are_told_apart(self):
-        """Load: long prompts for one service, while another is idle."""
+    def test_utilization_is_kept_by_service(self):
+        """One service gets long prompts while another one is idle."""
         busy = StageUtilization(lambda: 0.0)
         busy.record_prefill("s", Stage.PREFILL, 0.9)
         busy.record_prefill("t", Stage.DECODE, 0.1)
@@ -243,7 +245,7 @@
         self.assertEqual(busy.engines_needed("t", Stage.PREFILL), 0.0)
         self.assertAlmostEqual(busy.engines_needed("t", Stage.DECODE), 0.1)
 
-    def test_share_is_bounded(self):
+    def test_utilization_is_bounded(self):
         busy = StageUtilization(lambda: 0.0)
         busy.record_prefill("s", Stage.PREFILL, 100.0)
         self.assertLess(busy.utilization("s", Stage.PREFILL, 0), 1.0)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -254,7 +254,7 @@
             self.head(200, own, ("Keep-Alive", "timeout=5")).keep_alive_s, 5.0
         )
 
-    def test_word_of_leaving_is_read_in_any_answer(self):
+    def test_draining_is_read_in_any_answer(self):
         own = ("Attempt-Id", "9c41")
         for status in (200, 500, 503):
             self.assertTrue(
@@ -265,7 +265,7 @@
         )
         self.assertFalse(self.head(200, own).signals.is_draining)
 
-    def test_time_to_wait_is_read_and_bounded(self):
+    def test_requested_backoff_is_read_and_bounded(self):
         refused = ("Not-Executed", "1")
 
         def wait_s(text, status=503):
@@ -283,7 +283,7 @@
                 (0.0, ("retry-after",)),
             )
 
-    def test_load_is_read_where_it_has_a_meaning(self):
+    def test_load_report_is_read_if_well_formed(self):
         own = ("Attempt-Id", "9c41")
         head = self.head(200, own, ("Server-Load", "3, 2,8"))
         self.assertEqual(head.signals.load, ReportedLoad(running=3, waiting=2, slots=8))
@@ -348,7 +348,7 @@
         }
         self.assertEqual(json.loads(req.body), content)
 
-    def test_answers_to_reports_and_orders_say_what_others_do(self):
+    def test_signals_are_read_in_answers_to_reports_and_orders(self):
         headers = {"server-limit": "2.5", "server-leaving": "1"}
         signals = self.orders.read_signals(HttpResponse(200, headers))
         self.assertEqual((signals.limit_per_s, signals.is_draining), (2.5, True))
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -29,7 +29,7 @@
     entries = ENTRIES
 
     def ask_engines(self, target):
-        """Ask every engine, waiting for those that restart."""
+        """Send a request to every engine, waiting for those that restart."""
 
         def answers():
             with contextlib.suppress(OSError, http.client.HTTPException):
@@ -209,7 +209,7 @@
             self.assertEqual(crashes, 3)
 
     def count_events(self, entry, numbers):
-        """Count an entry's events, but for what it only heard of."""
+        """Count an entry's own events, without those reported by other entries."""
         lines = self.process(entry).log_lines()
         return sum(line["event"] in numbers and not line.get("heard") for line in lines)
 
--- a/tests/test_reading_decisions.py
+++ b/tests/test_prefill_decisions.py
@@ -1,4 +1,4 @@
-"""Which parts engines hold, and when long prompts go to them, without I/O."""
+"""Cached prefix blocks and dispatch of long prompts, without I/O."""
 
 import unittest
 from dataclasses import replace
@@ -24,11 +24,11 @@
 from .route_support import RATE, candidate, fleet, prompt
 
 
-class CacheBeliefTest(unittest.TestCase):
+class PrefixCacheIndexTest(unittest.TestCase):
     def whole(self, index, part, capacity):
         return index.prefix_state("u", [PromptBlock(part, 1)], capacity).state
 
-    def test_least_recently_used_parts_yield(self):
+    def test_least_recently_used_blocks_are_evicted(self):
         index = PrefixCacheIndex()
         for number in range(5):
             index.record_use("u", [f"p{number}"], 100, prefilled=True)
@@ -37,7 +37,7 @@
         index.record_use("u", ["p1"], 10)
         self.assertEqual(self.whole(index, "p1", 500), CacheState.HELD)
 
-    def test_part_is_held_once_it_was_read(self):
+    def test_block_is_cached_after_its_prefill(self):
         now = [0.0]
         index = PrefixCacheIndex(lambda: now[0])
         index.record_use("u", ["p"], 100)
@@ -47,8 +47,8 @@
         index.record_use("u", ["p"], 0, prefilled=True)
         self.assertEqual(self.whole(index, "p", 500), CacheState.HELD)
 
-    def test_chain_is_held_as_far_as_all_parts_before_are(self):
-        """Load: four parts that every prompt begins with, then one of a thousand."""
+    def test_prefix_is_cached_up_to_its_first_missing_block(self):
+        """Prompts share their first four blocks; the next one is one of a thousand."""
         index = PrefixCacheIndex()
         index.record_use("u", ["system", "shop-1"], 9_000, prefilled=True)
         index.record_use("u", ["system", "shop-2"], 3_000)
@@ -66,36 +66,36 @@
         )
         self.assertEqual((other.state, other.cached_tokens), (CacheState.NONE, 0))
 
-    def test_restarted_engine_holds_nothing(self):
+    def test_restarted_engine_has_an_empty_cache(self):
         index = PrefixCacheIndex()
         index.record_use("u", ["p"], 10, prefilled=True)
         index.discard("u")
         self.assertEqual(self.whole(index, "p", 1e9), CacheState.NONE)
 
-    def test_unknown_engine_holds_nothing(self):
+    def test_unknown_engine_has_an_empty_cache(self):
         self.assertEqual(self.whole(PrefixCacheIndex(), "p", 1e9), CacheState.NONE)
 
 
-class SharedReadingTest(unittest.TestCase):
-    """Prompts with the same new part, within the time that it takes to read it."""
+class SharedPrefillTest(unittest.TestCase):
+    """Prompts with the same new prefix arrive while it is being prefilled."""
 
     LONG = prompt(17_000, 13_000)
 
-    def test_part_that_is_being_read_is_waited_for(self):
+    def test_prefix_in_prefill_is_waited_for(self):
         items = fleet()
         items[0] = candidate("p0", Stage.PREFILL, cache_state=CacheState.READING)
         limit_s = wait_limit_s(items, self.LONG, RATE)
         self.assertGreater(limit_s, 13_000 / RATE)
         self.assertLess(limit_s, 2 * 13_000 / RATE)
 
-    def test_part_behind_a_queue_is_waited_for_longer(self):
+    def test_queued_prefix_is_waited_for_longer(self):
         items = fleet()
         items[0] = candidate(
             "p0", Stage.PREFILL, cache_state=CacheState.READING, prompt_tokens=50_000
         )
         self.assertGreater(wait_limit_s(items, self.LONG, RATE), 50_000 / RATE)
 
-    def test_no_wait_where_it_saves_nothing(self):
+    def test_no_wait_if_it_saves_no_prefill(self):
         items = fleet()
         self.assertEqual(wait_limit_s(items, self.LONG, RATE), 0.0)
         items[0] = candidate("p0", Stage.PREFILL, cache_state=CacheState.READING)
@@ -103,18 +103,18 @@
         items[1] = candidate("p1", Stage.PREFILL, cache_state=CacheState.HELD)
         self.assertEqual(wait_limit_s(items, self.LONG, RATE), 0.0)
 
-    def test_wait_ends_as_soon_as_the_part_is_there(self):
+    def test_wait_ends_when_the_prefix_is_cached(self):
         index = PrefixCacheIndex()
         index.record_use("p0", ["part"], 17_000)
         self.assertLess(self.wait(index, ready_after_s=0.1), 0.2)
 
-    def test_reading_that_never_ends_is_waited_for_in_bounds(self):
+    def test_wait_for_an_endless_prefill_is_bounded(self):
         index = PrefixCacheIndex()
         index.record_use("p0", ["part"], 17_000)
         self.assertLess(self.wait(index, ready_after_s=9.0), 0.5)
 
     def wait(self, index, ready_after_s):
-        """Return how long a call waits whose part is ready after some time.
+        """Return how long a call waits whose prefix is cached after some time.
 
         The clock is simulated, so that the verdict doesn't depend on the machine.
         """
@@ -137,15 +137,15 @@
         return now[0]
 
 
-class ReadingTurnTest(unittest.TestCase):
-    """A burst of long prompts beyond what engines read, then a calmer load."""
+class PrefillDispatchTest(unittest.TestCase):
+    """A burst of long prompts beyond the prefill capacity, then less load."""
 
     READING_S = 0.1
     AIM_S = 0.6
     PATIENCE_S = 2.4
     STEP_S = 0.02
 
-    def test_prompts_that_can_be_in_time_do_not_queue_behind_late_ones(self):
+    def test_prompts_within_their_objective_do_not_queue_behind_overdue_ones(self):
         arrivals = self.arrivals()
         at_once = self.play(arrivals, lambda _forecast: Dispatch.ON_TIME)
         in_turn = self.play(arrivals, choose_dispatch)
@@ -154,13 +154,13 @@
         self.assertGreater(in_time[1], 1.3 * in_time[0])
         self.assertLess(max(in_turn), self.PATIENCE_S)
 
-    def test_idle_engine_takes_even_a_late_prompt(self):
+    def test_idle_engine_gets_an_overdue_prompt(self):
         late = PrefillForecast(
             0.01, 1.0, 0.03, objective_left_s=-1.0, deadline_left_s=9.0
         )
         self.assertEqual(choose_dispatch(late), Dispatch.IDLE_ENGINE)
 
-    def test_engine_with_enough_to_read_takes_no_prompt(self):
+    def test_engine_with_a_backlog_gets_no_prompt(self):
         timely = PrefillForecast(
             2 * ENGINE_BACKLOG_MAX_S,
             0.1,
@@ -172,7 +172,7 @@
         soon = replace(timely, engine_queue_s=0.5 * ENGINE_BACKLOG_MAX_S)
         self.assertEqual(choose_dispatch(soon), Dispatch.ON_TIME)
 
-    def test_prompt_whose_caller_will_have_left_is_refused_at_once(self):
+    def test_prompt_that_misses_its_deadline_is_refused_at_once(self):
         forecast = PrefillForecast(
             0.4, 3.2, 0.03, objective_left_s=0.6, deadline_left_s=2.4
         )
@@ -181,13 +181,13 @@
         self.assertEqual(choose_dispatch(doubtful), Dispatch.QUEUE)
 
     def arrivals(self):
-        """12.5 prompts a second for 4 s, then 9 a second; the engine reads 10."""
+        """12.5 prompts a second for 4 s, then 9; the engine prefills 10 a second."""
         burst = [number / 12.5 for number in range(50)]
         calm = [4.0 + number / 9.0 for number in range(90)]
         return burst + calm
 
     def play(self, arrivals, choose):
-        """Return how long each prompt waits until one engine has read it."""
+        """Return how long each prompt waits until one engine has prefilled it."""
         waits, waiting, free_at_s, now = [], [], 0.0, 0.0
         arrivals = list(arrivals)
         while arrivals or waiting:
--- a/tests/test_turn_queue.py
+++ b/tests/test_prefill_queue.py
@@ -1,4 +1,4 @@
-"""Prompts that wait at the entry that schedules them, hundreds at a time."""
+"""Queue of long prompts at their scheduler, hundreds at a time."""
 
 import unittest
 
@@ -53,30 +53,30 @@
         return [waiter.decision for waiter in self.queue.poll()]
 
 
-class TurnQueueTest(QueueTestCase):
-    """Load: for some seconds far more long prompts come than engines read."""
+class PrefillQueueTest(QueueTestCase):
+    """For some seconds far more long prompts arrive than engines can prefill."""
 
-    def test_cost_of_a_look_does_not_grow_with_the_queue(self):
+    def test_cost_of_a_poll_does_not_grow_with_the_queue(self):
         self.fill(*(self.waiter(number) for number in range(300)))
         self.assertEqual(list(self.queue.poll()), [])
         self.assertLessEqual(len(self.looked), EVALUATED_MAX)
 
-    def test_first_come_is_first_served(self):
+    def test_calls_are_dispatched_in_order_of_arrival(self):
         self.free = {1, 2}
         self.fill(self.waiter(2, 0.2), self.waiter(1, 0.1), self.waiter(3, 0.3))
         self.assertEqual(self.decisions(), [1, 2])
 
-    def test_tokens_before_a_call_are_those_of_calls_before_it(self):
+    def test_tokens_ahead_are_those_of_earlier_calls(self):
         waiters = [self.waiter(number, number / 10) for number in range(4)]
         self.fill(*waiters, self.waiter(9, 0.9, favoured=True))
         self.assertEqual(self.queue.tokens_ahead(waiters[2].order), 30)
 
-    def test_starving_size_goes_first(self):
+    def test_prioritized_size_goes_first(self):
         self.free = {1, 2}
         self.fill(self.waiter(1), self.waiter(2, 0.5, favoured=True))
         self.assertEqual(self.decisions(), [2, 1])
 
-    def test_late_prompts_let_those_go_first_that_can_be_in_time(self):
+    def test_prompts_within_their_objective_go_before_overdue_ones(self):
         self.now = 1.5
         self.free = {1}
         self.fill(self.waiter(1, 0.0), self.waiter(2, 1.0))
@@ -85,14 +85,14 @@
         self.free = {1, 2}
         self.assertEqual(self.decisions(), [2, 1])
 
-    def test_prompt_whose_time_is_over_is_refused_at_once(self):
+    def test_prompt_past_its_deadline_is_refused_at_once(self):
         self.fill(self.waiter(1, 0.0), self.waiter(2, 4.9))
         self.now = PATIENCE_S + 0.1
         self.assertEqual(self.decisions(), ["refused"])
         self.assertEqual(len(self.queue), 1)
 
-    def test_late_prompt_that_comes_too_late_in_the_queue_is_refused_at_once(self):
-        """Load: more wait before it than engines read until its caller leaves."""
+    def test_overdue_prompt_too_far_back_in_the_queue_is_refused_at_once(self):
+        """More work is queued before it than engines prefill until its deadline."""
         self.now = 1.5
         self.fleet_rate = 10.0
         before = [self.waiter(number, 1.4) for number in range(60)]
@@ -100,7 +100,7 @@
         self.assertEqual(self.decisions(), ["refused"])
         self.assertEqual(len(self.queue), 60)
 
-    def test_caller_that_leaves_is_in_the_queue_no_more(self):
+    def test_cancelled_call_is_removed_from_the_queue(self):
         async def run():
             task = await curio.spawn(self.queue.wait, self.waiter(1))
             await curio.sleep(3 * POLL_INTERVAL_S)
@@ -114,8 +114,8 @@
         self.assertEqual(curio.run(run), (0, 0, 2))
 
 
-class PlacedInTurnTest(QueueTestCase):
-    """Load: several prompts wait, and engines become idle one after the other."""
+class DispatchOrderTest(QueueTestCase):
+    """Several prompts are queued, and engines become idle one after the other."""
 
     def test_each_placement_counts_before_the_next_decision(self):
         async def run():
@@ -139,10 +139,10 @@
         self.assertEqual(curio.run(run), ["e1", "e2", "e3"])
 
 
-class LeavingWaiterTest(QueueTestCase):
-    """Load: callers leave by themselves while others are refused or placed."""
+class CancelledCallTest(QueueTestCase):
+    """Callers disconnect while other calls are refused or dispatched."""
 
-    def test_one_that_leaves_during_a_look_stops_nobody(self):
+    def test_call_cancelled_during_a_poll_delays_no_other(self):
         for now, first in ((0.0, 0), (PATIENCE_S + 0.1, "refused")):
             self.now = now
             self.free = {0, 1, 2}
@@ -154,34 +154,34 @@
             self.assertEqual(list(look), [waiters[2]])
 
 
-class ComingCallTest(QueueTestCase):
-    """Load: for some seconds calls in time alone would take all that engines read."""
+class ExpectedWaitTest(QueueTestCase):
+    """For some seconds calls within their objective need all prefill capacity."""
 
     RATE = 1_000.0
 
     def wait_s(self, timely_for_s, arrived_at_s=0.5):
         return self.queue.expected_wait_s((True, arrived_at_s), timely_for_s, self.RATE)
 
-    def test_call_in_time_waits_for_those_before_it_alone(self):
+    def test_call_within_its_objective_waits_for_earlier_ones_only(self):
         self.fill(*(self.waiter(number, number / 10) for number in range(10)))
         self.assertAlmostEqual(self.wait_s(1.0), 5 * 10 / self.RATE)
 
-    def test_late_call_waits_for_what_calls_in_time_leave(self):
+    def test_overdue_call_uses_the_capacity_left_by_others(self):
         self.fill(*(self.waiter(number, number / 10) for number in range(10)))
         calm_s = self.wait_s(-0.1)
         self.assertAlmostEqual(calm_s, 10 * 10 / self.RATE)
         self.queue.record_accepted(800, 0.2, self.RATE)
         self.assertAlmostEqual(self.wait_s(-0.1), calm_s / 0.2)
 
-    def test_refused_and_late_calls_take_nothing_from_others(self):
-        """Load: callers who are refused, or late, come back at once and often."""
+    def test_refused_and_overdue_calls_use_no_capacity_of_others(self):
+        """Callers of refused and overdue calls retry at once and often."""
         self.fill(*(self.waiter(number, number / 10) for number in range(10)))
         calm_s = self.wait_s(-0.1)
         for _ in range(50):
             self.queue.record_accepted(800, -0.2, self.RATE)
         self.assertAlmostEqual(self.wait_s(-0.1), calm_s)
 
-    def test_late_calls_that_calls_in_time_leave_nothing_are_refused_soon(self):
+    def test_overdue_calls_without_capacity_left_are_refused_soon(self):
         self.fleet_rate = self.RATE
         self.now = TIMELY_S + 0.1
         self.queue.record_accepted(5_000, 0.2, self.RATE)
@@ -191,8 +191,8 @@
         self.assertLess(len(refused), 100)
 
 
-class TakenTurnTest(unittest.TestCase):
-    """Load: engines are idle for a moment while others wait for them."""
+class DispatchDecisionTest(unittest.TestCase):
+    """Engines are idle for a moment while calls are queued."""
 
     def forecast(self, **more):
         values = {
@@ -205,10 +205,10 @@
         }
         return PrefillForecast(**values)
 
-    def test_no_time_of_engines_goes_to_what_will_hardly_be_answered(self):
+    def test_no_engine_time_is_spent_on_calls_that_will_miss_their_deadline(self):
         self.assertIs(choose_dispatch(self.forecast(), True), Dispatch.UNSERVABLE)
         self.assertIs(choose_dispatch(self.forecast(), False), Dispatch.IDLE_ENGINE)
 
-    def test_call_whose_turn_will_not_come_is_refused_when_it_comes(self):
+    def test_call_that_would_not_start_before_its_deadline_is_refused_on_arrival(self):
         forecast = self.forecast(deadline_left_s=2.0, queue_wait_s=3.0)
         self.assertIs(choose_dispatch(forecast), Dispatch.UNSERVABLE)
--- a/tests/test_prefill_rate.py
+++ b/tests/test_prefill_rate.py
@@ -1,4 +1,4 @@
-"""Speed at which engines read prompts, learnt from readings of a simulated engine."""
+"""Prefill rate, learned from the prefill times of a simulated engine."""
 
 import random
 import unittest
@@ -9,14 +9,14 @@
 
 
 class Engine:
-    """Reads at ``rate`` tokens a second, slower at times; parts may be in memory."""
+    """Prefills ``rate`` tokens a second, at times fewer; blocks may be cached."""
 
     def __init__(self, rate, seed):
         self._rate = rate
         self._rng = random.Random(seed)
 
     def read(self) -> tuple[int, float]:
-        """Return how many tokens were expected to be read, and the time it took."""
+        """Return the expected number of tokens to prefill, and the time taken."""
         expected = int(self._rng.lognormvariate(8.3, 0.8)) + 500
         read = expected
         draw = self._rng.random()
@@ -29,7 +29,7 @@
 
 
 class PrefillRateTest(unittest.TestCase):
-    """Load: engines of unlike deployments, a tenth of readings slow, a tenth short."""
+    """Engines of different speeds; a tenth of the prefills slow, a tenth short."""
 
     RATES = (5_000.0, 50_000.0, 300_000.0)
 
@@ -39,7 +39,7 @@
             rate.observe(*engine.read())
         return rate
 
-    def test_speed_of_any_engine_is_learnt(self):
+    def test_prefill_rate_of_any_engine_is_learned(self):
         for true_rate in self.RATES:
             for seed in range(10):
                 with self.subTest(rate=true_rate, seed=seed):
@@ -47,11 +47,11 @@
                     self.assertGreater(value, 0.6 * true_rate)
                     self.assertLess(value, 1.5 * true_rate)
 
-    def test_new_speed_is_learnt_when_engines_are_exchanged(self):
+    def test_changed_prefill_rate_is_learned(self):
         rate = self.learn(Engine(300_000.0, 1))
         self.learn(Engine(30_000.0, 2), rate)
         self.assertLess(rate.value, 45_000.0)
 
-    def test_few_readings_say_nothing(self):
+    def test_few_observations_change_nothing(self):
         rate = self.learn(Engine(300_000.0, 1), count=3)
         self.assertEqual(rate.value, INITIAL_TOKENS_PER_S)
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,4 +1,4 @@
-"""Replays of drawn loads: deployments of any size and speed are held to floors."""
+"""Replays of random deployments of any size and speed, with minimum results."""
 
 import random
 import unittest
@@ -36,7 +36,7 @@
             with self.subTest(seed=seed):
                 self.assertGreater(result.kinds["short"].worth, 0.95)
 
-    def test_who_can_not_be_served_is_told_at_once(self):
+    def test_unservable_calls_are_refused_at_once(self):
         refused_s = [
             seconds
             for result in self.results.values()
@@ -45,13 +45,13 @@
         self.assertGreater(len(refused_s), 20)
         self.assertLess(median(refused_s), 0.05)
 
-    def test_nobody_is_held_until_it_leaves(self):
+    def test_no_call_is_queued_until_its_caller_disconnects(self):
         for seed, result in self.results.items():
             with self.subTest(seed=seed):
                 long = result.kinds["long"]
                 self.assertLess(long.ends["left"], 0.01 * long.asked)
 
-    def test_speed_of_the_engines_is_learnt_within_a_factor_of_two(self):
+    def test_prefill_rate_is_learned_within_a_factor_of_two(self):
         for seed, result in self.results.items():
             deployment = draw_deployment(random.Random(f"deployment-{seed}"))
             with self.subTest(seed=seed):
@@ -60,10 +60,10 @@
                 self.assertLess(share, 2.0)
 
 
-class NewPartsTest(unittest.TestCase):
-    """Load: every 2 s other parts, each wanted by many prompts while it is read."""
+class NewPrefixTest(unittest.TestCase):
+    """Every 2 s new prefixes, each of many prompts that arrive during its prefill."""
 
-    def test_new_part_is_read_once_and_nobody_is_refused_for_it(self):
+    def test_new_prefix_is_prefilled_once_and_no_call_is_refused(self):
         with logbook.NullHandler().applicationbound():
             result = FleetReplay(NEW_PREFIXES, 1, {}).run()
         again = result.read_tokens.again / result.read_tokens.all
@@ -72,10 +72,10 @@
         self.assertLess(long.ends["refused"], 0.01 * long.asked)
 
 
-class ChainTest(unittest.TestCase):
-    """Load: four parts that every prompt begins with, then one of a thousand."""
+class PrefixChainTest(unittest.TestCase):
+    """Prompts share their first four blocks; the next one is one of a thousand."""
 
-    def test_known_parts_are_seldom_read_again(self):
+    def test_cached_blocks_are_seldom_prefilled_again(self):
         with logbook.NullHandler().applicationbound():
             result = FleetReplay(DEEP_PREFIX, 1, {}).run()
         again = result.read_tokens.again / result.read_tokens.all
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -88,7 +88,7 @@
 
 
 class DividedLimitTest(unittest.TestCase):
-    """Load: entries that always have another request for a limited upstream."""
+    """Entries that always have another request for a limited upstream."""
 
     SIZES = (7, 400)
     LIMITS = (0.5, 2.5, 40.0)
@@ -137,7 +137,7 @@
         self.assertLessEqual(fleet.most(), allowed_requests(0.0))
 
     def test_limit_that_is_stated_again_starts_anew(self):
-        """Hundreds of entries, each with an unused turn from the limit before."""
+        """Hundreds of entries, each with an unused token of the previous limit."""
         fleet = Fleet(400, 2.5)
         fleet.run(5, fleet.limiters)
         for limiter in fleet.limiters:
@@ -164,7 +164,7 @@
         self.two.merge(self.one.export(8))
         self.one.merge(self.two.export(8))
 
-    def test_later_statement_counts_wherever_it_was_heard(self):
+    def test_later_statement_replaces_an_earlier_one(self):
         self.one.observe("u", 2.5, 99.0)
         self.exchange()
         self.assertEqual(self.two.per_s("u"), 2.5)
@@ -178,7 +178,7 @@
         self.exchange()
         self.assertEqual(self.two.per_s("u"), 3.0)
 
-    def test_upstream_that_is_gone_is_not_passed_around(self):
+    def test_limits_of_deregistered_upstreams_are_not_exchanged(self):
         self.one.observe("u", 2.5, 99.0)
         self.exchange()
         self.known.remove("u")
@@ -187,7 +187,7 @@
         self.assertFalse(self.one.any_in_force)
         self.assertFalse(self.two.any_in_force)
 
-    def test_changes_go_first_and_all_get_their_turn(self):
+    def test_recent_changes_are_exported_first(self):
         self.known.update(f"x{number}" for number in range(100))
         for number in range(100):
             self.one.observe(f"x{number}", 1.0, 99.0)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -17,7 +17,7 @@
 
 
 class RoleFleet:
-    """Nine engines whose role changes take three seconds; calls come at random."""
+    """Nine engines whose role changes take three seconds, with random calls."""
 
     def __init__(self, policy_of, seed=1):
         self.now = 1000.0
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -58,8 +58,8 @@
         self.now = 10.1
         self.assertEqual(self.taken(share), used)
 
-    def test_entries_that_have_not_heard_of_each_other_share_the_slack(self):
-        """Load: all entries start at once before a service that fails, store away."""
+    def test_entries_without_known_peers_share_the_slack(self):
+        """All entries start while their service fails and the store is unavailable."""
         hosts = tuple(f"10.0.0.{number}" for number in range(1, 6))
         total = sum(
             self.taken(self.starting(host, hosts).retry_budget) for host in hosts
@@ -81,7 +81,7 @@
         )
         return Gateway(settings, Platform(settings.store.address()))
 
-    def test_each_later_reading_of_a_prompt_costs_a_repeat(self):
+    def test_each_repeated_prefill_uses_a_retry(self):
         share = self.share()
         left = share.remaining("s")
         self.assertTrue(share.try_acquire_prefill("s", 0))
@@ -103,8 +103,8 @@
             ramps_up=True,
         )
 
-    def test_schedulers_that_follow_each_other_stay_below_the_bound(self):
-        """Load: a failing service, 195 entries, and the scheduler is lost midway."""
+    def test_successive_schedulers_stay_below_the_bound(self):
+        """195 entries lose the scheduler of a failing service."""
         requests = 400
         first, second = self.scheduler(), self.scheduler()
         unscheduled = [
@@ -123,11 +123,11 @@
         self.assertLessEqual(taken, 0.2 * requests + 50)
         self.assertGreater(taken, 0.3 * (0.2 * requests + 50))
 
-    def test_new_scheduler_allows_some_repeats_at_once(self):
-        """Load: all entries start again and the first calls are declined."""
+    def test_new_scheduler_grants_some_retries_at_once(self):
+        """All entries restart and the first calls are declined."""
         self.assertGreaterEqual(self.taken(self.scheduler()), 5)
 
-    def test_services_are_apart(self):
+    def test_budgets_of_services_are_separate(self):
         share = self.share()
         self.taken(share)
         self.assertTrue(share.try_acquire("other"))
@@ -139,7 +139,7 @@
 
 
 class HealthTest(unittest.TestCase):
-    def test_unreached_upstream_is_left_out_for_longer_each_time(self):
+    def test_unreachable_upstream_is_suspended_with_exponential_backoff(self):
         health = UpstreamHealth()
         health.record_unreachable(0.0)
         self.assertTrue(health.is_suspended(SUSPEND_MIN_S - 0.01))
@@ -155,7 +155,7 @@
         health.record_failure(0.2)
         self.assertTrue(health.is_suspended(0.3))
 
-    def test_failure_share_fades(self):
+    def test_failure_rate_decays(self):
         health = UpstreamHealth()
         for number in range(10):
             health.record_failure(number / 10)
@@ -164,7 +164,7 @@
 
 
 class LoadsTest(unittest.TestCase):
-    def test_work_of_other_entries_counts_until_its_end_is_told(self):
+    def test_work_of_other_entries_counts_until_its_outcome_is_reported(self):
         loads = UpstreamLoads()
         remote = loads.begin("u", 1000)
         with loads.sending("u", 50):
@@ -172,8 +172,8 @@
         remote.end(1000)
         self.assertEqual((loads.requests("u"), loads.prompt_tokens("u")), (0, 0))
 
-    def test_report_of_an_upstream_tells_of_work_that_nobody_scheduled(self):
-        """Load: entries that reach no scheduler place calls by themselves."""
+    def test_load_report_reveals_untracked_requests(self):
+        """Entries that reach no scheduler place their own calls."""
         now = [100.0]
         self.enterContext(
             mock.patch("wisteriaarch.process.upstream_loads.now_s", lambda: now[0])
@@ -187,7 +187,7 @@
             loads.record_report("u", ReportedLoad(running=0, waiting=0, slots=4))
             self.assertEqual(loads.requests("u"), 1)
 
-    def test_pace_of_a_slow_upstream_rises_and_fades(self):
+    def test_slowdown_rises_and_decays(self):
         pace = Slowdown()
         for number in range(10):
             pace.observe(0.5, 0.1, float(number) / 10)
@@ -195,7 +195,7 @@
         self.assertLess(pace.at(20.0), 1.1)
 
 
-class CrashLedgerTest(unittest.TestCase):
+class CrashHistoryTest(unittest.TestCase):
     def call(self, body=b"x", path="/a"):
         route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 1.0, 1.0)
         return RoutedCall("id", route, "s", "POST", path, [], body, 0.0, 0.0)
@@ -249,7 +249,7 @@
             with self.subTest(reason=reason):
                 self.assertEqual(AttemptFailed(reason).ran is Ran.NO, reason in not_run)
 
-    def test_what_is_known_never_improves(self):
+    def test_combined_outcome_never_becomes_safer(self):
         self.assertIs(combine_ran(Ran.UNKNOWN, Ran.NO), Ran.UNKNOWN)
         self.assertIs(combine_ran(Ran.NO, Ran.UNKNOWN), Ran.UNKNOWN)
         self.assertIs(combine_ran(Ran.UNKNOWN, Ran.YES), Ran.YES)
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -94,7 +94,7 @@
         return parse_route_call(req, self.manifest, route, self.rng)
 
     def test_weights_share_the_requests(self):
-        """Load: a new version of a service takes a quarter of a route's requests."""
+        """A new version of a service gets a quarter of a route's requests."""
         drawn = Counter(
             self.parse("split.example", "/").service.name for _ in range(4000)
         )
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -136,7 +136,7 @@
             views[0].report = None
             self.choose(views)
 
-    def test_news_are_awaited_where_engines_were_not_asked_lately(self):
+    def test_load_reports_are_awaited_if_engines_were_not_polled_recently(self):
         views = make_views(2)
         fleet = ListedFleet(views)
         router, directive, call = make_router(fleet), fleet.directive(), make_call()
--- a/tests/test_row_watch.py
+++ b/tests/test_row_watch.py
@@ -50,8 +50,8 @@
         return answer
 
 
-class TableNewsTest(unittest.TestCase):
-    """One entry watches the store and tells another."""
+class TableUpdateTest(unittest.TestCase):
+    """One entry watches the store and sends updates to another."""
 
     def setUp(self):
         log = EventLog("test")
@@ -88,18 +88,18 @@
         self.assertTrue(self.follower.apply_update(self.watcher.confirmation_update()))
         self.assertEqual(self.follower.version, 20)
 
-    def test_news_after_lost_news_is_not_taken(self):
+    def test_update_after_a_lost_update_is_not_applied(self):
         self.watch(3)
         self.follower.install_copy(RowCopy((row("a", 1),), 5, 1))
         self.assertFalse(self.follower.apply_update(self.told[-1]))
         self.assertEqual(list(self.follower.rows), ["a"])
 
-    def test_confirmation_tells_of_lost_news(self):
+    def test_confirmation_reveals_a_lost_update(self):
         self.watch(4)
         self.follower.install_copy(RowCopy((row("a", 1),), 5, 1))
         self.assertFalse(self.follower.apply_update(self.watcher.confirmation_update()))
 
-    def test_late_news_does_not_undo_a_removal(self):
+    def test_late_update_does_not_undo_a_removal(self):
         self.watch(3)
         self.follower.install_copy(self.watcher.make_copy())
         for news in self.told:
@@ -112,14 +112,14 @@
         self.assertIsNone(self.watcher.confirmation_update())
 
     def test_watcher_confirms_all_the_time_between_two_answers(self):
-        """Load: a calm store answers a watch only once in its whole wait."""
+        """Without changes the store answers a watch only after its whole wait."""
         self.watch(4)
         waited_s = 0.9 * 1.0
         now_s = row_watch_module.now_s() + waited_s
         with mock.patch.object(row_watch_module, "now_s", lambda: now_s):
             self.assertIsNotNone(self.watcher.confirmation_update())
 
-    def test_return_of_the_store_is_told(self):
+    def test_recovery_of_the_store_is_announced(self):
         self.source.answers[3] = StoreUnavailable("away")
         self.source.answers.append(RowsRead((), 21))
         self.watch(5)
@@ -130,8 +130,8 @@
         )
 
 
-class WatchDutyTest(unittest.TestCase):
-    """Which of many entries ask the store."""
+class WatcherElectionTest(unittest.TestCase):
+    """Which of many entries watch the store."""
 
     def setUp(self):
         self.now = 100.0
@@ -157,7 +157,7 @@
         self.assertEqual(self.due(self.duties(9)), 9)
 
     def test_one_takes_over_where_no_watcher_is_heard(self):
-        """Load: all watchers are lost at once, and a change comes."""
+        """All watchers are lost at once before a change."""
         duties = self.duties(195)
         for duty in duties:
             duty.record_watcher_contact()
@@ -191,7 +191,7 @@
         self.assertEqual((watch.version, watch.changed_version), (9, 8))
         self.assertEqual(self.source.asked, ["all", 5])
 
-    def test_lost_history_is_read_anew(self):
+    def test_all_rows_are_read_again_if_the_history_is_unavailable(self):
         watch = self.watch(
             RowsRead((row("a", 1),), 5),
             HistoryUnavailable("x"),
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -1,4 +1,4 @@
-"""Calls that one entry places for others: messages, knowledge and lost schedulers."""
+"""Placement of calls for other entries: messages, estimates, lost schedulers."""
 
 import contextlib
 import random
@@ -122,7 +122,7 @@
             with self.subTest(message=message):
                 self.assert_survives(message)
 
-    def test_question_keeps_what_placement_needs(self):
+    def test_query_survives_the_wire(self):
         sent = make_call(
             prompt=prompt(9000, 8000),
             tried_upstreams={"u"},
@@ -276,8 +276,8 @@
 
         self.play(scenario)
 
-    def test_prompt_read_for_one_entry_is_known_for_the_other(self):
-        """Load: long prompts with the same part come in at different entries."""
+    def test_prefix_prefilled_for_one_entry_is_known_for_the_other(self):
+        """Long prompts with the same prefix arrive at different entries."""
 
         async def scenario(one, two):
             first = make_call("c1", prompt=prompt(17_000, 13_000))
@@ -290,8 +290,8 @@
 
         self.play(scenario)
 
-    def test_call_that_waits_for_a_part_and_then_for_its_turn_is_placed(self):
-        """Load: a burst of long prompts with one new part, beyond what is read."""
+    def test_call_that_waits_for_a_prefix_and_in_the_queue_is_placed(self):
+        """A burst of long prompts with one new prefix exceeds the prefill capacity."""
 
         async def scenario(one, two):
             tasks = []
@@ -312,8 +312,8 @@
             await placement.ticket.observe_outcome(AttemptOutcome(ANSWERED, 0.05, 0.05))
             await curio.sleep(0.1)
 
-    def test_scheduler_that_takes_over_asks_engines_that_may_hold_a_part(self):
-        """Load: the scheduler is lost, and all shared parts would be read anew."""
+    def test_new_scheduler_prefers_engines_that_may_have_the_prefix_cached(self):
+        """A new scheduler would have all shared prefixes prefilled again."""
 
         async def scenario(one, _two):
             self.home.estimates.prefix_cache._started_at_s -= 2 * WARM_UP_S
@@ -323,7 +323,7 @@
 
         self.play(scenario)
 
-    def test_work_of_an_entry_that_is_gone_counts_no_more(self):
+    def test_work_of_a_disconnected_entry_is_no_longer_counted(self):
         async def scenario(one, _two):
             await one.place(make_call(prompt=prompt(300)))
             self.assertEqual(sum(self.in_flight().values()), 1)
@@ -333,7 +333,7 @@
 
         self.play(scenario)
 
-    def test_upstream_that_asks_to_be_left_alone_is_left_alone_by_all(self):
+    def test_requested_backoff_is_kept_by_all_entries(self):
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
             alone = placement.plan.decode.candidate.upstream.upstream_id
@@ -350,7 +350,7 @@
 
         self.play(scenario)
 
-    def test_upstream_that_says_it_leaves_gets_nothing_new(self):
+    def test_draining_upstream_gets_no_new_work(self):
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
             leaving = placement.plan.decode.candidate.upstream.upstream_id
@@ -367,8 +367,8 @@
 
         self.play(scenario)
 
-    def test_limit_that_one_entry_is_told_is_kept_for_all(self):
-        """Load: more calls than the engine without a limit has places for."""
+    def test_limit_reported_by_one_entry_is_kept_for_all(self):
+        """More calls arrive than the engine without a limit has slots for."""
 
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
@@ -391,8 +391,8 @@
 
         self.play(scenario)
 
-    def test_word_of_an_upstream_counts_while_its_answer_goes_on(self):
-        """Load: a stream of minutes from an upstream that drains and states a limit."""
+    def test_signals_are_applied_before_the_answer_ends(self):
+        """A stream may last minutes; its head says that the upstream drains."""
 
         async def scenario(one, _two):
             placement = await one.place(make_call(prompt=prompt(300)))
@@ -409,8 +409,8 @@
 
         self.play(scenario)
 
-    def test_choice_that_is_not_usable_here_is_not_taken(self):
-        """Load: the scheduler hasn't heard yet that an upstream is leaving."""
+    def test_choice_of_an_unusable_upstream_is_rejected(self):
+        """The scheduler doesn't know yet that an upstream is draining."""
 
         async def scenario(one, _two):
             for name in ("d1", "d2"):
@@ -424,8 +424,8 @@
 
         self.play(scenario)
 
-    def test_dead_upstream_costs_the_fleet_a_handful_of_attempts(self):
-        """Load: 100 entries, each of which would try a dead upstream by itself."""
+    def test_dead_upstream_costs_all_entries_few_attempts(self):
+        """Each of 100 entries would try a dead upstream by itself."""
 
         async def scenario(one, two):
             reason = FailureReason.NOT_CONNECTED.value
@@ -447,9 +447,9 @@
 
 
 class EndedSessionTest(unittest.TestCase):
-    """Load: an entry is killed while several of its questions wait for their turn."""
+    """An entry is killed while several of its queries are pending."""
 
-    def test_all_that_it_waits_for_or_has_in_flight_counts_no_more(self):
+    def test_queries_and_attempts_of_a_closed_session_are_ended(self):
         async def scenario():
             started = curio.Event()
 
@@ -477,9 +477,9 @@
 
 
 class OverloadedSchedulerTest(unittest.TestCase):
-    """Load: more questions than the scheduler answers before they are given up."""
+    """Queries arrive faster than the scheduler answers, and are withdrawn."""
 
-    def test_question_that_was_withdrawn_meanwhile_costs_nothing(self):
+    def test_withdrawn_query_is_not_answered(self):
         async def scenario():
             scheduler = mock.Mock()
             session = SchedulingSession(
@@ -493,7 +493,7 @@
 
 
 class BrokenConnectionTest(SchedulingCase):
-    """Load: entries are killed while their scheduler writes to them."""
+    """Entries are killed while their scheduler writes to them."""
 
     ANSWER_BYTES = 256 * 1024
 
@@ -539,7 +539,7 @@
 
         return curio.run(run)
 
-    def test_silent_scheduler_is_given_up_soon_and_then_left_out(self):
+    def test_silent_scheduler_times_out_and_is_backed_off_from(self):
         async def run():
             return curio.tcp_server_socket("127.0.0.1", 0)
 
@@ -555,7 +555,7 @@
         self.assertIsInstance(placement.ticket, NoTicket)
         self.assertLess(elapsed_s, 3 * ANSWER_TIMEOUT_S)
 
-    def test_broken_connection_answers_who_waits(self):
+    def test_broken_connection_ends_pending_queries(self):
         async def run():
             link = SchedulerLink(Address("127.0.0.1", 9), mock.Mock())
             link._link = mock.AsyncMock()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -47,7 +47,7 @@
 
 
 class FailedAcceptTest(unittest.TestCase):
-    """Load: clients come back all at once, and the process runs out of descriptors."""
+    """Many clients connect at once, and the process runs out of descriptors."""
 
     def test_clients_that_are_connected_stay_and_others_come_later(self):
         curio.run(self.serve)
@@ -113,7 +113,7 @@
 
 
 class _SlowToClose(Socket):
-    """A listening socket whose owner is held up while callers come, then closes."""
+    """Listening socket that is closed late, while callers are connecting."""
 
     def __init__(self, sock, pool):
         super().__init__(sock)
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -114,7 +114,7 @@
         self.first, self.second = sorted(entries, key=lambda item: item.lease.rank)
 
     def play(self, seconds, *entries):
-        """Let entries decide for some time; returns the orders given meanwhile."""
+        """Run the controllers for some time; returns the orders issued meanwhile."""
         before = len(self.orders.given)
 
         async def steps():
@@ -138,13 +138,13 @@
         self.assertIs(self.first.changes.target(order.upstream), Stage.PREFILL)
 
     def test_entry_that_schedules_nothing_gives_no_order(self):
-        """Load: an entry that knows a part of the load would order by that part."""
+        """An entry that knows a part of the load would decide by that part."""
         self.first.schedules = False
         self.assertEqual(self.play(6.0, self.first), [])
         self.assertEqual(self.table.rows, {})
 
     def test_scheduler_orders_at_once_among_hundreds_of_entries(self):
-        """Load: a swing at 195 entries; the scheduler is none of the first by rank."""
+        """The mix shifts at 195 entries; the scheduler has a low contender rank."""
         names = [f"entry-{number}" for number in range(195)]
         last = max(
             names,
@@ -193,7 +193,7 @@
         self.assertEqual(order.epoch, 2)
 
     def test_lease_of_a_killed_holder_has_lapsed_when_the_next_swing_comes(self):
-        """Load: a swing, the holder of the lease is killed, and another swing."""
+        """The lease holder is killed between two shifts of the mix."""
         self.play(1.2, self.first)
         self.names.remove(self.first.control._holder)
         self.second.demand = CALM
@@ -241,7 +241,7 @@
         self.assertTrue(all(order.epoch > 2 for _at_s, order in given))
 
     def test_refused_token_is_used_no_more(self):
-        """Load: an engine has had an order with a higher token."""
+        """An engine has received an order with a higher fencing token."""
         self.orders.failure = OrderFenced("a higher token was seen")
         (_at_s, first), *later = self.play(9.0, self.first)
         self.assertTrue(later)
@@ -262,7 +262,7 @@
         self.assertEqual(len(given), 1)
 
     def test_unanswered_order_is_sent_again_as_it_was(self):
-        """Load: workers leave orders unanswered and carry them out late."""
+        """Engines don't answer orders, and execute them late."""
         self.orders.failure = OrderUnconfirmed("no answer")
         given = [order for _at_s, order in self.play(0.7, self.first)]
         self.assertEqual(given, [given[0]] * ORDER_ATTEMPTS_MAX)
@@ -312,7 +312,7 @@
         self.assertNotIn(first[1].upstream, [order.upstream for _at_s, order in later])
 
     def test_two_processes_of_one_entry_never_order_by_turns(self):
-        """Load: an entry is frozen, started anew elsewhere under its id, and thaws."""
+        """A paused entry is started again under its id elsewhere, and then resumes."""
         name = self.first.lease._contender.entry_id
         twin_orders = FakeOrders(lambda: self.table.now_s)
         twin = Entry(self.table, name, self.names, twin_orders, incarnation="2")
--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -1,4 +1,4 @@
-"""When engines change their stage, and who knows of it, without I/O."""
+"""Decisions on stage changes, and notices of them, without I/O."""
 
 import unittest
 from dataclasses import replace
@@ -33,7 +33,7 @@
         self.changes = []
 
     def play(self, demand, seconds):
-        """Let a demand last; returns the changes made meanwhile."""
+        """Keep a demand for some time; returns the changes made meanwhile."""
         before = len(self.changes)
         for _ in range(round(seconds / STEP_S)):
             self.now += STEP_S
@@ -92,7 +92,7 @@
         self.assertLessEqual(len(fleet.changes), 40)
 
     def test_slow_engines_count_as_a_part_of_one(self):
-        """Load: a peak of both kinds while two engines that run prompts are slow."""
+        """Peak load on both stages while two decode engines are slow."""
         fleet = Fleet(3, 5)
         fleet.engines[-2:] = [
             replace(item, slowdown=5.0) for item in fleet.engines[-2:]
@@ -112,7 +112,7 @@
         self.assertEqual(len(fleet.changes), before)
 
     def test_mistaken_change_is_turned_back_within_seconds(self):
-        """Load: the other stage falls short right after it gave an engine away."""
+        """The other stage lacks an engine right after one was moved."""
         fleet = Fleet(2, 7)
         fleet.play(LONG_PROMPTS, 3.0)
         fleet.play(PrefillDemand(prefill_engines=0.8, decode_engines=5.0), 6.0)
@@ -127,7 +127,7 @@
         self.assertEqual(fleet.play(LONG_PROMPTS, 20.0), [])
 
     def test_each_stage_keeps_its_part_of_the_engines(self):
-        """Load: one kind of prompt alone, and then the loss of an engine."""
+        """Only prompts of one size, and then the loss of an engine."""
         fleet = Fleet(3, 6)
         fleet.play(PrefillDemand(prefill_engines=9.0, decode_engines=0.1), 60.0)
         self.assertEqual(fleet.count(Stage.DECODE), 3)
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -69,7 +69,7 @@
         return random.choice(self._addresses)
 
     def _ask_for_entries(self):
-        """Ask an entry that still runs, as a caller does whose list has run out."""
+        """Query a running entry, as a caller does whose address list has expired."""
         for address in [*self._addresses, *self._find_entries()]:
             asked_s = time.monotonic()
             try:
