--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -127,8 +127,9 @@
         limiter = fleet.limiters[0]
         limiter.record_scheduled_call("s")
         waits = [limiter.acquire("u", "s") for _ in range(5)]
+        per_s = limiter.limited_rates(("u",), "s")["u"].per_s
         for earlier, later in pairwise(waits[1:]):
-            self.assertAlmostEqual(later - earlier, 1 / limiter.rate("u", "s"))
+            self.assertAlmostEqual(later - earlier, 1 / per_s)
 
     def test_limit_of_zero_lets_its_end_be_noticed(self):
         fleet = Fleet(7, 0.0)
--- a/wisteriaarch/process/request_limits.py
+++ b/wisteriaarch/process/request_limits.py
@@ -76,6 +76,10 @@
         """Whether any upstream states a limit."""
         return bool(self._in_force)
 
+    def is_in_force(self, upstream_id: str) -> bool:
+        """Whether an upstream states a limit."""
+        return upstream_id in self._in_force
+
     def per_s(self, upstream_id: str) -> float:
         """Return the limit of an upstream; UNLIMITED if it states none."""
         limit = self._limits.get(upstream_id)
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -1,6 +1,6 @@
 """Finds the upstreams that are eligible for a call, with their estimated load."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import curio
 
@@ -19,7 +19,7 @@
     can_run,
     normalize_slowdowns,
 )
-from .request_limiter import RequestLimiter
+from .request_limiter import LimitedRate, RequestLimiter
 from .routed_call import RoutedCall
 
 REGISTRATION_WAIT_S = 0.6
@@ -85,9 +85,12 @@
             if (excluded_stage is None or item.stage is not excluded_stage)
             and not self._loads.of(item.upstream_id).health.is_in_backoff(now)
         ]
+        limits: dict[str, LimitedRate] = {}
         if self._limiter.is_active:
-            patience_s = limit_patience_s(call)
-            usable = [item for item in usable if self._limit_wait_s(item) <= patience_s]
+            limits = self._limiter.limited_rates(
+                (item.upstream_id for item in usable), call.service
+            )
+            usable = _with_turn_in_time(usable, limits, limit_patience_s(call))
         untried = [
             item for item in usable if item.upstream_id not in call.tried_upstreams
         ]
@@ -98,6 +101,8 @@
         candidates = [
             self._candidate(item, now, rate, cache_state_of) for item in untried
         ]
+        if limits:
+            _apply_limits(candidates, limits)
         if self._cache.is_warming_up() and _has_large_prefix(call):
             candidates = assume_owners_have_prefix(candidates, call.prompt)
         return normalize_slowdowns(candidates)
@@ -114,7 +119,7 @@
         health = load.health
         prefix = cache_state_of(name)
         is_changing = self._stage_changes.target(upstream) is not None
-        candidate = Candidate(
+        return Candidate(
             upstream,
             requests=load.requests + load.untracked_requests_at(now),
             prompt_tokens=load.prefill_tokens_left(now, rate),
@@ -125,13 +130,6 @@
             cache_state=prefix.state,
             cached_prefix_tokens=prefix.cached_tokens,
         )
-        if self._limiter.is_active:
-            candidate.limit_wait_s = self._limit_wait_s(upstream)
-            candidate.limit_per_s = self._limiter.rate(name, upstream.service)
-        return candidate
-
-    def _limit_wait_s(self, upstream: Upstream) -> float:
-        return self._limiter.wait_s(upstream.upstream_id, upstream.service)
 
     def _cache_state_lookup(
         self, call: RoutedCall
@@ -155,6 +153,26 @@
     return min(call.remaining_s(), max(OVERDUE_PATIENCE_S, objective_left_s))
 
 
+def _with_turn_in_time(
+    upstreams: Iterable[Upstream], limits: dict[str, LimitedRate], patience_s: float
+) -> list[Upstream]:
+    return [
+        item
+        for item in upstreams
+        if item.upstream_id not in limits
+        or limits[item.upstream_id].wait_s <= patience_s
+    ]
+
+
+def _apply_limits(
+    candidates: Iterable[Candidate], limits: dict[str, LimitedRate]
+) -> None:
+    for item in candidates:
+        limit = limits.get(item.upstream.upstream_id)
+        if limit is not None:
+            item.limit_wait_s, item.limit_per_s = limit.wait_s, limit.per_s
+
+
 def _nothing_cached(_upstream_id: str) -> PrefixCacheState:
     return NOTHING_CACHED
 
--- a/wisteriaarch/request/request_limiter.py
+++ b/wisteriaarch/request/request_limiter.py
@@ -7,7 +7,7 @@
 """
 
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..process.clock import now_s
@@ -49,6 +49,18 @@
         return max(0.0, 1.0 - self.tokens) / rate
 
 
+@dataclass(frozen=True)
+class LimitedRate:
+    """What a request limit leaves to this entry now.
+
+    A request would have to wait ``wait_s`` for its turn; ``per_s`` requests a second
+    may be sent.
+    """
+
+    wait_s: float
+    per_s: float
+
+
 @dataclass
 class SchedulingPeriod:
     """Time for which this entry has scheduled a service without a longer break."""
@@ -92,33 +104,38 @@
         else:
             period.last_call_at_s = now
 
-    def rate(self, upstream_id: str, service: str = "") -> float:
-        """Return the requests a second that this entry may send or place now.
+    def limited_rates(
+        self, upstream_ids: Iterable[str], service: str = ""
+    ) -> dict[str, LimitedRate]:
+        """Return what is left of the limits of a service's upstreams.
 
-        UNLIMITED if the upstream states no limit.
+        Upstreams that state no limit are left out.
         """
-        per_s = self._limits.per_s(upstream_id)
-        if per_s == UNLIMITED:
-            return UNLIMITED
-        return max(RATE_MIN_PER_S, per_s) * self._share(service)
+        limited = [name for name in upstream_ids if self._limits.is_in_force(name)]
+        if not limited:
+            return {}
+        share = self._share(service)
+        return {name: self._limited_rate(name, share) for name in limited}
+
+    def _limited_rate(self, upstream_id: str, share: float) -> LimitedRate:
+        rate = self._rate(upstream_id, share)
+        return LimitedRate(self._refilled_bucket(upstream_id, rate).wait_s(rate), rate)
 
     def wait_s(self, upstream_id: str, service: str = "") -> float:
         """Return how long a request to an upstream would have to wait now."""
-        rate = self.rate(upstream_id, service)
-        if rate == UNLIMITED:
-            return 0.0
-        return self._refilled_bucket(upstream_id, rate).wait_s(rate)
+        rates = self.limited_rates((upstream_id,), service)
+        return rates[upstream_id].wait_s if rates else 0.0
 
     def acquire(self, upstream_id: str, service: str = "") -> float:
         """Take the next turn at an upstream; returns how long to wait for it."""
-        rate = self.rate(upstream_id, service)
-        if rate == UNLIMITED:
-            return 0.0
-        bucket = self._refilled_bucket(upstream_id, rate)
-        wait_s = bucket.wait_s(rate)
-        bucket.tokens -= 1.0
+        wait_s = self.wait_s(upstream_id, service)
+        if self._limits.is_in_force(upstream_id):
+            self._buckets[upstream_id].tokens -= 1.0
         return wait_s
 
+    def _rate(self, upstream_id: str, share: float) -> float:
+        return max(RATE_MIN_PER_S, self._limits.per_s(upstream_id)) * share
+
     def _refilled_bucket(self, upstream_id: str, rate: float) -> TokenBucket:
         now = self._clock()
         bucket = self._buckets.get(upstream_id)
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -100,13 +100,10 @@
     def _views_with_shortest_wait(
         self, views: list[UpstreamView]
     ) -> list[UpstreamView]:
-        waits = [self._limiter.wait_s(view.name) for view in views]
-        shortest_s = min(waits)
-        return [
-            view
-            for view, wait_s in zip(views, waits, strict=True)
-            if wait_s == shortest_s
-        ]
+        limits = self._limiter.limited_rates(view.name for view in views)
+        waits = {name: limit.wait_s for name, limit in limits.items()}
+        shortest_s = min(waits.get(view.name, 0.0) for view in views)
+        return [view for view in views if waits.get(view.name, 0.0) == shortest_s]
 
     def _shortest_wait_s(self, call: Call, active_manifest: ActiveManifest) -> float:
         """Return after what whole number of seconds a caller may find an upstream."""
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -158,13 +158,15 @@
 
         It has requested a backoff, or states a request limit.
         """
-        estimates, limiter = self._parts.estimates, self._parts.limiter
+        estimates = self._parts.estimates
+        names = [item.upstream_id for item in estimates.registry.usable(service)]
+        limits = self._parts.limiter.limited_rates(names, service)
         waits = (
             max(
-                estimates.loads.of(item.upstream_id).health.backoff_left_s(now_s()),
-                limiter.wait_s(item.upstream_id, service),
+                estimates.loads.of(name).health.backoff_left_s(now_s()),
+                limits[name].wait_s if name in limits else 0.0,
             )
-            for item in estimates.registry.usable(service)
+            for name in names
         )
         return min((wait_s for wait_s in waits if wait_s > 0), default=0.0)
 
