--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -19,7 +19,6 @@
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
 from .gauges import GatewayGauges
-from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
@@ -30,11 +29,9 @@
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_all_until
 from .request.call_runner import CallRunner
-from .request.request_limiter import entry_share
+from .request.own_shares import OwnShares
 from .request.scheduler import Scheduler, SchedulingParts
 from .request.shared_retry_budget import (
-    ENTRY_SHARE,
-    SAFETY_FACTOR,
     SCHEDULER_SHARE,
     SharedRetryBudget,
 )
@@ -100,11 +97,16 @@
 
     def _build_schedulers(self) -> None:
         """Build the scheduler shared by all entries and this entry's own fallback."""
+        shares = OwnShares(
+            self.network.count_entries,
+            lambda: self._placer.last_answered_at_s,
+            lambda: self.settings.retry.window_s,
+        )
         parts = SchedulingParts.from_estimates(
             self.estimates,
             lambda: self.state.routes,
             self.log,
-            self._own_limit_share,
+            shares.limit_share,
             self._rng,
         )
         retry = self.settings.retry
@@ -113,7 +115,7 @@
             retry.slack,
             retry.window_s,
             self.network.count_entries,
-            share=self._own_retry_share,
+            share=shares.retry_share,
         )
         self._shared_retry_budget = SharedRetryBudget(
             retry.ratio,
@@ -136,21 +138,6 @@
             self.log,
         )
 
-    def _own_retry_share(self) -> float:
-        """Return this entry's share of the retry budget for unscheduled calls.
-
-        It is smaller while a scheduler has answered within the budget's window.
-        """
-        return ENTRY_SHARE if self._has_scheduler() else SAFETY_FACTOR
-
-    def _own_limit_share(self) -> float:
-        """Return this entry's share of a request limit for unscheduled calls."""
-        return entry_share(self.network.count_entries(), self._has_scheduler())
-
-    def _has_scheduler(self) -> bool:
-        age_s = now_s() - self._placer.last_answered_at_s
-        return age_s < self.settings.retry.window_s
-
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
             Contender(
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -29,7 +29,7 @@
     the share of recent attempts that failed. ``cache_state`` is the estimated state of
     the prompt's shared prefix in the engine's cache, ``cached_prefix_tokens`` the
     number of its tokens that are cached if only some are. A request would have to wait
-    ``limit_wait_s`` for its turn under the upstream's request limit, of which
+    ``limit_wait_s`` for a permit under the upstream's request limit, of which
     ``limit_per_s`` requests a second may be used here.
     """
 
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -24,7 +24,7 @@
 
 REGISTRATION_WAIT_S = 0.6
 REGISTRATION_POLL_S = 0.05
-OVERDUE_PATIENCE_S = 0.1
+OVERDUE_LIMIT_WAIT_MAX_S = 0.1
 
 
 class CandidateFinder:
@@ -74,7 +74,7 @@
     ) -> list[Candidate]:
         """Return the current candidates, excluding those of one stage if it is given.
 
-        Upstreams whose request limit leaves the call no turn in time are excluded.
+        Upstreams whose request limit allows the call too late are excluded.
         Upstreams that the call has already tried are excluded too, unless no other
         one can run it: at peak load a call may have tried all of a few engines.
         """
@@ -90,7 +90,7 @@
             limits = self._limiter.limited_rates(
                 (item.upstream_id for item in usable), call.service
             )
-            usable = _with_turn_in_time(usable, limits, limit_patience_s(call))
+            usable = _within_limit_wait(usable, limits, limit_wait_max_s(call))
         untried = [
             item for item in usable if item.upstream_id not in call.tried_upstreams
         ]
@@ -143,24 +143,24 @@
         )
 
 
-def limit_patience_s(call: RoutedCall) -> float:
-    """Return how long a call may wait for its turn at a limited upstream.
+def limit_wait_max_s(call: RoutedCall) -> float:
+    """Return how long a call may wait for a permit of a limited upstream.
 
     A call that can still meet its objective may use the time until then. One that can't
-    gets a turn that is free, but doesn't delay those that can.
+    gets an available permit, but doesn't delay those that can.
     """
     objective_left_s = call.arrived_at_s + call.route.objective_s - now_s()
-    return min(call.remaining_s(), max(OVERDUE_PATIENCE_S, objective_left_s))
+    return min(call.remaining_s(), max(OVERDUE_LIMIT_WAIT_MAX_S, objective_left_s))
 
 
-def _with_turn_in_time(
-    upstreams: Iterable[Upstream], limits: dict[str, LimitedRate], patience_s: float
+def _within_limit_wait(
+    upstreams: Iterable[Upstream], limits: dict[str, LimitedRate], wait_max_s: float
 ) -> list[Upstream]:
     return [
         item
         for item in upstreams
         if item.upstream_id not in limits
-        or limits[item.upstream_id].wait_s <= patience_s
+        or limits[item.upstream_id].wait_s <= wait_max_s
     ]
 
 
--- a/wisteriaarch/request/request_limiter.py
+++ b/wisteriaarch/request/request_limiter.py
@@ -32,7 +32,7 @@
 
 @dataclass
 class TokenBucket:
-    """Requests that may be sent now; negative while calls wait for their turn."""
+    """Permits for requests now; negative while calls wait for theirs."""
 
     tokens: float
     updated_at_s: float
@@ -53,8 +53,8 @@
 class LimitedRate:
     """What a request limit leaves to this entry now.
 
-    A request would have to wait ``wait_s`` for its turn; ``per_s`` requests a second
-    may be sent.
+    A request would have to wait ``wait_s`` for a permit; ``per_s`` permits are issued a
+    second.
     """
 
     wait_s: float
@@ -127,7 +127,7 @@
         return rates[upstream_id].wait_s if rates else 0.0
 
     def acquire(self, upstream_id: str, service: str = "") -> float:
-        """Take the next turn at an upstream; returns how long to wait for it."""
+        """Take the next permit for an upstream; returns how long to wait for it."""
         wait_s = self.wait_s(upstream_id, service)
         if self._limits.is_in_force(upstream_id):
             self._buckets[upstream_id].tokens -= 1.0
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -24,8 +24,8 @@
 TIE_MARGIN = 0.05
 ENGINE_KIND = "engine"
 POLL_AGE_MAX_S = 2.0
-# Longest wait of a call for its turn at an upstream that states a request limit.
-LIMIT_PATIENCE_S = 0.5
+# Longest wait of a call for a permit of an upstream that states a request limit.
+LIMIT_WAIT_MAX_S = 0.5
 RETRY_AFTER_MIN_S = 1.0
 
 
@@ -88,7 +88,7 @@
         """Return the scored candidates, best first.
 
         Upstreams whose request limit allows a request now go before those where it has
-        to wait for its turn, and the shortest such wait comes first.
+        to wait for a permit, and the shortest such wait comes first.
         """
         views = self._eligible_views(call, active_manifest, excluded)
         if views and self._limiter.is_active:
@@ -198,7 +198,7 @@
             return False
         return (
             not self._limiter.is_active
-            or self._limiter.wait_s(view.name) <= LIMIT_PATIENCE_S
+            or self._limiter.wait_s(view.name) <= LIMIT_WAIT_MAX_S
         )
 
     def _sampling_order(self, names, last_engine: str | None) -> Iterator[str]:
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -103,7 +103,7 @@
             self._parts.limiter.record_scheduled_call(call.service)
         self._restart_warm_up_after_gap(call.service)
         plan = await self._plan(call, on_wait)
-        await self._wait_for_turn(plan.prefill or plan.decode, on_wait)
+        await self._acquire_permit(plan.prefill or plan.decode, on_wait)
         return plan
 
     async def _plan(self, call: RoutedCall, on_wait: OnWait) -> StagePlan:
@@ -170,8 +170,8 @@
         )
         return min((wait_s for wait_s in waits if wait_s > 0), default=0.0)
 
-    async def _wait_for_turn(self, choice: Choice, on_wait: OnWait) -> None:
-        """Take the next turn at an upstream with a request limit, and wait for it.
+    async def _acquire_permit(self, choice: Choice, on_wait: OnWait) -> None:
+        """Wait for a permit to send a request to an upstream with a request limit.
 
         Raises AttemptFailed if the upstream accepts no new work any more by then.
         """
@@ -202,5 +202,5 @@
                 FailureReason.NOTHING_SENT,
                 "no engine runs prompts",
             )
-        await self._wait_for_turn(choice, on_wait)
+        await self._acquire_permit(choice, on_wait)
         return choice
