Log changes of request limits from a module of their own

Both faces log them; the function stood in the module that reads the own interface's headers. Moved, not changed: tests.test_entry_limits and tests.test_scheduling pass.

--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -25,11 +25,12 @@
 from .process.signals import StopSignals
 from .process.staleness import ServingBasis, StalenessCheck
 from .process.supervision import run_all_until
+from .request.limit_log import log_limit
 from .request.policy import build_admission, build_router
 from .request.request_limiter import RequestLimiter, entry_share
 from .request.request_path import RequestPath
 from .request.routes import Routes
-from .request.signal_reader import SignalReader, log_limit
+from .request.signal_reader import SignalReader
 from .sockets import listen_on
 from .steps import Step, reach_step
 from .version.control import ControlPlane
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -17,9 +17,9 @@
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
 from .candidate import Choice
+from .limit_log import log_limit
 from .placement import DIRECT_SLOWDOWN
 from .routed_call import RoutedCall
-from .signal_reader import log_limit
 
 PREFILL_OVERHEAD_S = 0.03
 # Above this ratio of queued to prompt tokens, the queue estimate (itself derived from
--- a/wisteriaarch/request/signal_reader.py
+++ b/wisteriaarch/request/signal_reader.py
@@ -10,6 +10,7 @@
 from ..process.upstream_view import UpstreamView
 from ..wire import HttpResponse
 from .invalid_header_log import InvalidHeaderLog
+from .limit_log import log_limit
 
 LIMIT_HEADER = "x-request-limit"
 RETRY_AFTER_HEADER = "retry-after"
@@ -61,13 +62,3 @@
         if not self._limits.observe(name, per_s, sent_at_s):
             return
         log_limit(self._log, name, per_s, source="answer")
-
-
-def log_limit(log: EventLog, upstream_id: str, per_s: float, source: str) -> None:
-    """Log a changed limit; ``source`` tells whether an answer or an entry told it."""
-    if per_s == UNLIMITED:
-        log.write(Event.REQUEST_LIMIT_ENDED, upstream=upstream_id, source=source)
-        return
-    log.write(
-        Event.REQUEST_LIMIT_CHANGED, upstream=upstream_id, per_s=per_s, source=source
-    )
