--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -42,13 +42,13 @@
         call.deadline_at_s = self.now + 5.0
         return call
 
-    def test_infeasible_call_is_refused_with_when_to_come_back(self):
+    def test_infeasible_call_is_refused_with_a_retry_delay(self):
         self.completion_s = 7.0
         refusal = self.refusal(self.make_call())
         self.assertEqual(refusal.kind, ErrorKind.DEADLINE_UNREACHABLE)
         self.assertGreaterEqual(refusal.retry_after_s, 2.0)
 
-    def test_caller_that_comes_back_finds_the_room_kept_for_it(self):
+    def test_retry_after_a_refusal_uses_its_reservation(self):
         self.completion_s = 5.0
         waits = [self.refusal(self.make_call(f"p{n}")).retry_after_s for n in range(4)]
         self.assertEqual(waits, sorted(set(waits)), "the promised times must differ")
@@ -57,7 +57,7 @@
         self.refusal(self.make_call("a newcomer"))
         self.hold(self.make_call("p0"))
 
-    def test_small_caller_finds_room_beside_one_beyond_its_share(self):
+    def test_small_caller_is_admitted_beside_one_beyond_its_share(self):
         for number in range(9):
             self.hold(self.make_call(f"large {number}", name="large"))
         self.hold(self.make_call("small", name="small"))
@@ -66,14 +66,14 @@
         refusal = self.refusal(self.make_call("large again", name="large"))
         self.assertEqual(refusal.kind, ErrorKind.OVERLOADED)
 
-    def test_unused_share_is_lent_out(self):
+    def test_unused_share_is_usable_by_other_callers(self):
         self.hold(self.make_call("small", name="small"))
         for number in range(9):
             self.hold(self.make_call(f"large {number}", name="large"))
         self.completion_s = 4.4
         self.hold(self.make_call("large again", name="large"))
 
-    def test_calls_expected_to_be_late_run_now_and_then(self):
+    def test_infeasible_calls_are_admitted_as_probes_now_and_then(self):
         self.completion_s = 7.0
         for number in range(5):
             self.refusal(self.make_call(f"refused {number}"))
@@ -82,7 +82,7 @@
         self.refusal(self.make_call("refused again"))
         self.refusal(self.make_call("refused " * 500))
 
-    def test_length_that_is_not_known_is_guessed_short(self):
+    def test_unknown_output_length_is_predicted_short(self):
         call = make_call(max_tokens=100_000)
         predictor = PercentilePredictor()
         self.assertLess(predictor.predict(call), 100)
--- a/tests/test_call_metrics.py
+++ b/tests/test_call_metrics.py
@@ -38,7 +38,7 @@
         line = f"wisteriaarch_calls_total{{{labels}}} 1\n"
         return line in self.metrics.render()
 
-    def test_answers_are_told_apart_by_the_objective(self):
+    def test_outcome_depends_on_the_objective(self):
         self.measure(first_s=0.1)
         self.measure(first_s=OBJECTIVE_S + 0.1)
         self.assertTrue(self.shown("in_time", "200"))
@@ -59,7 +59,7 @@
                 self.measure(exc, first_s=None)
             self.assertTrue(self.shown(outcome, "upstream_failed"))
 
-    def test_caller_that_leaves_is_counted(self):
+    def test_disconnected_caller_is_counted(self):
         with self.assertRaises(curio.TaskCancelled):
             self.measure(curio.TaskCancelled("left"))
         self.assertTrue(self.shown("left", "TaskCancelled"))
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -62,7 +62,7 @@
         exc = self.end(Ran.NO)
         self.assertEqual((exc.kind, exc.ran), (ErrorKind.NO_UPSTREAM, Ran.NO))
 
-    def test_call_that_may_have_run_is_never_said_not_to_have(self):
+    def test_call_that_may_have_run_is_never_reported_as_not_run(self):
         exc = self.end(Ran.UNKNOWN)
         self.assertEqual((exc.kind, exc.ran), (ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN))
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -215,7 +215,7 @@
         behind = name in self.late and self.asked[name] < 4
         return mock.Mock(generation=1 if behind else 2, members=(), freshness_bound_s=9)
 
-    def test_few_at_once_and_confirmed_ones_seldom_again(self):
+    def test_polls_are_bounded_and_confirmed_entries_are_polled_less_often(self):
         wait = fleet_view.wait_for_entries
         began_s = time.monotonic()
         outcome = curio.run(wait, None, lambda status: status.generation == 2, 1.2)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -21,7 +21,7 @@
             engine = cluster.start_engine("engine-1", role="decode")
             self.assertEqual(engine.request("GET", "/orders").json()["role"], "decode")
 
-    def test_stop_signal_ends_every_stand_in(self):
+    def test_stop_signal_ends_every_emulator(self):
         with Cluster() as cluster:
             cluster.start_platform()
             cluster.start_engine("engine-1")
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -129,7 +129,7 @@
 
         return relay, sink
 
-    def test_event_without_end_is_given_up(self):
+    def test_endless_event_fails_the_attempt(self):
         server = EndlessServer(HEAD + b"\r\n", BLOCK)
         relay, sink = self.stream(server, 8.0)
         with self.assertRaises(AttemptFailed):
@@ -137,7 +137,7 @@
         self.assertTrue(server.closed)
         sink.send_block.assert_not_awaited()
 
-    def test_stream_without_end_is_relayed_until_its_caller_leaves(self):
+    def test_endless_stream_is_relayed_until_its_caller_disconnects(self):
         event = b"id: 1\ndata: " + BLOCK + b"\n\n"
         server = EndlessServer(HEAD + b"\r\n", event, pause_s=0.01)
         relay, sink = self.stream(server, 0.5)
@@ -145,7 +145,7 @@
         self.assertTrue(server.closed)
         self.assertGreater(sink.send_block.await_count, 5)
 
-    def test_one_byte_a_while_ends_with_the_time_of_the_call(self):
+    def test_trickled_answer_ends_at_the_deadline(self):
         server = EndlessServer(HEAD + b"\r\n", b"x", pause_s=0.05)
         relay, _sink = self.stream(server, 0.5)
         began_at_s = time.monotonic()
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -31,7 +31,7 @@
         line = stream.getvalue()
         self.assertIn('[101] entry is ready for callers weighed={"a":1.5}', line)
 
-    def test_lines_over_the_budget_are_told(self):
+    def test_suppressed_lines_are_counted(self):
         stream = io.StringIO()
         now_s = [0.0]
         budget = LogBudget(10, 1e9, lambda: now_s[0])
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -21,7 +21,7 @@
         self.assertEqual(first, generate_arrivals(site, pattern, 1))
         self.assertNotEqual(first, generate_arrivals(site, pattern, 2))
 
-    def test_missed_targets_are_said_so(self):
+    def test_missed_targets_are_reported(self):
         results = [
             result("predicted", 62, role_changes=2),
             result("static_split", 50),
--- a/tests/test_gateway_log.py
+++ b/tests/test_gateway_log.py
@@ -33,7 +33,7 @@
         self.assertEqual(answer.status, 200)
         return elapsed_s
 
-    def test_reader_that_stops_delays_no_answer(self):
+    def test_stalled_log_reader_delays_no_answer(self):
         """Load: the collector of the logs hangs while requests go on.
 
         Both entries are asked by turns, so that the machine is as busy for both.
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -31,7 +31,7 @@
     def other(self, name):
         return next(item for item in PAIR if item != name)
 
-    def test_killed_holder_is_followed_by_one_with_the_next_epoch(self):
+    def test_successor_of_a_killed_holder_has_the_next_epoch(self):
         self.start_pair()
         holder = self.wait_for_holder(*PAIR)
         self.assertEqual(self.holders(*PAIR), [holder])
@@ -40,7 +40,7 @@
         self.wait_for_holder(self.other(holder))
         self.assertGreater(self.epoch(), epoch)
 
-    def test_holder_paused_past_its_term_has_lost_its_authority(self):
+    def test_holder_paused_past_its_term_has_lost_the_lease(self):
         self.start_pair()
         self.wait_for_holder(*PAIR)
         for step in (Step.LEASE_READ, Step.LEASE_WRITE, Step.LEASE_RENEWED):
@@ -83,7 +83,7 @@
         self.wait_for_holder("entry-1")
         self.assertEqual(self.epoch(), 1)
 
-    def test_two_processes_of_one_name_are_two_contenders(self):
+    def test_two_processes_with_one_id_are_two_contenders(self):
         self.start_engine()
         for name in PAIR:
             self.start_entry(name, entry_id="entry-1", lease={**LEASE, "term_s": 3.0})
@@ -139,7 +139,7 @@
         self.assertFalse(holder.is_held())
         self.assertEqual(contender.lease_term.epoch, 2)
 
-    def test_successor_orders_a_term_after_the_last_order_that_was_possible(self):
+    def test_successor_waits_for_a_term_after_the_last_possible_order(self):
         """Two holders must not issue orders within one term."""
         holder, contender = self.lease("a"), self.lease("b")
         self.advance(holder)
@@ -153,7 +153,7 @@
         self.table.now_s = holder_ends_at_s + 3.1
         self.assertTrue(contender.may_issue_orders())
 
-    def test_successor_of_one_that_gave_it_up_orders_at_once(self):
+    def test_successor_after_a_release_orders_at_once(self):
         holder, successor = self.lease("a"), self.lease("b")
         self.advance(holder)
         curio.run(holder.release)
--- a/tests/test_log_budget.py
+++ b/tests/test_log_budget.py
@@ -45,7 +45,7 @@
         self.play(10, progress_per_s=5000, failures_per_s=100)
         self.assertGreaterEqual(self.written[FAILURE_EVENT], 0.9 * 10 * LINES_PER_S)
 
-    def test_what_changes_beliefs_is_kept_while_every_request_fails(self):
+    def test_state_changes_are_logged_while_every_request_fails(self):
         """All upstreams are down, and every request is refused."""
         self.play(10, progress_per_s=5000, failures_per_s=5000)
         before = self.written.total()
@@ -71,7 +71,7 @@
         self.assertEqual(self.budget.take_suppressed(), {PROGRESS_EVENT: left_out})
         self.assertIsNone(self.budget.take_suppressed())
 
-    def test_ordinary_lines_are_back_a_second_after_a_burst(self):
+    def test_progress_lines_resume_a_second_after_a_burst(self):
         self.play(5, progress_per_s=5000)
         self.now_s += 1.0
         self.written.clear()
--- a/tests/test_log_output.py
+++ b/tests/test_log_output.py
@@ -25,7 +25,7 @@
         self.stream.flush()
         self.assertEqual(self.read(), b"one\ntwo\n")
 
-    def test_reader_that_stops_costs_lines_and_not_time(self):
+    def test_stalled_reader_loses_lines_and_delays_nothing(self):
         line = "x" * 99 + "\n"
         started_at_s = time.monotonic()
         for _ in range(20_000):
@@ -34,7 +34,7 @@
         self.assertGreater(self.stream.dropped_lines, 10_000)
         self.assertLessEqual(len(self.stream._pending), PENDING_MAX_BYTES + len(line))
 
-    def test_left_out_lines_are_counted_once_the_reader_is_back(self):
+    def test_dropped_lines_are_counted_once_the_reader_continues(self):
         for _ in range(20_000):
             self.stream.write("x" * 99 + "\n")
         dropped = self.stream.dropped_lines
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -199,7 +199,7 @@
             _stdout, stderr = popen.communicate(timeout=60)
         return popen.returncode, stderr
 
-    def test_slower_operator_is_told_and_changes_nothing(self):
+    def test_operator_with_an_outdated_revision_is_refused(self):
         before = self.head()
         status, message = self.race(lambda: self.apply(manifest_content()))
         self.assertEqual(status, ExitStatus.CONFLICT, message)
@@ -227,12 +227,12 @@
         self.apply(manifest_content())
         self.assertEqual(self.head().generation, before.generation + 1)
 
-    def test_outcome_that_cannot_be_read_back_is_said_to_be_unknown(self):
+    def test_outcome_that_can_not_be_read_back_is_reported_as_unknown(self):
         status, message = self.race(lambda: self.cluster.set_faults(outage=True))
         self.cluster.set_faults(outage=False)
         self.assertEqual(status, ExitStatus.OUTCOME_UNKNOWN, message)
 
-    def test_entry_that_starts_in_the_middle_never_goes_back(self):
+    def test_entry_started_during_a_publication_never_goes_back(self):
         stop = threading.Event()
         accepted = []
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -35,7 +35,7 @@
             self.assertEqual(answer.json()["kind"], "key_reused")
         self.assertEqual(self.runs("reused"), 1)
 
-    def test_retry_meets_its_own_first_attempt(self):
+    def test_retry_waits_for_its_own_first_attempt(self):
         self.control_service(delay_s=0.6)
         self.addCleanup(self.control_service, delay_s=0.0)
         self.leave("left", "entry-1")
@@ -43,7 +43,7 @@
             self.assertEqual(self.export("left", entry, b"x").status, 200)
         self.assertEqual(self.runs("left"), 1)
 
-    def test_duplicate_is_told_when_to_come_back(self):
+    def test_duplicate_is_refused_with_a_retry_delay(self):
         self.control_service(delay_s=1.5)
         self.addCleanup(self.control_service, delay_s=0.0)
         first = threading.Thread(target=self.export, args=("slow",))
@@ -58,7 +58,7 @@
         wait_until(lambda: self.export("slow", "entry-2").status == 200)
         self.assertEqual(self.runs("slow"), 1)
 
-    def test_streamed_answer_is_given_again(self):
+    def test_stored_streamed_answer_is_returned_again(self):
         headers = {"Idempotency-Key": "stream", "X-Non-Idempotent": "true"}
         body = {"prompt": "Isaacs, 1867", "stream": True, "max_tokens": 500}
         first = self.complete(body, "entry-1", headers)
@@ -71,7 +71,7 @@
         journal = self.process("engine-1").request("GET", "/journal").json()
         self.assertEqual(journal["runs"]["stream"], 1)
 
-    def test_service_that_dies_is_not_asked_again(self):
+    def test_call_is_not_repeated_after_a_service_crash(self):
         for moment in ("before", "during", "after", "midway"):
             with self.subTest(moment=moment):
                 self.control_service(die=moment)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -40,7 +40,7 @@
         ]
         self.assertEqual(late, [])
 
-    def test_holder_paused_at_each_step_leaves_no_stale_order(self):
+    def test_holder_paused_at_any_step_leaves_no_stale_order(self):
         self.start_pair()
         for round_number, step in enumerate(ORDER_STEPS, 1):
             with self.subTest(step=step):
@@ -147,7 +147,7 @@
         orders = self.journal()["orders"]
         self.assertEqual([order["number"] for order in orders], [1])
 
-    def test_engine_that_crashed_halfway_is_asked_and_loaded_again(self):
+    def test_engine_that_crashed_during_an_order_is_loaded_again(self):
         self.start_engine(costs={"load_s": 1.0, "restart_s": 0.3})
         self.start_entry("entry-1")
         self.apply(control_manifest("v1"))
@@ -158,7 +158,7 @@
         self.assertEqual((state["incarnation"], state["order_number"]), (2, 2))
         self.assert_orders_sound()
 
-    def test_engine_that_restarts_at_rest_is_loaded_again_at_once(self):
+    def test_idle_engine_that_restarts_is_loaded_again_at_once(self):
         self.start_engine()
         self.start_entry("entry-1", control_rest_every_s=60.0)
         self.apply(control_manifest("v1"))
@@ -169,7 +169,7 @@
         self.wait_for_version("v1", timeout_s=REST_S / 2)
         self.assert_orders_sound()
 
-    def test_engine_that_checks_refuses_an_old_fencing_number(self):
+    def test_checking_engine_refuses_an_old_fencing_token(self):
         self.start_engine(checks=True)
         self.start_entry("entry-1")
         self.apply(control_manifest("v1", checks=True))
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -54,7 +54,7 @@
         engines = [engine("e1", "a"), engine("e2", "a"), engine("e3", "b")]
         self.assertEqual(self.place([model()], engines).upstreams("m"), ["e1", "e3"])
 
-    def test_what_is_held_stays_where_it_is(self):
+    def test_loaded_replicas_are_not_moved(self):
         engines = [engine("e1"), engine("e2", m=V1), engine("e3", m=V2)]
         self.assertEqual(self.place([model()], engines).upstreams("m"), ["e2", "e3"])
 
@@ -68,7 +68,7 @@
         engines = [engine("e1"), engine("e2", m=V2), engine("e3", inherits=["m"])]
         self.assertEqual(self.place([model()], engines).upstreams("m"), ["e2", "e3"])
 
-    def test_held_models_move_where_else_a_replica_has_no_place(self):
+    def test_loaded_models_move_if_a_replica_can_not_be_placed_otherwise(self):
         engines = [engine("e1", a=V2), engine("e2", a=V2), engine("e3", a=V2, c=V2)]
         placement = self.place([model("a"), model("b"), model("c")], engines, 2)
         self.assertEqual(placement.missing_replicas, {})
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -93,7 +93,7 @@
         lines = self.process(entry).log_lines()
         return sum(line["event"] == QUARANTINED_EVENT for line in lines)
 
-    def test_poison_sent_again_and_again_loses_two_engines(self):
+    def test_repeated_poison_request_crashes_two_engines(self):
         self.wait_for_engines()
         before = self.crashes()
         heard = {entry: self.quarantines(entry) for entry in ENTRIES}
@@ -110,7 +110,7 @@
         self.innocents_beside(send_repeatedly)
         self.assertEqual(self.crashes() - before, 2)
 
-    def test_poison_sent_through_all_entries_at_once_loses_few_engines(self):
+    def test_poison_request_through_all_entries_crashes_few_engines(self):
         self.wait_for_engines()
         before = self.crashes()
 
@@ -125,7 +125,7 @@
         self.innocents_beside(send_at_once)
         self.assertLessEqual(self.crashes() - before, len(ENTRIES) + 1)
 
-    def test_non_idempotent_poison_is_never_run_again(self):
+    def test_non_idempotent_poison_request_is_never_run_again(self):
         self.wait_for_engines()
         before = self.crashes()
         headers = {"X-Non-Idempotent": "true", "Idempotency-Key": "poison"}
@@ -136,7 +136,7 @@
         self.assertEqual(self.crashes() - before, 1)
 
 
-class EntriesThatDoNotHearTest(PoisonTestCase):
+class EntriesWithoutContactTest(PoisonTestCase):
     engines = ("engine-1", "engine-2")
     entries = ("entry-1", "entry-2")
     # A crashed engine stays away until the entries have read the changed list.
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -64,7 +64,7 @@
         with self.assertRaises(RequestError):
             self.quarantine.check(self.call)
 
-    def test_records_passed_to_and_fro_expire(self):
+    def test_gossiped_records_expire(self):
         heard = (CrashRecord(self.call.fingerprint(), 2, True),)
         self.quarantine.merge(heard)
         self.assertEqual(self.quarantine.export(), heard)
@@ -154,7 +154,7 @@
 class ShareTest(unittest.TestCase):
     """Without the table, suspects of two entries never meet on an engine."""
 
-    def test_each_engine_is_one_entrys_alone(self):
+    def test_each_engine_is_assigned_to_one_entry(self):
         fleet = ListedFleet(entries=3, engines=7)
         isolations = [
             IsolationLocks(
@@ -237,7 +237,7 @@
 
 
 class RetryBudgetTest(unittest.TestCase):
-    def test_retries_stay_a_share_of_successes(self):
+    def test_retries_are_bounded_by_a_share_of_successes(self):
         budget = RetryBudget(refill_per_success=0.5, capacity=3.0)
         spent = [budget.try_spend("editora", "engine-1") for _ in range(5)]
         self.assertEqual(spent, [True] * 3 + [False] * 2)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -72,7 +72,7 @@
 
 
 class RolePolicyTest(unittest.TestCase):
-    def test_steady_mix_changes_nothing(self):
+    def test_steady_mix_changes_no_role(self):
         for seed in range(3):
             fleet = RoleFleet(goodput_policy(0.5), seed)
             fleet.run(120.0, 8.0, 20.0)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -110,7 +110,7 @@
             chosen.sent.append(SentRequest(uncached_tokens=2000, priority=99))
         self.assertNotEqual(self.choose(views, again).name, chosen.name)
 
-    def test_long_prompts_keep_away_from_long_outputs_until_load_outweighs_it(self):
+    def test_long_prompts_and_long_outputs_are_separated_until_load_outweighs_it(self):
         views = make_views(6)
         fleet = ListedFleet(views)
         router, directive = make_router(fleet), fleet.directive()
--- a/tests/test_settlement.py
+++ b/tests/test_settlement.py
@@ -39,7 +39,7 @@
         row = self.cluster.platform.request("GET", f"/table/claims/editora%2F{key}")
         return row.json()["value"]["state"] != "claimed"
 
-    def test_large_answer_is_given_again_byte_for_byte(self):
+    def test_stored_large_answer_is_returned_byte_for_byte(self):
         for key in ("a-large", "b-large"):
             first = self.export(key)
             self.assertGreater(len(first.body), LARGE_BYTES)
@@ -69,7 +69,7 @@
             self.assertEqual(self.export(key, "entry-2").body, first[key].body)
             self.assertEqual(self.runs(key), 1)
 
-    def test_object_store_that_fails_to_give_an_answer_is_told_truly(self):
+    def test_unreadable_stored_answer_is_reported_as_run(self):
         first = self.export("stored")
         wait_until(lambda: self.settled("stored"))
         for faults in ({"objects_outage": True}, {"objects_latency_s": 1.5}):
@@ -84,7 +84,7 @@
         self.assertEqual(self.export("stored", "entry-2").body, first.body)
         self.assertEqual(self.runs("stored"), 1)
 
-    def test_answers_that_wait_for_the_object_store_are_bounded(self):
+    def test_answers_waiting_for_the_object_store_are_bounded(self):
         self.cluster.set_faults(objects_outage=True)
         self.control_service(padding_bytes=HUGE_BYTES)
         most = PENDING_BYTES_MAX // HUGE_BYTES
--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -126,7 +126,7 @@
             curio.run(steps)
         return self.orders.given[before:]
 
-    def test_nothing_is_written_in_the_calm(self):
+    def test_nothing_is_written_at_low_load(self):
         self.first.demand = CALM
         self.play(30.0, self.first)
         self.assertEqual(self.table.rows, {})
@@ -158,7 +158,7 @@
         self.assertTrue(given)
         self.assertLess(given[0][0] - swing_at_s, 1.5)
 
-    def test_entry_that_schedules_no_more_gives_its_lease_up(self):
+    def test_entry_that_no_longer_schedules_releases_its_lease(self):
         self.play(1.2, self.first)
         self.first.schedules = False
         self.play(2 * TERM_S, self.first)
@@ -171,7 +171,7 @@
     def test_entry_that_is_not_first_acts_where_the_first_does_not(self):
         self.assertTrue(self.play(4.0, self.second))
 
-    def test_lease_is_given_up_a_term_after_the_last_order(self):
+    def test_lease_is_released_a_term_after_the_last_order(self):
         self.play(1.2, self.first)
         self.first.demand = CALM
         self.play(TERM_S - 0.6, self.first)
@@ -179,7 +179,7 @@
         self.play(3.0, self.first)
         self.assertIn("LEASE_RELEASED", self.first.events())
 
-    def test_successor_of_one_that_gave_it_up_orders_with_a_higher_token(self):
+    def test_successor_after_a_release_has_a_higher_fencing_token(self):
         self.play(1.2, self.first)
         self.first.demand = CALM
         self.play(6.0, self.first)
@@ -277,7 +277,7 @@
         self.assertEqual(len(self.play(0.9, self.first)), 1)
         self.assertIn("ORDER_ACCEPTED", self.first.events())
 
-    def test_unanswered_order_leaves_its_engine_alone_until_it_is_settled(self):
+    def test_engine_of_an_unanswered_order_gets_no_other_until_it_is_settled(self):
         self.orders.failure = OrderUnconfirmed("no answer")
         first = self.play(1.2, self.first)[0][1]
         later = self.play(UNCONFIRMED_BACKOFF_S - 1.0, self.first)
@@ -311,7 +311,7 @@
         self.assertEqual(first[1], repeat[1])
         self.assertNotIn(first[1].upstream, [order.upstream for _at_s, order in later])
 
-    def test_two_processes_of_one_entry_never_order_by_turns(self):
+    def test_two_processes_of_one_entry_never_alternate_orders(self):
         """A paused entry is started again under its id elsewhere, and then resumes."""
         name = self.first.lease._contender.entry_id
         twin_orders = FakeOrders(lambda: self.table.now_s)
@@ -352,7 +352,7 @@
         self.orders.report = mock.AsyncMock(side_effect=OrderError("no report"))
         self.assertEqual(self.play(3.0, self.first), [])
 
-    def test_lost_lease_is_told_apart_from_a_refusal(self):
+    def test_lost_lease_is_distinguished_from_a_refusal(self):
         self.orders.failure = LeaseLost("taken over")
         self.play(1.2, self.first)
         self.assertIn("ORDER_ABANDONED", self.first.events())
--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -57,24 +57,24 @@
 
 
 class StagePolicyTest(unittest.TestCase):
-    def test_calm_changes_nothing(self):
+    def test_low_load_changes_no_stage(self):
         self.assertEqual(Fleet(3, 6).play(CALM, 60.0), [])
 
-    def test_lasting_swing_to_long_prompts_is_followed_soon(self):
+    def test_lasting_shift_to_long_prompts_is_followed_soon(self):
         fleet = Fleet(2, 7)
         fleet.play(CALM, 10.0)
         fleet.play(LONG_PROMPTS, 4.0)
         self.assertGreaterEqual(fleet.count(Stage.PREFILL), 4)
         self.assertEqual(fleet.play(LONG_PROMPTS, 60.0), [])
 
-    def test_lost_engines_of_a_stage_are_made_up_for(self):
+    def test_lost_engines_of_a_stage_are_replaced(self):
         fleet = Fleet(3, 6)
         fleet.play(CALM, 10.0)
         fleet.engines = fleet.engines[2:]
         fleet.play(CALM, 4.0)
         self.assertEqual(fleet.count(Stage.PREFILL), 2)
 
-    def test_swing_back_is_followed_too(self):
+    def test_reversed_shift_of_the_mix_is_followed_too(self):
         fleet = Fleet(5, 4)
         fleet.play(LONG_ANSWERS, 20.0)
         self.assertGreaterEqual(fleet.count(Stage.DECODE), 7)
@@ -84,7 +84,7 @@
         fleet.play(CALM, 10.0)
         self.assertEqual(fleet.play(LONG_PROMPTS, 0.4), [])
 
-    def test_mix_that_swings_all_the_time_costs_few_changes(self):
+    def test_alternating_mix_costs_few_changes(self):
         fleet = Fleet(3, 6)
         for _ in range(10):
             fleet.play(LONG_PROMPTS, 5.0)
@@ -111,7 +111,7 @@
         self.assertEqual(fleet.play(PrefillDemand(1.5, decode_engines=2.6), 0.2), [])
         self.assertEqual(len(fleet.changes), before)
 
-    def test_mistaken_change_is_turned_back_within_seconds(self):
+    def test_wrong_stage_change_is_reversed_within_seconds(self):
         """The other stage lacks an engine right after one was moved."""
         fleet = Fleet(2, 7)
         fleet.play(LONG_PROMPTS, 3.0)
@@ -164,7 +164,7 @@
         self.assertIsNone(self.changes.target(upstream("e", Stage.PREFILL)))
         self.assertIsNone(self.changes.target(self.engine))
 
-    def test_change_that_is_never_seen_is_forgotten(self):
+    def test_change_that_is_never_observed_expires(self):
         self.changes.begin("e", Stage.PREFILL)
         self.now = CHANGE_TIMEOUT_S
         self.assertIsNone(self.changes.target(self.engine))
--- a/tests/test_store_outage.py
+++ b/tests/test_store_outage.py
@@ -43,7 +43,7 @@
     def basis(self, name):
         return self.process(name).request("GET", "/v1/status").json()["basis"]
 
-    def test_serving_goes_on_and_the_return_is_no_stampede(self):
+    def test_serving_continues_and_the_recovery_is_no_stampede(self):
         self.assertLess(self.rate("reads"), READS_PER_ENTRY_S)
         self.cluster.set_faults(outage=True)
         self.assertLess(self.rate("requests"), READS_PER_ENTRY_S)
