End the limits of one test before the next one

- test_limited_plain_service_gets_no_more_from_all_entries: a 503.
Entries still knew a limit of the test before, as no call had come since it ended, and refused what had no permit.
Both classes end all limits after each test now and call until every entry knows.
The checks are the same.
- test_every_late_connection_is_answered_or_refused: its new name was too long for an entry id, which is made of it; it has its former name again.

--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -10,6 +10,8 @@
 # Within this time all entries have heard of a limit, or of its end.
 KNOWN_AFTER_S = 1.5
 LOADED_S = 6.0
+# Calls for this time after the end of a limit tell every entry that it has ended.
+FORGOTTEN_AFTER_S = 3.0
 HEADER = "X-Request-Limit"
 
 
@@ -29,6 +31,16 @@
         if done.returncode:
             raise RuntimeError(done.stderr + done.stdout)
 
+    def tearDown(self):
+        """End all limits, and wait until every entry knows it.
+
+        Until then an entry may refuse calls of the next test.
+        """
+        for name in (*self.services, "engine-1"):
+            self.state_limit(name)
+        with SteadyLoad(self.call, 20), SteadyLoad(self.completion, 10):
+            time.sleep(FORGOTTEN_AFTER_S)
+
     def entry(self, number) -> str:
         return self.entries[number % len(self.entries)]
 
@@ -53,7 +65,6 @@
         return self.process(name).request("GET", "/journal").json()["arrivals"]
 
     def assert_kept(self, name, send, per_s):
-        self.addCleanup(self.state_limit, name)
         with SteadyLoad(send, per_s) as load:
             since_s = self.state_limit(name, LIMIT_PER_S)
             time.sleep(KNOWN_AFTER_S + LOADED_S)
@@ -70,7 +81,6 @@
     def test_call_that_no_service_has_room_for_is_refused_at_once(self):
         for name in self.services:
             self.state_limit(name, LIMIT_PER_S)
-            self.addCleanup(self.state_limit, name)
         with SteadyLoad(self.call, 40):
             time.sleep(KNOWN_AFTER_S + 2.0)
             asked_at_s = time.monotonic()
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -14,6 +14,7 @@
 KNOWN_AFTER_S = 1.5
 LOADED_S = 6.0
 ENTRIES = 3
+LIMITED = ("app-1", "app-2", "dec-1")
 
 
 class RequestLimitTest(RouteCluster):
@@ -46,15 +47,32 @@
         return answer.status == 200 and len(answer.json()["addresses"]) == ENTRIES
 
     def tearDown(self):
-        for name in ("app-1", "dec-1"):
+        """End all limits, and wait until every entry knows it.
+
+        Until then an entry may refuse calls of the next test.
+        """
+        for name in LIMITED:
             self.cluster.control(name, limit="")
+        numbers = itertools.count()
+
+        def all_have_ended() -> bool:
+            number = next(numbers)
+            self.get(f"end-{number}", self.entries[number % ENTRIES])
+            self.chat(f"end-{number}", self.entries[number % ENTRIES])
+            return all(
+                self.stated_limit(entry, name) == -1.0
+                for entry in self.entries
+                for name in LIMITED
+            )
+
+        wait_until(all_have_ended)
 
     def get(self, number, entry=None) -> int:
         entry = entry or self.entries[number % len(self.entries)]
         return self.ask("GET", "/get/x", f"{self.id()}-{number}", entry).status
 
-    def chat(self, number) -> int:
-        entry = self.entries[number % len(self.entries)]
+    def chat(self, number, entry=None) -> int:
+        entry = entry or self.entries[number % len(self.entries)]
         name = f"{self.id()}-{number}"
         return self.ask_prompt("/chat/x", name, 60, entry).status
 
@@ -118,15 +136,15 @@
         """A limit must not become known only when a stream of four seconds ends."""
         for name in ("dec-1", "dec-2"):
             self.cluster.control(name, event_interval_s=1.0)
-            self.addCleanup(self.cluster.control, name, event_interval_s=0.01)
         with SteadyLoad(self.chat_slowly, 20):
             since_s = self.limit("dec-1")
             time.sleep(KNOWN_AFTER_S + LOADED_S)
+        for name in ("dec-1", "dec-2"):
+            self.cluster.control(name, event_interval_s=0.01)
         self.assert_kept("dec-1", since_s)
 
     def test_limit_that_has_ended_is_forgotten_by_all_entries(self):
         """Then the other server states a limit, so that this one must serve."""
-        self.addCleanup(self.cluster.control, "app-2", limit="")
         with SteadyLoad(self.get, 40) as load:
             self.limit("app-1")
             time.sleep(KNOWN_AFTER_S)
@@ -159,7 +177,6 @@
     def test_call_that_no_server_has_room_for_is_refused_at_once(self):
         for name in ("app-1", "app-2"):
             self.limit(name)
-            self.addCleanup(self.cluster.control, name, limit="")
         with SteadyLoad(self.get, 40):
             time.sleep(KNOWN_AFTER_S + 2.0)
             asked_at_s = time.monotonic()
--- a/tests/test_stop.py
+++ b/tests/test_stop.py
@@ -188,7 +188,7 @@
 
     services = ()
 
-    def test_every_connection_during_the_stop_is_answered_or_refused(self):
+    def test_every_late_connection_is_answered_or_refused(self):
         self.assert_answered_or_refused((0, 0, 0.02, 0.1), (ConnectionRefusedError,))
 
     def test_late_connection_is_reset_in_its_handshake_at_most(self):
