Don't yield between choosing an upstream and sending, where no limit is in force

The own interface slept for 0 s before each send, so that others could choose the same upstream before the request counted there.

--- a/wisteriaarch/request/request_runner.py
+++ b/wisteriaarch/request/request_runner.py
@@ -172,7 +172,9 @@
             await curio.sleep(UPSTREAM_POLL_S)
 
     async def _send(self, call, view, sink, progress) -> UpstreamError | None:
-        await curio.sleep(self._limiter.acquire(view.name))
+        wait_s = self._limiter.acquire(view.name)
+        if wait_s > 0:
+            await curio.sleep(wait_s)
         incarnation = view.report.incarnation if view.report else None
         try:
             await Attempt(call, view, self._pool, self._signal_reader).run(
