--- a/tests/test_entry_limits.py
+++ b/tests/test_entry_limits.py
@@ -15,11 +15,9 @@
 HEADER = "X-Request-Limit"
 
 
-class EntryLimitTest(ClusterTestCase):
-    """All entries together get calls for a multiple of an upstream's request limit."""
+class TwoPortalsTestCase(ClusterTestCase):
+    """Cluster whose service has two upstreams."""
 
-    engines = ("engine-1", "engine-2")
-    entries = ("entry-1", "entry-2", "entry-3")
     services = ("portal-1", "portal-2")
 
     @classmethod
@@ -31,6 +29,13 @@
         if done.returncode:
             raise RuntimeError(done.stderr + done.stdout)
 
+
+class EntryLimitTest(TwoPortalsTestCase):
+    """All entries together get calls for a multiple of an upstream's request limit."""
+
+    engines = ("engine-1", "engine-2")
+    entries = ("entry-1", "entry-2", "entry-3")
+
     def tearDown(self):
         """End all limits, and wait until every entry knows it.
 
@@ -94,18 +99,7 @@
             self.assertEqual(json.loads(answer.body)["ran"], "no")
 
 
-class BackoffTest(ClusterTestCase):
-    services = ("portal-1", "portal-2")
-
-    @classmethod
-    def setUpClass(cls):
-        super().setUpClass()
-        portal = {"name": "portal", "upstreams": list(cls.services)}
-        content = manifest_content(cls.engines, services=[portal])
-        done = cls.cluster.apply(content)
-        if done.returncode:
-            raise RuntimeError(done.stderr + done.stdout)
-
+class BackoffTest(TwoPortalsTestCase):
     def count_arrivals(self) -> int:
         return len(self.process("portal-1").request("GET", "/arrivals").json())
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -334,36 +334,27 @@
         self.play(scenario)
 
     def test_requested_backoff_is_kept_by_all_entries(self):
-        async def scenario(one, two):
-            placement = await one.place(make_call(prompt=prompt(300)))
-            alone = placement.plan.decode.candidate.upstream.upstream_id
-            declined = FailureReason.DECLINED.value
-            await placement.ticket.observe_outcome(
-                AttemptOutcome(declined, 0.1, signals=UpstreamSignals(backoff_s=5.0))
-            )
-            await self.settle()
-            for number in range(6):
-                call = make_call(f"c{number}", prompt=prompt(300))
-                placement = await two.place(call)
-                chosen = placement.plan.decode.candidate.upstream.upstream_id
-                self.assertNotEqual(chosen, alone)
-
-        self.play(scenario)
+        signals = UpstreamSignals(backoff_s=5.0)
+        declined = AttemptOutcome(FailureReason.DECLINED.value, 0.1, signals=signals)
+        self.assert_avoided_after(declined)
 
     def test_draining_upstream_gets_no_new_work(self):
+        signals = UpstreamSignals(is_draining=True)
+        self.assert_avoided_after(AttemptOutcome(ANSWERED, 0.1, 0.05, signals=signals))
+
+    def assert_avoided_after(self, outcome):
+        """Report an outcome from one entry; another must not get its upstream."""
+
         async def scenario(one, two):
             placement = await one.place(make_call(prompt=prompt(300)))
-            leaving = placement.plan.decode.candidate.upstream.upstream_id
-            outcome = AttemptOutcome(
-                ANSWERED, 0.1, 0.05, signals=UpstreamSignals(is_draining=True)
-            )
+            avoided = placement.plan.decode.candidate.upstream.upstream_id
             await placement.ticket.observe_outcome(outcome)
             await self.settle()
             for number in range(6):
                 call = make_call(f"c{number}", prompt=prompt(300))
                 placement = await two.place(call)
                 chosen = placement.plan.decode.candidate.upstream.upstream_id
-                self.assertNotEqual(chosen, leaving)
+                self.assertNotEqual(chosen, avoided)
 
         self.play(scenario)
 
