Log stages of a service in which no engine responds

Change: events 433 and 434 with the engines of the other stage and whether the policy wants a change, and the gauge wisteriaarch_stage_engines. No decision is changed.

--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -356,3 +356,12 @@
         self.orders.failure = LeaseLost("taken over")
         self.play(1.2, self.first)
         self.assertIn("ORDER_ABANDONED", self.first.events())
+
+    def test_stage_without_engines_is_logged_once_and_its_end_too(self):
+        self.first.engines = engines(4, 0)
+        self.first.demand = CALM
+        self.play(0.6, self.first)
+        self.assertEqual(self.first.events().count("STAGE_UNSTAFFED"), 1)
+        self.first.engines = engines(3, 1)
+        self.play(0.6, self.first)
+        self.assertEqual(self.first.events().count("STAGE_STAFFED"), 1)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -174,6 +174,12 @@
         "role change deferred; it would leave a model without upstream",
     )
     ROLE_CHANGE_ENDED = EventKind(431, logbook.INFO, "role change ended")
+    STAGE_UNSTAFFED = EventKind(
+        433, logbook.WARNING, "no engine responds in a stage of the service"
+    )
+    STAGE_STAFFED = EventKind(
+        434, logbook.INFO, "engines respond again in a stage of the service"
+    )
     CLAIM_WRITTEN = EventKind(500, logbook.INFO, "claim written", Importance.PROGRESS)
     CLAIM_OUTCOME_WRITTEN = EventKind(
         501, logbook.INFO, "outcome of a claim written", Importance.PROGRESS
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -10,7 +10,7 @@
 from .process.request_limits import UNLIMITED
 from .process.upstreams import Stage, Upstream
 from .request.shared_retry_budget import SharedRetryBudget
-from .version.stage_supervisor import StageSupervisor
+from .version.stage_supervisor import StageSupervisor, count_engines
 
 UNCONFIRMED_AGE_S = -1.0
 NO_REQUEST_LIMIT = -1.0
@@ -50,6 +50,9 @@
     def _service_values(self) -> dict[Gauge, dict[Labels, float]]:
         table = self.state.routes
         services = table.services if table else {}
+        engine_services = [
+            name for name, spec in services.items() if spec.engine is not None
+        ]
         utilization = self.estimates.utilization
         return {
             Gauge.LEASE_HELD: {
@@ -61,10 +64,14 @@
             },
             Gauge.READING_DEMAND: {
                 (name, stage.value): utilization.engines_needed(name, stage)
-                for name, spec in services.items()
-                if spec.engine is not None
+                for name in engine_services
                 for stage in Stage
             },
+            Gauge.STAGE_ENGINES: {
+                (name, stage.value): count
+                for name in engine_services
+                for stage, count in count_engines(self.estimates, name).items()
+            },
         }
 
     def _upstream_values(self) -> dict[Gauge, dict[Labels, float]]:
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -63,6 +63,7 @@
     ENTRIES = Metric("Entries known, this one included")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
+    STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
     READING_DEMAND = Metric(
         "Engines that prompts placed by all entries keep reading",
         ("service", "stage"),
--- a/wisteriaarch/version/stage_controller.py
+++ b/wisteriaarch/version/stage_controller.py
@@ -24,6 +24,7 @@
 from ..process.stage_changes import StageChanges
 from .stage_orders import StageOrder, StageOrderClient
 from .stage_policy import EngineLoad, PrefillDemand, StageChange, StagePolicy
+from .staging_log import StagingLog
 
 DECISION_INTERVAL_S = 0.2
 # Added delay before an entry competes for the lease, for each rank above 0.
@@ -68,6 +69,7 @@
         self._is_scheduler = is_scheduler
         self._log = log
         self._policy = StagePolicy()
+        self._staging_log = StagingLog(service, log)
         self._change_wanted_since_s: float | None = None
         self._lease_tried_at_s = float("-inf")
         self._ordered_at_s = float("-inf")
@@ -93,6 +95,7 @@
         view = self._observe()
         engines = tuple(item for item in view.engines if not self._is_in_backoff(item))
         change = self._policy.decide(engines, view.demand, now_s())
+        self._staging_log.observe(engines, change)
         if change is None:
             self._change_wanted_since_s = None
             await self._keep_or_release()
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -38,6 +38,12 @@
     return StageView(tuple(engines), demand)
 
 
+def count_engines(estimates: FleetEstimates, service: str) -> dict[Stage, int]:
+    """Return how many usable engines each stage of a service has."""
+    engines = observe_stages(estimates, service).engines
+    return {stage: sum(item.stage is stage for item in engines) for stage in Stage}
+
+
 def _engine_load(estimates: FleetEstimates, upstream: Upstream) -> EngineLoad:
     name = upstream.upstream_id
     target = estimates.stage_changes.target(upstream)
