Reproduce RECOVER: a stage without engines is never given one

What callers saw: all prompts refused while four engines of six were idle, before and after a restart of all entries.

--- a/tests/test_gateway_stages.py
+++ b/tests/test_gateway_stages.py
@@ -154,3 +154,87 @@
         self.assertEqual(self.orders(), [])
         answer = request(self.entries[0].metrics_address, "GET", "/metrics")
         self.assertEqual(answer.status, 200)
+
+
+class RecoverTest(RouteCluster):
+    """The decode stage falls silent, and all entries are killed and start again."""
+
+    PREFILLS = ("pre-1", "pre-2", "pre-3")
+    WITHIN_S = 12.0
+
+    def setUp(self):
+        self.cluster = self.enterContext(GatewayCluster())
+        self.cluster.start_store()
+        self.cluster.start_server("app-1", "app")
+        for name in self.PREFILLS:
+            self.cluster.start_server(name, "llm", "prefill")
+        self.cluster.start_server("dec-1", "llm", "decode")
+        self.ports = None
+        self.entries = []
+        self.start_entries()
+
+    def start_entries(self):
+        self.entries = []
+        for number in (2, 3):
+            entry = self.cluster.start_gateway(
+                number, self.ports, lease_term_ms=LEASE_TERM_MS
+            )
+            self.ports = entry.ports
+            self.entries.append(entry)
+        for entry in self.entries:
+            wait_until(lambda entry=entry: self.is_served("/get/w", entry))
+
+    def is_served(self, path, entry, tokens=9):
+        try:
+            if path.startswith("/get/"):
+                return self.ask("GET", path, "warm", entry).status == 200
+            attempt = f"p{time.monotonic_ns()}"
+            return self.ask_prompt(path, attempt, tokens, entry).status == 200
+        except (OSError, HTTPException):
+            return False
+
+    def end_decode_engine(self):
+        self.cluster.processes["dec-1"].send_signal(signal.SIGKILL)
+
+    def carry_out_orders(self):
+        """Write the stages that engines were ordered to into their rows."""
+        for name in self.PREFILLS:
+            orders = self.cluster.control(name)["orders"]
+            if orders:
+                row = server_row(
+                    self.cluster.processes[name], "llm", orders[-1]["stage"]
+                )
+                self.cluster.write("servers", name, row)
+
+    def all_served(self):
+        self.carry_out_orders()
+        return all(self.is_served("/chat/x", entry) for entry in self.entries)
+
+    def test_prompts_are_served_after_the_decode_stage_was_lost(self):
+        wait_until(self.all_served)
+        self.end_decode_engine()
+        self.cluster.remove("servers", "dec-1")
+        wait_until(self.all_served, self.WITHIN_S)
+
+    def test_prompts_are_served_where_silent_engines_stay_registered(self):
+        wait_until(self.all_served)
+        self.end_decode_engine()
+        wait_until(self.all_served, self.WITHIN_S)
+
+    def test_prompts_are_served_after_all_entries_were_killed(self):
+        wait_until(self.all_served)
+        self.end_decode_engine()
+        for entry in self.entries:
+            entry.send_signal(signal.SIGKILL)
+            entry.wait()
+        self.start_entries()
+        wait_until(self.all_served, self.WITHIN_S)
+
+    def test_frozen_scheduler_does_not_delay_it(self):
+        wait_until(self.all_served)
+        self.end_decode_engine()
+        self.cluster.remove("servers", "dec-1")
+        frozen = self.entries.pop(0)
+        frozen.send_signal(signal.SIGSTOP)
+        self.addCleanup(frozen.send_signal, signal.SIGCONT)
+        wait_until(self.all_served, self.WITHIN_S)
--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -2,10 +2,14 @@
 
 import unittest
 from dataclasses import replace
+from unittest import mock
 
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.stage_changes import CHANGE_TIMEOUT_S, StageChanges
 from wisteriaarch.process.upstreams import Stage
 from wisteriaarch.version.stage_policy import EngineLoad, PrefillDemand, StagePolicy
+from wisteriaarch.version.stage_supervisor import count_engines
 
 from .route_support import upstream
 
@@ -168,3 +172,56 @@
         self.changes.begin("e", Stage.PREFILL)
         self.now = CHANGE_TIMEOUT_S
         self.assertIsNone(self.changes.target(self.engine))
+
+
+class RecoverTest(unittest.TestCase):
+    """Service stayed away while idle prefill engines were all that was left."""
+
+    NO_DEMAND = PrefillDemand(prefill_engines=0.0, decode_engines=0.0)
+    WITHIN_S = 3.0
+
+    def test_lost_decode_stage_is_staffed_again(self):
+        for prefills, decodes in ((1, 1), (4, 2), (2, 4), (20, 9), (1200, 2000)):
+            with self.subTest(prefills=prefills, decodes=decodes):
+                fleet = Fleet(prefills, decodes)
+                fleet.play(CALM, 2.0)
+                fleet.engines = [
+                    item for item in fleet.engines if item.stage is Stage.PREFILL
+                ]
+                fleet.play(self.NO_DEMAND, self.WITHIN_S)
+                self.assertGreaterEqual(fleet.count(Stage.DECODE), 1)
+
+    def test_scheduler_that_has_just_started_staffs_the_decode_stage(self):
+        fleet = Fleet(4, 0)
+        fleet.play(self.NO_DEMAND, self.WITHIN_S)
+        self.assertGreaterEqual(fleet.count(Stage.DECODE), 1)
+
+    def test_recent_change_to_prefill_does_not_delay_it(self):
+        fleet = Fleet(3, 6)
+        fleet.play(LONG_PROMPTS, 1.0)
+        fleet.engines = [item for item in fleet.engines if item.stage is Stage.PREFILL]
+        fleet.play(self.NO_DEMAND, self.WITHIN_S)
+        self.assertGreaterEqual(fleet.count(Stage.DECODE), 1)
+
+    def test_blink_of_the_only_decode_engine_changes_no_stage(self):
+        fleet = Fleet(4, 1)
+        fleet.play(self.NO_DEMAND, 10.0)
+        decodes = [item for item in fleet.engines if item.stage is Stage.DECODE]
+        fleet.engines = [item for item in fleet.engines if item.stage is Stage.PREFILL]
+        self.assertEqual(fleet.play(self.NO_DEMAND, 0.6), [])
+        fleet.engines += decodes
+        self.assertEqual(fleet.play(self.NO_DEMAND, 10.0), [])
+
+    def test_silent_engines_do_not_count_as_a_stage(self):
+        registry = mock.Mock()
+        listed = [upstream("pre", Stage.PREFILL), upstream("dec", Stage.DECODE)]
+        registry.usable.return_value = listed
+        estimates = FleetEstimates.from_registry(registry)
+        health = estimates.loads.of("dec").health
+        health.record_unreachable(now_s() - 60.0)
+        self.assertEqual(count_engines(estimates, "llm")[Stage.DECODE], 0)
+        health.record_overload(now_s() - 60.0)
+        self.assertEqual(count_engines(estimates, "llm")[Stage.DECODE], 1)
+        health.record_unreachable(now_s() - 60.0)
+        health.record_success(now_s())
+        self.assertEqual(count_engines(estimates, "llm")[Stage.DECODE], 1)
