Give the decode stage an engine where none responds there

Cause: the stage policy measures demand by what is placed. Nothing is placed on a stage without engines, so it counted as idle. Engines that are silent but registered counted as capacity between two suspensions.

Ruled out: a lease that can't be had (no 400, 403, 404), orders declined (no 423), two schedulers (433 comes from one entry at a time).

Change: a decode stage in which no engine responds for 0.8 s gets the least loaded one of the prefill stage, whatever the measured demand, the dwell time and the minimum share of the prefill stage; not while registrations may be missing. An engine that has left an attempt unanswered isn't counted as one of its stage until it answers something.

--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -196,6 +196,15 @@
         fleet.play(self.NO_DEMAND, self.WITHIN_S)
         self.assertGreaterEqual(fleet.count(Stage.DECODE), 1)
 
+    def test_nothing_is_changed_while_registrations_may_be_missing(self):
+        policy, fleet = StagePolicy(), engines(4, 0)
+        changes = [
+            policy.decide(fleet, self.NO_DEMAND, step * STEP_S, is_complete=step > 20)
+            for step in range(30)
+        ]
+        self.assertEqual(changes[:21], [None] * 21)
+        self.assertIsNotNone(changes[-1])
+
     def test_recent_change_to_prefill_does_not_delay_it(self):
         fleet = Fleet(3, 6)
         fleet.play(LONG_PROMPTS, 1.0)
@@ -216,6 +225,7 @@
         registry = mock.Mock()
         listed = [upstream("pre", Stage.PREFILL), upstream("dec", Stage.DECODE)]
         registry.usable.return_value = listed
+        registry.may_be_incomplete.return_value = False
         estimates = FleetEstimates.from_registry(registry)
         health = estimates.loads.of("dec").health
         health.record_unreachable(now_s() - 60.0)
--- a/wisteriaarch/process/upstream_health.py
+++ b/wisteriaarch/process/upstream_health.py
@@ -52,6 +52,7 @@
 
     def record_overload(self, now_s: float) -> None:
         """Record that the upstream declined a request because it is at capacity."""
+        self._consecutive_unreachable = 0
         self._full_until_s = now_s + FULL_BACKOFF_S
 
     def record_backoff(self, now_s: float, backoff_s: float) -> None:
@@ -85,6 +86,14 @@
         """Whether the upstream is avoided while others can take the work."""
         return now_s < self._suspended_until_s
 
+    @property
+    def is_unresponsive(self) -> bool:
+        """Whether the upstream has answered nothing since an attempt went unanswered.
+
+        It may be tried again, but isn't counted as capacity.
+        """
+        return self._consecutive_unreachable > 0
+
     def is_in_backoff(self, now_s: float) -> bool:
         """Whether a backoff that the upstream requested is in effect."""
         return now_s < self._backoff_until_s
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -169,6 +169,13 @@
         load = self._loads.get(upstream_id)
         return load is not None and load.health.is_suspended(now_s())
 
+    def is_responsive(self, upstream_id: str) -> bool:
+        """Whether an upstream counts as capacity: neither suspended nor silent."""
+        load = self._loads.get(upstream_id)
+        return load is None or not (
+            load.health.is_unresponsive or load.health.is_suspended(now_s())
+        )
+
     def is_in_backoff(self, upstream_id: str) -> bool:
         """Whether a backoff that an upstream requested is in effect."""
         load = self._loads.get(upstream_id)
--- a/wisteriaarch/version/stage_controller.py
+++ b/wisteriaarch/version/stage_controller.py
@@ -40,10 +40,14 @@
 
 @dataclass(frozen=True)
 class StageView:
-    """Usable engines of a service and the demand on them, as seen by this entry."""
+    """Responsive engines of a service and the demand on them, as seen by this entry.
+
+    ``is_complete`` is false while registrations may be missing.
+    """
 
     engines: tuple[EngineLoad, ...]
     demand: PrefillDemand
+    is_complete: bool = True
 
 
 class StageController:
@@ -94,7 +98,7 @@
             return
         view = self._observe()
         engines = tuple(item for item in view.engines if not self._is_in_backoff(item))
-        change = self._policy.decide(engines, view.demand, now_s())
+        change = self._policy.decide(engines, view.demand, now_s(), view.is_complete)
         self._staging_log.observe(engines, change)
         if change is None:
             self._change_wanted_since_s = None
--- a/wisteriaarch/version/stage_policy.py
+++ b/wisteriaarch/version/stage_policy.py
@@ -4,6 +4,9 @@
 for tens of seconds, or engines of one stage fail, so that one stage queues while the
 other is idle. A changing engine is unavailable for about a second; so a change is made
 only if one stage has been short of engines for some time and the other can spare one.
+
+Demand is measured by what is placed. Without a decode engine nothing is placed, so a
+decode stage in which no engine responds is short whatever the measured demand.
 """
 
 import math
@@ -15,6 +18,7 @@
 # Utilization of a stage that is short of engines, and of one that can spare one.
 SHORTAGE_UTILIZATION = 0.45
 SPARE_UTILIZATION = 0.42
+FULL_UTILIZATION = 1.0
 # Share of occupied batch slots from which on the decode stage counts as short.
 SLOTS_SHORTAGE_SHARE = 0.8
 # Share of all engines that a stage keeps, so that it tolerates the loss of one.
@@ -22,6 +26,8 @@
 MIN_ENGINE_SHARES = {Stage.PREFILL: 0.2, Stage.DECODE: 0.3}
 SMOOTHING_TIME_S = 0.7
 SHORTAGE_DURATION_S = 0.3
+# Longer than the first suspension of an engine that answers again.
+UNSTAFFED_DURATION_S = 0.8
 # Minimum time in a new stage, shorter while the other stage is overloaded.
 OVERLOAD_UTILIZATION = 0.9
 DWELL_S = 6.0
@@ -79,14 +85,24 @@
         self._changed_at_s: dict[Stage, float] = {}
 
     def decide(
-        self, engines: Sequence[EngineLoad], demand: PrefillDemand, now: float
+        self,
+        engines: Sequence[EngineLoad],
+        demand: PrefillDemand,
+        now: float,
+        is_complete: bool = True,
     ) -> StageChange | None:
-        """Return the next change, if one is needed; called several times a second."""
+        """Return the next change, if one is needed; called several times a second.
+
+        ``engines`` are those that respond. Unless the list ``is_complete``, a stage
+        without engines may be about to get some.
+        """
         stages = {
             stage: [item for item in engines if item.stage is stage] for stage in Stage
         }
         for stage, items in stages.items():
             self._utilizations[stage].observe(_utilization(items, stage, demand), now)
+        if not stages[Stage.DECODE]:
+            return self._staff_decode_stage(stages[Stage.PREFILL], now, is_complete)
         for stage in Stage:
             change = self._evaluate_stage(stages, stage, now)
             if change is not None:
@@ -116,8 +132,7 @@
         if not is_short or not can_give:
             self._short_since_s.pop(stage, None)
             return None
-        since_s = self._short_since_s.setdefault(stage, now)
-        if now - since_s < SHORTAGE_DURATION_S:
+        if not self._has_lasted(stage, SHORTAGE_DURATION_S, now):
             return None
         engine = _least_loaded(stages[source])
         if engine is None:
@@ -126,6 +141,26 @@
             engine.upstream, stage, target_utilization, source_utilization
         )
 
+    def _staff_decode_stage(
+        self, prefills: list[EngineLoad], now: float, is_complete: bool
+    ) -> StageChange | None:
+        """Return the change that gives the decode stage an engine, once it is due."""
+        engine = _least_loaded(prefills)
+        if engine is None or not is_complete:
+            self._short_since_s.pop(Stage.DECODE, None)
+            return None
+        if not self._has_lasted(Stage.DECODE, UNSTAFFED_DURATION_S, now):
+            return None
+        source_utilization = self._utilization_without_one(Stage.PREFILL, len(prefills))
+        return StageChange(
+            engine.upstream, Stage.DECODE, FULL_UTILIZATION, source_utilization
+        )
+
+    def _has_lasted(self, stage: Stage, duration_s: float, now: float) -> bool:
+        """Whether a shortage that exists now has lasted for some time."""
+        since_s = self._short_since_s.setdefault(stage, now)
+        return now - since_s >= duration_s
+
     def _utilization_without_one(self, stage: Stage, count: int) -> float:
         """Return the utilization of a stage with one engine less."""
         return self._utilizations[stage].highest * count / max(1, count - 1)
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -25,21 +25,22 @@
 
 
 def observe_stages(estimates: FleetEstimates, service: str) -> StageView:
-    """Return the usable engines of a service and the demand on them."""
+    """Return the engines of a service that respond, and the demand on them."""
     engines = (
         _engine_load(estimates, item)
         for item in estimates.registry.usable(service)
-        if item.stage is not None and not estimates.loads.is_suspended(item.upstream_id)
+        if item.stage is not None and estimates.loads.is_responsive(item.upstream_id)
     )
     demand = PrefillDemand(
         estimates.utilization.engines_needed(service, Stage.PREFILL),
         estimates.utilization.engines_needed(service, Stage.DECODE),
     )
-    return StageView(tuple(engines), demand)
+    is_complete = not estimates.registry.may_be_incomplete()
+    return StageView(tuple(engines), demand, is_complete)
 
 
 def count_engines(estimates: FleetEstimates, service: str) -> dict[Stage, int]:
-    """Return how many usable engines each stage of a service has."""
+    """Return how many engines respond in each stage of a service."""
     engines = observe_stages(estimates, service).engines
     return {stage: sum(item.stage is stage for item in engines) for stage in Stage}
 
