Count failed handoffs of prefilled prompts in their expected time

What callers saw: with slow copies between half of the engines, three of five prompts were refused ('too many requests are being repeated') though engines were free.

Cause: the handoff time was learned from answers alone. Where decode engines decline what was handed over, or stay silent, it stayed at its start, prompts went on being prefilled in vain, and each repeat was charged to the retry budget.

Ruled out: full decode engines (requests in flight well below their slots).

--- a/wisteriaarch/process/fleet_estimates.py
+++ b/wisteriaarch/process/fleet_estimates.py
@@ -64,6 +64,10 @@
         """Observe the handoff time of one prompt."""
         self._handoff_times[service].observe(first_event_s)
 
+    def observe_failed_handoff(self, service: str) -> None:
+        """Observe a prompt that was prefilled in vain."""
+        self._handoff_times[service].observe_failure()
+
     def set_prefill_rate(self, service: str, rate: float) -> None:
         """Set the prefill rate to the value learned by a scheduler."""
         self._prefill_rates[service].value = rate
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -97,6 +97,8 @@
             return
         if outcome.cause != ANSWERED:
             self._observe_failure(upstream_id, outcome)
+            if not includes_prefill and _is_failed_handoff(choice, outcome):
+                self._estimates.observe_failed_handoff(call.service)
         elif stage is AttemptStage.PREFILL:
             self._observe_prefill(call, choice, outcome.elapsed_s)
         else:
@@ -189,3 +191,11 @@
                 self._estimates.observe_handoff(call.service, outcome.first_event_s)
             work = f"{call.route.name} {'direct' if includes_prefill else 'apart'}"
             self._loads.observe_time(upstream_id, work, outcome.first_event_s)
+
+
+def _is_failed_handoff(choice: Choice, outcome: AttemptOutcome) -> bool:
+    """Whether an engine with a free slot didn't take over a prefilled prompt."""
+    candidate = choice.candidate
+    has_slot = candidate.requests < candidate.upstream.slots
+    reasons = DECLINED_REASONS | {FailureReason.SILENT}
+    return has_slot and not outcome.is_down and outcome.cause in reasons
