Log the keys of a request's blocks when it is in flight at a crash

Cause: event 510 names the request and the upstream, so that the log can't show what the requests of several crashes have in common.

Change: 510 has the keys of the blocks that other prompts may share: digests, equal at all entries, without their content. Nothing is decided by them.

--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -210,6 +210,7 @@
             request=attempt.call.call_id,
             upstream=upstream_id,
             crashes=crashes,
+            blocks=attempt.call.block_keys,
         )
         await self._announce_crashes()
 
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -4,6 +4,7 @@
 calls of an ``Entry``, which are validated against a manifest.
 """
 
+import hashlib
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -12,6 +13,18 @@
 from ..version.route_table import Route
 from ..wire import Headers
 
+BLOCK_KEY_BYTES = 10
+
+
+def block_key(scope: str, content: str | bytes) -> str:
+    """Return the key of a prompt block; ``scope`` is what its engines have in common.
+
+    Keys tell blocks apart in logs and between entries without their content.
+    """
+    digest = hashlib.blake2b(scope.encode() + b"\0", digest_size=BLOCK_KEY_BYTES)
+    digest.update(content.encode() if isinstance(content, str) else content)
+    return digest.hexdigest()
+
 
 @dataclass(frozen=True)
 class PromptBlock:
@@ -90,6 +103,12 @@
     retries_left: int = 0
     demand_recorded: bool = False
 
+    @cached_property
+    def block_keys(self) -> tuple[str, ...]:
+        """Keys of the blocks that other prompts may share, equal at all entries."""
+        blocks = self.prompt.shared_blocks if self.prompt else ()
+        return tuple(block_key(self.service, item.block_id) for item in blocks)
+
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
         return self.deadline_at_s - now_s()
