--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -50,6 +50,7 @@
     server_id: str
     stage: str | None = None
     fault: str = ""
+    crash_block: str = ""
     faults_left: int = 0
     executed: list[str] = field(default_factory=list)
     received: list[dict[str, str]] = field(default_factory=list)
@@ -95,7 +96,7 @@
         if fault == "close":
             self.executed.append(_attempt_id(req))
             return False
-        if req.headers.get("crash"):
+        if req.headers.get("crash") or self._crashes_by_block(req):
             self.executed.append(_attempt_id(req))
             os._exit(1)
         if fault == "silent":
@@ -121,6 +122,7 @@
         self.fault = content.get("fault", self.fault)
         self.faults_left = content.get("count", 1 if "fault" in content else 0)
         self.limit = content.get("limit", self.limit)
+        self.crash_block = content.get("crash_block", self.crash_block)
         self.event_interval_s = content.get("event_interval_s", self.event_interval_s)
         self.answer_delay_s = content.get("answer_delay_s", self.answer_delay_s)
         state: dict[str, Any] = {
@@ -132,6 +134,12 @@
         }
         return await respond_json(conn, 200, state)
 
+    def _crashes_by_block(self, req: HttpRequest) -> bool:
+        """Whether decoding the request's prompt crashes this engine."""
+        if req.headers.get("stage") == names.PREFILL:
+            return False
+        return any(name == self.crash_block for name, _size in _prefix_blocks(req))
+
     def _next_fault(self) -> str:
         if self.faults_left <= 0:
             return ""
