Quarantine prompt blocks that crash engines, on both faces

Cause: crashes were remembered by the whole request; requests that share a block have no record in common.

Change: crashes and complete answers are kept by block and exchanged between entries; a block at three crashes of two or more requests since its last answer is refused, the ones that were never answered first. It leaves the quarantine by an answer: probes tell suspects apart, and few trials guard against a verdict on a sound block.

--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -10,6 +10,7 @@
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.metrics import Metrics
 from wisteriaarch.process.upstreams import Upstream, UpstreamRegistry
+from wisteriaarch.request.block_quarantine import TrialPolicy
 from wisteriaarch.request.call_runner import CallRunner
 from wisteriaarch.request.exchange import is_down
 from wisteriaarch.request.placer import DecodePlacement, NoTicket, Placement
@@ -47,6 +48,7 @@
             None,
             LocalPlacer(Scheduler(parts, retries)),
             parts.fairness,
+            TrialPolicy(),
             None,
             Metrics(),
             log,
--- a/wisteriaarch/connection/member_codec.py
+++ b/wisteriaarch/connection/member_codec.py
@@ -8,10 +8,16 @@
 import capnp
 
 from ..errors import FrameError
-from ..process.digest import CrashRecord, LimitRecord
+from ..process.digest import (
+    NO_BLOCK_RECORDS,
+    BlockRecords,
+    CrashRecord,
+    LimitRecord,
+)
 from ..process.member_list import MemberRecord, MemberState
 from ..process.rows import RowTable, StoredRow, StorePosition
 from ..process.table_update import TableUpdate
+from .block_codec import block_fields, block_records_from
 from .limit_codec import limit_fields, limit_from
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "members.capnp"
@@ -44,7 +50,8 @@
 
     ``sequence`` is that of a ping, repeated in its ack. ``target`` is the entry to ping
     for RELAY. ``requests_all`` requests the records of all members. ``limits`` are
-    request limits of upstreams, which any kind may carry.
+    request limits of upstreams, ``blocks`` what is known of prompt blocks and crashes;
+    any kind may carry them.
     """
 
     kind: DatagramKind
@@ -56,6 +63,7 @@
     crashes: tuple[CrashRecord, ...] = ()
     table_updates: tuple[TableUpdate, ...] = ()
     limits: tuple[LimitRecord, ...] = ()
+    blocks: BlockRecords = NO_BLOCK_RECORDS
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -71,6 +79,8 @@
         tableNews=[_update_fields(item) for item in datagram.table_updates],
         limits=[limit_fields(item) for item in datagram.limits],
     )
+    if datagram.blocks:
+        message.blocks = block_fields(datagram.blocks)
     return message.to_bytes()
 
 
@@ -100,6 +110,7 @@
         ),
         table_updates=tuple(_update_from(item) for item in message.tableNews),
         limits=tuple(limit_from(item) for item in message.limits),
+        blocks=block_records_from(message.blocks, RECORDS_MAX),
     )
 
 
--- a/wisteriaarch/connection/peer_codec.py
+++ b/wisteriaarch/connection/peer_codec.py
@@ -19,6 +19,7 @@
     SentWork,
 )
 from ..process.manifest_copy import ManifestCopy
+from .block_codec import block_fields, block_records_from
 from .limit_codec import limit_fields, limit_from
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "peer.capnp"
@@ -132,6 +133,7 @@
         ),
         limits=tuple(limit_from(item) for item in digest.limits),
         needs_manifest=digest.needsManifest,
+        block_records=block_records_from(digest.blocks, MAX_RECORDS),
     )
 
 
@@ -163,6 +165,7 @@
         ],
         "limits": [limit_fields(item) for item in digest.limits],
         "needsManifest": digest.needs_manifest,
+        "blocks": block_fields(digest.block_records),
     }
 
 
--- a/wisteriaarch/connection/peer_network.py
+++ b/wisteriaarch/connection/peer_network.py
@@ -196,6 +196,8 @@
 
     def _apply_upstream_records(self, digest: PeerDigest) -> None:
         self.hooks.apply_crash_records(digest.crash_records)
+        if digest.block_records:
+            self.hooks.apply_blocks(digest.block_records)
         self.hooks.apply_sent_work(digest.entry.entry_id, digest.sent_work)
         self.hooks.apply_limits(digest.limits)
 
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -18,7 +18,12 @@
 from ..errors import FrameError
 from ..events import Event, EventLog
 from ..process.clock import now_s
-from ..process.digest import CrashRecord, LimitRecord
+from ..process.digest import (
+    NO_BLOCK_RECORDS,
+    BlockRecords,
+    CrashRecord,
+    LimitRecord,
+)
 from ..process.member_list import MemberList, MemberRecord, MemberState
 from ..process.rows import StorePosition
 from ..process.table_update import TableUpdate
@@ -34,6 +39,7 @@
 CHANGES_PER_PROBE_MAX = 4
 MEMBERS_PER_DATAGRAM_MAX = 32
 LIMITS_PER_PROBE_MAX = 8
+BLOCK_RECORDS_PER_PROBE_MAX = 16
 DATAGRAM_MAX_BYTES = 32 * 1024
 # An entry that receives nothing for this time may itself be isolated, and marks no
 # other entry dead. Skipped with ISOLATION_EXEMPT_OTHERS_MAX or fewer others.
@@ -57,6 +63,7 @@
 
 
 LimitsExporter = Callable[[int], Iterable[LimitRecord]]
+BlocksExporter = Callable[[int], BlockRecords]
 TableUpdateHandler = Callable[[str, tuple[TableUpdate, ...]], Awaitable[None]]
 
 
@@ -70,6 +77,7 @@
     that other entries send; ``known_crashes`` returns the crashes to send to new
     entries. Pings and acks carry request limits of upstreams: ``known_limits`` returns
     up to a number of them, ``on_limits`` is the callback for those of other entries.
+    ``known_blocks`` and ``on_blocks`` do the same for prompt blocks and crashes.
     """
 
     def __init__(
@@ -87,6 +95,8 @@
         self.on_table_updates: TableUpdateHandler | None = None
         self.known_limits: LimitsExporter = _no_limits
         self.on_limits: Callable[[tuple[LimitRecord, ...]], None] | None = None
+        self.known_blocks: BlocksExporter = _no_blocks
+        self.on_blocks: Callable[[BlockRecords], None] | None = None
         self._list_entry_ids = list_entry_ids
         self._port = port
         self._versions = versions
@@ -106,11 +116,18 @@
                 await group.spawn(self._receive)
                 await group.spawn(self._probe_periodically)
 
-    async def announce(self, crashes: tuple[CrashRecord, ...] = ()) -> None:
+    async def announce(
+        self,
+        crashes: tuple[CrashRecord, ...] = (),
+        blocks: BlockRecords = NO_BLOCK_RECORDS,
+    ) -> None:
         """Send this entry's own record, and crashes, to all others."""
         await self._broadcast(
             Datagram(
-                DatagramKind.MEMBER_UPDATE, self._current_own_record(), crashes=crashes
+                DatagramKind.MEMBER_UPDATE,
+                self._current_own_record(),
+                crashes=crashes,
+                blocks=blocks,
             )
         )
 
@@ -218,6 +235,7 @@
             sequence,
             self._recent_changes(),
             limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
+            blocks=self.known_blocks(BLOCK_RECORDS_PER_PROBE_MAX),
         )
         await self._send(encode_datagram(datagram), (target, self._port))
 
@@ -274,6 +292,8 @@
             self.on_crashes(datagram.crashes)
         if datagram.limits and self.on_limits is not None:
             self.on_limits(datagram.limits)
+        if datagram.blocks and self.on_blocks is not None:
+            self.on_blocks(datagram.blocks)
         await self._answer(datagram, address, is_new)
         await self._notify_if_marked_dead(sender, address)
 
@@ -308,6 +328,7 @@
             sequence,
             self._recent_changes(),
             limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
+            blocks=self.known_blocks(BLOCK_RECORDS_PER_PROBE_MAX),
         )
         await self._send(encode_datagram(datagram), address)
 
@@ -329,6 +350,7 @@
             itertools.islice(self.known_crashes(), MEMBERS_PER_DATAGRAM_MAX)
         )
         limits = tuple(self.known_limits(MEMBERS_PER_DATAGRAM_MAX))
+        blocks = self.known_blocks(MEMBERS_PER_DATAGRAM_MAX)
         for start in range(0, len(records), MEMBERS_PER_DATAGRAM_MAX):
             page = tuple(records[start : start + MEMBERS_PER_DATAGRAM_MAX])
             datagram = Datagram(
@@ -337,6 +359,7 @@
                 others=page,
                 crashes=crashes,
                 limits=limits,
+                blocks=blocks,
             )
             await self._send(encode_datagram(datagram), address)
 
@@ -353,5 +376,9 @@
         await self._send(encode_datagram(datagram), address)
 
 
+def _no_blocks(_count: int) -> BlockRecords:
+    return NO_BLOCK_RECORDS
+
+
 def _no_limits(_count: int) -> tuple[LimitRecord, ...]:
     return ()
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -126,15 +126,22 @@
             self.pool,
             limiter,
             SignalReader(self.loads.limits, self.log),
+            self._living_peers,
             self.log,
         )
         self.runner = self.requests.runner
         quarantine = self.requests.quarantine
         self.peers.hooks.crash_records = quarantine.export
         self.peers.hooks.apply_crash_records = quarantine.merge
+        self.peers.hooks.blocks = self.requests.blocks.export
+        self.peers.hooks.apply_blocks = self.requests.blocks.merge
         self._routes = Routes(self)
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
+    def _living_peers(self) -> list[str]:
+        is_alive = self.membership.is_alive
+        return [name for name in self.membership.known_peer_ids() if is_alive(name)]
+
     async def __aenter__(self) -> "Entry":
         return self
 
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -10,7 +10,7 @@
 from .connection.store_relay import StoreRelay
 from .events import EventLog
 from .process.address_choice import choose_entries
-from .process.digest import CrashRecord, LimitRecord
+from .process.digest import BlockRecords, CrashRecord, LimitRecord
 from .process.entry_list import EntryList
 from .process.fleet import Fleet
 from .process.fleet_state import FleetState
@@ -107,14 +107,29 @@
         self._prober.known_limits = export
         self._prober.on_limits = merge
 
+    def exchange_blocks(
+        self,
+        export: Callable[[int], BlockRecords],
+        merge: Callable[[BlockRecords], None],
+    ) -> None:
+        """Exchange what is known of prompt blocks and crashes with the other entries.
+
+        ``export`` provides up to a number of records; ``merge`` receives those of
+        others.
+        """
+        self._prober.known_blocks = export
+        self._prober.on_blocks = merge
+
     async def announce(self, *, ready: bool, leaving: bool) -> None:
         """Notify all other entries of this entry's state."""
         self.members.update_own_state(ready=ready, leaving=leaving)
         await self._prober.announce()
 
-    async def announce_crashes(self, records: Iterable[CrashRecord]) -> None:
-        """Notify all other entries of requests that were in flight at crashes."""
-        await self._prober.announce(tuple(records))
+    async def announce_crashes(
+        self, records: Iterable[CrashRecord], blocks: BlockRecords
+    ) -> None:
+        """Notify all other entries of requests and blocks in flight at crashes."""
+        await self._prober.announce(tuple(records), blocks)
 
     def peer_address(self, entry_id: str) -> Address:
         """Return the address on which an entry receives messages of its peers."""
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -206,6 +206,15 @@
     REQUEST_RELEASED = EventKind(
         514, logbook.INFO, "request released; another request explains its crashes"
     )
+    BLOCK_QUARANTINED = EventKind(
+        515, logbook.WARNING, "block of prompts quarantined; it crashes upstreams"
+    )
+    BLOCK_RELEASED = EventKind(
+        516, logbook.WARNING, "block of prompts released from quarantine"
+    )
+    BLOCK_TRIED = EventKind(
+        517, logbook.INFO, "request runs as a trial of a quarantined block"
+    )
     PEER_CONNECTED = EventKind(
         600, logbook.INFO, "heartbeat connection to a peer established"
     )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -28,6 +28,7 @@
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_all_until
+from .request.block_quarantine import TrialPolicy
 from .request.call_runner import CallRunner
 from .request.own_shares import OwnShares
 from .request.scheduler import Scheduler, SchedulingParts
@@ -48,6 +49,7 @@
 FIRST_ROUTES_WAIT_S = 0.3
 FIRST_ROUTES_POLL_S = 0.05
 CRASHES_ANNOUNCED_MAX = 16
+BLOCK_CRASHES_ANNOUNCED_MAX = 32
 
 
 class Gateway:
@@ -75,6 +77,7 @@
             self._pool,
             self._placer,
             self._shared_scheduler.parts.fairness,
+            TrialPolicy(self._scheduler_choice.is_local, self.network.count_entries),
             self._announce_crashes,
             self.metrics,
             self.log,
@@ -82,6 +85,9 @@
         self.network.exchange_crashes(
             self._runner.crashes.export, self._runner.crashes.merge
         )
+        self.network.exchange_blocks(
+            self._runner.blocks.export, self._runner.blocks.merge
+        )
         self.network.exchange_limits(
             self.estimates.limits.export, self._runner.estimate_updater.merge_limits
         )
@@ -250,7 +256,10 @@
 
     async def _announce_crashes(self) -> None:
         records = self._runner.crashes.export()
-        await self.network.announce_crashes(islice(records, CRASHES_ANNOUNCED_MAX))
+        await self.network.announce_crashes(
+            islice(records, CRASHES_ANNOUNCED_MAX),
+            self._runner.blocks.export(BLOCK_CRASHES_ANNOUNCED_MAX),
+        )
 
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
--- a/wisteriaarch/process/digest.py
+++ b/wisteriaarch/process/digest.py
@@ -12,6 +12,41 @@
     quarantined: bool
 
 
+@dataclass(frozen=True)
+class BlockCrash:
+    """Request in flight at an upstream's crash, with the keys of its prompt's blocks.
+
+    ``age_s`` is the time since the crash, as of when the message was written.
+    """
+
+    request: str
+    crash_id: str
+    blocks: tuple[str, ...]
+    age_s: float
+
+
+@dataclass(frozen=True)
+class BlockAnswer:
+    """Prompt block that was part of a complete answer ``age_s`` seconds ago."""
+
+    block: str
+    age_s: float
+
+
+@dataclass(frozen=True)
+class BlockRecords:
+    """What one entry tells another of blocks and crashes."""
+
+    crashes: tuple[BlockCrash, ...] = ()
+    answers: tuple[BlockAnswer, ...] = ()
+
+    def __bool__(self) -> bool:
+        return bool(self.crashes or self.answers)
+
+
+NO_BLOCK_RECORDS = BlockRecords()
+
+
 @dataclass(frozen=True)
 class SentWork:
     """Work that one entry has in flight on one upstream."""
@@ -66,3 +101,4 @@
     sent_work: tuple[SentWork, ...] = ()
     limits: tuple[LimitRecord, ...] = ()
     needs_manifest: bool = False
+    block_records: BlockRecords = NO_BLOCK_RECORDS
--- a/wisteriaarch/process/heartbeat.py
+++ b/wisteriaarch/process/heartbeat.py
@@ -5,6 +5,8 @@
 from itertools import islice
 
 from .digest import (
+    NO_BLOCK_RECORDS,
+    BlockRecords,
     CrashRecord,
     EntryRecord,
     LimitRecord,
@@ -19,12 +21,17 @@
 CRASH_RECORDS_MAX = 16
 SENT_WORK_MAX = 64
 LIMIT_RECORDS_MAX = 64
+BLOCK_RECORDS_MAX = 16
 
 
 def _no_records(*_arguments: object) -> tuple:
     return ()
 
 
+def _no_blocks(_count: int) -> BlockRecords:
+    return NO_BLOCK_RECORDS
+
+
 def _ignore(*_arguments: object) -> None:
     return None
 
@@ -39,6 +46,8 @@
     apply_sent_work: Callable[[str, tuple[SentWork, ...]], None] = _ignore
     limits: Callable[[int], Iterable[LimitRecord]] = _no_records
     apply_limits: Callable[[tuple[LimitRecord, ...]], None] = _ignore
+    blocks: Callable[[int], BlockRecords] = _no_blocks
+    apply_blocks: Callable[[BlockRecords], None] = _ignore
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +80,7 @@
             crash_records=tuple(islice(hooks.crash_records(), CRASH_RECORDS_MAX)),
             sent_work=tuple(islice(hooks.sent_work(), SENT_WORK_MAX)),
             limits=tuple(hooks.limits(LIMIT_RECORDS_MAX)),
+            block_records=hooks.blocks(BLOCK_RECORDS_MAX),
         )
 
     def _peer_records(self, receiver_id: str | None) -> tuple[EntryRecord, ...]:
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -12,9 +12,10 @@
 from .answer_relay import AnswerRelay
 from .attempt_failures import AttemptFailed, FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
+from .block_quarantine import BlockQuarantine
 from .call_metrics import SERVER_ERROR_STATUS, CallMetrics
 from .candidate import Choice
-from .crash_history import CrashHistory
+from .crash_history import CrashHistory, request_fingerprint
 from .estimate_updater import EstimateUpdater
 from .exchange import Exchange, is_down
 from .invalid_header_log import InvalidHeaderLog
@@ -22,6 +23,7 @@
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
+SUCCESS_STATUSES = range(200, 300)
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
 
@@ -85,6 +87,7 @@
         self,
         estimates: FleetEstimates,
         crashes: CrashHistory,
+        blocks: BlockQuarantine,
         announce_crashes: Callable[[], Awaitable[None]],
         metrics: CallMetrics,
         log: EventLog,
@@ -92,6 +95,7 @@
         self._loads = estimates.loads
         self._estimate_updater = EstimateUpdater(estimates, log)
         self._crashes = crashes
+        self._blocks = blocks
         self._announce_crashes = announce_crashes
         self._metrics = metrics
         self._log = log
@@ -111,7 +115,11 @@
         ticket: Ticket,
         includes_prefill: bool = True,
     ) -> AsyncIterator[TrackedAttempt]:
-        """Count an attempt as in flight and report its outcome when the block ends."""
+        """Count an attempt as in flight and report its outcome when the block ends.
+
+        Raises RequestError for a call that crashes upstreams: it may have waited for
+        its placement while others crashed.
+        """
         attempt = TrackedAttempt(call, choice, stage, ticket, includes_prefill)
         tokens = choice.prefill_tokens if includes_prefill else 0
         self._log_placement(attempt)
@@ -120,6 +128,7 @@
         else:
             self._estimate_updater.observe_decode_placement(call, choice)
         try:
+            self.check_crashes(call)
             with self._loads.sending(attempt.upstream.upstream_id, tokens):
                 yield attempt
         except AttemptFailed as exc:
@@ -132,6 +141,11 @@
             )
             await ticket.observe_outcome(outcome)
 
+    def check_crashes(self, call: RoutedCall) -> None:
+        """Raise RequestError if the call, or a block of its prompt, is quarantined."""
+        self._crashes.check(call)
+        self._blocks.check(call.block_keys, call.block_trial, call.ran)
+
     def _log_placement(self, attempt: TrackedAttempt) -> None:
         call, choice = attempt.call, attempt.choice
         candidate = choice.candidate
@@ -203,14 +217,18 @@
             await self._record_crash(attempt)
 
     async def _record_crash(self, attempt: TrackedAttempt) -> None:
-        upstream_id = attempt.upstream.upstream_id
-        crashes = self._crashes.record_crash(attempt.call, upstream_id)
+        call, upstream_id = attempt.call, attempt.upstream.upstream_id
+        crashes = self._crashes.record_crash(call, upstream_id)
+        self._blocks.record_crash(
+            request_fingerprint(call), call.block_keys, upstream_id
+        )
+        call.block_trial.is_granted = False
         self._log.write(
             Event.CRASH_RECORDED,
-            request=attempt.call.call_id,
+            request=call.call_id,
             upstream=upstream_id,
             crashes=crashes,
-            blocks=attempt.call.block_keys,
+            blocks=call.block_keys,
         )
         await self._announce_crashes()
 
@@ -221,7 +239,7 @@
             AttemptStage.PREFILL.value, ANSWERED, attempt.started_at_s
         )
 
-    def record_answer(self, attempt: TrackedAttempt, relay: AnswerRelay) -> None:
+    async def record_answer(self, attempt: TrackedAttempt, relay: AnswerRelay) -> None:
         """Record an answer that was relayed to the caller."""
         call = attempt.call
         failed = relay.status >= SERVER_ERROR_STATUS
@@ -231,6 +249,10 @@
         )
         if not failed:
             self._crashes.record_success(call)
+        if relay.status in SUCCESS_STATUSES and self._blocks.record_answer(
+            call.block_keys
+        ):
+            await self._announce_crashes()
         self._log.write(
             Event.CALL_ANSWERED,
             request=call.call_id,
--- a/wisteriaarch/request/call.py
+++ b/wisteriaarch/request/call.py
@@ -9,7 +9,8 @@
 from ..process.sent_request import SentRequest
 from ..version.manifest import DEFAULT_ATTEMPTS_MAX, CallerSpec, ModelSpec, ServiceSpec
 from ..wire import Headers
-from .prefix_assignments import prefix_keys
+from .block_trial import BlockTrial
+from .prefix_assignments import prefix_digests, prefix_keys
 
 
 @dataclass(kw_only=True)
@@ -18,7 +19,8 @@
 
     ``key`` is the caller's idempotency key. ``sent`` is the load monitor's record of
     the current attempt. The call fails after ``attempts_max`` failed attempts; attempts
-    that the upstream refused don't count.
+    that the upstream refused don't count. ``block_trial`` states whether the call tests
+    a quarantined block.
     """
 
     caller: CallerSpec
@@ -33,12 +35,18 @@
     received_at_s: float = field(default_factory=now_s)
     sent_request: SentRequest | None = None
     attempts_max: int = DEFAULT_ATTEMPTS_MAX
+    block_trial: BlockTrial = field(default_factory=BlockTrial)
     _fingerprint: str | None = field(default=None, repr=False)
 
     def remaining_s(self) -> float:
         """Return the seconds until the deadline."""
         return self.deadline_at_s - now_s()
 
+    @property
+    def block_keys(self) -> tuple[str, ...]:
+        """Keys of what calls may have in common, equal at all entries."""
+        return ()
+
     def fingerprint(self) -> str:
         """Return a digest that is equal for every retry of a request by its caller."""
         if self._fingerprint is None:
@@ -70,6 +78,11 @@
         """Prefix keys of the prompt's leading blocks."""
         return prefix_keys(self.body)
 
+    @cached_property
+    def block_keys(self) -> tuple[str, ...]:
+        """Keys of the prompt's prefixes, equal at all entries."""
+        return prefix_digests(self.model.name, self.body)
+
 
 @dataclass(kw_only=True)
 class ServiceCall(Call):
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -17,6 +17,7 @@
 from .attempt_outcome import AttemptStage
 from .attempt_recorder import AttemptRecorder, TrackedAttempt
 from .attempt_timeouts import answer_timeout_s
+from .block_quarantine import BlockQuarantine, TrialPolicy
 from .call_metrics import SERVER_ERROR_STATUS, CallMetrics
 from .crash_history import CrashHistory
 from .estimate_updater import EstimateUpdater
@@ -47,6 +48,7 @@
         pool: UpstreamPool,
         placer: Placer,
         fairness: SizeFairness,
+        trials: TrialPolicy,
         announce_crashes: Callable[[], Awaitable[None]],
         metrics: Metrics,
         log: EventLog,
@@ -57,9 +59,10 @@
         self._fairness = fairness
         self._log = log
         self.crashes = CrashHistory()
+        self.blocks = BlockQuarantine(log, ErrorKind.CRASHES_UPSTREAMS, trials)
         self._metrics = CallMetrics(metrics)
         self._recorder = AttemptRecorder(
-            estimates, self.crashes, announce_crashes, self._metrics, log
+            estimates, self.crashes, self.blocks, announce_crashes, self._metrics, log
         )
         self._prefill_client = PrefillClient(pool, protocol, estimates, self._recorder)
         self._kv_cache_releaser = KvCacheReleaser(
@@ -86,7 +89,7 @@
         while True:
             placements += 1
             try:
-                self.crashes.check(call)
+                self._recorder.check_crashes(call)
                 await self._run_attempt(call, relay)
                 return
             except RequestError as exc:
@@ -171,7 +174,7 @@
                 if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                     call.attempts += 1
                 raise
-        self._recorder.record_answer(attempt, relay)
+        await self._recorder.record_answer(attempt, relay)
 
     def _raise_if_retryable(self, call: RoutedCall, head, relay: AnswerRelay) -> None:
         """Raise AttemptFailed for a server error if the call may be retried."""
--- a/wisteriaarch/request/request_path.py
+++ b/wisteriaarch/request/request_path.py
@@ -1,10 +1,11 @@
 """Assembles the parts that run requests: runner, claim journal and quarantine."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from functools import partial
 from typing import Self
 
 from ..connection.upstream_pool import UpstreamPool
+from ..errors import ErrorKind
 from ..events import EventLog
 from ..process.fleet import Fleet
 from ..process.group_commit import GroupCommit
@@ -12,6 +13,8 @@
 from ..process.store import ObjectStore, TableStore
 from ..version.publication import ActiveManifest
 from .admission import Admission
+from .block_quarantine import BlockQuarantine, TrialPolicy
+from .block_trial import choose_trial_owner
 from .claim_epochs import ClaimEpochs
 from .claim_journal import ClaimJournal
 from .claim_sweep import ClaimSweep
@@ -39,12 +42,14 @@
         runner: RequestRunner,
         journal: ClaimJournal,
         quarantine: Quarantine,
+        blocks: BlockQuarantine,
         commit: GroupCommit,
         sweep: ClaimSweep,
     ):
         self.runner = runner
         self.journal = journal
         self.quarantine = quarantine
+        self.blocks = blocks
         self._commit = commit
         self._sweep = sweep
 
@@ -62,9 +67,10 @@
         pool: UpstreamPool,
         limiter: RequestLimiter,
         signal_reader: SignalReader,
+        living_peers: Callable[[], Iterable[str]],
         log: EventLog,
     ) -> Self:
-        """Build all parts for one entry."""
+        """Build all parts for one entry; ``living_peers`` returns the other entries."""
         entry_id = settings.entry_id
         owners = OwnerProbe(fleet)
         commit = GroupCommit(table, partial(commit_interval_s, settings, fleet), log)
@@ -75,6 +81,15 @@
         sweep_interval_s = settings.claims_sweep_every_s
         sweep = ClaimSweep(table, objects, epochs, fleet, sweep_interval_s, log)
         quarantine = Quarantine(CrashRows(table), log)
+
+        def is_trial_owner(block: str) -> bool:
+            return choose_trial_owner(block, [entry_id, *living_peers()]) == entry_id
+
+        def count_entries() -> int:
+            return 1 + len(list(living_peers()))
+
+        trials = TrialPolicy(is_trial_owner, count_entries)
+        blocks = BlockQuarantine(log, ErrorKind.QUARANTINED, trials)
         is_assigned = partial(is_assigned_upstream, fleet, entry_id)
         locks = IsolationLocks(table, owners, entry_id, incarnation, is_assigned)
         runner = RequestRunner(
@@ -84,12 +99,13 @@
             pool,
             journal,
             quarantine,
+            blocks,
             Isolation(locks, log),
             limiter,
             signal_reader,
             log,
         )
-        return cls(runner, journal, quarantine, commit, sweep)
+        return cls(runner, journal, quarantine, blocks, commit, sweep)
 
     def task_mains(self) -> list[Callable[[], Awaitable]]:
         """Return the main functions of the background tasks that must be running."""
--- a/wisteriaarch/request/request_runner.py
+++ b/wisteriaarch/request/request_runner.py
@@ -23,6 +23,7 @@
 from .admission import Admission
 from .answer import AnswerSink
 from .attempt import Attempt, CallProgress
+from .block_quarantine import BlockQuarantine
 from .call import Call
 from .claim_journal import ClaimJournal
 from .crash_probe import CrashProbe
@@ -50,6 +51,7 @@
         pool: UpstreamPool,
         journal: ClaimJournal,
         quarantine: Quarantine,
+        blocks: BlockQuarantine,
         isolation: Isolation,
         limiter: RequestLimiter,
         signal_reader: SignalReader,
@@ -61,6 +63,7 @@
         self._pool = pool
         self._journal = journal
         self._quarantine = quarantine
+        self._blocks = blocks
         self._isolation = isolation
         self._limiter = limiter
         self._signal_reader = signal_reader
@@ -97,13 +100,14 @@
         failed_attempts = 0
         while failed_attempts < call.attempts_max:
             await self._quarantine.reconsider(call)
-            self._quarantine.check(call, progress.ran)
+            self._check_quarantines(call, progress)
             try:
                 view, failure = await self._attempt(call, sink, progress, excluded)
             except RequestError as exc:
                 raise _final_error(exc, call, progress, retrying) from exc
             if failure is None:
                 self._retry_budget.record_success(call.caller.name, view.name)
+                self._blocks.record_answer(call.block_keys)
                 return
             self._log.write(
                 Event.REQUEST_RETRIED,
@@ -117,6 +121,12 @@
             retrying = True
         raise _attempts_failed_error(call, progress, "every attempt failed")
 
+    def _check_quarantines(self, call: Call, progress: CallProgress) -> None:
+        """Raise RequestError if the call, or a prefix of its prompt, is quarantined."""
+        self._quarantine.check(call, progress.ran)
+        if self._blocks.has_evidence:
+            self._blocks.check(call.block_keys, call.block_trial, progress.ran)
+
     async def _attempt(
         self, call, sink, progress, excluded
     ) -> tuple[UpstreamView, UpstreamError | None]:
@@ -131,6 +141,7 @@
 
         async with self._isolation.hold(call, choose, wait_s) as view:
             await self._quarantine.refresh(call, progress.ran)
+            self._check_quarantines(call, progress)
             failure = await self._check_crashed(call, view)
             if failure is None:
                 failure = await self._send(call, view, sink, progress)
@@ -183,6 +194,8 @@
         except UpstreamDisconnected as exc:
             crash_id = await self._crash_probe.find_crash(call, view, incarnation)
             if crash_id is not None:
+                self._blocks.record_crash(call.fingerprint(), call.block_keys, crash_id)
+                call.block_trial.is_granted = False
                 await self._quarantine.record_crash(call, crash_id)
             return exc
         except UpstreamError as exc:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -12,6 +12,7 @@
 from ..process.clock import now_s
 from ..version.route_table import Route
 from ..wire import Headers
+from .block_trial import BlockTrial
 
 BLOCK_KEY_BYTES = 10
 
@@ -78,7 +79,7 @@
     placed before other long ones. ``zone`` is the zone of the entry that serves the
     caller, ``retries_left`` the number of retries that its service had left at the last
     placement. ``demand_recorded`` is set once the prefill of its prompt is counted as
-    demand.
+    demand. ``block_trial`` states whether it tests a quarantined block.
     """
 
     call_id: str
@@ -102,6 +103,7 @@
     placements: int = 0
     retries_left: int = 0
     demand_recorded: bool = False
+    block_trial: BlockTrial = field(default_factory=BlockTrial)
 
     @cached_property
     def block_keys(self) -> tuple[str, ...]:
--- a/wisteriaarch/schema/members.capnp
+++ b/wisteriaarch/schema/members.capnp
@@ -12,6 +12,7 @@
   crashes @6 :List(Crash);
   tableNews @7 :List(TableNews);
   limits @8 :List(Limit);
+  blocks @9 :BlockRecords;
 }
 
 struct TableNews {
@@ -54,3 +55,20 @@
   hasEnded @2 :Bool;             # the upstream states no limit any more
   ageMs @3 :UInt32;              # since an answer stated it last
 }
+
+struct BlockRecords {
+  crashes @0 :List(BlockCrash);
+  answers @1 :List(BlockAnswer);
+}
+
+struct BlockCrash {
+  request @0 :Text;              # fingerprint of a request in flight at the crash
+  crash @1 :Text;                # identifies the crash
+  blocks @2 :List(Text);         # keys of its prompt's blocks
+  ageMs @3 :UInt32;              # since the crash
+}
+
+struct BlockAnswer {
+  block @0 :Text;                # key of a block of a prompt that was answered completely
+  ageMs @1 :UInt32;              # since the end of the answer
+}
--- a/wisteriaarch/schema/peer.capnp
+++ b/wisteriaarch/schema/peer.capnp
@@ -23,6 +23,7 @@
   stageNotices @8 :List(StageNotice);
   readingDemands @9 :List(ReadingDemand);
   limits @10 :List(Limit);
+  blocks @11 :BlockRecords;
 }
 
 struct EntryRecord {
@@ -79,3 +80,20 @@
   hasEnded @2 :Bool;             # the upstream states no limit any more
   ageMs @3 :UInt32;              # since an answer stated it last
 }
+
+struct BlockRecords {
+  crashes @0 :List(BlockCrash);
+  answers @1 :List(BlockAnswer);
+}
+
+struct BlockCrash {
+  request @0 :Text;              # fingerprint of a request in flight at the crash
+  crash @1 :Text;                # identifies the crash
+  blocks @2 :List(Text);         # keys of its prompt's blocks
+  ageMs @3 :UInt32;              # since the crash
+}
+
+struct BlockAnswer {
+  block @0 :Text;                # key of a block of a prompt that was answered completely
+  ageMs @1 :UInt32;              # since the end of the answer
+}
