Number the test's later field after that of blocks

The test adds a field of a later version to the schema of heartbeats under the next free number, which is 12 since heartbeats carry records of blocks; with 11 the schema had two of that number and the test's process aborted. What is checked stays the same.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -91,7 +91,7 @@
         text = SCHEMA_PATH.read_text()
         text = text.replace("@0xc3f1a9d27be40586", "@0xc3f1a9d27be40587")
         later = text.replace(
-            "needsManifest @4 :Bool;", "needsManifest @4 :Bool; more @11 :List(Text);"
+            "needsManifest @4 :Bool;", "needsManifest @4 :Bool; more @12 :List(Text);"
         )
         with Cluster() as cluster:
             path = cluster.path / "later.capnp"
