Read on where one entry of a list is odd

What callers saw (report of other operators): one odd entry among those of the servers, with a number too large, and entries stopped following the list.

Cause: a number too large for a float raises OverflowError, which the decoding of rows didn't expect; the task of the watch failed on it and on each restart. An infinite or huge number was accepted and would fail later, in the arithmetic of placement. On the own interface one unreadable instance ended each read of the list. A name among the entries that is no address ends the prober's task with UnicodeError.

Ruled out: deep nesting, a port out of range in a server's row (refused before, too).

Change: one tuple of what decoded content may raise; numbers have bounds; ports are checked where addresses are parsed; an odd row, instance or entry is left out alone.

--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -151,7 +151,7 @@
             return
         try:
             await self._sock.sendto(data, address)
-        except OSError as exc:
+        except (OSError, UnicodeError) as exc:
             self._log.write(
                 Event.PEER_SEND_FAILED, peer=str(Address(*address)), error=str(exc)
             )
--- a/wisteriaarch/platform/rows.py
+++ b/wisteriaarch/platform/rows.py
@@ -13,10 +13,14 @@
     RouteTable,
     WeightedService,
 )
-from ..wire import Address, load_json
+from ..wire import INVALID_CONTENT_ERRORS, Address, is_ipv4, load_json
 from .names import MS_PER_S
 
 CONFIG_KEY = "config"
+# Beyond these a number is no property of a server.
+SLOTS_MAX = 1_000_000
+COLD_START_MAX_MS = 24 * 3600 * MS_PER_S
+STARTED_AT_MAX_MS = 1 << 53
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -30,7 +34,7 @@
             routes=tuple(_route(item) for item in content["routes"]),
             services={item.name: item for item in services},
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except INVALID_CONTENT_ERRORS as exc:
         raise ConfigError(f"configuration row {row.version}: {exc!r}") from exc
 
 
@@ -74,15 +78,15 @@
             service=_text(content, "service"),
             address=_address(_text(content, "address")),
             zone=_text(content, "zone"),
-            slots=_non_negative_int(content, "slots"),
+            slots=_non_negative_int(content, "slots", SLOTS_MAX),
             is_draining=IS_DRAINING_BY_STATE[_text(content, "state")],
             stage=None if stage is None else Stage(stage),
-            cold_start_left_s=_number(content, "cold-left-ms") / MS_PER_S,
-            started_at_ms=_non_negative_int(content, "born")
+            cold_start_left_s=_cold_start_left_ms(content) / MS_PER_S,
+            started_at_ms=_non_negative_int(content, "born", STARTED_AT_MAX_MS)
             if "born" in content
             else 0,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except INVALID_CONTENT_ERRORS as exc:
         raise ConfigError(f"server row {row.key!r}: {exc!r}") from exc
 
 
@@ -93,26 +97,22 @@
     return value
 
 
-def _non_negative_int(content: dict[str, Any], name: str) -> int:
+def _non_negative_int(content: dict[str, Any], name: str, maximum: int) -> int:
     value = content[name]
-    if type(value) is not int or value < 0:
-        raise TypeError(f"{name} is not a non-negative integer")
+    if type(value) is not int or not 0 <= value <= maximum:
+        raise TypeError(f"{name} is not an integer from 0 to {maximum}")
     return value
 
 
-def _number(content: dict[str, Any], name: str) -> float:
-    value = content.get(name, 0)
-    if type(value) not in (int, float):
-        raise TypeError(f"{name} is not a number")
-    return float(value)
+def _cold_start_left_ms(content: dict[str, Any]) -> float:
+    value = content.get("cold-left-ms", 0)
+    if type(value) not in (int, float) or not abs(value) <= COLD_START_MAX_MS:
+        raise TypeError("cold-left-ms is not a number of milliseconds")
+    return max(0.0, float(value))
 
 
 def _address(text: str) -> Address:
     address = Address.parse(text)
-    octets = address.host.split(".")
-    is_ip = len(octets) == 4 and all(
-        octet.isdigit() and int(octet) < 256 for octet in octets
-    )
-    if not is_ip or not 0 < address.port < 65536:
+    if not is_ipv4(address.host) or address.port == 0:
         raise ValueError(f"{text!r} is not an IPv4 address with a port")
     return address
--- a/wisteriaarch/platform/store.py
+++ b/wisteriaarch/platform/store.py
@@ -16,7 +16,7 @@
 from ..process.rows import RowsRead, RowTable, StoredRow
 from ..process.store import NO_VERSION, Check, Put, Row, Transaction, encode_json
 from ..process.store_era import StoreEra
-from ..wire import Address, HttpResponse, load_json
+from ..wire import INVALID_CONTENT_ERRORS, Address, HttpResponse, load_json
 from .names import MS_PER_S, STORE_ERA
 
 READ_TIMEOUT_S = 1.0
@@ -214,11 +214,19 @@
     try:
         rows = tuple(_decode_row(item) for item in content["rows"])
         return RowsRead(rows, int(content["ver"]), era)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except INVALID_CONTENT_ERRORS as exc:
         raise StoreUnavailable(f"invalid response: {exc!r}") from exc
 
 
 def _decode_row(item: dict[str, Any]) -> StoredRow:
     deleted = bool(item.get("deleted"))
-    value = b"" if deleted else base64.b64decode(item["value"])
+    value = b"" if deleted else _decode_value(item["value"])
     return StoredRow(str(item["key"]), int(item["ver"]), value, deleted)
+
+
+def _decode_value(text: str) -> bytes:
+    """Return a row's value; empty, which names nothing, where it isn't base64."""
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError:
+        return b""
--- a/wisteriaarch/process/entry_list.py
+++ b/wisteriaarch/process/entry_list.py
@@ -6,7 +6,7 @@
 import curio
 
 from ..errors import StoreUnavailable
-from ..wire import Address, load_json
+from ..wire import INVALID_CONTENT_ERRORS, Address, is_ipv4, load_json
 from .rows import RowSource, RowTable
 from .store import Instance
 from .store_era import StoreEra
@@ -82,7 +82,7 @@
         )
 
     async def list(self) -> list[Instance]:
-        """Read the entries from the store.
+        """Read the entries from the store; a row that is no address is left out.
 
         While the store is unavailable, raises StoreUnavailable if rows were read
         before; otherwise returns the seeds and this entry.
@@ -93,12 +93,14 @@
             if self._registered:
                 raise
             return self.cached_instances()
-        self._registered = {row.key: _decode_zone(row.value) for row in read.rows}
+        self._registered = {
+            row.key: _decode_zone(row.value) for row in read.rows if is_ipv4(row.key)
+        }
         return self.cached_instances()
 
 
 def _decode_zone(value: bytes) -> str:
     try:
         return str(load_json(value)["zone"])
-    except (ValueError, KeyError, TypeError):
+    except INVALID_CONTENT_ERRORS:
         return ""
--- a/wisteriaarch/process/http_store.py
+++ b/wisteriaarch/process/http_store.py
@@ -13,7 +13,7 @@
     WriteOutcomeUnknown,
 )
 from ..http_client import fetch, fetch_json
-from ..wire import Address, HttpResponse
+from ..wire import INVALID_CONTENT_ERRORS, Address, HttpResponse
 from .store import Instance, Row, Transaction
 
 STORE_TIMEOUT_S = 2.0
@@ -158,10 +158,18 @@
         for name in content.get("removed", ()):
             self._instances.pop(name, None)
         for item in content["instances"]:
-            self._instances[item["id"]] = _instance_from_json(item)
+            self._add_instance(item)
         self._version = content.get("version")
         return list(self._instances.values())
 
+    def _add_instance(self, item: Any) -> None:
+        """Add an instance; one that can't be read is left out, and the others stay."""
+        try:
+            instance = _instance_from_json(item)
+            self._instances[instance.instance_id] = instance
+        except INVALID_CONTENT_ERRORS:
+            return
+
 
 async def _ask(
     client: Any, method: str, target: str, body: bytes = b""
@@ -189,6 +197,8 @@
 
 def _instance_from_json(item: dict) -> Instance:
     peer = item.get("peer_address")
+    if not isinstance(item["kind"], str):
+        raise TypeError("kind is not a string")
     return Instance(
         instance_id=item["id"],
         kind=item["kind"],
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -1,6 +1,5 @@
 """One attempt of a call on one upstream, with the relay of its answer."""
 
-import json
 from dataclasses import dataclass
 
 import curio
@@ -17,7 +16,7 @@
 from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
 from ..steps import Step, reach_step
-from ..wire import HttpResponse
+from ..wire import INVALID_CONTENT_ERRORS, HttpResponse, load_json
 from .answer import AnswerSink
 from .call import Call, CompletionCall
 from .forwarding import has_no_body, outgoing_request, returned_headers
@@ -181,8 +180,8 @@
 
     def _check_id(self, text: bytes) -> None:
         try:
-            answer_id = json.loads(text)["id"]
-        except (ValueError, KeyError, TypeError) as exc:
+            answer_id = load_json(text)["id"]
+        except INVALID_CONTENT_ERRORS as exc:
             raise UpstreamDisconnected(
                 f"{self._view.name}: not an answer: {exc!r}"
             ) from exc
--- a/wisteriaarch/wire.py
+++ b/wisteriaarch/wire.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 messages and addresses, shared by the client and the server side."""
 
+import ipaddress
 import json
 from dataclasses import dataclass, field
 from typing import Any
@@ -7,6 +8,7 @@
 from .errors import WireError
 
 READ_BYTES = 64 * 1024
+PORT_MAX = 65535
 STATUSES_WITHOUT_BODY = (204, 304)
 
 Headers = list[tuple[str, str]]
@@ -31,11 +33,20 @@
     def parse(cls, text: str) -> "Address":
         """Parse ``host:port``; raises ValueError on any other form."""
         host, _, port = text.rpartition(":")
-        if not host:
+        if not host or not 0 <= int(port) <= PORT_MAX:
             raise ValueError(f"expected host:port, got {text!r}")
         return cls(host, int(port))
 
 
+def is_ipv4(text: str) -> bool:
+    """Whether a text is an IPv4 address in decimal notation."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass
 class HttpRequest:
     """Head of a received request; ``target`` is the raw path with its query.
@@ -90,6 +101,18 @@
             raise WireError(f"the response body is not JSON: {exc}") from exc
 
 
+# What code that takes decoded JSON apart may raise: a number may be infinite or too
+# large for a float, and a message may repeat a value that is nested too deeply.
+INVALID_CONTENT_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
+
 def load_json(data: bytes | str) -> Any:
     """Decode JSON; raises ValueError, also for excessive nesting."""
     try:
