Believe a refusal only if it can't be that of an earlier request

What callers saw (report of other operators): a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that had run or were running.

Cause: a refusal without an id counted as the answer to the request just sent, also on a connection that was used before. A request that was refused and sent again with its id on the same connection couldn't be told from the repeated refusal. On the own interface, refusals name no request at all.

Ruled out: refusals that name another request (skipped before, too).

Change: on a used connection a refusal that names no request promises nothing; an id is never sent twice on one connection; on the own interface 'ran: no' follows from a refusal on a new connection alone.

--- a/wisteriaarch/connection/upstream_pool.py
+++ b/wisteriaarch/connection/upstream_pool.py
@@ -26,18 +26,27 @@
         *,
         fresh: bool,
         timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str = "",
     ) -> HttpClientConnection:
         """Return an idle connection or open one; raises OSError.
 
-        With ``fresh``, always opens a new connection.
+        With ``fresh``, always opens a new connection. A connection on which
+        ``request_id`` was sent before isn't used: an answer that is sent once more
+        couldn't be told from the one to the new request.
         """
         idle = self._idle[address]
-        while idle and not fresh:
+        skipped = []
+        found = None
+        while idle and not fresh and found is None:
             conn, expires_at_s = idle.pop()
-            if now_s() < expires_at_s and not conn.has_unexpected_input():
-                return conn
-            await conn.close()
-        return await HttpClientConnection.connect(address, timeout_s)
+            if now_s() >= expires_at_s or conn.has_unexpected_input():
+                await conn.close()
+            elif request_id and request_id in conn.request_ids:
+                skipped.append((conn, expires_at_s))
+            else:
+                found = conn
+        idle.extend(reversed(skipped))
+        return found or await HttpClientConnection.connect(address, timeout_s)
 
     async def release(
         self, conn: HttpClientConnection, keep_alive_s: float | None = None
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -2,7 +2,9 @@
 
 import json
 import select
+from collections import deque
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import curio
@@ -22,15 +24,24 @@
 # Bounds of a response that is read completely into memory.
 BODY_MAX_BYTES = 16 * 1024 * 1024
 INFORMATIONAL_MAX = 16
+REQUEST_IDS_MAX = 64
 
 
 @dataclass
 class HttpClientConnection:
-    """Client side of one connection; an async context manager that closes it."""
+    """Client side of one connection; an async context manager that closes it.
+
+    ``is_reused`` is true from its second request on. ``request_ids`` are ids of the
+    last requests sent on it, as far as its owner records them.
+    """
 
     address: Address
     sock: Any = None
     has_sent_bytes: bool = False
+    is_reused: bool = False
+    request_ids: deque[str] = field(
+        default_factory=partial(deque, maxlen=REQUEST_IDS_MAX)
+    )
     _is_send_complete: bool = True
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
@@ -205,6 +216,7 @@
         self._h11.start_next_cycle()
         self._next_parsed_event = None
         self.has_sent_bytes = False
+        self.is_reused = True
         return True
 
 
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -82,16 +82,18 @@
         )
         self.arrivals.append(now_s())
         if req.headers.get("expect-instance", self.server_id) != self.server_id:
-            await conn.send_response(421, [("Instance-Id", self.server_id)])
+            headers = [*_own_id(req), ("Instance-Id", self.server_id)]
+            await conn.send_response(421, headers)
             return True
         fault = self._next_fault()
         if fault == "wait":
             await conn.send_response(
-                503, [*NOT_EXECUTED_HEADERS, ("Retry-After", RETRY_AFTER_S)]
+                503,
+                [*_own_id(req), *NOT_EXECUTED_HEADERS, ("Retry-After", RETRY_AFTER_S)],
             )
             return True
         if fault == "shed" or self.orders.is_busy:
-            await conn.send_response(503, NOT_EXECUTED_HEADERS)
+            await conn.send_response(503, [*_own_id(req), *NOT_EXECUTED_HEADERS])
             return True
         if fault == "close":
             self.executed.append(_attempt_id(req))
@@ -240,6 +242,12 @@
     return req.headers.get(names.ATTEMPT_ID.lower(), "")
 
 
+def _own_id(req: HttpRequest) -> Headers:
+    """Return the header by which an answer names its request."""
+    attempt_id = _attempt_id(req)
+    return [(names.ATTEMPT_ID, attempt_id)] if attempt_id else []
+
+
 def _prefix_blocks(req: HttpRequest) -> list[tuple[str, int]]:
     """Return the ids and token counts of the prefix blocks, in prompt order."""
     parts = filter(None, req.headers.get(names.PREFIX_HASH, "").split(","))
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -57,8 +57,8 @@
         wrong_instance = head.status == MISDIRECTED_STATUS
         not_run = wrong_instance or names.NOT_EXECUTED in head.headers
         echoed_id = head.headers.get(names.ATTEMPT_ID.lower())
-        # A refusal may lack the attempt id; the response to an executed request always
-        # has one.
+        # A refusal may lack the attempt id, and then names no request; the response to
+        # an executed request always has one.
         foreign = (
             echoed_id != call.call_id
             if echoed_id
@@ -71,6 +71,7 @@
             not_run=not_run,
             wrong_instance=wrong_instance,
             foreign=foreign,
+            is_identified=bool(echoed_id) or not call.call_id,
             keep_alive_s=_keep_alive_s(head),
             signals=NO_SIGNALS if wrong_instance else signals,
             unreadable_headers=unreadable,
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -104,7 +104,8 @@
 
     async def _raise_failure(self, conn, head, progress, ran_before) -> None:
         refused = head.headers.get("x-ran") == "no"
-        if refused:
+        # On a used connection it may be the refusal of an earlier request, once more.
+        if refused and not conn.is_reused:
             progress.ran = ran_before
         body = await self._read_body(conn)
         detail = f"{self._view.name} answered {head.status}: {body[:200]!r}"
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -70,12 +70,16 @@
     async def _connect(self) -> None:
         try:
             self._conn = await self._pool.acquire(
-                self.upstream.address, fresh=False, timeout_s=CONNECT_TIMEOUT_S
+                self.upstream.address,
+                fresh=False,
+                timeout_s=CONNECT_TIMEOUT_S,
+                request_id=self._call.call_id,
             )
         except OSError as exc:
             raise AttemptFailed(FailureReason.NOT_CONNECTED, str(exc)) from exc
 
     async def _send(self, req: OutgoingRequest) -> UpstreamHead:
+        self._conn.request_ids.append(self._call.call_id)
         try:
             await self._conn.send_request(req.method, req.target, req.headers, req.body)
         except OSError:
@@ -88,6 +92,7 @@
             try:
                 raw = await self._conn.read_head()
                 head = self._protocol.read_head(self._call, raw)
+                self._check_refusal_is_own(head)
                 if not head.foreign:
                     self._keep_alive_s = head.keep_alive_s
                     return head
@@ -99,6 +104,13 @@
             FailureReason.FOREIGN_ANSWER, "the answer belongs to another request"
         )
 
+    def _check_refusal_is_own(self, head: UpstreamHead) -> None:
+        """Raise AttemptFailed for a refusal that may be that of an earlier request."""
+        if head.not_run and not head.is_identified and self._conn.is_reused:
+            raise AttemptFailed(
+                FailureReason.FOREIGN_ANSWER, "a refusal names no request"
+            )
+
     async def read_block(self) -> bytes | None:
         """Return the next received block of the body; None at its end."""
         try:
--- a/wisteriaarch/request/upstream_protocol.py
+++ b/wisteriaarch/request/upstream_protocol.py
@@ -39,7 +39,8 @@
     """Head of an upstream's answer.
 
     With ``not_run`` the upstream states that it has not run the request. ``foreign``
-    marks an answer to another request. ``keep_alive_s`` is the upstream's keep-alive
+    marks an answer to another request, ``is_identified`` one that names its request.
+    ``keep_alive_s`` is the upstream's keep-alive
     timeout for idle connections if it reports one. ``unreadable_headers`` names headers
     whose values can't be parsed.
     """
@@ -49,6 +50,7 @@
     not_run: bool = False
     wrong_instance: bool = False
     foreign: bool = False
+    is_identified: bool = True
     keep_alive_s: float | None = None
     signals: UpstreamSignals = NO_SIGNALS
     unreadable_headers: tuple[str, ...] = ()
