Continue a broken stream by events alone

What callers saw (report of other operators): a stream broke off, the next server answered with an error, and callers found its text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

Cause: a continuation without an event counted as the end of the stream; one that is no event stream, and a head written into a body that ends with its connection, were passed on.

Ruled out: answers of another status than 200 (never passed on), a stream that ends inside an event, with neither length nor chunks (broken off before, too), and the own interface, where each continuation is checked by its id and ends by its end mark.

Change: a continuation must be an event stream where it names its type, must have an event, and no event starts with a status line.

--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -12,6 +12,7 @@
 from .upstream_protocol import UpstreamHead
 
 SUCCESS_STATUS = 200
+EVENT_STREAM_TYPE = "text/event-stream"
 FRAMING_HEADERS = frozenset(("content-length", "transfer-encoding"))
 
 
@@ -77,13 +78,19 @@
         )
 
     async def _relay_events(self, head: UpstreamHead, exchange: Exchange) -> None:
+        if self.started and not _may_be_event_stream(head):
+            raise AttemptFailed(
+                FailureReason.MALFORMED, "a resumed stream got another kind of answer"
+            )
         framer = EventFramer()
+        has_events = False
         while (block := await exchange.read_block()) is not None:
             events = framer.feed(block)
             if events:
+                has_events = True
                 await self._send(head, events)
                 self._last_event_id = framer.last_id or self._last_event_id
-        if framer.has_partial_event or not self.started:
+        if framer.has_partial_event or not has_events:
             raise AttemptFailed(FailureReason.CLOSED, "the stream ended in an event")
         await self._sink.end_stream()
 
@@ -103,5 +110,10 @@
         await self._sink.send_block(events)
 
 
+def _may_be_event_stream(head: UpstreamHead) -> bool:
+    types = [value for name, value in head.headers if name.lower() == "content-type"]
+    return not types or types[0].partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+
+
 def _without_framing(headers: Headers) -> Headers:
     return [item for item in headers if item[0].lower() not in FRAMING_HEADERS]
--- a/wisteriaarch/request/event_stream.py
+++ b/wisteriaarch/request/event_stream.py
@@ -4,6 +4,7 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+STATUS_LINE = b"HTTP/1."
 EVENT_MAX_BYTES = 1 << 20
 
 
@@ -17,7 +18,8 @@
     def feed(self, block: bytes) -> bytes:
         """Return the events that are complete and buffer the start of the next one.
 
-        Raises AttemptFailed if a single event exceeds ``EVENT_MAX_BYTES``.
+        Raises AttemptFailed if a single event exceeds ``EVENT_MAX_BYTES``, or if the
+        head of another answer was written into the stream.
         """
         data = self._partial_event + block
         end = data.rfind(EVENT_END)
@@ -31,6 +33,10 @@
             return b""
         end += len(EVENT_END)
         events, self._partial_event = data[:end], data[end:]
+        if events.startswith(STATUS_LINE) or b"\n" + STATUS_LINE in events:
+            raise AttemptFailed(
+                FailureReason.MALFORMED, "a stream contains the head of an answer"
+            )
         self._update_last_id(events)
         return events
 
