Keep the gossip of datagrams and the records of blocks in modules of their own

connection/prober.py had three pairs of callbacks for records that datagrams carry beside those of members, each written out at four places; they are in connection/gossip.py now. The records of block_quarantine, their export and merge are in block_history. No change of behaviour; tests name the callbacks where they are now.

--- a/tests/test_block_quarantine.py
+++ b/tests/test_block_quarantine.py
@@ -13,10 +13,9 @@
 from wisteriaarch.errors import ErrorKind, FrameError, Ran, RequestError
 from wisteriaarch.process.digest import BlockAnswer, BlockCrash, BlockRecords
 from wisteriaarch.process.member_list import MemberRecord
+from wisteriaarch.request.block_history import RECENT_S, RETENTION_S
 from wisteriaarch.request.block_quarantine import (
     PROBE_INTERVAL_S,
-    RECENT_S,
-    RETENTION_S,
     TRIAL_DELAYS_S,
     BlockQuarantine,
     TrialPolicy,
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -364,8 +364,8 @@
 
     def know_limits(self, prober):
         limits = RequestLimits()
-        prober.known_limits = limits.export
-        prober.on_limits = limits.merge
+        prober.gossip.known_limits = limits.export
+        prober.gossip.on_limits = limits.merge
         return limits
 
     def all_limits(self, network):
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -7,7 +7,6 @@
 up for by the recent changes that pings and acks carry.
 """
 
-import itertools
 import random
 from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
@@ -22,12 +21,12 @@
     NO_BLOCK_RECORDS,
     BlockRecords,
     CrashRecord,
-    LimitRecord,
 )
 from ..process.member_list import MemberList, MemberRecord, MemberState
 from ..process.rows import StorePosition
 from ..process.table_update import TableUpdate
 from ..wire import Address
+from .gossip import Gossip
 from .member_codec import Datagram, DatagramKind, decode_datagram, encode_datagram
 from .pending_pings import PendingPings, RelayedPing
 
@@ -38,8 +37,6 @@
 RELAYS_MAX = 3
 CHANGES_PER_PROBE_MAX = 4
 MEMBERS_PER_DATAGRAM_MAX = 32
-LIMITS_PER_PROBE_MAX = 8
-BLOCK_RECORDS_PER_PROBE_MAX = 16
 DATAGRAM_MAX_BYTES = 32 * 1024
 # An entry that receives nothing for this time may itself be isolated, and marks no
 # other entry dead. Skipped with ISOLATION_EXEMPT_OTHERS_MAX or fewer others.
@@ -62,8 +59,6 @@
     configuration_version: int
 
 
-LimitsExporter = Callable[[int], Iterable[LimitRecord]]
-BlocksExporter = Callable[[int], BlockRecords]
 TableUpdateHandler = Callable[[str, tuple[TableUpdate, ...]], Awaitable[None]]
 
 
@@ -72,12 +67,8 @@
 
     ``list_entry_ids`` returns the ids of entries that may exist; an id is the IP
     address of its entry, and ``port`` is the UDP port of all entries. ``versions`` has
-    those in force at this entry. The datagrams also carry upstream crashes and updates
-    of store tables. ``on_crashes`` and ``on_table_updates`` are callbacks for those
-    that other entries send; ``known_crashes`` returns the crashes to send to new
-    entries. Pings and acks carry request limits of upstreams: ``known_limits`` returns
-    up to a number of them, ``on_limits`` is the callback for those of other entries.
-    ``known_blocks`` and ``on_blocks`` do the same for prompt blocks and crashes.
+    those in force at this entry. ``gossip`` has the other records that datagrams carry;
+    ``on_table_updates`` is called with the updates of store tables that others send.
     """
 
     def __init__(
@@ -90,13 +81,8 @@
         seed: int | None = None,
     ):
         self.members = members
-        self.on_crashes: Callable[[tuple[CrashRecord, ...]], None] | None = None
-        self.known_crashes: Callable[[], Iterable[CrashRecord]] = tuple
+        self.gossip = Gossip()
         self.on_table_updates: TableUpdateHandler | None = None
-        self.known_limits: LimitsExporter = _no_limits
-        self.on_limits: Callable[[tuple[LimitRecord, ...]], None] | None = None
-        self.known_blocks: BlocksExporter = _no_blocks
-        self.on_blocks: Callable[[BlockRecords], None] | None = None
         self._list_entry_ids = list_entry_ids
         self._port = port
         self._versions = versions
@@ -234,8 +220,7 @@
             self._current_own_record(),
             sequence,
             self._recent_changes(),
-            limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
-            blocks=self.known_blocks(BLOCK_RECORDS_PER_PROBE_MAX),
+            **self.gossip.probe_fields(),
         )
         await self._send(encode_datagram(datagram), (target, self._port))
 
@@ -288,12 +273,7 @@
             await curio.spawn(self._refute, daemon=True)
         if datagram.table_updates and self.on_table_updates is not None:
             await self.on_table_updates(sender.entry_id, datagram.table_updates)
-        if datagram.crashes and self.on_crashes is not None:
-            self.on_crashes(datagram.crashes)
-        if datagram.limits and self.on_limits is not None:
-            self.on_limits(datagram.limits)
-        if datagram.blocks and self.on_blocks is not None:
-            self.on_blocks(datagram.blocks)
+        self.gossip.apply(datagram)
         await self._answer(datagram, address, is_new)
         await self._notify_if_marked_dead(sender, address)
 
@@ -327,8 +307,7 @@
             self._current_own_record(),
             sequence,
             self._recent_changes(),
-            limits=tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
-            blocks=self.known_blocks(BLOCK_RECORDS_PER_PROBE_MAX),
+            **self.gossip.probe_fields(),
         )
         await self._send(encode_datagram(datagram), address)
 
@@ -346,20 +325,14 @@
     async def _send_members(self, address: tuple[str, int]) -> None:
         """Send all records and known crashes to an entry that has just started."""
         records = self.members.all_records()
-        crashes = tuple(
-            itertools.islice(self.known_crashes(), MEMBERS_PER_DATAGRAM_MAX)
-        )
-        limits = tuple(self.known_limits(MEMBERS_PER_DATAGRAM_MAX))
-        blocks = self.known_blocks(MEMBERS_PER_DATAGRAM_MAX)
+        records_of_gossip = self.gossip.start_fields()
         for start in range(0, len(records), MEMBERS_PER_DATAGRAM_MAX):
             page = tuple(records[start : start + MEMBERS_PER_DATAGRAM_MAX])
             datagram = Datagram(
                 DatagramKind.MEMBER_UPDATE,
                 self._current_own_record(),
                 others=page,
-                crashes=crashes,
-                limits=limits,
-                blocks=blocks,
+                **records_of_gossip,
             )
             await self._send(encode_datagram(datagram), address)
 
@@ -374,11 +347,3 @@
             DatagramKind.MEMBER_UPDATE, self._current_own_record(), others=(known,)
         )
         await self._send(encode_datagram(datagram), address)
-
-
-def _no_blocks(_count: int) -> BlockRecords:
-    return NO_BLOCK_RECORDS
-
-
-def _no_limits(_count: int) -> tuple[LimitRecord, ...]:
-    return ()
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -92,8 +92,8 @@
         ``export`` provides the records sent to entries that start; ``merge`` receives
         the records sent by other entries.
         """
-        self._prober.known_crashes = export
-        self._prober.on_crashes = merge
+        self._prober.gossip.known_crashes = export
+        self._prober.gossip.on_crashes = merge
 
     def exchange_limits(
         self,
@@ -104,8 +104,8 @@
 
         ``export`` provides up to a number of them; ``merge`` receives those of others.
         """
-        self._prober.known_limits = export
-        self._prober.on_limits = merge
+        self._prober.gossip.known_limits = export
+        self._prober.gossip.on_limits = merge
 
     def exchange_blocks(
         self,
@@ -117,8 +117,8 @@
         ``export`` provides up to a number of records; ``merge`` receives those of
         others.
         """
-        self._prober.known_blocks = export
-        self._prober.on_blocks = merge
+        self._prober.gossip.known_blocks = export
+        self._prober.gossip.on_blocks = merge
 
     async def announce(self, *, ready: bool, leaving: bool) -> None:
         """Notify all other entries of this entry's state."""
--- a/wisteriaarch/request/block_quarantine.py
+++ b/wisteriaarch/request/block_quarantine.py
@@ -17,27 +17,20 @@
 from ..errors import ErrorKind, Ran, RequestError
 from ..events import Event, EventLog
 from ..process.clock import now_s
-from ..process.digest import BlockAnswer, BlockCrash, BlockRecords
+from ..process.digest import NO_BLOCK_RECORDS, BlockRecords
 from .block_evidence import (
     CRASHES_MIN,
-    NEVER_S,
     CrashedRequest,
     collect_evidence,
     presumed_causes,
 )
+from .block_history import BlockHistory
 from .block_trial import BlockTrial
 
 # Times of the trials, from the first crashes that suffice for the quarantine.
 TRIAL_DELAYS_S = (8.0, 60.0, 600.0)
 # Time between two probes of all entries together, while there are several suspects.
 PROBE_INTERVAL_S = 0.5
-RETENTION_S = 1800.0
-RECORDS_MAX = 1024
-ANSWERS_MAX = 4 * RECORDS_MAX
-BLOCKS_PER_RECORD_MAX = 32
-# Entries that missed a crash or an answer hear of it by pings for this time; the
-# crashes that prove a verdict are repeated for as long as it holds.
-RECENT_S = 10.0
 # Answers are announced from this number of crashes on: one more may be needed for a
 # verdict, and most blocks in flight at a crash have no part in another one.
 ANNOUNCED_CRASHES_MIN = 2
@@ -92,17 +85,15 @@
         self._trials = trials
         self._clock = clock
         self._rng = rng or random.Random()
-        self._records: dict[tuple[str, str], CrashedRequest] = {}
-        self._answered_at_s: dict[str, float] = {}
-        self._exonerated_at_s: dict[str, float] = {}
+        self._history = BlockHistory(clock)
         self._verdicts: dict[str, _Verdict] = {}
         self._crash_counts: dict[str, int] = {}
-        self._is_outdated = False
+        self._judged_version = 0
 
     @property
     def has_evidence(self) -> bool:
         """Whether any block was in flight at a crash that is still remembered."""
-        return bool(self._records)
+        return bool(self._history)
 
     def check(self, blocks: Iterable[str], trial: BlockTrial, ran: Ran) -> None:
         """Raise RequestError if a request has a block that is in quarantine.
@@ -110,7 +101,7 @@
         A request that is let through to test the verdict passes, and goes on passing
         until it is in flight at another crash.
         """
-        if not self._records or trial.is_granted:
+        if not self._history or trial.is_granted:
             return
         self._update_verdicts()
         present = frozenset(block for block in blocks if block in self._verdicts)
@@ -140,7 +131,7 @@
         if due <= verdict.trials_granted:
             return False
         due_at_s = verdict.since_s + TRIAL_DELAYS_S[due - 1]
-        if any(item.at_s >= due_at_s for item in self._records_of(block)):
+        if any(item.at_s >= due_at_s for item in self._history.crashes_of(block)):
             return False
         return self._trials.is_owner(min(verdict.group))
 
@@ -156,121 +147,52 @@
     def _probe_interval_s(self) -> float:
         return PROBE_INTERVAL_S * max(1, self._trials.count_entries())
 
-    def _records_of(self, block: str) -> list[CrashedRequest]:
-        """Return the crashes that accuse a block since it was last answered."""
-        answered_at_s = self._answered_at_s.get(block, NEVER_S)
-        return [
-            item
-            for item in self._records.values()
-            if block in item.blocks and item.at_s > answered_at_s
-        ]
-
     def record_crash(
         self, request: str, blocks: tuple[str, ...], crash_id: str
     ) -> None:
         """Record that a request with these blocks was in flight at a crash."""
-        if blocks:
-            blocks = blocks[:BLOCKS_PER_RECORD_MAX]
-            self._add(CrashedRequest(request, crash_id, blocks, self._clock()))
+        self._history.add_crash(request, crash_id, blocks)
 
     def record_answer(self, blocks: Iterable[str]) -> bool:
         """Record a complete answer; returns whether to tell the other entries."""
         self._update_verdicts()
         counts = self._crash_counts
-        now = self._clock()
         is_news = False
         for block in blocks:
             crashes = counts.get(block, 0)
             is_news = is_news or crashes >= ANNOUNCED_CRASHES_MIN
-            self._set_answered(block, now, is_exonerated=crashes > 0)
+            self._history.add_answer(block, is_accused=crashes > 0)
         return is_news
 
-    def _add(self, record: CrashedRequest) -> bool:
-        key = (record.request, record.crash_id)
-        if key in self._records:
-            return False
-        self._records[key] = record
-        self._is_outdated = True
-        while len(self._records) > RECORDS_MAX:
-            del self._records[next(iter(self._records))]
-        return True
-
-    def _set_answered(self, block: str, at_s: float, is_exonerated: bool) -> None:
-        """Record the last answer of a block; the blocks answered longest ago yield."""
-        known_at_s = self._answered_at_s.pop(block, NEVER_S)
-        self._answered_at_s[block] = max(at_s, known_at_s)
-        while len(self._answered_at_s) > ANSWERS_MAX:
-            del self._answered_at_s[next(iter(self._answered_at_s))]
-        if is_exonerated and at_s > known_at_s:
-            self._exonerated_at_s[block] = at_s
-            self._is_outdated = True
-
-    def export(self, count: int, recent_s: float = RECENT_S) -> BlockRecords:
-        """Return up to ``count`` crashes and as many answers for other entries.
-
-        Half of the crashes are the newest of the last ``recent_s``, the others those
-        that accuse blocks in quarantine, if there are enough.
-        """
-        if not self._records:
-            return BlockRecords()
+    def export(self, count: int) -> BlockRecords:
+        """Return up to ``count`` crashes and as many answers for other entries."""
+        if not self._history:
+            return NO_BLOCK_RECORDS
         self._update_verdicts()
-        now = self._clock()
-        by_age = sorted(self._records.values(), key=lambda item: -item.at_s)
-        newest = [item for item in by_age if item.at_s >= now - recent_s]
-        chosen = newest[: count // 2]
-        proofs = [item for item in reversed(by_age) if self._is_proof(item)]
-        for item in (*proofs, *newest):
-            if len(chosen) < count and item not in chosen:
-                chosen.append(item)
-        return BlockRecords(
-            tuple(
-                BlockCrash(item.request, item.crash_id, item.blocks, now - item.at_s)
-                for item in chosen
-            ),
-            self._export_answers(count, now, recent_s),
-        )
+        return self._history.export(count, self._is_proof)
 
     def _is_proof(self, record: CrashedRequest) -> bool:
         return any(block in self._verdicts for block in record.blocks)
 
-    def _export_answers(
-        self, count: int, now: float, recent_s: float
-    ) -> tuple[BlockAnswer, ...]:
-        recent = [
-            (now - at_s, block)
-            for block, at_s in self._exonerated_at_s.items()
-            if now - at_s < recent_s
-        ]
-        return tuple(
-            BlockAnswer(block, age_s) for age_s, block in sorted(recent)[:count]
-        )
-
     def merge(self, records: BlockRecords) -> None:
-        """Merge what another entry knows; crashes that are known keep their time."""
-        now = self._clock()
-        for item in records.crashes:
-            if item.age_s < RETENTION_S:
-                blocks = item.blocks[:BLOCKS_PER_RECORD_MAX]
-                at_s = now - item.age_s
-                self._add(CrashedRequest(item.request, item.crash_id, blocks, at_s))
-        if self._records:
-            for item in records.answers:
-                self._set_answered(item.block, now - item.age_s, is_exonerated=True)
+        """Merge what another entry knows."""
+        self._history.merge(records)
 
     def _update_verdicts(self) -> None:
         """Derive the verdicts anew if anything has changed."""
-        self._remove_expired()
-        if not self._is_outdated:
+        history = self._history
+        history.remove_expired()
+        if history.version == self._judged_version:
             return
-        self._is_outdated = False
-        evidence = collect_evidence(self._records.values(), self._answered_at_s)
+        self._judged_version = history.version
+        evidence = collect_evidence(history.crashes, history.answered_at_s)
         self._crash_counts = {
             block: len(item.crash_ids) for block, item in evidence.items()
         }
         for block in list(self._verdicts):
             if block not in evidence or not evidence[block].is_sufficient:
                 self._release(block)
-        self._judge(presumed_causes(evidence, self._answered_at_s))
+        self._judge(presumed_causes(evidence, history.answered_at_s))
 
     def _judge(self, groups: Iterable[frozenset[str]]) -> None:
         for verdict in self._verdicts.values():
@@ -281,7 +203,7 @@
                 verdict.group = blocks
 
     def _quarantine(self, block: str) -> _Verdict:
-        records = self._records_of(block)
+        records = self._history.crashes_of(block)
         verdict = _Verdict(
             since_s=_sufficient_at_s(records),
             next_probe_at_s=self._clock()
@@ -300,17 +222,6 @@
         del self._verdicts[block]
         self._log.write(Event.BLOCK_RELEASED, block=block)
 
-    def _remove_expired(self) -> None:
-        """Remove old records, oldest first; the order is that of their arrival."""
-        before_s = self._clock() - RETENTION_S
-        while self._records:
-            key, record = next(iter(self._records.items()))
-            if record.at_s >= before_s:
-                return
-            del self._records[key]
-            self._is_outdated = True
-        self._exonerated_at_s.clear()
-
 
 def _sufficient_at_s(records: Iterable[CrashedRequest]) -> float:
     """Return the time of the crash with which there were enough of them.
