List the restart of all entries amid a crashing block as red

Cause: verdicts and their evidence are kept by the entries alone; where all start again at once, three crashes or more are needed anew, on top of those that were tolerated.

--- a/tests/test_block_quarantine.py
+++ b/tests/test_block_quarantine.py
@@ -296,24 +296,30 @@
     TOLERATED = 3
     RESTART_S = 3.0
 
-    def play(self, entries, engines, seed, crashing_share=0.1, per_s=60.0):
-        """Return the times of the crashes, and the served share of sound requests."""
+    def play(
+        self, entries, engines, seed, crashing_share=0.1, per_s=60.0, restart_s=1e9
+    ):
+        """Return the times of the crashes, and the served share of sound requests.
+
+        All entries start again at ``restart_s``.
+        """
         rng = random.Random(seed)
         clock = Clock()
         names = [f"entry-{number}" for number in range(entries)]
-        fleet = {
-            name: BlockQuarantine(
+
+        def start(name):
+            return BlockQuarantine(
                 mock.Mock(),
                 ErrorKind.CRASHES_UPSTREAMS,
                 TrialPolicy(
-                    lambda block, name=name: choose_trial_owner(block, names) == name,
+                    lambda block: choose_trial_owner(block, names) == name,
                     lambda: entries,
                 ),
                 clock,
                 rng,
             )
-            for name in names
-        }
+
+        fleet = {name: start(name) for name in names}
         down_until = dict.fromkeys(range(engines), 0.0)
         running = {engine: [] for engine in range(engines)}
         inbox = []
@@ -321,6 +327,9 @@
         number = 0
         while clock.now_s < 1025.0:
             clock.now_s += self.STEP_S
+            if clock.now_s >= restart_s:
+                restart_s = 1e9
+                fleet = {name: start(name) for name in names}
             for item in [item for item in inbox if item[0] <= clock.now_s]:
                 inbox.remove(item)
                 for name in names:
@@ -364,14 +373,21 @@
             ]
         return crashes, served / max(1, sound)
 
+    def assert_rules_kept(self, crashes, share):
+        self.assertGreaterEqual(len(crashes), 3)
+        if len(crashes) >= 5:
+            known_s = crashes[4] + self.CONTACT_S
+            later = [at_s for at_s in crashes if at_s > known_s]
+            self.assertLessEqual(len(later), self.TOLERATED)
+        self.assertGreater(share, 0.9)
+
     def test_rules_hold_for_8_and_400_entries(self):
         for entries, engines, seeds in ((8, 6, 12), (400, 30, 2)):
             for seed in range(seeds):
                 with self.subTest(entries=entries, seed=seed):
-                    crashes, share = self.play(entries, engines, seed)
-                    self.assertGreaterEqual(len(crashes), 3)
-                    if len(crashes) >= 5:
-                        known_s = crashes[4] + self.CONTACT_S
-                        later = [at_s for at_s in crashes if at_s > known_s]
-                        self.assertLessEqual(len(later), self.TOLERATED)
-                    self.assertGreater(share, 0.9)
+                    self.assert_rules_kept(*self.play(entries, engines, seed))
+
+    def test_rules_hold_when_all_entries_start_again_at_once(self):
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                self.assert_rules_kept(*self.play(8, 6, seed, restart_s=1014.0))
