Log which software version an attempt runs on, and which stream it resumes

The hypotheses of the incident can't be told apart: no line names a version, and none says that an attempt goes on with a stream. 220 and 310 name the version of the upstream's software now, and 316 (STREAM_RESUMED) the call that brought the stream's first event, the last event that the caller has and the version that goes on. The version of a server's row and the caller's Resumes are read for that; a version that is no text, or too long, makes the row one that names no server, as for every field.

No decision depends on either yet.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -138,6 +138,7 @@
         self.assertEqual(upstream.address, Address("10.128.0.9", 8080))
         self.assertEqual((upstream.stage, upstream.is_draining), (Stage.DECODE, False))
         self.assertEqual(upstream.started_at_ms, SERVER["born"])
+        self.assertEqual(upstream.software, "v1")
 
     def test_draining_is_leaving(self):
         self.assertTrue(
@@ -154,6 +155,7 @@
             "cold-left-ms": ("0", True),
             "stage": ("both", 3),
             "born": ("now", True, 1.5),
+            "version": (1, None, ["v1"], "v" * 300, "\ud800"),
         }
         for name, values in changes.items():
             for value in values:
@@ -190,6 +192,12 @@
         call = read_call([*HEADERS[:2], ("Deadline-Remaining", "soon")])
         self.assertLess(call.remaining_s(), 5.01)
 
+    def test_resumed_stream_names_the_call_that_began_it(self):
+        resumption = [("Last-Event-Id", "7"), ("Resumes", "41a0")]
+        call = read_call([*HEADERS, *resumption])
+        self.assertEqual((call.resume_after, call.resumes), ("7", "41a0"))
+        self.assertEqual((read_call().resume_after, read_call().resumes), (None, ""))
+
     def test_system_headers_are_removed(self):
         forged = [("stage", "prefill"), ("KV-SOURCE", "x"), ("Server-Seal", "y")]
         names = {
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -122,6 +122,9 @@
         "call waited in the prefill queue",
         Importance.PROGRESS,
     )
+    STREAM_RESUMED = EventKind(
+        316, logbook.INFO, "attempt resumes a stream", Importance.FAILURE
+    )
     KV_CACHE_RELEASE_FAILED = EventKind(
         313, logbook.INFO, "unused KV cache can't be released", Importance.PROGRESS
     )
--- a/wisteriaarch/platform/callers.py
+++ b/wisteriaarch/platform/callers.py
@@ -37,6 +37,7 @@
         deadline_at_s=arrived_at_s + remaining_s,
         prompt=_parse_prompt(req),
         resume_after=req.headers.get(names.LAST_EVENT_ID.lower()),
+        resumes=req.headers.get(names.RESUMES, ""),
     )
 
 
--- a/wisteriaarch/platform/rows.py
+++ b/wisteriaarch/platform/rows.py
@@ -21,6 +21,7 @@
 SLOTS_MAX = 1_000_000
 COLD_START_MAX_MS = 24 * 3600 * MS_PER_S
 STARTED_AT_MAX_MS = 1 << 53
+SOFTWARE_MAX_BYTES = 200
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 
@@ -85,6 +86,7 @@
             started_at_ms=_non_negative_int(content, "born", STARTED_AT_MAX_MS)
             if "born" in content
             else 0,
+            software=_software(content),
         )
     except INVALID_CONTENT_ERRORS as exc:
         raise ConfigError(f"server row {row.key!r}: {exc!r}") from exc
@@ -97,6 +99,16 @@
     return value
 
 
+def _software(content: dict[str, Any]) -> str:
+    """Return the version of a server's software; empty if it states none."""
+    value = content.get("version", "")
+    if not isinstance(value, str):
+        raise TypeError("version is not a string")
+    if len(value.encode()) > SOFTWARE_MAX_BYTES:
+        raise ValueError("version is too long")
+    return value
+
+
 def _non_negative_int(content: dict[str, Any], name: str, maximum: int) -> int:
     value = content[name]
     if type(value) is not int or not 0 <= value <= maximum:
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -28,7 +28,8 @@
     """One incarnation of an upstream.
 
     ``started_at_ms`` distinguishes incarnations with the same id (Unix milliseconds).
-    ``stage`` is None for upstreams that aren't engines.
+    ``stage`` is None for upstreams that aren't engines. ``software`` is the version of
+    the upstream's software, empty if it states none.
     """
 
     upstream_id: str
@@ -40,6 +41,7 @@
     stage: Stage | None = None
     cold_start_left_s: float = 0.0
     started_at_ms: int = 0
+    software: str = ""
 
 
 @dataclass(frozen=True)
@@ -102,6 +104,7 @@
                 Event.UPSTREAM_REGISTERED,
                 upstream=name,
                 service=upstreams[name].service,
+                software=upstreams[name].software,
             )
         for name in upstreams.keys() & self._listed.keys():
             self._handle_restart(self._listed[name], upstreams[name])
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -155,6 +155,7 @@
             route=call.route.name,
             stage=attempt.stage.value,
             upstream=candidate.upstream.upstream_id,
+            software=candidate.upstream.software,
             cost_s=choice.cost_s,
             requests=candidate.requests,
             prompt_tokens=candidate.prompt_tokens,
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -163,6 +163,7 @@
         async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
             try:
                 req = self._protocol.run_request(call, upstream, options)
+                self._log_resumption(attempt, relay)
                 call.send_started = True
                 timeout_s = answer_timeout_s(call)
                 head = await self._recorder.send(attempt, exchange, req, timeout_s)
@@ -176,6 +177,21 @@
                 raise
         await self._recorder.record_answer(attempt, relay)
 
+    def _log_resumption(self, attempt: TrackedAttempt, relay: AnswerRelay) -> None:
+        """Log an attempt that goes on with a stream that began in another one."""
+        call = attempt.call
+        after = relay.resume_after or call.resume_after
+        if after is None:
+            return
+        self._log.write(
+            Event.STREAM_RESUMED,
+            request=call.call_id,
+            resumes=call.resumes or call.call_id,
+            after=after,
+            upstream=attempt.upstream.upstream_id,
+            software=attempt.upstream.software,
+        )
+
     def _raise_if_retryable(self, call: RoutedCall, head, relay: AnswerRelay) -> None:
         """Raise AttemptFailed for a server error if the call may be retried."""
         may_retry = (
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -72,7 +72,8 @@
     """One request of a caller.
 
     ``headers`` are the forwarded ones. ``resume_after`` is the id of the last event
-    that a resuming caller has received. ``ran`` states whether any attempt so far may
+    that a resuming caller has received, ``resumes`` the id of the call that brought its
+    first event. ``ran`` states whether any attempt so far may
     have run. ``attempts`` counts the attempts that an upstream answered, and one that
     may have run unanswered if none before it may have. ``prefills`` counts
     disaggregated prefills and ``placements`` placements. A ``prioritized`` prompt is
@@ -93,6 +94,7 @@
     deadline_at_s: float
     prompt: Prompt | None = None
     resume_after: str | None = None
+    resumes: str = ""
     ran: Ran = Ran.NO
     attempts: int = 0
     prefills: int = 0
