Keep the KV caches of different software versions apart

What callers saw: a stream whose prompt one version had prefilled and another one decoded, whole and without a sign.

Ruled out: leaving handoffs to the upstreams, which don't check them; giving prompts to one version alone, which idles the other half of the fleet in a release.

Change: stages are planned for the engines of each version by themselves, and the version with the earlier first event is taken; the engine that decodes has the version of the one that prefilled. A version without a prefill stage prefills where it decodes, at the cost of what doesn't fit the longest pause. A fleet of one version is planned as before.

--- a/tests/test_placement_decisions.py
+++ b/tests/test_placement_decisions.py
@@ -10,7 +10,11 @@
 from wisteriaarch.process.stage_utilization import StageUtilization
 from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
 from wisteriaarch.request.attempt_timeouts import prefill_timeout_s
-from wisteriaarch.request.candidate import find_owner, normalize_slowdowns
+from wisteriaarch.request.candidate import (
+    Candidate,
+    find_owner,
+    normalize_slowdowns,
+)
 from wisteriaarch.request.candidate_finder import CandidateFinder
 from wisteriaarch.request.placement import (
     place_decode,
@@ -193,6 +197,48 @@
         self.assertEqual(moved, [])
 
 
+class SoftwareVersionTest(unittest.TestCase):
+    """KV caches never pass between engines of different software versions."""
+
+    def fleet(self, *specs):
+        return [
+            Candidate(replace(upstream(name, stage), software=software), **more)
+            for name, stage, software, more in specs
+        ]
+
+    def test_prompt_is_prefilled_where_its_version_decodes(self):
+        items = self.fleet(
+            ("p1", Stage.PREFILL, "v1", {"prompt_tokens": 9_000}),
+            ("p2", Stage.PREFILL, "v2", {}),
+            ("d1", Stage.DECODE, "v1", {}),
+        )
+        plan = plan_stages(items, prompt(9000), CALM, "z1", 0.15)
+        self.assertEqual(plan.prefill.candidate.upstream.upstream_id, "p1")
+        self.assertEqual(plan.decode.candidate.upstream.upstream_id, "d1")
+
+    def test_prefix_is_copied_within_a_version(self):
+        cached = {"cache_state": CacheState.HELD}
+        items = self.fleet(
+            ("p1", Stage.PREFILL, "v1", {}),
+            ("d1", Stage.DECODE, "v1", {}),
+            ("p2", Stage.PREFILL, "v2", cached | {"prompt_tokens": 900_000}),
+            ("d2", Stage.DECODE, "v2", cached | {"requests": 80}),
+        )
+        plan = plan_stages(items, prompt(9000, 8000), CALM, "z1", 0.15)
+        self.assertEqual(plan.prefill.candidate.upstream.upstream_id, "p1")
+        self.assertIsNone(plan.prefill.fetch_from)
+
+    def test_version_without_a_prefill_stage_is_used_where_it_is_sooner(self):
+        items = self.fleet(
+            ("p1", Stage.PREFILL, "v1", {"prompt_tokens": 400_000}),
+            ("d1", Stage.DECODE, "v1", {"requests": 8}),
+            ("d2", Stage.DECODE, "v2", {}),
+        )
+        plan = plan_stages(items, prompt(9000), CALM, "z1", 0.15)
+        self.assertIsNone(plan.prefill)
+        self.assertEqual(plan.decode.candidate.upstream.upstream_id, "d2")
+
+
 class RelativeSlowdownTest(unittest.TestCase):
     def test_peak_load_marks_no_upstream_as_slow(self):
         items = [candidate("a", slowdown=4.0), candidate("b", slowdown=5.0)]
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -192,9 +192,15 @@
     ) -> Choice:
         """Return the engine that decodes what ``prefill_engine`` has prefilled.
 
-        Raises AttemptFailed if there is none.
+        It has the same software version. Raises AttemptFailed if there is none.
         """
-        engines = self._parts.finder.current(call, excluded_stage=prefill_engine.stage)
+        engines = [
+            item
+            for item in self._parts.finder.current(
+                call, excluded_stage=prefill_engine.stage
+            )
+            if item.upstream.software == prefill_engine.software
+        ]
         rate = self._parts.estimates.prefill_rate(call.service)
         choice = place_decode(engines, call.prompt, rate, prefill_engine.zone)
         if choice is None:
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -17,6 +17,8 @@
 from .routed_call import Prompt
 
 PREFILL_SHARE_OF_PAUSE = 0.65
+# Counts against engines of a software version that has no prefill stage.
+UNFIT_PAUSE_COST_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -46,6 +48,9 @@
     decode: Choice | None
 
 
+NO_PLAN = StagePlan(None, None)
+
+
 def plan_stages(
     candidates: Sequence[Candidate],
     prompt: Prompt,
@@ -57,33 +62,52 @@
 
     The mix may change from short to long prompts within seconds, so the utilization of
     each stage is part of the prediction. ``pause_s`` is the longest acceptable pause in
-    the streams of an engine: a direct prefill must fit into it.
+    the streams of an engine: a direct prefill must fit into it. All engines of a plan
+    have the same software version, since others can't read their KV caches.
     """
+    by_software: dict[str, list[Candidate]] = {}
+    for item in candidates:
+        by_software.setdefault(item.upstream.software, []).append(item)
+    plans = [
+        _plan_version(items, prompt, fleet, zone, pause_s)
+        for items in by_software.values()
+    ]
+    return min(plans, key=lambda item: item[0], default=(0.0, NO_PLAN))[1]
+
+
+def _plan_version(
+    candidates: Sequence[Candidate],
+    prompt: Prompt,
+    fleet: FleetLoad,
+    zone: str,
+    pause_s: float | None,
+) -> tuple[float, StagePlan]:
+    """Return the expected cost and the plan for engines of one software version."""
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
     decodes = [item for item in candidates if can_run(item)]
     copyable = find_copyable_tokens(candidates, prompt)
     direct = place_direct(decodes, prompt, fleet.prefill_rate, zone, copyable)
     disaggregated = place_prefill(prefills, prompt, fleet.prefill_rate, zone, copyable)
     if direct is None:
-        return StagePlan(None, None)
+        return float("inf"), NO_PLAN
     direct = _with_copy_source(direct, prompt, candidates, copyable)
-    if disaggregated is None:
-        return StagePlan(None, direct)
-    disaggregated = _with_copy_source(disaggregated, prompt, candidates, copyable)
     direct_prefill_s = DIRECT_SLOWDOWN * direct.prefill_tokens / fleet.prefill_rate
     direct_s = direct.cost_s + mean_queue_wait_s(
         direct_prefill_s, fleet.decode_utilization
     )
+    waiting_tokens = direct.candidate.prompt_tokens + direct.prefill_tokens
+    fits_pause = _fits_pause(waiting_tokens, fleet.prefill_rate, pause_s)
+    if disaggregated is None:
+        unfit_cost_s = 0.0 if fits_pause else UNFIT_PAUSE_COST_S
+        return direct_s + unfit_cost_s, StagePlan(None, direct)
+    disaggregated = _with_copy_source(disaggregated, prompt, candidates, copyable)
     disaggregated_s = disaggregated.cost_s + fleet.handoff_s + fleet.queue_wait_s
     disaggregated_s += mean_queue_wait_s(
         disaggregated.prefill_tokens / fleet.prefill_rate, fleet.prefill_utilization
     )
-    waiting_tokens = direct.candidate.prompt_tokens + direct.prefill_tokens
-    if direct_s < disaggregated_s and _fits_pause(
-        waiting_tokens, fleet.prefill_rate, pause_s
-    ):
-        return StagePlan(None, direct)
-    return StagePlan(disaggregated, direct)
+    if direct_s < disaggregated_s and fits_pause:
+        return direct_s, StagePlan(None, direct)
+    return disaggregated_s, StagePlan(disaggregated, direct)
 
 
 def mean_queue_wait_s(prefill_s: float, utilization: float) -> float:
