Let a caller's stream go on only at the version that began it

Cause: a take-up was placed like a new call; the version of an upstream and the call that began the stream were read by nobody, and after the loss of all entries nobody could know them. Class: a fact on which a later decision depends is kept by nobody who outlives the decision's cause.

Change: the entry that places a stream remembers its version. While a service has several, streams are recorded in rows of the store, 20 times a second at most and together for all entries' calls; while it has one, the row of versions stands for all streams. No stream begins on a version that isn't in the row, so that one without a record began on the only version, or is refused (503 stream_not_resumable, not run). Rows carry the store's era; those of an earlier one aren't believed. A version that has left is refused, too.

--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from .process.rows import RowSource, StoredRow
-from .process.store import RowStore
+from .process.store import TableStore
 from .process.store_era import StoreEra
 from .process.upstreams import Upstream
 from .request.routed_call import RoutedCall
@@ -19,7 +19,7 @@
     """Translates between a platform's messages and the types of the core."""
 
     rows: RowSource
-    table: RowStore
+    table: TableStore
     store_era: StoreEra
     upstreams: UpstreamProtocol
     orders: OrderProtocol
--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -14,7 +14,7 @@
 from ..request.attempt_failures import AttemptFailed
 from ..request.attempt_outcome import ABANDONED, AttemptOutcome
 from ..request.candidate import Candidate, Choice
-from ..request.placer import DecodePlacement, NoTicket, Placement
+from ..request.placer import DecodePlacement, NoTicket, OwnTicket, Placement
 from ..request.routed_call import RoutedCall
 from ..request.scheduler import Scheduler
 from ..request.stage_plan import StagePlan
@@ -49,12 +49,15 @@
         self._shared_scheduler = shared_scheduler
         self._fallback_scheduler = fallback_scheduler
         self._address_of = address_of
+        self._stream_software = shared_scheduler.parts.stream_software
         self._log = log
         self._links: dict[str, SchedulerLink] = {}
         self.last_answered_at_s = float("-inf")
 
     async def place(self, call: RoutedCall) -> Placement:
         """Return the placement of a call; raises RequestError or AttemptFailed."""
+        if call.resume_after is not None and call.software is None:
+            call.software = self._stream_software.find_placed(call)
         scheduler = self._fallback_scheduler
         for name in self._scheduler_choice.ranked(call.service)[
             :SCHEDULERS_QUERIED_MAX
@@ -68,7 +71,11 @@
                 return await self._placement_from_answer(call, *answered)
         if scheduler is self._shared_scheduler:
             self._record_request(call)
-        return Placement(await scheduler.place(call), NoTicket())
+        plan = await scheduler.place(call)
+        return Placement(plan, NoTicket() if plan.prefill else self._own_ticket(call))
+
+    def _own_ticket(self, call: RoutedCall) -> OwnTicket:
+        return OwnTicket(call, self._stream_software)
 
     def _record_request(self, call: RoutedCall) -> None:
         """Count a call in the retry budget of the fallback scheduler, once per call."""
@@ -92,7 +99,7 @@
                 placement = await self._placement_from_answer(call, *answered)
                 return DecodePlacement(placement.plan.decode, placement.ticket)
         choice = await self._fallback_scheduler.place_decode(call, prefill_engine)
-        return DecodePlacement(choice, NoTicket())
+        return DecodePlacement(choice, self._own_ticket(call))
 
     async def _query(
         self, name: str, call: RoutedCall, prefill_engine_id: str
@@ -122,7 +129,8 @@
             call.service, answer.prefill_rate
         )
         plan = StagePlan(
-            self._local_choice(answer.prefill), self._local_choice(answer.decode)
+            self._local_choice(call, answer.prefill),
+            self._local_choice(call, answer.decode),
         )
         first_choice = plan.prefill if answer.prefill is not None else plan.decode
         if first_choice is None:
@@ -132,7 +140,9 @@
             raise AttemptFailed.nothing_sent("the upstream isn't usable here")
         return Placement(plan, ticket)
 
-    def _local_choice(self, placed: PlacedChoice | None) -> Choice | None:
+    def _local_choice(
+        self, call: RoutedCall, placed: PlacedChoice | None
+    ) -> Choice | None:
         """Return a choice with its local upstream; None if it isn't usable here."""
         if placed is None:
             return None
@@ -140,6 +150,8 @@
         loads = self._shared_scheduler.parts.estimates.loads
         if upstream is None or loads.is_in_backoff(placed.upstream_id):
             return None
+        if not call.may_run_on(upstream.software):
+            return None
         candidate = Candidate(
             upstream,
             placed.requests,
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -27,7 +27,7 @@
     WaitingNotice,
     WithdrawnNotice,
 )
-from .scheduling_schema import MS_PER_S, LimitStated, schema
+from .scheduling_schema import MS_PER_S, LimitStated, SoftwareIs, schema
 
 LIST_MAX = 1024
 
@@ -70,10 +70,21 @@
         tried_upstreams=set(item.tried),
         zone=item.zone,
         placements=int(item.repeats),
+        resume_after="" if item.takesUp else None,
+        resumes=item.resumes,
     )
+    _set_software(call, item)
     return PlaceQuery(item.number, call, item.readAt)
 
 
+def _set_software(call: RoutedCall, item) -> None:
+    software_is = SoftwareIs(item.softwareIs)
+    if software_is is SoftwareIs.REQUIRED:
+        call.software = item.software
+    elif software_is is SoftwareIs.PREFERRED:
+        call.preferred_software = item.software
+
+
 def _route_from(item) -> Route:
     _check_finite(item.objectiveMs, item.pauseMs)
     return Route(
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -5,6 +5,7 @@
 
 from ..process.clock import now_s
 from ..process.request_limits import UNLIMITED
+from ..request.routed_call import RoutedCall
 from ..version.route_table import Route
 from .scheduling_messages import (
     CopyAnswer,
@@ -17,7 +18,13 @@
     WaitingNotice,
     WithdrawnNotice,
 )
-from .scheduling_schema import MS_PER_S, NO_DURATION_MS, LimitStated, schema
+from .scheduling_schema import (
+    MS_PER_S,
+    NO_DURATION_MS,
+    LimitStated,
+    SoftwareIs,
+    schema,
+)
 
 # Upper limit of the time left; stands for calls without a deadline.
 REMAINING_MAX_MS = 3_600_000.0
@@ -50,6 +57,9 @@
         "repeats": call.placements > 0,
         "attempts": call.attempts,
         "promptsRead": call.prefills,
+        "takesUp": call.resume_after is not None,
+        "resumes": call.resumes,
+        **_software_fields(call),
     }
     if prompt is not None:
         content |= {
@@ -63,6 +73,15 @@
     return {"place": content}
 
 
+def _software_fields(call: RoutedCall) -> dict:
+    if call.software is not None:
+        return {"softwareIs": int(SoftwareIs.REQUIRED), "software": call.software}
+    if call.preferred_software is not None:
+        software = call.preferred_software
+        return {"softwareIs": int(SoftwareIs.PREFERRED), "software": software}
+    return {"softwareIs": int(SoftwareIs.UNKNOWN)}
+
+
 def _route_fields(route: Route) -> dict:
     pause_ms = NO_DURATION_MS if route.pause_s is None else route.pause_s * MS_PER_S
     return {
--- a/wisteriaarch/connection/scheduling_schema.py
+++ b/wisteriaarch/connection/scheduling_schema.py
@@ -19,5 +19,13 @@
     RATE = 2
 
 
+class SoftwareIs(IntEnum):
+    """Meaning of the software version in a query for a placement."""
+
+    UNKNOWN = 0
+    REQUIRED = 1
+    PREFERRED = 2
+
+
 capnp.remove_import_hook()
 schema = capnp.load(str(SCHEMA_PATH))
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -10,7 +10,7 @@
 from ..process.manifest_copy import ManifestCopySource
 from ..process.upstream_loads import UpstreamLoad
 from ..request.attempt_failures import AttemptFailed
-from ..request.attempt_outcome import AttemptOutcome, AttemptStage
+from ..request.attempt_outcome import ANSWERED, AttemptOutcome, AttemptStage
 from ..request.candidate import Choice
 from ..request.estimate_updater import EstimateUpdater
 from ..request.routed_call import RoutedCall
@@ -269,6 +269,8 @@
         )
         if attempt.stage is AttemptStage.RUN:
             self._observe_prompt_size(attempt.call, outcome.first_event_s is not None)
+            if outcome.cause == ANSWERED:
+                self._scheduler.parts.stream_software.end(attempt.call)
 
     def _observe_prompt_size(self, call: RoutedCall, answered: bool) -> None:
         if call.prompt is not None:
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -44,6 +44,7 @@
     UNKNOWN_ROUTE = "unknown_route"
     UPSTREAM_OVERLOADED = "upstream_overloaded"
     CRASHES_UPSTREAMS = "crashes_upstreams"
+    STREAM_NOT_RESUMABLE = "stream_not_resumable"
     STOPPING = "stopping"
     INTERNAL = "internal"
 
@@ -101,6 +102,7 @@
     ErrorKind.CRASHES_UPSTREAMS: ErrorAnswer(
         503, "The request was in flight at crashes of upstreams"
     ),
+    ErrorKind.STREAM_NOT_RESUMABLE: ErrorAnswer(503, "The stream can't be resumed"),
     ErrorKind.STOPPING: ErrorAnswer(503, "This entry is stopping", 0.0),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error"),
 }
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -71,6 +71,12 @@
     STORE_RESTORED = EventKind(
         214, logbook.WARNING, "platform store was restored from an older snapshot"
     )
+    STREAM_VERSIONS_CHANGED = EventKind(
+        215, logbook.INFO, "software versions that streams may have begun on changed"
+    )
+    STREAM_VERSIONS_UNRECORDED = EventKind(
+        216, logbook.WARNING, "software versions of streams can't be recorded"
+    )
     CONFIGURATION_IN_FORCE = EventKind(206, logbook.INFO, "configuration is in force")
     CONFIGURATION_INVALID = EventKind(
         207,
@@ -125,6 +131,12 @@
     STREAM_RESUMED = EventKind(
         316, logbook.INFO, "attempt resumes a stream", Importance.FAILURE
     )
+    STREAM_NOT_RESUMED = EventKind(
+        317,
+        logbook.INFO,
+        "stream can't go on at its software version",
+        Importance.FAILURE,
+    )
     KV_CACHE_RELEASE_FAILED = EventKind(
         313, logbook.INFO, "unused KV cache can't be released", Importance.PROGRESS
     )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -28,6 +28,7 @@
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_all_until
+from .process.version_records import VersionRecords
 from .request.block_quarantine import TrialPolicy
 from .request.call_runner import CallRunner
 from .request.own_shares import OwnShares
@@ -36,7 +37,9 @@
     SCHEDULER_SHARE,
     SharedRetryBudget,
 )
+from .request.stream_versions import StreamVersions
 from .sockets import listen_on
+from .version.route_table import resumable_services
 from .version.stage_supervisor import StageSupervisor
 from .wire import HttpRequest
 
@@ -108,12 +111,14 @@
             lambda: self._placer.last_answered_at_s,
             lambda: self.settings.retry.window_s,
         )
+        self._stream_versions = self._build_stream_versions()
         parts = SchedulingParts.from_estimates(
             self.estimates,
             lambda: self.state.routes,
             self.log,
             shares.limit_share,
             self._rng,
+            self._stream_versions,
         )
         retry = self.settings.retry
         self.retry_budget = SharedRetryBudget(
@@ -144,6 +149,20 @@
             self.log,
         )
 
+    def _build_stream_versions(self) -> StreamVersions:
+        own = self.network.members.own_record
+        era = self._adapter.store_era
+        writer = f"{own.entry_id}-{own.incarnation}"
+        versions = StreamVersions(
+            self.estimates,
+            VersionRecords(self._adapter.table, era, writer),
+            lambda: resumable_services(self.state.routes),
+            self._scheduler_choice.is_local,
+            self.log,
+        )
+        era.subscribe(versions.handle_new_era)
+        return versions
+
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
             Contender(
@@ -200,6 +219,7 @@
         return [
             *self.network.task_mains(),
             self._announce_readiness,
+            self._stream_versions.run,
             SchedulingServer(
                 self.network.peer_address(settings.entry_id),
                 self._shared_scheduler,
--- a/wisteriaarch/platform/store.py
+++ b/wisteriaarch/platform/store.py
@@ -22,6 +22,8 @@
 READ_TIMEOUT_S = 1.0
 LONG_POLL_MARGIN_S = 0.7
 PAGE_ROWS = 500
+# Sorts after every character that keys consist of.
+LAST_CHARACTER = "\x7f"
 GONE_STATUS = 410
 CONFLICT_STATUS = 412
 # With these statuses the store has not executed the request.
@@ -89,11 +91,29 @@
         read, _ = _decode_response(response)
         if not read.rows:
             return Row(table, key, NO_VERSION, None, era=read.era)
-        row = read.rows[0]
-        try:
-            return Row(table, key, row.version, load_json(row.value), era=read.era)
-        except ValueError as exc:
-            raise StoreUnavailable(f"{table}/{key} is not valid JSON: {exc}") from exc
+        return _decode_json_row(table, read.rows[0], read.era)
+
+    async def scan(
+        self,
+        table: str,
+        prefix: str = "",
+        *,
+        after: str = "",
+        limit: int | None = None,
+    ) -> list[Row]:
+        """Return rows of one of this project's tables; see ``TableStore.scan``."""
+        rows: list[Row] = []
+        start = max(prefix, f"{after}\0" if after else "")
+        query = {"table": table, "part": "", "limit": str(PAGE_ROWS)}
+        while limit is None or len(rows) < limit:
+            page_query = query | {"from": start, "to": prefix + LAST_CHARACTER}
+            response = await self._get("/api/rows-get", page_query, READ_TIMEOUT_S)
+            read, has_more = _decode_response(response)
+            rows += [_decode_json_row(table, item, read.era) for item in read.rows]
+            if not has_more or not read.rows:
+                break
+            start = read.rows[-1].key + "\0"
+        return rows[:limit]
 
     async def write(self, transaction: Transaction) -> None:
         """Apply a transaction; see ``TableStore.write``.
@@ -200,6 +220,14 @@
     return int(text)
 
 
+def _decode_json_row(table: str, row: StoredRow, era: int) -> Row:
+    """Return a row of one of this project's tables; raises StoreUnavailable."""
+    try:
+        return Row(table, row.key, row.version, load_json(row.value), era=era)
+    except ValueError as exc:
+        raise StoreUnavailable(f"{table}/{row.key} is not valid JSON: {exc}") from exc
+
+
 def _decode_response(response: HttpResponse) -> tuple[RowsRead, bool]:
     """Decode a response; returns its rows, and whether more pages follow."""
     try:
--- a/wisteriaarch/platform/store_emulator.py
+++ b/wisteriaarch/platform/store_emulator.py
@@ -15,6 +15,7 @@
 from .names import MS_PER_S, STORE_ERA
 
 HISTORY_MAX_ROWS = 1000
+PAGE_MAX_ROWS = 500
 FAULT_PATH = "/emulate"
 
 
@@ -91,9 +92,22 @@
         await changed.set()
 
     def _get(self, query: dict[str, str]) -> dict[str, Any]:
-        rows = [row for row in self.rows.values() if row["table"] == query["table"]]
+        start, end = query.get("from", ""), query.get("to")
+        rows = [
+            row
+            for row in self.rows.values()
+            if row["table"] == query["table"]
+            and row["key"] >= start
+            and (end is None or row["key"] < end)
+        ]
         rows.sort(key=lambda row: row["key"])
-        return {"rows": rows, "has-more": False, **self._version_and_time()}
+        limit = min(int(query.get("limit", PAGE_MAX_ROWS)), PAGE_MAX_ROWS)
+        has_more = len(rows) > limit
+        return {
+            "rows": rows[:limit],
+            "has-more": has_more,
+            **self._version_and_time(),
+        }
 
     async def _feed(self, conn: HttpServerConnection, query: dict[str, str]) -> bool:
         after, table = int(query["after"]), query["table"]
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -80,6 +80,7 @@
         self._departed_excluded_until_s = float("-inf")
         self._excludes_departed = False
         self._usable: dict[str, tuple[Upstream, ...]] = {}
+        self._software: dict[str, frozenset[str]] = {}
 
     def update(self, listed: Iterable[Upstream]) -> None:
         """Apply the complete list of registered upstreams."""
@@ -191,6 +192,10 @@
         for item in (*self._listed.values(), *self._missing.values()):
             by_service.setdefault(item.service, []).append(item)
         self._by_service = {name: tuple(items) for name, items in by_service.items()}
+        self._software = {
+            name: frozenset(item.software for item in items)
+            for name, items in by_service.items()
+        }
         self._usable.clear()
 
     def usable(self, service: str) -> tuple[Upstream, ...]:
@@ -210,6 +215,10 @@
             )
         return usable
 
+    def software_of(self, service: str) -> frozenset[str]:
+        """Return the software versions of a service's registered upstreams."""
+        return self._software.get(service, frozenset())
+
     def get_usable(self, upstream_id: str) -> Upstream | None:
         """Return an upstream if it accepts new work, else None."""
         upstream = self.get(upstream_id)
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -28,6 +28,7 @@
 from .routed_call import RoutedCall
 from .scheduler import RETRY_AFTER_S
 from .size_fairness import SizeFairness
+from .stage_plan import StagePlan
 from .upstream_protocol import (
     AttemptOptions,
     KvCacheHandle,
@@ -125,6 +126,7 @@
         placement = await self._placer.place(call)
         call.placements += 1
         plan = placement.plan
+        _keep_software(call, plan)
         if plan.prefill is not None:
             kv_cache = await self._prefill_client.prefill(
                 call, plan.prefill, placement.ticket
@@ -204,6 +206,16 @@
             raise AttemptFailed(FailureReason.FAILED, f"answered {head.status}")
 
 
+def _keep_software(call: RoutedCall, plan: StagePlan) -> None:
+    """Keep a resumed stream, and retries, on the version of the first placement."""
+    if not call.route.resumable:
+        return
+    software = (plan.prefill or plan.decode).candidate.upstream.software
+    call.preferred_software = software
+    if call.resume_after is not None:
+        call.software = software
+
+
 def _deadline_error(call: RoutedCall) -> RequestError:
     if call.ran is Ran.NO and not call.send_started:
         return RequestError(
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -83,6 +83,7 @@
             item
             for item in self._registry.usable(call.service)
             if (excluded_stage is None or item.stage is not excluded_stage)
+            and call.may_run_on(item.software)
             and not self._loads.of(item.upstream_id).health.is_in_backoff(now)
         ]
         limits: dict[str, LimitedRate] = {}
--- a/wisteriaarch/request/placer.py
+++ b/wisteriaarch/request/placer.py
@@ -5,10 +5,11 @@
 
 from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Upstream
-from .attempt_outcome import AttemptOutcome
+from .attempt_outcome import ANSWERED, AttemptOutcome
 from .candidate import Choice
 from .routed_call import RoutedCall
 from .stage_plan import StagePlan
+from .stream_versions import StreamSoftware
 
 
 class Ticket(Protocol):
@@ -31,6 +32,19 @@
         """Do nothing: this entry records the outcomes of its attempts anyway."""
 
 
+@dataclass(frozen=True)
+class OwnTicket(NoTicket):
+    """Ticket of a run that was placed by this entry."""
+
+    call: RoutedCall
+    stream_software: StreamSoftware
+
+    async def observe_outcome(self, outcome: AttemptOutcome) -> None:
+        """Record the end of a stream that was answered completely."""
+        if outcome.cause == ANSWERED:
+            self.stream_software.end(self.call)
+
+
 @dataclass(frozen=True)
 class Placement:
     """Plan of a call; ``ticket`` is for the plan's first attempt."""
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -73,10 +73,14 @@
 
     ``headers`` are the forwarded ones. ``resume_after`` is the id of the last event
     that a resuming caller has received, ``resumes`` the id of the call that brought its
-    first event. ``ran`` states whether any attempt so far may
-    have run. ``attempts`` counts the attempts that an upstream answered, and one that
-    may have run unanswered if none before it may have. ``prefills`` counts
-    disaggregated prefills and ``placements`` placements. A ``prioritized`` prompt is
+    first event. A stream that has begun only goes on at upstreams of the version
+    ``software``; one that hasn't may be placed on ``usable_software``, None for all,
+    and rather on ``preferred_software``, that of the attempt before.
+
+    ``ran`` states whether any attempt so far may have run. ``attempts`` counts the
+    attempts that an upstream answered, and one that may have run unanswered if none
+    before it may have. ``prefills`` counts disaggregated prefills and ``placements``
+    placements. A ``prioritized`` prompt is
     placed before other long ones. ``zone`` is the zone of the entry that serves the
     caller, ``retries_left`` the number of retries that its service had left at the last
     placement. ``demand_recorded`` is set once the prefill of its prompt is counted as
@@ -95,6 +99,9 @@
     prompt: Prompt | None = None
     resume_after: str | None = None
     resumes: str = ""
+    software: str | None = None
+    preferred_software: str | None = None
+    usable_software: frozenset[str] | None = None
     ran: Ran = Ran.NO
     attempts: int = 0
     prefills: int = 0
@@ -113,6 +120,12 @@
         blocks = self.prompt.shared_blocks if self.prompt else ()
         return tuple(block_key(self.service, item.block_id) for item in blocks)
 
+    def may_run_on(self, software: str) -> bool:
+        """Whether upstreams of a software version may run the call."""
+        if self.software is not None:
+            return software == self.software
+        return self.usable_software is None or software in self.usable_software
+
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
         return self.deadline_at_s - now_s()
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -28,6 +28,7 @@
 from .shared_retry_budget import SharedRetryBudget
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
+from .stream_versions import AnySoftware, StreamSoftware
 
 RETRY_AFTER_S = 0.3
 
@@ -41,6 +42,7 @@
     planner: CompletionPlanner
     fairness: SizeFairness
     limiter: RequestLimiter
+    stream_software: StreamSoftware
 
     @classmethod
     def from_estimates(
@@ -50,11 +52,13 @@
         log: EventLog,
         limit_share: Callable[[], float] = lambda: entry_share(1, has_scheduler=False),
         rng: random.Random | None = None,
+        stream_software: StreamSoftware | None = None,
     ) -> "SchedulingParts":
         """Create the components from an entry's estimates.
 
         ``limit_share`` returns the share of an upstream's request limit that this entry
-        may use for calls that it places for itself only.
+        may use for calls that it places for itself only. Without ``stream_software``,
+        all upstreams of a service are taken to have one software version.
         """
         limiter = RequestLimiter(estimates.limits, limit_share, rng or random.Random())
         finder = CandidateFinder(estimates, routes, limiter)
@@ -67,7 +71,14 @@
             estimates.handoff_s,
             log,
         )
-        return cls(estimates, finder, planner, fairness, limiter)
+        return cls(
+            estimates,
+            finder,
+            planner,
+            fairness,
+            limiter,
+            stream_software or AnySoftware(),
+        )
 
 
 class Scheduler:
@@ -102,8 +113,12 @@
         if self._serves_fleet:
             self._parts.limiter.record_scheduled_call(call.service)
         self._restart_warm_up_after_gap(call.service)
+        await self._parts.stream_software.admit(call)
         plan = await self._plan(call, on_wait)
-        await self._acquire_permit(plan.prefill or plan.decode, on_wait)
+        first_choice = plan.prefill or plan.decode
+        software = first_choice.candidate.upstream.software
+        self._parts.stream_software.record(call, software)
+        await self._acquire_permit(first_choice, on_wait)
         return plan
 
     async def _plan(self, call: RoutedCall, on_wait: OnWait) -> StagePlan:
--- /dev/null
+++ b/wisteriaarch/request/stream_versions.py
@@ -0,0 +1,383 @@
+"""Keeps every stream on the software version that began it.
+
+What upstreams of different software versions write doesn't fit together, and upstreams
+don't check which version began a stream that they are to resume. The entry that places
+a stream remembers its version. While a service has more than one version, streams are
+also recorded in the store, which outlives all entries; while it has one, a row with
+that version stands for all streams.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import curio
+
+from ..errors import ErrorKind, PlatformError, RequestError, WriteConflict
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.fleet_estimates import FleetEstimates
+from ..process.upstreams import Stage
+from ..process.version_records import VersionRecords, VersionSnapshot, stream_key
+from ..version.route_table import CallKind
+from .routed_call import RoutedCall
+from .service_versions import ServiceVersions
+
+RECORD_EVERY_S = 0.05
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 1.0
+CONFIRMATION_WAIT_S = 0.25
+# For this time, streams begin on confirmed versions alone while this entry can't have
+# another one confirmed. An entry that is cut off from the store sees a release go on.
+UNCONFIRMED_MAX_S = 10.0
+RESUME_RETRY_AFTER_S = 0.5
+REMOVED_ROWS_MAX = 50
+
+
+class StreamSoftware(Protocol):
+    """Restricts streams to software versions."""
+
+    async def admit(self, call: RoutedCall) -> None:
+        """Set the versions that a call may be placed on; raises RequestError."""
+
+    def find_placed(self, call: RoutedCall) -> str | None:
+        """Return the version of a resumed stream if this entry placed it."""
+
+    def record(self, call: RoutedCall, software: str) -> None:
+        """Record that a call was placed on a version."""
+
+    def end(self, call: RoutedCall) -> None:
+        """Record that a call was answered completely."""
+
+
+class AnySoftware:
+    """Implements ``StreamSoftware`` for fleets of a single version."""
+
+    async def admit(self, call: RoutedCall) -> None:
+        """Allow every version."""
+
+    def find_placed(self, call: RoutedCall) -> str | None:
+        """Return None: the version doesn't matter."""
+
+    def record(self, call: RoutedCall, software: str) -> None:
+        """Do nothing."""
+
+    def end(self, call: RoutedCall) -> None:
+        """Do nothing."""
+
+
+class StreamVersions:
+    """Implements ``StreamSoftware`` for the calls that one entry places.
+
+    ``list_services`` returns the services that have resumable streams, ``is_scheduler``
+    whether this entry schedules a service.
+    """
+
+    def __init__(
+        self,
+        estimates: FleetEstimates,
+        records: VersionRecords,
+        list_services: Callable[[], Iterable[str]],
+        is_scheduler: Callable[[str], bool],
+        log: EventLog,
+    ):
+        self._registry = estimates.registry
+        self._loads = estimates.loads
+        self._records = records
+        self._list_services = list_services
+        self._is_scheduler = is_scheduler
+        self._log = log
+        self._services: dict[str, _TrackedService] = {}
+
+    async def run(self) -> None:
+        """Keep the store's rows up to date, forever."""
+        tasks: dict[str, curio.Task] = {}
+        try:
+            while True:
+                for service in filter(self._is_scheduler, self._list_services()):
+                    self._of(service)
+                for service in self._services.keys() - tasks.keys():
+                    tasks[service] = await curio.spawn(self._maintain, service)
+                for task in tasks.values():
+                    if task.terminated:
+                        await task.join()
+                await curio.sleep(RECORD_EVERY_S)
+        finally:
+            for task in tasks.values():
+                await task.cancel()
+
+    def handle_new_era(self) -> None:
+        """Handle a store that was restored from an older snapshot."""
+        for tracked in self._services.values():
+            tracked.versions.handle_new_era()
+
+    def _of(self, service: str) -> "_TrackedService":
+        tracked = self._services.get(service)
+        if tracked is None:
+            tracked = self._services[service] = _TrackedService()
+            self._observe_registered(service, tracked)
+        return tracked
+
+    def _observe_registered(self, service: str, tracked: "_TrackedService") -> None:
+        tracked.versions.observe_registered(self._registry.software_of(service))
+
+    async def admit(self, call: RoutedCall) -> None:
+        """Set the versions that a call may be placed on; raises RequestError.
+
+        A resumed stream is restricted to the version that began it. A new one may begin
+        on confirmed versions, and a retry stays on the version of the attempt before
+        while that one responds.
+        """
+        if not _is_resumable(call):
+            return
+        tracked = self._of(call.service)
+        self._observe_registered(call.service, tracked)
+        if call.software is None and call.resume_after is not None:
+            call.software = await self._find_software(call, tracked)
+        if call.software is not None:
+            self._check_served(call, tracked)
+            return
+        if tracked.versions.unconfirmed:
+            await tracked.wake.set()
+            await self._wait_for_confirmation(call.service, tracked)
+        call.usable_software = self._usable_software(call, tracked)
+
+    def find_placed(self, call: RoutedCall) -> str | None:
+        """Return the version of a resumed stream that this entry placed itself."""
+        tracked = self._services.get(call.service)
+        return tracked and tracked.versions.find(stream_key(call.resumes))
+
+    async def _find_software(self, call: RoutedCall, tracked: "_TrackedService") -> str:
+        """Return the version that began a resumed stream; raises RequestError."""
+        key = stream_key(call.resumes)
+        versions = tracked.versions
+        software = versions.find(key)
+        if software is not None:
+            return software
+        try:
+            await self._reload(call.service, tracked)
+        except PlatformError as exc:
+            if versions.registered == {versions.only_version}:
+                return versions.only_version
+            detail = "the store doesn't say on which software version it began"
+            raise self._not_resumable(call, detail, RESUME_RETRY_AFTER_S) from exc
+        software = versions.find(key)
+        if software is None and not versions.is_contradicted(key):
+            software = versions.only_version
+        if software is None:
+            raise self._not_resumable(call, "its software version isn't known", None)
+        return software
+
+    def _check_served(self, call: RoutedCall, tracked: "_TrackedService") -> None:
+        """Raise RequestError if no upstream of the stream's version is left."""
+        usable = self._registry.usable(call.service)
+        if any(item.software == call.software for item in usable):
+            return
+        may_return = tracked.versions.was_seen_recently(call.software)
+        raise self._not_resumable(
+            call,
+            "no upstream of its software version is left",
+            RESUME_RETRY_AFTER_S if may_return else None,
+        )
+
+    def _not_resumable(
+        self, call: RoutedCall, detail: str, retry_after_s: float | None
+    ) -> RequestError:
+        self._log.write(
+            Event.STREAM_NOT_RESUMED,
+            request=call.call_id,
+            resumes=call.resumes or call.call_id,
+            software=call.software,
+            versions=sorted(self._of(call.service).versions.served or ()),
+            detail=detail,
+        )
+        return RequestError(
+            ErrorKind.STREAM_NOT_RESUMABLE,
+            f"the stream can't go on: {detail}",
+            ran=call.ran,
+            retry_after_s=retry_after_s,
+        )
+
+    async def _wait_for_confirmation(
+        self, service: str, tracked: "_TrackedService"
+    ) -> None:
+        """Wait until streams may begin on some version, unless the store is away."""
+        if self._responding(service, tracked.versions.served or frozenset()):
+            return
+        if not tracked.has_failed:
+            async with curio.ignore_after(CONFIRMATION_WAIT_S):
+                await tracked.confirmed.wait()
+
+    def _usable_software(
+        self, call: RoutedCall, tracked: "_TrackedService"
+    ) -> frozenset[str] | None:
+        """Return the versions that a stream may begin on; None for all."""
+        preferred = frozenset({call.preferred_software} - {None})
+        if preferred and self._responding(call.service, preferred):
+            return preferred
+        versions = tracked.versions
+        if not versions.unconfirmed:
+            return None
+        confirmed = versions.registered & (versions.served or frozenset())
+        is_overdue = now_s() - tracked.unconfirmed_since_s > UNCONFIRMED_MAX_S
+        if is_overdue or not self._responding(call.service, confirmed):
+            return None
+        return confirmed
+
+    def _responding(self, service: str, versions: frozenset[str]) -> bool:
+        """Whether an upstream of the versions runs calls and responds."""
+        return any(
+            item.software in versions
+            and item.stage is not Stage.PREFILL
+            and not self._loads.is_suspended(item.upstream_id)
+            for item in self._registry.usable(service)
+        )
+
+    def record(self, call: RoutedCall, software: str) -> None:
+        """Record that a call was placed on a version."""
+        if not _is_resumable(call) or call.resume_after is not None:
+            return
+        versions = self._of(call.service).versions
+        versions.add(stream_key(call.call_id), software, call.remaining_s())
+
+    def end(self, call: RoutedCall) -> None:
+        """Record that a call was answered completely."""
+        tracked = self._services.get(call.service)
+        if tracked is not None:
+            tracked.versions.end(stream_key(call.call_id))
+
+    async def _maintain(self, service: str) -> None:
+        tracked = self._services[service]
+        delay_s = RETRY_MIN_S
+        while True:
+            async with curio.ignore_after(RECORD_EVERY_S):
+                await tracked.wake.wait()
+            tracked.wake.clear()
+            self._observe_registered(service, tracked)
+            tracked.versions.discard_expired()
+            tracked.note_confirmation(now_s())
+            try:
+                await self._update_store(service, tracked)
+            except WriteConflict:
+                continue
+            except PlatformError as exc:
+                self._note_failure(service, tracked, exc)
+                await curio.sleep(delay_s)
+                delay_s = min(RETRY_MAX_S, 2 * delay_s)
+                continue
+            tracked.has_failed = False
+            delay_s = RETRY_MIN_S
+            await tracked.note_confirmed()
+
+    def _note_failure(
+        self, service: str, tracked: "_TrackedService", exc: PlatformError
+    ) -> None:
+        if not tracked.has_failed:
+            self._log.write(
+                Event.STREAM_VERSIONS_UNRECORDED, service=service, error=str(exc)
+            )
+        tracked.has_failed = True
+
+    async def _update_store(self, service: str, tracked: "_TrackedService") -> None:
+        """Write what the store lacks; raises PlatformError."""
+        versions = tracked.versions
+        if versions.unconfirmed:
+            await self._confirm(service, tracked)
+        elif self._is_scheduler(service) and versions.retired():
+            await self._retire(service, tracked)
+        await self._write_streams(service, versions)
+
+    async def _confirm(self, service: str, tracked: "_TrackedService") -> None:
+        """Have the store name all registered versions, and the streams before them."""
+        async with tracked.lock:
+            snapshot = await self._load(service, tracked)
+            served = tracked.versions.versions_to_serve(snapshot.era)
+            if served != snapshot.served:
+                await self._write_served(service, tracked, snapshot, served)
+
+    async def _retire(self, service: str, tracked: "_TrackedService") -> None:
+        """Remove versions that no stream can go on at any more."""
+        async with tracked.lock:
+            snapshot = await self._load(service, tracked)
+            served = snapshot.served or frozenset()
+            kept = served - tracked.versions.retired()
+            if kept and kept != served:
+                await self._write_served(service, tracked, snapshot, kept)
+
+    async def _write_served(self, service, tracked, snapshot, served) -> None:
+        versions = tracked.versions
+        streams = versions.take_unrecorded()
+        try:
+            keys = await self._records.write_served(service, snapshot, served, streams)
+        except PlatformError:
+            versions.served = None
+            versions.put_back(streams)
+            raise
+        versions.served = served
+        versions.record_rows(keys)
+        self._log.write(
+            Event.STREAM_VERSIONS_CHANGED,
+            service=service,
+            versions=sorted(served),
+            streams=len(streams),
+        )
+
+    async def _write_streams(self, service: str, versions: ServiceVersions) -> None:
+        """Record new streams where there are several versions; remove expired rows."""
+        streams = versions.take_unrecorded() if versions.is_mixed else {}
+        expired = versions.expired_rows(REMOVED_ROWS_MAX)
+        if not streams and not (expired and self._is_scheduler(service)):
+            return
+        try:
+            keys = await self._records.write_streams(service, streams, expired)
+        except PlatformError:
+            versions.put_back(streams)
+            raise
+        versions.discard_rows(expired)
+        versions.record_rows(keys)
+
+    async def _reload(self, service: str, tracked: "_TrackedService") -> None:
+        """Read what the store has, unless a read has begun since this call."""
+        asked_at_s = now_s()
+        async with tracked.lock:
+            if tracked.load_started_at_s <= asked_at_s:
+                await self._load(service, tracked)
+
+    async def _load(self, service: str, tracked: "_TrackedService") -> VersionSnapshot:
+        started_at_s = now_s()
+        snapshot = await self._records.load(service)
+        tracked.load_started_at_s = started_at_s
+        tracked.versions.apply(snapshot)
+        return snapshot
+
+
+class _TrackedService:
+    """Versions of one service, and the progress of writing them to the store.
+
+    ``has_failed`` is set while the store can't be reached; ``load_started_at_s`` is
+    when the latest successful read of the rows began.
+    """
+
+    def __init__(self):
+        self.versions = ServiceVersions()
+        self.wake = curio.Event()
+        self.confirmed = curio.Event()
+        self.lock = curio.Lock()
+        self.has_failed = False
+        self.load_started_at_s = float("-inf")
+        self.unconfirmed_since_s = now_s()
+
+    def note_confirmation(self, at_s: float) -> None:
+        """Note since when some version has been unconfirmed."""
+        if not self.versions.unconfirmed:
+            self.unconfirmed_since_s = at_s
+        else:
+            self.confirmed.clear()
+
+    async def note_confirmed(self) -> None:
+        """Wake the calls that wait for a version to be confirmed."""
+        self.unconfirmed_since_s = now_s()
+        await self.confirmed.set()
+
+
+def _is_resumable(call: RoutedCall) -> bool:
+    return call.route.kind is CallKind.STREAM and call.route.resumable
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -32,6 +32,10 @@
   repeats @13 :Bool;             # placed before: uses one of the service's retries
   attempts @14 :UInt16;
   promptsRead @15 :UInt16;
+  takesUp @16 :Bool;             # resumes a stream that another call began
+  resumes @17 :Text;             # id of that call
+  softwareIs @18 :UInt8;         # 0 unknown, 1 the version that began the stream, 2 that of the attempt before
+  software @19 :Text;            # software version
 }
 
 struct Route {
--- a/wisteriaarch/version/route_table.py
+++ b/wisteriaarch/version/route_table.py
@@ -109,6 +109,17 @@
         return self._index.find(host, path)
 
 
+def resumable_services(table: RouteTable | None) -> set[str]:
+    """Return the services with streams that may be resumed."""
+    routes = table.routes if table else ()
+    return {
+        item.service
+        for route in routes
+        if route.kind is CallKind.STREAM and route.resumable
+        for item in route.services
+    }
+
+
 def choose_service(route: Route, rng: random.Random) -> str:
     """Choose a service of a route at random, by weight."""
     if len(route.services) == 1:
