Continue a broken stream at its software version alone

Cause: a retry after the first event may go to any upstream; the own interface pins the model's version, which says nothing of the engine's software.

Change, on both faces: once an event was sent, the call goes on at upstreams of that version alone. The own interface's engines state X-Software-Version in load reports and answers; a resumption names it, and an answer of another version isn't passed on.

--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -150,9 +150,10 @@
         orders=None,
         report_lag_s=0.2,
         role="mixed",
+        software="",
     ) -> Process:
         """Start and register an engine emulator; ``models`` are ``NAME@VERSION``."""
-        arguments = ["emulate", "engine", "--name", name]
+        arguments = ["emulate", "engine", "--name", name, "--software", software]
         arguments += ["--costs", json.dumps(costs or {})]
         arguments += ["--orders", json.dumps(orders or {})]
         arguments += ["--report-lag", str(report_lag_s), "--role", role]
--- a/tests/support.py
+++ b/tests/support.py
@@ -57,9 +57,7 @@
         cls.cluster = cls.enterClassContext(Cluster())
         cls.cluster.start_platform()
         for name in cls.engines:
-            cls.cluster.start_engine(
-                name, models=[f"{MODEL}@v1"], costs=cls.engine_costs
-            )
+            cls.start_engine(name)
         for name in cls.services:
             cls.cluster.start_service(name)
         cls.start_entries()
@@ -67,6 +65,11 @@
         if done.returncode:
             raise RuntimeError(done.stderr + done.stdout)
 
+    @classmethod
+    def start_engine(cls, name):
+        models = [f"{MODEL}@v1"]
+        cls.cluster.start_engine(name, models=models, costs=cls.engine_costs)
+
     @classmethod
     def start_entries(cls):
         for name in cls.entries:
--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -1,12 +1,17 @@
 """Streams were joined from two software versions of a service's engines (ORDER)."""
 
+import contextlib
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
 
 from extras.cluster import wait_until
 from extras.gateway_cluster import GatewayCluster, is_ready, server_row
 from tests.gateway_support import RouteCluster
 from tests.stream_support import StreamCaller
+from tests.support import MODEL
+from tests.test_whole import WholeTestCase
 
 OLD = ("old-pre", "old-dec-1", "old-dec-2")
 NEW = ("new-pre", "new-dec-1", "new-dec-2")
@@ -224,6 +229,49 @@
         self.assertEqual(crossings, [])
 
 
+class OwnInterfaceTest(WholeTestCase):
+    """A stream that breaks off goes on at engines of its software version alone."""
+
+    SOFTWARE = {
+        "engine-1": "old",
+        "engine-2": "old",
+        "engine-3": "new",
+        "engine-4": "new",
+    }
+    engines = tuple(SOFTWARE)
+
+    @classmethod
+    def start_engine(cls, name):
+        software = cls.SOFTWARE[name]
+        models = [f"{MODEL}@v1"]
+        cls.cluster.start_engine(name, models=models, software=software)
+
+    def test_cut_stream_is_continued_by_its_software_version(self):
+        prompts = [f"bibliography {number}" for number in range(STREAMS)]
+        with ThreadPoolExecutor(len(prompts)) as pool:
+            answers = [pool.submit(self.stream, prompt) for prompt in prompts]
+            wait_until(lambda: self.running("engine-2") >= 2)
+            with contextlib.suppress(OSError, HTTPException):
+                self.process("engine-2").request("POST", "/crash")
+            for prompt, answer in zip(prompts, answers, strict=True):
+                self.assert_whole(answer.result(), prompt)
+        runs = {}
+        for name, software in self.SOFTWARE.items():
+            for call in self.process(name).request("GET", "/journal").json()["runs"]:
+                runs.setdefault(call, []).append((name, software))
+        joined = {
+            call: names
+            for call, names in runs.items()
+            if len({software for _name, software in names}) > 1
+        }
+        resumed = [call for call, names in runs.items() if len(names) > 1]
+        self.assertEqual(joined, {})
+        self.assertGreater(len(resumed), 0)
+
+    def running(self, engine):
+        return self.process(engine).request("GET", "/load").json()["running"]
+
+
 class StoreTest(VersionsTestCase):
     def test_stream_is_taken_up_at_its_version_while_the_store_is_away(self):
         self.start_new_engines()
--- a/wisteriaarch/cli/arguments.py
+++ b/wisteriaarch/cli/arguments.py
@@ -122,6 +122,7 @@
     engine = parsers["engine"]
     engine.add_argument("--costs", default="{}", metavar="JSON")
     engine.add_argument("--orders", default="{}", metavar="JSON")
+    engine.add_argument("--software", default="", metavar="VERSION")
     engine.add_argument("--report-lag", type=float, default=0.2, metavar="SECONDS")
     engine.add_argument(
         "--role", choices=["mixed", "prefill", "decode"], default="mixed"
--- a/wisteriaarch/cli/emulation.py
+++ b/wisteriaarch/cli/emulation.py
@@ -73,6 +73,7 @@
         EngineCosts(**json.loads(options.costs)),
         OrderOptions(**json.loads(options.orders)),
         options.report_lag,
+        options.software,
     )
     engine.order_handler.engine_state.role = options.role
     for model_spec in options.model or ():
--- a/wisteriaarch/emulator/engine.py
+++ b/wisteriaarch/emulator/engine.py
@@ -26,6 +26,7 @@
 JSON_HEADERS = [("Content-Type", "application/json")]
 SSE_HEADERS = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
 STREAM_ABORTED = object()
+SOFTWARE_HEADER = "X-Software-Version"
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 
 
@@ -42,14 +43,18 @@
         costs: EngineCosts,
         options: OrderOptions,
         report_lag_s: float = 0.2,
+        software: str = "",
     ):
         self.name = name
+        self.software = software
         self.costs = costs
         self.incarnation = 1
         self.crashes = 0
         self.runs: Counter[str] = Counter()
         self.arrivals: list[float] = []
         self.headers: list[tuple[str, str]] = []
+        if software:
+            self.headers.append((SOFTWARE_HEADER, software))
         self.order_handler = OrderHandler(costs, options, self._abort_streams)
         self.aborted_streams = 0
         self.scheduler = Scheduler(costs, lambda: self.order_handler.engine_state.role)
@@ -114,6 +119,9 @@
     def _refusal_reason(self, model: str, headers: dict[str, str]) -> str | None:
         if self.order_handler.engine_state.changing:
             return "the engine is carrying out an order"
+        software = headers.get(SOFTWARE_HEADER.lower(), self.software)
+        if software != self.software:
+            return f"the stream is one of software version {software!r}"
         loaded = self.order_handler.engine_state.models.get(model)
         requested = headers.get("x-model-version", loaded)
         if loaded is None or loaded != requested:
@@ -162,6 +170,7 @@
     def _report(self) -> dict:
         return {
             "name": self.name,
+            "software": self.software,
             "incarnation": self.incarnation,
             "role": self.order_handler.engine_state.role,
             "models": dict(self.order_handler.engine_state.models),
--- a/wisteriaarch/process/load_reports.py
+++ b/wisteriaarch/process/load_reports.py
@@ -11,7 +11,8 @@
 
     ``sampled_at_s`` is on the engine's own clock. ``excess_age_s`` is the age of the
     sample beyond that of the freshest one from this incarnation. Counters only
-    increase.
+    increase. ``software`` is the version of the engine's software, empty if it reports
+    none.
     """
 
     incarnation: int
@@ -27,6 +28,7 @@
     cached_tokens: int = 0
     decoded_tokens: int = 0
     steps: int = 0
+    software: str = ""
 
     @property
     def requests(self) -> int:
@@ -64,4 +66,5 @@
             cached_tokens=item.get("cached_tokens", 0),
             decoded_tokens=item.get("decoded_tokens", 0),
             steps=item.get("steps", 0),
+            software=item.get("software", ""),
         )
--- a/wisteriaarch/process/upstream_view.py
+++ b/wisteriaarch/process/upstream_view.py
@@ -96,6 +96,12 @@
         report = self.fresh_report()
         return report.models.get(model) if report else None
 
+    @property
+    def software(self) -> str | None:
+        """Software version that the engine reports; None without a fresh report."""
+        report = self.fresh_report()
+        return report.software if report else None
+
     @contextmanager
     def sending(self, request: SentRequest | None = None) -> Iterator[SentRequest]:
         """Count one request as in flight, and learn from its times."""
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -19,7 +19,12 @@
 from ..wire import INVALID_CONTENT_ERRORS, HttpResponse, load_json
 from .answer import AnswerSink
 from .call import Call, CompletionCall
-from .forwarding import has_no_body, outgoing_request, returned_headers
+from .forwarding import (
+    SOFTWARE_HEADER,
+    has_no_body,
+    outgoing_request,
+    returned_headers,
+)
 from .signal_reader import SignalReader
 
 EVENT_END = b"\n\n"
@@ -135,6 +140,12 @@
             raise UpstreamDisconnected(f"{self._view.name}: {exc}") from exc
 
     async def _relay_stream(self, conn, head, sink, progress: CallProgress) -> bool:
+        software = head.headers.get(SOFTWARE_HEADER.lower(), "")
+        if progress.started and software != self._call.software:
+            raise UpstreamDisconnected(
+                f"{self._view.name}: software version {software!r} can't go on with a "
+                f"stream of {self._call.software!r}"
+            )
         pending = b""
         id_checked = False
         while (block := await self._read_block(conn)) is not None:
@@ -160,6 +171,7 @@
         if not progress.started:
             progress.started = True
             self._call.version_pinned = True
+            self._call.software = head.headers.get(SOFTWARE_HEADER.lower(), "")
             await sink.start_stream(returned_headers(self._call, head))
             await reach_step(Step.STREAM_STARTED)
         await sink.send_block(block)
--- a/wisteriaarch/request/call.py
+++ b/wisteriaarch/request/call.py
@@ -63,7 +63,7 @@
 
     ``version`` is the model version that the current attempt requests. Once part of
     the answer has been delivered, ``version_pinned`` is true and later attempts must
-    use the same version.
+    use the same version, and engines with the same version of their ``software``.
     """
 
     model: ModelSpec
@@ -72,6 +72,7 @@
     max_tokens: int
     version: str | None = None
     version_pinned: bool = False
+    software: str | None = None
 
     @cached_property
     def prefixes(self) -> tuple[int, ...]:
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -176,6 +176,8 @@
             except AttemptFailed as exc:
                 if exc.ran is Ran.UNKNOWN and call.ran is Ran.NO:
                     call.attempts += 1
+                if relay.started:
+                    call.software = upstream.software
                 raise
         await self._recorder.record_answer(attempt, relay)
 
--- a/wisteriaarch/request/forwarding.py
+++ b/wisteriaarch/request/forwarding.py
@@ -17,6 +17,7 @@
     ("authorization", "host", "content-length", "expect", "x-request-id")
 )
 RAN_HEADER = "x-ran"
+SOFTWARE_HEADER = "X-Software-Version"
 LENGTH_HEADER = "content-length"
 
 
@@ -50,6 +51,7 @@
     ]
     if events:
         headers.append(("X-Resume-From", str(events)))
+        headers.append((SOFTWARE_HEADER, call.software or ""))
     return call.method, call.target, headers, call.body
 
 
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -243,4 +243,6 @@
     answer that has started is only continued with the same version.
     """
     version = view.loaded_version(call.model.name)
-    return version is not None and (not call.version_pinned or version == call.version)
+    if version is None or not call.version_pinned:
+        return version is not None
+    return version == call.version and view.software == call.software
