Tell an entry that has lost its links from upstreams that are down

Where no upstream has answered for 0.25 s while attempts wait, or a connection failed and none was answered since, the entry tries one upstream, then two more; if no connection is accepted, it says so (230, 231 when one is again, gauge wisteriaarch_upstreams_reachable).

No decision depends on it yet.

--- a/wisteriaarch/connection/upstream_pool.py
+++ b/wisteriaarch/connection/upstream_pool.py
@@ -6,6 +6,7 @@
 from ..process.clock import now_s
 from ..sockets import CONNECT_TIMEOUT_S
 from ..wire import Address
+from .upstream_connector import UpstreamConnector
 
 IDLE_MAX_S = 20.0
 IDLE_PER_UPSTREAM = 64
@@ -15,7 +16,8 @@
 class UpstreamPool:
     """Connections to upstreams, each of which serves one request at a time."""
 
-    def __init__(self):
+    def __init__(self, connector: UpstreamConnector | None = None):
+        self.connector = connector or UpstreamConnector()
         self._idle: dict[Address, list[tuple[HttpClientConnection, float]]] = (
             defaultdict(list)
         )
@@ -46,7 +48,7 @@
             else:
                 found = conn
         idle.extend(reversed(skipped))
-        return found or await HttpClientConnection.connect(address, timeout_s)
+        return found or await self.connector.connect(address, timeout_s)
 
     async def release(
         self, conn: HttpClientConnection, keep_alive_s: float | None = None
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -105,6 +105,10 @@
     REQUEST_LIMIT_ENDED = EventKind(
         228, logbook.INFO, "upstream states no request limit any more"
     )
+    UPSTREAMS_LOST = EventKind(
+        230, logbook.WARNING, "this entry can't reach any upstream"
+    )
+    UPSTREAMS_FOUND = EventKind(231, logbook.INFO, "this entry reaches upstreams again")
     SETTINGS_RELOADED = EventKind(105, logbook.INFO, "settings reloaded")
     SETTINGS_INVALID = EventKind(
         106,
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -14,6 +14,7 @@
 from .connection.fleet_placer import FleetPlacer
 from .connection.info_server import InfoAnswer, InfoServer
 from .connection.scheduling_server import SchedulingServer
+from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
 from .entry_network import EntryNetwork
 from .errors import ErrorKind, RequestError
@@ -72,7 +73,10 @@
         self.state = self.network.state
         self._scheduler_choice = SchedulerChoice(self.network.members)
         self.estimates = FleetEstimates.from_registry(self.state.registry)
-        self._pool = UpstreamPool()
+        self._connector = UpstreamConnector(
+            self.state.registry.addresses, self.log, self._rng
+        )
+        self._pool = UpstreamPool(self._connector)
         self._build_schedulers()
         self._runner = CallRunner(
             adapter.upstreams,
@@ -101,6 +105,7 @@
             self.estimates,
             self.retry_budget,
             self._stage_supervisor,
+            self._connector.paths,
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
@@ -220,6 +225,7 @@
             *self.network.task_mains(),
             self._announce_readiness,
             self._stream_versions.run,
+            self._connector.run,
             SchedulingServer(
                 self.network.peer_address(settings.entry_id),
                 self._shared_scheduler,
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -8,6 +8,7 @@
 from .process.member_list import MemberList
 from .process.metrics import Gauge, Labels
 from .process.request_limits import UNLIMITED
+from .process.upstream_paths import UpstreamPaths
 from .process.upstreams import Stage, Upstream
 from .request.shared_retry_budget import SharedRetryBudget
 from .version.stage_supervisor import StageSupervisor, count_engines
@@ -25,6 +26,7 @@
     estimates: FleetEstimates
     retry_budget: SharedRetryBudget
     stage_supervisor: StageSupervisor
+    paths: UpstreamPaths
 
     def read(self) -> dict[Gauge, dict[Labels, float]]:
         """Return the current values of all gauges, by their labels."""
@@ -35,6 +37,7 @@
             Gauge.UPSTREAMS_AGE_SECONDS: {
                 (): _age_s(self.state.upstreams_confirmed_at_s)
             },
+            Gauge.UPSTREAMS_REACHABLE: {(): float(not self.paths.is_cut_off)},
             Gauge.ENTRIES: {(): len(self.members.living_records())},
             Gauge.PEER_AGE_SECONDS: self._peer_ages(),
             **self._service_values(),
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -61,6 +61,7 @@
     )
     PEER_AGE_SECONDS = Metric("Seconds since an entry certainly lived", ("peer",))
     ENTRIES = Metric("Entries known, this one included")
+    UPSTREAMS_REACHABLE = Metric("0 where this entry can't reach any upstream")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
     STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
--- /dev/null
+++ b/wisteriaarch/process/upstream_paths.py
@@ -0,0 +1,79 @@
+"""Whether this entry has lost its links to the upstreams, rather than they themselves.
+
+An upstream that is down and an entry that is cut off look alike on one connection. They
+differ in whether any other upstream answers.
+"""
+
+import itertools
+from collections.abc import Callable
+from contextlib import contextmanager
+
+from ..wire import Address
+from .clock import now_s
+
+# While answers arrive at least this often, no probe is needed.
+SILENCE_S = 0.25
+PROBE_INTERVAL_S = 0.5
+# Upstreams that must be unreachable before this entry counts as cut off.
+UNREACHABLE_MIN = 3
+
+
+class UpstreamPaths:
+    """Judges this entry's direct links by connection attempts, answers and probes."""
+
+    def __init__(self, clock: Callable[[], float] = now_s):
+        self.is_cut_off = False
+        self._clock = clock
+        self._answered_at_s = float("-inf")
+        self._failed_at_s = float("-inf")
+        self._probed_at_s = float("-inf")
+        self._numbers = itertools.count()
+        self._waiting_since_s: dict[int, float] = {}
+
+    @contextmanager
+    def waiting(self):
+        """Count an attempt that waits for its answer on a direct connection."""
+        number = next(self._numbers)
+        self._waiting_since_s[number] = self._clock()
+        try:
+            yield
+        finally:
+            self._waiting_since_s.pop(number, None)
+
+    def record_answer(self, _address: Address) -> None:
+        """Record that an upstream accepted a connection or sent bytes on one."""
+        self._answered_at_s = self._clock()
+
+    def record_failure(self) -> None:
+        """Record that an upstream accepted no connection."""
+        self._failed_at_s = self._clock()
+
+    def has_answered_since(self, at_s: float) -> bool:
+        """Whether any upstream has answered since a time."""
+        return self._answered_at_s >= at_s
+
+    def needs_probe(self) -> bool:
+        """Whether to test now if any upstream can be reached."""
+        now = self._clock()
+        if now - self._probed_at_s < PROBE_INTERVAL_S:
+            return False
+        if self.is_cut_off or self._failed_at_s > self._answered_at_s:
+            return True
+        oldest_s = min(self._waiting_since_s.values(), default=now)
+        return now - max(oldest_s, self._answered_at_s) > SILENCE_S
+
+    def begin_probe(self) -> None:
+        """Record that a probe begins."""
+        self._probed_at_s = self._clock()
+
+    def conclude_probe(self, since_s: float, probed: int, known: int) -> bool:
+        """Judge by a probe that began at a time; returns whether the verdict changed.
+
+        ``probed`` of ``known`` upstreams were tried.
+        """
+        was_cut_off = self.is_cut_off
+        if self.has_answered_since(since_s):
+            self.is_cut_off = False
+        elif probed >= min(known, UNREACHABLE_MIN):
+            self.is_cut_off = True
+        return self.is_cut_off != was_cut_off
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -234,6 +234,10 @@
         """Return a listed upstream, or a missing one in its grace period."""
         return self._listed.get(upstream_id) or self._missing.get(upstream_id)
 
+    def addresses(self) -> list[Address]:
+        """Return the addresses of the listed upstreams."""
+        return [item.address for item in self._listed.values()]
+
     def listed(self) -> tuple[Upstream, ...]:
         """Return the listed upstreams, without missing ones in their grace period."""
         return tuple(self._listed.values())
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -39,6 +39,7 @@
         self._call = call
         self.upstream = upstream
         self._conn: HttpClientConnection | None = None
+        self._paths = pool.connector.paths
         self._complete = False
         self._keep_alive_s: float | None = None
 
@@ -60,8 +61,9 @@
         """
         await self._connect()
         try:
-            async with curio.timeout_after(timeout_s):
-                return await self._send(req)
+            with self._paths.waiting():
+                async with curio.timeout_after(timeout_s):
+                    return await self._send(req)
         except curio.TaskTimeout as exc:
             raise AttemptFailed(
                 FailureReason.SILENT, f"no answer after {timeout_s:.3f} s"
@@ -91,6 +93,7 @@
         for _ in range(FOREIGN_ANSWERS_MAX):
             try:
                 raw = await self._conn.read_head()
+                self._paths.record_answer(self.upstream.address)
                 head = self._protocol.read_head(self._call, raw)
                 self._check_refusal_is_own(head)
                 if not head.foreign:
@@ -117,6 +120,7 @@
             block = await self._conn.read_block()
         except (WireError, OSError) as exc:
             raise _to_attempt_failure(exc) from exc
+        self._paths.record_answer(self.upstream.address)
         if block is None:
             self._complete = True
         return block
