--- a/extras/gateway_cluster.py
+++ b/extras/gateway_cluster.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import os
 import subprocess
 import sys
 from dataclasses import dataclass, field
@@ -120,11 +121,18 @@
         return self.processes[name].request("POST", "/emulate", faults).json()
 
     def start_gateway(
-        self, number=2, ports=None, output=None, **settings
+        self,
+        number=2,
+        ports=None,
+        output=None,
+        module="wisteriaarch",
+        variables=None,
+        **settings,
     ) -> GatewayProcess:
         """Start the entry at 127.0.0.``number``; entries of one cluster share ports.
 
-        ``output`` is a file descriptor for the log, in place of the log file.
+        ``output`` is a file descriptor for the log, in place of the log file;
+        ``variables`` are added to the environment.
         """
         host = f"127.0.0.{number}"
         ports = ports or [free_port() for _ in range(5)]
@@ -148,12 +156,13 @@
         path = self.path / f"{name}.json"
         path.write_text(json.dumps(content), encoding="utf-8")
         log_path = self.path / f"{name}.log"
-        command = [sys.executable, "-m", "wisteriaarch", "gateway", "--config"]
+        command = [sys.executable, "-m", module, "gateway", "--config"]
         with log_path.open("ab") as log:
             popen = subprocess.Popen(
                 [*command, str(path)],
                 stdout=output or log,
                 stderr=log,
+                env={**os.environ, **(variables or {})},
                 start_new_session=True,
             )
         # Cluster.__exit__ closes popen.stdout; the log itself is read by its path.
