Keep decode engines of every software version in a release

Cause: stages are filled without regard to versions, which didn't matter while a stream could go on anywhere. Same class as the stage without engines: what is needed most gets nothing placed and counts as idle.

Ruled out: refusing with a time to come back (an engine changes its stage in 1.6 s, longer than a third of the time that these callers have).

Change: while there are several versions, each keeps two decode engines (one of two, two of three or more); none is taken from it for prompts, and a version short of them for 0.8 s gets one from its own prefill engines. The loads that the policy reads have a module of their own.

Evidence: two of three tests of the policy fail without it, the third one holds either way.

--- a/tests/test_stage_control.py
+++ b/tests/test_stage_control.py
@@ -27,8 +27,8 @@
     StageController,
     StageView,
 )
+from wisteriaarch.version.stage_loads import PrefillDemand
 from wisteriaarch.version.stage_orders import EngineReport
-from wisteriaarch.version.stage_policy import PrefillDemand
 
 from .lease_support import FakeTable
 from .test_stage_decisions import engines
--- a/tests/test_stage_decisions.py
+++ b/tests/test_stage_decisions.py
@@ -8,7 +8,8 @@
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.stage_changes import CHANGE_TIMEOUT_S, StageChanges
 from wisteriaarch.process.upstreams import Stage
-from wisteriaarch.version.stage_policy import EngineLoad, PrefillDemand, StagePolicy
+from wisteriaarch.version.stage_loads import EngineLoad, PrefillDemand
+from wisteriaarch.version.stage_policy import StagePolicy
 from wisteriaarch.version.stage_supervisor import count_engines
 
 from .route_support import upstream
@@ -221,6 +222,45 @@
         fleet.engines += decodes
         self.assertEqual(fleet.play(self.NO_DEMAND, 10.0), [])
 
+    def test_version_keeps_decode_engines_whatever_prompts_ask_for(self):
+        fleet = self.fleet_of_versions("v1 PDDDDD", "v2 DDD")
+        fleet.play(LONG_PROMPTS, 30.0)
+        for version in ("v1", "v2"):
+            self.assertGreaterEqual(self.decodes(fleet, version), 2)
+        self.assertGreater(fleet.count(Stage.PREFILL), 1)
+
+    def test_version_without_a_decode_engine_gets_one(self):
+        fleet = self.fleet_of_versions("v1 PDDDDD", "v2 PP")
+        fleet.play(CALM, self.WITHIN_S)
+        self.assertEqual(self.decodes(fleet, "v2"), 1)
+        fleet = self.fleet_of_versions("v1 PDDDDD", "v2 PPD")
+        fleet.play(CALM, self.WITHIN_S)
+        self.assertEqual(self.decodes(fleet, "v2"), 2)
+        self.assertEqual(fleet.play(CALM, 30.0), [])
+
+    def test_single_engine_of_a_version_keeps_its_stage(self):
+        fleet = self.fleet_of_versions("v1 PDDD", "v2 P")
+        self.assertEqual(fleet.play(CALM, 30.0), [])
+
+    def fleet_of_versions(self, *specs):
+        """Return a fleet; "v1 PDD" is a prefill engine and two to decode, of v1."""
+        fleet = Fleet(0, 0)
+        stages = {"P": Stage.PREFILL, "D": Stage.DECODE}
+        for spec in specs:
+            version, _, letters = spec.partition(" ")
+            for number, letter in enumerate(letters):
+                stage, name = stages[letter], f"{version}-{number}"
+                item = upstream(name, stage, f"z{number % 3}")
+                item = replace(item, software=version)
+                fleet.engines.append(EngineLoad(item, stage))
+        return fleet
+
+    def decodes(self, fleet, version):
+        return sum(
+            item.stage is Stage.DECODE and item.upstream.software == version
+            for item in fleet.engines
+        )
+
     def test_silent_engines_do_not_count_as_a_stage(self):
         registry = mock.Mock()
         listed = [upstream("pre", Stage.PREFILL), upstream("dec", Stage.DECODE)]
--- a/wisteriaarch/version/stage_controller.py
+++ b/wisteriaarch/version/stage_controller.py
@@ -22,8 +22,9 @@
 from ..process.clock import now_s
 from ..process.lease import Lease
 from ..process.stage_changes import StageChanges
+from .stage_loads import EngineLoad, PrefillDemand
 from .stage_orders import StageOrder, StageOrderClient
-from .stage_policy import EngineLoad, PrefillDemand, StageChange, StagePolicy
+from .stage_policy import StageChange, StagePolicy
 from .staging_log import StagingLog
 
 DECISION_INTERVAL_S = 0.2
--- a/wisteriaarch/version/stage_policy.py
+++ b/wisteriaarch/version/stage_policy.py
@@ -7,6 +7,9 @@
 
 Demand is measured by what is placed. Without a decode engine nothing is placed, so a
 decode stage in which no engine responds is short whatever the measured demand.
+
+A stream goes on at its software version alone, so that each of several versions needs
+decode engines of its own, one of which may fail.
 """
 
 import math
@@ -14,17 +17,23 @@
 from dataclasses import dataclass
 
 from ..process.upstreams import Stage, Upstream
-
-# Utilization of a stage that is short of engines, and of one that can spare one.
-SHORTAGE_UTILIZATION = 0.45
+from .stage_loads import (
+    SHORTAGE_UTILIZATION,
+    EngineLoad,
+    PrefillDemand,
+    SmoothedUtilization,
+    by_version,
+    dispensable,
+    spare_decode_engines,
+    utilization_of,
+)
+
+# Utilization of a stage that can spare an engine.
 SPARE_UTILIZATION = 0.42
 FULL_UTILIZATION = 1.0
-# Share of occupied batch slots from which on the decode stage counts as short.
-SLOTS_SHORTAGE_SHARE = 0.8
 # Share of all engines that a stage keeps, so that it tolerates the loss of one.
 # Decode engines can also prefill prompts, but prefill engines can't decode.
 MIN_ENGINE_SHARES = {Stage.PREFILL: 0.2, Stage.DECODE: 0.3}
-SMOOTHING_TIME_S = 0.7
 SHORTAGE_DURATION_S = 0.3
 # Longer than the first suspension of an engine that answers again.
 UNSTAFFED_DURATION_S = 0.8
@@ -34,34 +43,6 @@
 OVERLOADED_DWELL_S = 2.0
 
 
-@dataclass(frozen=True)
-class EngineLoad:
-    """Engine with the load that all entries have in flight there.
-
-    ``stage`` is its current stage, or the target of a change under way. The slowdown
-    is the ratio of observed to expected time.
-    """
-
-    upstream: Upstream
-    stage: Stage
-    requests: int = 0
-    prompt_tokens: int = 0
-    slowdown: float = 1.0
-    changing: bool = False
-
-
-@dataclass(frozen=True)
-class PrefillDemand:
-    """Number of engines of each stage that placed prefill keeps busy."""
-
-    prefill_engines: float
-    decode_engines: float
-
-    def for_stage(self, stage: Stage) -> float:
-        """Return the demand on one stage."""
-        return self.prefill_engines if stage is Stage.PREFILL else self.decode_engines
-
-
 @dataclass(frozen=True)
 class StageChange:
     """Engine and its target stage, with the utilizations behind the decision.
@@ -81,7 +62,7 @@
 
     def __init__(self):
         self._utilizations = {stage: SmoothedUtilization() for stage in Stage}
-        self._short_since_s: dict[Stage, float] = {}
+        self._short_since_s: dict[Stage | str, float] = {}
         self._changed_at_s: dict[Stage, float] = {}
 
     def decide(
@@ -100,9 +81,12 @@
             stage: [item for item in engines if item.stage is stage] for stage in Stage
         }
         for stage, items in stages.items():
-            self._utilizations[stage].observe(_utilization(items, stage, demand), now)
+            self._utilizations[stage].observe(utilization_of(items, stage, demand), now)
         if not stages[Stage.DECODE]:
             return self._staff_decode_stage(stages[Stage.PREFILL], now, is_complete)
+        change = self._staff_versions(engines, now) if is_complete else None
+        if change is not None:
+            return change
         for stage in Stage:
             change = self._evaluate_stage(stages, stage, now)
             if change is not None:
@@ -134,13 +118,36 @@
             return None
         if not self._has_lasted(stage, SHORTAGE_DURATION_S, now):
             return None
-        engine = _least_loaded(stages[source])
+        engine = _least_loaded(dispensable(stages, source))
         if engine is None:
             return None
         return StageChange(
             engine.upstream, stage, target_utilization, source_utilization
         )
 
+    def _staff_versions(
+        self, engines: Sequence[EngineLoad], now: float
+    ) -> StageChange | None:
+        """Return the change that gives a software version a decode engine, once due."""
+        versions = by_version(engines)
+        for version, items in versions.items():
+            is_short = len(versions) > 1 and spare_decode_engines(items) < 0
+            if not is_short:
+                self._short_since_s.pop(version, None)
+                continue
+            engine = _least_loaded(
+                [item for item in items if item.stage is Stage.PREFILL]
+            )
+            if engine is None or any(item.changing for item in items):
+                continue
+            if self._has_lasted(version, UNSTAFFED_DURATION_S, now):
+                self._short_since_s.pop(version, None)
+                source_utilization = self._utilizations[Stage.PREFILL].value
+                return StageChange(
+                    engine.upstream, Stage.DECODE, FULL_UTILIZATION, source_utilization
+                )
+        return None
+
     def _staff_decode_stage(
         self, prefills: list[EngineLoad], now: float, is_complete: bool
     ) -> StageChange | None:
@@ -156,7 +163,7 @@
             engine.upstream, Stage.DECODE, FULL_UTILIZATION, source_utilization
         )
 
-    def _has_lasted(self, stage: Stage, duration_s: float, now: float) -> bool:
+    def _has_lasted(self, stage: Stage | str, duration_s: float, now: float) -> bool:
         """Whether a shortage that exists now has lasted for some time."""
         since_s = self._short_since_s.setdefault(stage, now)
         return now - since_s >= duration_s
@@ -177,36 +184,6 @@
         return now - changed_at_s < dwell_s
 
 
-@dataclass
-class SmoothedUtilization:
-    """Moving average with the time constant SMOOTHING_TIME_S, and the last value."""
-
-    value: float = 0.0
-    last: float = 0.0
-    observed_at_s: float | None = None
-
-    @property
-    def highest(self) -> float:
-        """The average, or the last value where that is higher."""
-        return max(self.value, self.last)
-
-    def reset(self) -> None:
-        """Discard past values, for example since the set of engines changed."""
-        self.observed_at_s = None
-
-    def observe(self, value: float, at_s: float) -> None:
-        """Add the value at ``at_s`` to the average."""
-        if self.observed_at_s is None:
-            self.value = value
-        else:
-            weight = 1 - math.exp(
-                -max(0.0, at_s - self.observed_at_s) / SMOOTHING_TIME_S
-            )
-            self.value += weight * (value - self.value)
-        self.last = value
-        self.observed_at_s = at_s
-
-
 def _other(stage: Stage) -> Stage:
     return Stage.DECODE if stage is Stage.PREFILL else Stage.PREFILL
 
@@ -217,27 +194,6 @@
     return len(stages[source]) - 1 >= math.ceil(MIN_ENGINE_SHARES[source] * engines)
 
 
-def _utilization(
-    engines: Sequence[EngineLoad], stage: Stage, demand: PrefillDemand
-) -> float:
-    """Return the utilization of a stage; 1 if it is fully utilized.
-
-    An engine that is slower than the fastest of its stage counts as a fraction of one.
-    """
-    best = min((item.slowdown for item in engines), default=1.0)
-    capacity = sum(best / item.slowdown for item in engines)
-    prefill_utilization = demand.for_stage(stage) / max(1.0, capacity)
-    if stage is Stage.PREFILL:
-        return prefill_utilization
-    slots = sum(item.upstream.slots for item in engines)
-    running = sum(item.requests for item in engines)
-    # SLOTS_SHORTAGE_SHARE of the slots in use counts as SHORTAGE_UTILIZATION.
-    return max(
-        prefill_utilization,
-        SHORTAGE_UTILIZATION / SLOTS_SHORTAGE_SHARE * running / max(1, slots),
-    )
-
-
 def _least_loaded(engines: Sequence[EngineLoad]) -> EngineLoad | None:
     """Return the least loaded engine; the last one of its zone only without others."""
     items = [item for item in engines if not item.changing]
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -18,8 +18,8 @@
 from ..process.upstreams import Stage, Upstream
 from .route_table import RouteTable
 from .stage_controller import StageController, StageView
+from .stage_loads import EngineLoad, PrefillDemand
 from .stage_orders import OrderProtocol, StageOrderClient
-from .stage_policy import EngineLoad, PrefillDemand
 
 SERVICES_CHECK_INTERVAL_S = 0.5
 
--- a/wisteriaarch/version/staging_log.py
+++ b/wisteriaarch/version/staging_log.py
@@ -9,7 +9,8 @@
 
 from ..events import Event, EventLog
 from ..process.upstreams import Stage
-from .stage_policy import EngineLoad, StageChange
+from .stage_loads import EngineLoad
+from .stage_policy import StageChange
 
 
 class StagingLog:
