Reach upstreams through another entry where the links are lost

Cause: an entry had direct connections alone, noticed their loss one attempt at a time, and reported every upstream as failed to the schedulers, which suspended sound upstreams for all. Class: the failure of one's own link is taken for that of the other end.

Ruled out: leaving the addresses (callers keep them for longer than contact-ms), passing on whole requests (retries and what has run would be decided in two places).

Change: an entry that is cut off opens its connections through another one, by a handshake on the peer port; the rest of a call is unchanged. Its attempts without an answer aren't reported while it is cut off, and whether an upstream has crashed is asked through others, too.

--- a/tests/test_upstream_paths.py
+++ b/tests/test_upstream_paths.py
@@ -3,6 +3,7 @@
 import unittest
 
 from wisteriaarch.process.upstream_paths import (
+    DETOUR_S,
     PROBE_INTERVAL_S,
     SILENCE_S,
     UpstreamPaths,
@@ -66,3 +67,11 @@
     def test_few_upstreams_are_all_probed(self):
         self.assertFalse(self.probe(probed=2, known=9))
         self.assertTrue(self.probe(probed=2, known=2))
+
+    def test_single_upstream_is_reached_through_another_entry_for_a_while(self):
+        other = Address("10.0.0.2", 80)
+        self.paths.record_detour(ADDRESS)
+        self.assertTrue(self.paths.needs_detour(ADDRESS))
+        self.assertFalse(self.paths.needs_detour(other))
+        self.now_s += DETOUR_S + 0.01
+        self.assertFalse(self.paths.needs_detour(ADDRESS))
--- a/wisteriaarch/connection/frames.py
+++ b/wisteriaarch/connection/frames.py
@@ -17,12 +17,13 @@
 class FrameReader:
     """Reads frames from a socket, with buffering.
 
-    Frames that arrive together need only one read of the socket.
+    Frames that arrive together need only one read of the socket. ``received`` are bytes
+    that were read from it before.
     """
 
-    def __init__(self, sock: Any):
+    def __init__(self, sock: Any, received: bytes = b""):
         self._sock = sock
-        self._buffer = bytearray()
+        self._buffer = bytearray(received)
 
     async def read(self) -> bytes:
         """Return the content of the next frame.
--- a/wisteriaarch/connection/message_link.py
+++ b/wisteriaarch/connection/message_link.py
@@ -22,15 +22,18 @@
 
 
 class MessageLink:
-    """Sends and receives messages; ``write_queued`` must run for any to be sent."""
+    """Sends and receives messages; ``write_queued`` must run for any to be sent.
 
-    def __init__(self, sock: Any):
+    ``received`` are bytes that were read from the socket before.
+    """
+
+    def __init__(self, sock: Any, received: bytes = b""):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
         self._sock = sock
-        self._frames = FrameReader(sock)
+        self._frames = FrameReader(sock, received)
         self._queued: deque[bytes] = deque(maxlen=QUEUED_MESSAGES_MAX)
         self._wake = curio.Event()
 
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -20,6 +20,7 @@
 from ..sockets import listen_on, serve_clients
 from ..wire import Address
 from .message_link import MessageLink
+from .relay_server import RelayServer
 from .scheduling_messages import (
     CopyAnswer,
     CopyQuery,
@@ -88,7 +89,9 @@
         estimate_updater: EstimateUpdater,
         copy_source: ManifestCopySource,
         log: EventLog,
+        relay: RelayServer | None = None,
     ):
+        self._relay = relay
         self._address = address
         self._scheduler = scheduler
         self._estimate_updater = estimate_updater
@@ -102,19 +105,23 @@
 
     async def _serve(self, client) -> None:
         peer = str(Address(*client.getpeername()))
-        session = SchedulingSession(
-            MessageLink(client),
-            self._scheduler,
-            self._estimate_updater,
-            self._copy_source,
-        )
         try:
-            await session.run()
+            received = b""
+            if self._relay is not None:
+                received = await self._relay.serve_if_asked(client)
+            if received is not None:
+                await self._run_session(MessageLink(client, received))
         except FrameError as exc:
             self._log.write(Event.PEER_FRAME_REFUSED, address=peer, error=str(exc))
         except (OSError, WisteriaError):
             return
 
+    async def _run_session(self, link: MessageLink) -> None:
+        session = SchedulingSession(
+            link, self._scheduler, self._estimate_updater, self._copy_source
+        )
+        await session.run()
+
 
 class SchedulingSession:
     """Pending queries and in-flight attempts of one connected entry."""
--- a/wisteriaarch/connection/upstream_connector.py
+++ b/wisteriaarch/connection/upstream_connector.py
@@ -1,4 +1,7 @@
-"""Opens connections to upstreams, and watches whether they can be reached at all."""
+"""Opens connections to upstreams, and watches whether they can be reached at all.
+
+An entry that has lost its links reaches the upstreams through another entry.
+"""
 
 import random
 from collections.abc import Callable, Iterable
@@ -11,36 +14,96 @@
 from ..process.upstream_paths import UNREACHABLE_MIN, UpstreamPaths
 from ..sockets import CONNECT_TIMEOUT_S, open_socket
 from ..wire import Address
+from .relay_client import RelayClient
 
 WATCH_EVERY_S = 0.1
 PROBE_TIMEOUT_S = 0.3
+CLOSE_TIMEOUT_S = 0.05
 
 
 class UpstreamConnector:
-    """Connects to upstreams; ``list_addresses`` returns those that are registered."""
+    """Connects to upstreams; ``list_addresses`` returns those that are registered.
+
+    Without a ``relay_client``, upstreams are only reached directly.
+    """
 
     def __init__(
         self,
         list_addresses: Callable[[], Iterable[Address]] = tuple,
         log: EventLog | None = None,
         rng: random.Random | None = None,
+        relay_client: RelayClient | None = None,
     ):
         self.paths = UpstreamPaths()
         self._list_addresses = list_addresses
         self._log = log
         self._rng = rng or random.Random()
+        self._relay_client = relay_client
 
     async def connect(
         self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> HttpClientConnection:
         """Open a connection to an upstream; raises OSError."""
+        if self._relay_client is not None and self.paths.needs_detour(address):
+            return await self._connect_relayed(address)
+        started_at_s = now_s()
         try:
-            conn = await HttpClientConnection.connect(address, timeout_s)
-        except OSError:
+            sock = await open_socket(address, timeout_s)
+        except OSError as exc:
             self.paths.record_failure()
-            raise
+            if self._relay_client is None or not self._may_be_own_fault(
+                exc, started_at_s
+            ):
+                raise
+            conn = await self._connect_relayed(address)
+            self.paths.record_detour(address)
+            return conn
         self.paths.record_answer(address)
-        return conn
+        return HttpClientConnection(address, sock)
+
+    def _may_be_own_fault(self, exc: OSError, since_s: float) -> bool:
+        """Whether another entry may reach an upstream that can't be reached from here.
+
+        It is asked about every refusal, which costs little time. A time-out is the
+        upstream's own fault if others have answered meanwhile.
+        """
+        if not isinstance(exc, TimeoutError):
+            return True
+        return not self.paths.has_answered_since(since_s)
+
+    async def _connect_relayed(self, address: Address) -> HttpClientConnection:
+        sock = await self._relay_client.open_socket(address)
+        return HttpClientConnection(address, sock, is_relayed=True)
+
+    async def is_down(self, address: Address) -> bool:
+        """Whether an upstream accepts no connection, or closes it at once.
+
+        A process that is about to exit may still accept a connection, but then closes
+        it. Nothing is known of an upstream that no entry reaches.
+        """
+        try:
+            conn = await self.connect(address, PROBE_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return not self.paths.is_cut_off
+        async with conn:
+            try:
+                async with curio.timeout_after(CLOSE_TIMEOUT_S):
+                    await conn.sock.recv(1)
+            except curio.TaskTimeout:
+                return False
+            except OSError:
+                return True
+        return True
+
+    def known_addresses(self) -> set[Address]:
+        """Return the addresses of the registered upstreams."""
+        return set(self._list_addresses())
+
+    def is_usable(self, conn: HttpClientConnection) -> bool:
+        """Whether an idle connection takes the way that a new one would take."""
+        return conn.is_relayed == self.paths.needs_detour(conn.address)
 
     async def run(self) -> None:
         """Watch the links to the upstreams, forever."""
--- a/wisteriaarch/connection/upstream_pool.py
+++ b/wisteriaarch/connection/upstream_pool.py
@@ -41,7 +41,11 @@
         found = None
         while idle and not fresh and found is None:
             conn, expires_at_s = idle.pop()
-            if now_s() >= expires_at_s or conn.has_unexpected_input():
+            if (
+                now_s() >= expires_at_s
+                or not self.connector.is_usable(conn)
+                or conn.has_unexpected_input()
+            ):
                 await conn.close()
             elif request_id and request_id in conn.request_ids:
                 skipped.append((conn, expires_at_s))
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -135,6 +135,12 @@
         """Return the address on which an entry receives messages of its peers."""
         return self._entry_list.make_instance(entry_id).peer_address
 
+    def peer_addresses(self) -> list[Address]:
+        """Return the peer addresses of the other living entries."""
+        return [
+            self.peer_address(item.entry_id) for item in self.members.living_others()
+        ]
+
     def caller_addresses(self, zone: str) -> list[Address]:
         """Return entry addresses for callers in an availability zone."""
         names = choose_entries(self.members.living_records(), zone, self._rng)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -109,6 +109,12 @@
         230, logbook.WARNING, "this entry can't reach any upstream"
     )
     UPSTREAMS_FOUND = EventKind(231, logbook.INFO, "this entry reaches upstreams again")
+    UPSTREAM_RELAYED = EventKind(
+        232,
+        logbook.INFO,
+        "connected another entry to an upstream",
+        Importance.PROGRESS,
+    )
     SETTINGS_RELOADED = EventKind(105, logbook.INFO, "settings reloaded")
     SETTINGS_INVALID = EventKind(
         106,
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -13,6 +13,8 @@
 from .connection.caller_server import CallerServer
 from .connection.fleet_placer import FleetPlacer
 from .connection.info_server import InfoAnswer, InfoServer
+from .connection.relay_client import RelayClient
+from .connection.relay_server import RelayServer
 from .connection.scheduling_server import SchedulingServer
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
@@ -74,7 +76,10 @@
         self._scheduler_choice = SchedulerChoice(self.network.members)
         self.estimates = FleetEstimates.from_registry(self.state.registry)
         self._connector = UpstreamConnector(
-            self.state.registry.addresses, self.log, self._rng
+            self.state.registry.addresses,
+            self.log,
+            self._rng,
+            RelayClient(self.network.peer_addresses, self._rng),
         )
         self._pool = UpstreamPool(self._connector)
         self._build_schedulers()
@@ -232,6 +237,7 @@
                 self._runner.estimate_updater,
                 self.state,
                 self.log,
+                RelayServer(self._connector, self.log),
             ).run,
             *([self._stage_supervisor.run] if settings.change_stages else ()),
             self._info_server("ready", settings.ready, self._answer_info).run,
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -31,14 +31,16 @@
 class HttpClientConnection:
     """Client side of one connection; an async context manager that closes it.
 
-    ``is_reused`` is true from its second request on. ``request_ids`` are ids of the
-    last requests sent on it, as far as its owner records them.
+    With ``is_relayed`` it leads through another entry. ``is_reused`` is true from its
+    second request on. ``request_ids`` are ids of the last requests sent on it, as far
+    as its owner records them.
     """
 
     address: Address
     sock: Any = None
     has_sent_bytes: bool = False
     is_reused: bool = False
+    is_relayed: bool = False
     request_ids: deque[str] = field(
         default_factory=partial(deque, maxlen=REQUEST_IDS_MAX)
     )
--- a/wisteriaarch/process/upstream_paths.py
+++ b/wisteriaarch/process/upstream_paths.py
@@ -14,8 +14,11 @@
 # While answers arrive at least this often, no probe is needed.
 SILENCE_S = 0.25
 PROBE_INTERVAL_S = 0.5
+ANSWERS_WINDOW_S = 1.0
 # Upstreams that must be unreachable before this entry counts as cut off.
 UNREACHABLE_MIN = 3
+# An upstream that was reached through another entry is reached so for this time.
+DETOUR_S = 1.0
 
 
 class UpstreamPaths:
@@ -29,6 +32,7 @@
         self._probed_at_s = float("-inf")
         self._numbers = itertools.count()
         self._waiting_since_s: dict[int, float] = {}
+        self._detour_until_s: dict[Address, float] = {}
 
     @contextmanager
     def waiting(self):
@@ -40,18 +44,33 @@
         finally:
             self._waiting_since_s.pop(number, None)
 
-    def record_answer(self, _address: Address) -> None:
+    def record_answer(self, address: Address) -> None:
         """Record that an upstream accepted a connection or sent bytes on one."""
         self._answered_at_s = self._clock()
+        self._detour_until_s.pop(address, None)
 
     def record_failure(self) -> None:
         """Record that an upstream accepted no connection."""
         self._failed_at_s = self._clock()
 
+    def record_detour(self, address: Address) -> None:
+        """Record that an upstream was reached through another entry alone."""
+        self._detour_until_s[address] = self._clock() + DETOUR_S
+
+    def needs_detour(self, address: Address) -> bool:
+        """Whether to reach an upstream through another entry at first."""
+        if self.is_cut_off:
+            return True
+        return self._clock() < self._detour_until_s.get(address, float("-inf"))
+
     def has_answered_since(self, at_s: float) -> bool:
         """Whether any upstream has answered since a time."""
         return self._answered_at_s >= at_s
 
+    def answers_now(self) -> bool:
+        """Whether some upstream has answered within ``ANSWERS_WINDOW_S``."""
+        return self.has_answered_since(self._clock() - ANSWERS_WINDOW_S)
+
     def needs_probe(self) -> bool:
         """Whether to test now if any upstream can be reached."""
         now = self._clock()
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 
+from ..connection.upstream_pool import UpstreamPool
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
@@ -24,6 +25,9 @@
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
 SUCCESS_STATUSES = range(200, 300)
+LINK_REASONS = frozenset(
+    (FailureReason.NOT_CONNECTED, FailureReason.CLOSED, FailureReason.SILENT)
+)
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
 
@@ -91,7 +95,9 @@
         announce_crashes: Callable[[], Awaitable[None]],
         metrics: CallMetrics,
         log: EventLog,
+        pool: UpstreamPool,
     ):
+        self._pool = pool
         self._loads = estimates.loads
         self._estimate_updater = EstimateUpdater(estimates, log)
         self._crashes = crashes
@@ -211,12 +217,17 @@
         has_crashed = (
             attempt.stage is AttemptStage.RUN
             and reason in BROKEN_ANSWER_REASONS
-            and await is_down(attempt.upstream)
+            and await is_down(attempt.upstream, self._pool.connector)
         )
-        attempt.record_failure(reason, is_overloaded, has_crashed)
+        if has_crashed or not self._may_be_own_fault(reason):
+            attempt.record_failure(reason, is_overloaded, has_crashed)
         if has_crashed:
             await self._record_crash(attempt)
 
+    def _may_be_own_fault(self, reason: FailureReason) -> bool:
+        """Whether an attempt failed since this entry has lost its links."""
+        return self._pool.connector.paths.is_cut_off and reason in LINK_REASONS
+
     async def _record_crash(self, attempt: TrackedAttempt) -> None:
         call, upstream_id = attempt.call, attempt.upstream.upstream_id
         crashes = self._crashes.record_crash(call, upstream_id)
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -63,7 +63,13 @@
         self.blocks = BlockQuarantine(log, ErrorKind.CRASHES_UPSTREAMS, trials)
         self._metrics = CallMetrics(metrics)
         self._recorder = AttemptRecorder(
-            estimates, self.crashes, self.blocks, announce_crashes, self._metrics, log
+            estimates,
+            self.crashes,
+            self.blocks,
+            announce_crashes,
+            self._metrics,
+            log,
+            pool,
         )
         self._prefill_client = PrefillClient(pool, protocol, estimates, self._recorder)
         self._kv_cache_releaser = KvCacheReleaser(
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -1,20 +1,21 @@
 """One request to an upstream and its answer, over a pooled connection."""
 
+import contextlib
 from typing import Self
 
 import curio
 
+from ..connection.upstream_connector import UpstreamConnector
 from ..connection.upstream_pool import UpstreamPool
 from ..errors import ConnectionClosed, WireError
 from ..http_client import BODY_MAX_BYTES, HttpClientConnection
 from ..process.upstreams import Upstream
-from ..sockets import open_socket
+from ..wire import STATUSES_WITHOUT_BODY, HttpResponse
 from .attempt_failures import AttemptFailed, FailureReason
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead, UpstreamProtocol
 
 CONNECT_TIMEOUT_S = 0.3
-CRASH_DETECTION_TIMEOUT_S = 0.05
 FOREIGN_ANSWERS_MAX = 2
 # Limits for answers that are discarded, and for answers to the entry's own requests.
 FOREIGN_ANSWER_MAX_BYTES = 1024 * 1024
@@ -61,9 +62,8 @@
         """
         await self._connect()
         try:
-            with self._paths.waiting():
-                async with curio.timeout_after(timeout_s):
-                    return await self._send(req)
+            async with curio.timeout_after(timeout_s):
+                return await self._send(req)
         except curio.TaskTimeout as exc:
             raise AttemptFailed(
                 FailureReason.SILENT, f"no answer after {timeout_s:.3f} s"
@@ -82,20 +82,28 @@
 
     async def _send(self, req: OutgoingRequest) -> UpstreamHead:
         self._conn.request_ids.append(self._call.call_id)
-        try:
-            await self._conn.send_request(req.method, req.target, req.headers, req.body)
-        except OSError:
+        with contextlib.ExitStack() as stack:
+            if not self._conn.is_relayed:
+                stack.enter_context(self._paths.waiting())
             # The upstream may have answered before it read a long body.
+            with contextlib.suppress(OSError):
+                await self._conn.send_request(
+                    req.method, req.target, req.headers, req.body
+                )
             return await self._read_head(req)
-        return await self._read_head(req)
+
+    def _record_answer(self) -> None:
+        if not self._conn.is_relayed:
+            self._paths.record_answer(self.upstream.address)
 
     async def _read_head(self, req: OutgoingRequest) -> UpstreamHead:
         for _ in range(FOREIGN_ANSWERS_MAX):
             try:
                 raw = await self._conn.read_head()
-                self._paths.record_answer(self.upstream.address)
+                self._record_answer()
                 head = self._protocol.read_head(self._call, raw)
                 self._check_refusal_is_own(head)
+                self._check_end_is_marked(raw)
                 if not head.foreign:
                     self._keep_alive_s = head.keep_alive_s
                     return head
@@ -114,13 +122,21 @@
                 FailureReason.FOREIGN_ANSWER, "a refusal names no request"
             )
 
+    def _check_end_is_marked(self, raw: HttpResponse) -> None:
+        """Raise AttemptFailed if a lost relay would look like the end of the body."""
+        if not self._conn.is_relayed or raw.status in STATUSES_WITHOUT_BODY:
+            return
+        if "content-length" in raw.headers or "transfer-encoding" in raw.headers:
+            return
+        raise AttemptFailed(FailureReason.CLOSED, "the answer's end isn't marked")
+
     async def read_block(self) -> bytes | None:
         """Return the next received block of the body; None at its end."""
         try:
             block = await self._conn.read_block()
         except (WireError, OSError) as exc:
             raise _to_attempt_failure(exc) from exc
-        self._paths.record_answer(self.upstream.address)
+        self._record_answer()
         if block is None:
             self._complete = True
         return block
@@ -138,24 +154,11 @@
         return body
 
 
-async def is_down(upstream: Upstream) -> bool:
-    """Whether an upstream whose connection failed no longer accepts connections.
-
-    A process that is about to exit may still accept a connection, but then closes it.
-    """
-    try:
-        sock = await open_socket(upstream.address, CONNECT_TIMEOUT_S)
-    except OSError:
-        return True
-    async with sock:
-        try:
-            async with curio.timeout_after(CRASH_DETECTION_TIMEOUT_S):
-                await sock.recv(1)
-        except curio.TaskTimeout:
-            return False
-        except OSError:
-            return True
-    return True
+async def is_down(
+    upstream: Upstream, connector: UpstreamConnector | None = None
+) -> bool:
+    """Whether an upstream whose connection failed no longer accepts connections."""
+    return await (connector or UpstreamConnector()).is_down(upstream.address)
 
 
 def _to_attempt_failure(exc: Exception) -> AttemptFailed:
