Reach engines and services through another entry on the own interface, too

The same fault as on the platform: an entry of the own interface that has lost its links serves nobody, since it gets no load report either. Its connections, load polls and crash probes go through the connector now, and entries relay for each other on the peer port.

Evidence: OwnInterfaceTest (links that hang, and refused connections) fails on the code before, 0 of 12 completions at the entries cut off, 12 of 12 at the other one; it passes. Failed tries: polls whose connection took as long as their timeout told the watch nothing.

--- a/tests/test_entry_cut_off.py
+++ b/tests/test_entry_cut_off.py
@@ -9,6 +9,7 @@
 from extras.cluster import request, wait_until
 from extras.gateway_cluster import GatewayCluster, is_ready
 from tests.gateway_support import RouteCluster
+from tests.support import ClusterTestCase
 
 # From this time after the beginning of a cut, callers are served.
 CONTACT_S = 3.0
@@ -201,6 +202,71 @@
         self.assertLess(sorted(waits)[len(waits) // 2], REFUSED_WITHIN_S)
 
 
+class OwnInterfaceTest(ClusterTestCase):
+    """Three entries of the own interface, whose links to the upstreams can be cut."""
+
+    engines = ("engine-1", "engine-2")
+    entries = ("entry-1", "entry-2", "entry-3")
+    CUT = ("entry-1", "entry-2")
+    REQUESTS = 12
+
+    @classmethod
+    def start_entries(cls):
+        for name in cls.entries:
+            cls.set_links(name, "")
+            variables = {"CUT_FILE": str(cls.cut_path(name))}
+            cls.cluster.start_entry(name, module="tests.cut_entry", variables=variables)
+
+    @classmethod
+    def cut_path(cls, name):
+        return cls.cluster.path / f"cut-{name}.json"
+
+    @classmethod
+    def set_links(cls, name, mode):
+        names = (*cls.engines, *cls.services)
+        ports = [cls.cluster.processes[item].port for item in names]
+        path = cls.cut_path(name)
+        content = json.dumps({"mode": mode, "ports": ports})
+        path.with_suffix(".new").write_text(content, encoding="utf-8")
+        path.with_suffix(".new").rename(path)
+
+    def served(self, entry, kind):
+        """Return how many of some requests an entry serves."""
+        statuses = []
+        for number in range(self.REQUESTS):
+            try:
+                if kind == "completion":
+                    body = {"prompt": f"{entry} {number}", "stream": number % 2 == 0}
+                    statuses.append(self.complete(body, entry).status)
+                else:
+                    statuses.append(self.call_service("/get", entry=entry).status)
+            except (OSError, HTTPException):
+                statuses.append(0)
+        return statuses.count(200)
+
+    def test_callers_are_served_while_links_hang_or_are_refused(self):
+        for mode in ("hang", "refuse all"):
+            for entry in self.entries:
+                self.assertEqual(self.served(entry, "completion"), self.REQUESTS)
+            for entry in self.CUT:
+                self.set_links(entry, mode)
+            time.sleep(CONTACT_S)
+            served = {
+                (entry, kind): self.served(entry, kind)
+                for entry in self.entries
+                for kind in ("completion", "service")
+            }
+            for entry in self.CUT:
+                self.set_links(entry, "")
+            for kind in ("completion", "service"):
+                bound = SERVED_SHARE_MIN * served["entry-3", kind]
+                self.assertGreater(bound, 0)
+                for entry in self.CUT:
+                    self.assertGreaterEqual(served[entry, kind], bound, (mode, served))
+            wait_until(lambda: self.served(self.CUT[0], "completion") > 0)
+            time.sleep(CONTACT_S)
+
+
 class MetricTest(CutTestCase):
     def test_entry_says_that_it_is_cut_off(self):
         self.play((2,), "hang")
--- a/tests/test_upstream_paths.py
+++ b/tests/test_upstream_paths.py
@@ -27,7 +27,7 @@
         return self.paths.conclude_probe(since_s, probed, known)
 
     def test_no_probe_while_answers_arrive(self):
-        with self.paths.waiting():
+        with self.paths.waiting_unless(is_relayed=False):
             for _ in range(20):
                 self.now_s += SILENCE_S / 2
                 self.paths.record_answer(ADDRESS)
@@ -35,7 +35,7 @@
 
     def test_silence_of_all_upstreams_is_probed(self):
         self.assertFalse(self.paths.needs_probe())
-        with self.paths.waiting():
+        with self.paths.waiting_unless(is_relayed=False):
             self.now_s += SILENCE_S - 0.01
             self.assertFalse(self.paths.needs_probe())
             self.now_s += 0.02
@@ -50,7 +50,7 @@
         self.assertFalse(self.paths.needs_probe())
 
     def test_one_silent_upstream_is_not_the_entrys_fault(self):
-        with self.paths.waiting():
+        with self.paths.waiting_unless(is_relayed=False):
             self.now_s += SILENCE_S + 0.01
             self.assertFalse(self.probe(answers=True))
         self.assertFalse(self.paths.is_cut_off)
--- a/wisteriaarch/connection/peer_connection.py
+++ b/wisteriaarch/connection/peer_connection.py
@@ -21,11 +21,12 @@
     """Messages over one socket; an async context manager that closes the socket.
 
     ``bytes_sent`` and ``bytes_received`` include the length prefixes of the frames.
+    ``received`` are bytes that were read from the socket before.
     """
 
-    def __init__(self, sock: Any):
+    def __init__(self, sock: Any, received: bytes = b""):
         self._sock = sock
-        self._frames = FrameReader(sock)
+        self._frames = FrameReader(sock, received)
         self._sequence = 0
         self._last_received = 0
         self._sent_at_s: OrderedDict[int, float] = OrderedDict()
@@ -38,10 +39,10 @@
         return cls(await open_socket(address))
 
     @classmethod
-    def from_socket(cls, sock: Any) -> "PeerConnection":
+    def from_socket(cls, sock: Any, received: bytes = b"") -> "PeerConnection":
         """Return a connection over a connected socket."""
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return cls(sock)
+        return cls(sock, received)
 
     async def __aenter__(self) -> "PeerConnection":
         return self
--- a/wisteriaarch/connection/peer_network.py
+++ b/wisteriaarch/connection/peer_network.py
@@ -21,6 +21,7 @@
 from ..wire import Address
 from .peer_codec import MessageKind, PeerMessage
 from .peer_connection import PeerConnection
+from .relay_server import RelayServer
 
 RETRY_MAX_S = 1.0
 MIN_EXCHANGE_TIMEOUT_S = 2.0
@@ -39,7 +40,9 @@
         watcher: ManifestCopySource,
         log: EventLog,
         hooks: DigestHooks | None = None,
+        relay: RelayServer | None = None,
     ):
+        self._relay = relay
         self._settings = settings
         self._fleet = fleet
         self._membership = membership
@@ -150,7 +153,21 @@
 
     async def _serve_peer(self, client) -> None:
         address = Address(*client.getpeername())
-        conn = PeerConnection.from_socket(client)
+        try:
+            received = b""
+            if self._relay is not None:
+                received = await self._relay.serve_if_asked(client)
+            if received is not None:
+                await self._answer_heartbeats(client, received)
+        except FrameError as exc:
+            self._log.write(
+                Event.PEER_FRAME_REFUSED, address=str(address), error=str(exc)
+            )
+        except (OSError, WisteriaError):
+            return
+
+    async def _answer_heartbeats(self, client, received: bytes) -> None:
+        conn = PeerConnection.from_socket(client, received)
         composer = HeartbeatComposer(self._membership, self.hooks)
         peer_id = None
         try:
@@ -161,12 +178,6 @@
                     self._accepted_counts[peer_id] += 1
                 await self._apply_message(conn, message)
                 await self._send(conn, composer, peer_id, _reply_kind(message))
-        except FrameError as exc:
-            self._log.write(
-                Event.PEER_FRAME_REFUSED, address=str(address), error=str(exc)
-            )
-        except (OSError, WisteriaError):
-            return
         finally:
             if peer_id is not None:
                 self._accepted_counts[peer_id] -= 1
--- a/wisteriaarch/connection/relay_server.py
+++ b/wisteriaarch/connection/relay_server.py
@@ -17,6 +17,7 @@
 )
 from .upstream_connector import UpstreamConnector
 
+FIRST_BYTE_TIMEOUT_S = 5.0
 QUERY_TIMEOUT_S = 1.0
 UPSTREAM_TIMEOUT_S = 0.3
 RELAYED_MAX = 1000
@@ -37,7 +38,11 @@
         Returns its first bytes if it isn't, and None after it was relayed. Raises
         OSError, ConnectionClosed or FrameError.
         """
-        first = await client.recv(1)
+        try:
+            async with curio.timeout_after(FIRST_BYTE_TIMEOUT_S):
+                first = await client.recv(1)
+        except curio.TaskTimeout as exc:
+            raise ConnectionClosed("the peer sends nothing") from exc
         if first != RELAY_MARK:
             return first
         await self._serve(client)
--- a/wisteriaarch/connection/upstream_connector.py
+++ b/wisteriaarch/connection/upstream_connector.py
@@ -19,6 +19,8 @@
 WATCH_EVERY_S = 0.1
 PROBE_TIMEOUT_S = 0.3
 CLOSE_TIMEOUT_S = 0.05
+# A connection that was given up after this time may never have been accepted.
+SLOW_CONNECT_S = 0.1
 
 
 class UpstreamConnector:
@@ -49,6 +51,10 @@
         started_at_s = now_s()
         try:
             sock = await open_socket(address, timeout_s)
+        except curio.CancelledError:
+            if now_s() - started_at_s > SLOW_CONNECT_S:
+                self.paths.record_failure()
+            raise
         except OSError as exc:
             self.paths.record_failure()
             if self._relay_client is None or not self._may_be_own_fault(
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -10,6 +10,9 @@
 from .connection.caller_connection import AnswerForm, CallerConnection
 from .connection.caller_server import CallerServer
 from .connection.peer_network import PeerNetwork
+from .connection.relay_client import RelayClient
+from .connection.relay_server import RelayServer
+from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
@@ -65,6 +68,7 @@
         self.fleet = Fleet(
             HttpInstanceList(platform), settings.instances_poll_every_s, settings.seed
         )
+        self.connector = self._build_connector()
         self.loads = LoadMonitor(
             self.fleet,
             settings.load_poll_every_s,
@@ -73,6 +77,8 @@
             settings.upstreams_per_group,
             corrects_reports="correction" not in settings.policy_off,
             polls_per_s=settings.load_polls_per_s,
+            connect=self.connector.connect,
+            paths=self.connector.paths,
         )
         self.demand = DemandMeter()
         self.watcher = ManifestWatcher(
@@ -89,7 +95,12 @@
             settings.freshness_bound_s, self.watcher, self.membership
         )
         self.peers = PeerNetwork(
-            settings, self.fleet, self.membership, self.watcher, self.log
+            settings,
+            self.fleet,
+            self.membership,
+            self.watcher,
+            self.log,
+            relay=RelayServer(self.connector, self.log),
         )
         self.peers.hooks.sent_work = self.loads.export_sent_work
         self.peers.hooks.apply_sent_work = self.loads.replace_peer_work
@@ -106,7 +117,7 @@
             self.log,
             self._new_role_policy,
         )
-        self.pool = UpstreamPool()
+        self.pool = UpstreamPool(self.connector)
         limiter = RequestLimiter(
             self.loads.limits, self._own_limit_share, random.Random(settings.seed)
         )
@@ -138,6 +149,23 @@
         self._routes = Routes(self)
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
+    def _build_connector(self) -> UpstreamConnector:
+        rng = random.Random(self.settings.seed)
+        relay_client = RelayClient(self._living_peer_addresses, rng)
+        return UpstreamConnector(self._upstream_addresses, self.log, rng, relay_client)
+
+    def _upstream_addresses(self) -> list[Address]:
+        kinds = ("engine", "service")
+        return [item.address for kind in kinds for item in self.fleet.of_kind(kind)]
+
+    def _living_peer_addresses(self) -> list[Address]:
+        living = set(self._living_peers())
+        return [
+            item.peer_address
+            for item in self.fleet.of_kind("entry")
+            if item.instance_id in living and item.peer_address is not None
+        ]
+
     def _living_peers(self) -> list[str]:
         is_alive = self.membership.is_alive
         return [name for name in self.membership.known_peer_ids() if is_alive(name)]
@@ -176,6 +204,7 @@
             self.watcher.run,
             self.loads.run,
             self.peers.run,
+            self.connector.run,
             self.control.run,
             *self.requests.task_mains(),
             partial(self.staleness.log_changes, self.log),
--- a/wisteriaarch/process/load_monitor.py
+++ b/wisteriaarch/process/load_monitor.py
@@ -1,12 +1,13 @@
 """Views of all upstreams, refreshed by polling load reports."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 
 from ..errors import WireError
 from ..http_client import HttpClientConnection
+from ..wire import Address
 from .clock import now_s
 from .digest import SentWork
 from .engine_speeds import SpeedEstimates
@@ -14,14 +15,19 @@
 from .poll_schedule import PollCandidate, PollSchedule
 from .request_limits import RequestLimits
 from .store import Instance
+from .upstream_paths import UpstreamPaths
 from .upstream_view import MAX_REPORT_AGE_S, PeerWork, UpstreamView
 
 POLL_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.3
 POLLED_PER_GROUP_MAX = 64
 POLLS_PER_S_MAX = 40.0
 ACTIVE_WINDOW_S = 5.0
 
 
+Connect = Callable[[Address, float], Awaitable[HttpClientConnection]]
+
+
 class LoadMonitor:
     """Views of engines, refreshed by one polling task.
 
@@ -40,7 +46,11 @@
         polled_per_group: int = POLLED_PER_GROUP_MAX,
         corrects_reports: bool = True,
         polls_per_s: float = POLLS_PER_S_MAX,
+        connect: Connect = HttpClientConnection.connect,
+        paths: UpstreamPaths | None = None,
     ):
+        self._connect = connect
+        self._paths = paths or UpstreamPaths()
         self._fleet = fleet
         self._poll_interval_s = poll_interval_s
         self._entry_id = entry_id
@@ -118,12 +128,28 @@
         started_at_s = now_s()
         try:
             async with curio.timeout_after(POLL_TIMEOUT_S):
-                view.apply_report(view.report_reader.read(await _fetch_load(view)))
+                view.apply_report(view.report_reader.read(await self._fetch_load(view)))
         except (curio.TaskTimeout, OSError, WireError, KeyError):
             view.report = None
             await _close_poll_conn(view)
         view.poll_started_at_s = started_at_s
 
+    async def _fetch_load(self, view: UpstreamView) -> dict:
+        if view.poll_conn is None:
+            address = view.instance.address
+            view.poll_conn = await self._connect(address, CONNECT_TIMEOUT_S)
+        conn = view.poll_conn
+        with self._paths.waiting_unless(conn.is_relayed):
+            await conn.send_request("GET", "/load", [])
+            response = await conn.read_head()
+            response.body = await conn.read_body()
+        if not conn.is_relayed:
+            self._paths.record_answer(conn.address)
+        # The next poll shows whether the upstream can be reached directly again.
+        if conn.is_relayed or not conn.start_next_cycle():
+            await _close_poll_conn(view)
+        return response.json()
+
 
 def _is_active(view: UpstreamView) -> bool:
     """Whether this entry sends requests to an upstream, or waits for its report."""
@@ -140,18 +166,6 @@
     return hashlib.blake2b(f"{entry_id}\0{name}".encode(), digest_size=8).digest()
 
 
-async def _fetch_load(view: UpstreamView) -> dict:
-    if view.poll_conn is None:
-        view.poll_conn = await HttpClientConnection.connect(view.instance.address)
-    conn = view.poll_conn
-    await conn.send_request("GET", "/load", [])
-    response = await conn.read_head()
-    response.body = await conn.read_body()
-    if not conn.start_next_cycle():
-        await _close_poll_conn(view)
-    return response.json()
-
-
 async def _close_poll_conn(view: UpstreamView) -> None:
     conn, view.poll_conn = view.poll_conn, None
     if conn is not None:
--- a/wisteriaarch/process/upstream_paths.py
+++ b/wisteriaarch/process/upstream_paths.py
@@ -5,7 +5,7 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 
 from ..wire import Address
@@ -35,8 +35,11 @@
         self._detour_until_s: dict[Address, float] = {}
 
     @contextmanager
-    def waiting(self):
+    def waiting_unless(self, is_relayed: bool) -> Iterator[None]:
         """Count an attempt that waits for its answer on a direct connection."""
+        if is_relayed:
+            yield
+            return
         number = next(self._numbers)
         self._waiting_since_s[number] = self._clock()
         try:
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -92,12 +92,16 @@
         if progress.ran is Ran.NO:
             progress.ran = Ran.UNKNOWN
         sent_at_s = now_s()
+        paths = self._pool.connector.paths
         try:
-            await conn.send_request(*outgoing_request(self._call, progress.events))
-            await reach_step(Step.REQUEST_SENT)
-            head = await conn.read_head()
+            with paths.waiting_unless(conn.is_relayed):
+                await conn.send_request(*outgoing_request(self._call, progress.events))
+                await reach_step(Step.REQUEST_SENT)
+                head = await conn.read_head()
         except (OSError, WireError) as exc:
             raise UpstreamDisconnected(f"{self._view.name}: {exc}") from exc
+        if not conn.is_relayed:
+            paths.record_answer(conn.address)
         self._signal_reader.observe(self._view, head, sent_at_s)
         if not isinstance(self._call, CompletionCall):
             return await self._relay_complete(conn, head, sink, progress)
--- a/wisteriaarch/request/crash_probe.py
+++ b/wisteriaarch/request/crash_probe.py
@@ -5,10 +5,11 @@
 
 import curio
 
+from ..connection.upstream_connector import UpstreamConnector
 from ..errors import WireError
-from ..http_client import HttpClientConnection, fetch
 from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
+from ..wire import Address, HttpResponse
 from .call import Call, CompletionCall, ServiceCall
 
 PROBE_TIMEOUT_S = 0.5
@@ -19,7 +20,8 @@
 class CrashProbe:
     """Checks after a connection failure whether the upstream has crashed."""
 
-    def __init__(self):
+    def __init__(self, connector: UpstreamConnector | None = None):
+        self._connector = connector or UpstreamConnector()
         self._last_crash_ids: dict[str, str] = {}
         self._found_down_at_s: dict[str, float] = {}
 
@@ -50,20 +52,31 @@
         This queries the engine's current state, since load reports lag behind.
         """
         try:
-            response = await fetch(
-                view.instance.address, "GET", "/orders", timeout_s=PROBE_TIMEOUT_S
-            )
+            async with curio.timeout_after(PROBE_TIMEOUT_S):
+                response = await self._fetch_state(view.instance.address)
             return response.json().get("incarnation") == incarnation
-        except (OSError, WireError):
-            return False
+        except (OSError, WireError, curio.TaskTimeout) as exc:
+            return self._is_own_fault(exc)
+
+    async def _fetch_state(self, address: Address) -> HttpResponse:
+        async with await self._connector.connect(address) as conn:
+            await conn.send_request("GET", "/orders", [])
+            response = await conn.read_head()
+            response.body = await conn.read_body()
+            return response
+
+    def _is_own_fault(self, exc: Exception) -> bool:
+        """Whether this entry can't tell, since it has lost its links."""
+        is_refused = isinstance(exc, ConnectionRefusedError)
+        return self._connector.paths.is_cut_off and not is_refused
 
     @find_crash.register
     async def _(self, call: ServiceCall, view, incarnation) -> str | None:
         try:
-            conn = await HttpClientConnection.connect(
-                view.instance.address, PROBE_TIMEOUT_S
-            )
-        except OSError:
+            conn = await self._connector.connect(view.instance.address, PROBE_TIMEOUT_S)
+        except OSError as exc:
+            if self._is_own_fault(exc):
+                return None
             return self._current_crash_id(view.name)
         await conn.close()
         return None
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -82,9 +82,7 @@
 
     async def _send(self, req: OutgoingRequest) -> UpstreamHead:
         self._conn.request_ids.append(self._call.call_id)
-        with contextlib.ExitStack() as stack:
-            if not self._conn.is_relayed:
-                stack.enter_context(self._paths.waiting())
+        with self._paths.waiting_unless(self._conn.is_relayed):
             # The upstream may have answered before it read a long body.
             with contextlib.suppress(OSError):
                 await self._conn.send_request(
--- a/wisteriaarch/request/request_runner.py
+++ b/wisteriaarch/request/request_runner.py
@@ -69,7 +69,7 @@
         self._signal_reader = signal_reader
         self._log = log
         self._retry_budget = RetryBudget()
-        self._crash_probe = CrashProbe()
+        self._crash_probe = CrashProbe(pool.connector)
 
     async def run(self, call: Call, sink: AnswerSink) -> None:
         """Answer the call; raises RequestError with the error for the caller."""
