--- a/tests/test_cut_head.py
+++ b/tests/test_cut_head.py
@@ -1,4 +1,4 @@
-"""A server stopped in its answer's head and closed; the answer counted as whole (MIXED)."""
+"""A server closed in its answer's head, and the answer counted as whole (MIXED)."""
 
 import unittest
 
@@ -87,6 +87,16 @@
                         if kind is not CallKind.STREAM:
                             self.assertEqual(sink.sent, b"")
 
+    def test_whole_answer_is_passed_on(self):
+        for name in ("chunks", "end of connection"):
+            framing, body = FRAMINGS[name]
+            for kind in CallKind:
+                with self.subTest(framing=name, kind=kind):
+                    raw = f"{HEAD}{framing}\r\n".encode() + body
+                    sink, has_failed = self.relay(raw, kind)
+                    self.assertFalse(has_failed)
+                    self.assertIn(b"id: 1\ndata: a\n\n", sink.sent)
+
     def test_stream_without_events_is_no_whole_answer(self):
         raw = f"{HEAD}\r\n".encode()
         sink, has_failed = self.relay(raw, CallKind.STREAM)
