Refuse calls that would outlast a planned stop

Report of another operator: in a planned stop in calm, requests that came late in the grace were taken and passed on, and cut with no answer at its end, among them requests that may not be repeated (LOST). It happens here: with streams of 1.4 s and a grace of 3 s, the last stream of each of six callers was passed on and cut.

Cause: a stopping entry takes every request until its sockets close, whatever the time left.

Change: an entry knows how long the calls of each route take (a decaying peak). From SIGTERM on, one that would last beyond the end, by 1.3 of that or by its own deadline where that is sooner, is refused at once (503 stopping, not run, come back at once), and its caller goes to another entry.

Not covered: a stream that began before SIGTERM and lasts longer than the grace; it is cut, as no caller can be told of it.

--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -22,6 +22,7 @@
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
 from .gauges import GatewayGauges
+from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
@@ -40,6 +41,7 @@
     SCHEDULER_SHARE,
     SharedRetryBudget,
 )
+from .request.stop_admission import StopAdmission
 from .request.stream_versions import StreamVersions
 from .sockets import listen_on
 from .version.route_table import resumable_services
@@ -75,6 +77,7 @@
         self.state = self.network.state
         self._scheduler_choice = SchedulerChoice(self.network.members)
         self.estimates = FleetEstimates.from_registry(self.state.registry)
+        self._stop_admission = StopAdmission()
         self._connector = UpstreamConnector(
             self.state.registry.addresses,
             self.log,
@@ -260,6 +263,7 @@
         await self._announce_own_state()
         settings = self.settings
         grace_s = settings.stop_grace_s - STOP_MARGIN_S
+        self._stop_admission.begin(now_s() + grace_s)
         serve_s = LEAVE_PROPAGATION_S + SERVED_KEEP_PERIODS * settings.callers_keep_s
         try:
             async with curio.timeout_after(grace_s):
@@ -304,7 +308,9 @@
         call = self._adapter.decode_call(req, table, self._rng)
         call.zone = self.settings.zone
         conn.request_id = call.call_id
+        self._stop_admission.check(call)
         await self._runner.run(call, conn)
+        self._stop_admission.observe(call, now_s() - call.arrived_at_s)
 
     @property
     def is_ready(self) -> bool:
