--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -133,10 +133,7 @@
         return self.streams._of(SERVICE).versions
 
     async def step(self):
-        tracked = self.streams._of(SERVICE)
-        self.streams._observe_registered(SERVICE, tracked)
-        tracked.versions.discard_expired()
-        await self.streams._update_store(SERVICE, tracked)
+        await self.streams._of(SERVICE).update()
 
     async def begin(self, call_id, version=None):
         """Place a new stream; returns its version."""
--- a/wisteriaarch/connection/upstream_connector.py
+++ b/wisteriaarch/connection/upstream_connector.py
@@ -5,12 +5,14 @@
 
 import random
 from collections.abc import Callable, Iterable
+from typing import Self
 
 import curio
 
 from ..events import Event, EventLog
 from ..http_client import HttpClientConnection
 from ..process.clock import now_s
+from ..process.fleet import Fleet
 from ..process.upstream_paths import UNREACHABLE_MIN, UpstreamPaths
 from ..sockets import CONNECT_TIMEOUT_S, open_socket
 from ..wire import Address
@@ -42,6 +44,31 @@
         self._rng = rng or random.Random()
         self._relay_client = relay_client
 
+    @classmethod
+    def from_fleet(
+        cls,
+        fleet: Fleet,
+        list_living_peers: Callable[[], Iterable[str]],
+        seed: int | None,
+        log: EventLog,
+    ) -> Self:
+        """Connect to the engines and services of a fleet, also through its entries."""
+        rng = random.Random(seed)
+
+        def upstream_addresses() -> list[Address]:
+            kinds = ("engine", "service")
+            return [item.address for kind in kinds for item in fleet.of_kind(kind)]
+
+        def peer_addresses() -> list[Address]:
+            living = set(list_living_peers())
+            return [
+                item.peer_address
+                for item in fleet.of_kind("entry")
+                if item.instance_id in living and item.peer_address is not None
+            ]
+
+        return cls(upstream_addresses, log, rng, RelayClient(peer_addresses, rng))
+
     async def connect(
         self, address: Address, timeout_s: float = CONNECT_TIMEOUT_S
     ) -> HttpClientConnection:
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -10,7 +10,6 @@
 from .connection.caller_connection import AnswerForm, CallerConnection
 from .connection.caller_server import CallerServer
 from .connection.peer_network import PeerNetwork
-from .connection.relay_client import RelayClient
 from .connection.relay_server import RelayServer
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
@@ -68,7 +67,9 @@
         self.fleet = Fleet(
             HttpInstanceList(platform), settings.instances_poll_every_s, settings.seed
         )
-        self.connector = self._build_connector()
+        self.connector = UpstreamConnector.from_fleet(
+            self.fleet, self._living_peers, settings.seed, self.log
+        )
         self.loads = LoadMonitor(
             self.fleet,
             settings.load_poll_every_s,
@@ -149,23 +150,6 @@
         self._routes = Routes(self)
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
-    def _build_connector(self) -> UpstreamConnector:
-        rng = random.Random(self.settings.seed)
-        relay_client = RelayClient(self._living_peer_addresses, rng)
-        return UpstreamConnector(self._upstream_addresses, self.log, rng, relay_client)
-
-    def _upstream_addresses(self) -> list[Address]:
-        kinds = ("engine", "service")
-        return [item.address for kind in kinds for item in self.fleet.of_kind(kind)]
-
-    def _living_peer_addresses(self) -> list[Address]:
-        living = set(self._living_peers())
-        return [
-            item.peer_address
-            for item in self.fleet.of_kind("entry")
-            if item.instance_id in living and item.peer_address is not None
-        ]
-
     def _living_peers(self) -> list[str]:
         is_alive = self.membership.is_alive
         return [name for name in self.membership.known_peer_ids() if is_alive(name)]
--- /dev/null
+++ b/wisteriaarch/entry_scheduling.py
@@ -0,0 +1,114 @@
+"""Placement of calls by a gateway entry, for itself and for the other entries."""
+
+import random
+
+from .adapter import PlatformAdapter
+from .connection.fleet_placer import FleetPlacer
+from .entry_network import EntryNetwork
+from .events import EventLog
+from .process.fleet_estimates import FleetEstimates
+from .process.gateway_settings import GatewaySettings
+from .process.scheduler_choice import SchedulerChoice
+from .process.version_records import VersionRecords
+from .request.own_shares import OwnShares
+from .request.scheduler import Scheduler, SchedulingParts
+from .request.shared_retry_budget import SCHEDULER_SHARE, SharedRetryBudget
+from .request.size_fairness import SizeFairness
+from .request.stream_versions import StreamVersions
+from .version.route_table import resumable_services
+
+
+class EntryScheduling:
+    """Owns the schedulers of an entry.
+
+    ``shared_scheduler`` places calls of all entries; ``placer`` uses it, that of
+    another entry, or this entry's own fallback, which uses ``retry_budget``.
+    """
+
+    def __init__(
+        self,
+        network: EntryNetwork,
+        estimates: FleetEstimates,
+        scheduler_choice: SchedulerChoice,
+        adapter: PlatformAdapter,
+        settings: GatewaySettings,
+        rng: random.Random,
+        log: EventLog,
+    ):
+        self._network = network
+        self._settings = settings
+        self.stream_versions = self._build_stream_versions(
+            estimates, scheduler_choice, adapter, log
+        )
+        retry = settings.retry
+        shares = OwnShares(
+            network.count_entries,
+            lambda: self.placer.last_answered_at_s,
+            lambda: self._settings.retry.window_s,
+        )
+        parts = SchedulingParts.from_estimates(
+            estimates,
+            lambda: network.state.routes,
+            log,
+            shares.limit_share,
+            rng,
+            self.stream_versions,
+        )
+        self.retry_budget = SharedRetryBudget(
+            retry.ratio,
+            retry.slack,
+            retry.window_s,
+            network.count_entries,
+            share=shares.retry_share,
+        )
+        self._shared_retry_budget = SharedRetryBudget(
+            retry.ratio,
+            retry.slack,
+            retry.window_s,
+            lambda: 1,
+            share=lambda: SCHEDULER_SHARE,
+            ramps_up=True,
+        )
+        self.shared_scheduler = Scheduler(
+            parts, self._shared_retry_budget, serves_fleet=True
+        )
+        self.placer = FleetPlacer(
+            settings.entry_id,
+            scheduler_choice,
+            network.state.registry,
+            self.shared_scheduler,
+            Scheduler(parts, self.retry_budget),
+            network.peer_address,
+            log,
+        )
+
+    def _build_stream_versions(
+        self,
+        estimates: FleetEstimates,
+        scheduler_choice: SchedulerChoice,
+        adapter: PlatformAdapter,
+        log: EventLog,
+    ) -> StreamVersions:
+        own = self._network.members.own_record
+        writer = f"{own.entry_id}-{own.incarnation}"
+        versions = StreamVersions(
+            estimates,
+            VersionRecords(adapter.table, adapter.store_era, writer),
+            lambda: resumable_services(self._network.state.routes),
+            scheduler_choice.is_local,
+            log,
+        )
+        adapter.store_era.subscribe(versions.handle_new_era)
+        return versions
+
+    @property
+    def fairness(self) -> SizeFairness:
+        """Shares of prompts of different sizes."""
+        return self.shared_scheduler.parts.fairness
+
+    def configure(self, settings: GatewaySettings) -> None:
+        """Apply changed settings."""
+        self._settings = settings
+        retry = settings.retry
+        for budget in (self.retry_budget, self._shared_retry_budget):
+            budget.configure(retry.ratio, retry.slack, retry.window_s)
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -11,7 +11,6 @@
 from .adapter import PlatformAdapter
 from .connection.caller_connection import AnswerForm, CallerConnection
 from .connection.caller_server import CallerServer
-from .connection.fleet_placer import FleetPlacer
 from .connection.info_server import InfoAnswer, InfoServer
 from .connection.relay_client import RelayClient
 from .connection.relay_server import RelayServer
@@ -19,6 +18,7 @@
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
 from .entry_network import EntryNetwork
+from .entry_scheduling import EntryScheduling
 from .errors import ErrorKind, RequestError
 from .events import Event, EventLog
 from .gauges import GatewayGauges
@@ -32,19 +32,10 @@
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_all_until
-from .process.version_records import VersionRecords
 from .request.block_quarantine import TrialPolicy
 from .request.call_runner import CallRunner
-from .request.own_shares import OwnShares
-from .request.scheduler import Scheduler, SchedulingParts
-from .request.shared_retry_budget import (
-    SCHEDULER_SHARE,
-    SharedRetryBudget,
-)
 from .request.stop_admission import StopAdmission
-from .request.stream_versions import StreamVersions
 from .sockets import listen_on
-from .version.route_table import resumable_services
 from .version.stage_supervisor import StageSupervisor
 from .wire import HttpRequest
 
@@ -85,13 +76,21 @@
             RelayClient(self.network.peer_addresses, self._rng),
         )
         self._pool = UpstreamPool(self._connector)
-        self._build_schedulers()
+        self._scheduling = EntryScheduling(
+            self.network,
+            self.estimates,
+            self._scheduler_choice,
+            adapter,
+            settings,
+            self._rng,
+            self.log,
+        )
         self._runner = CallRunner(
             adapter.upstreams,
             self.estimates,
             self._pool,
-            self._placer,
-            self._shared_scheduler.parts.fairness,
+            self._scheduling.placer,
+            self._scheduling.fairness,
             TrialPolicy(self._scheduler_choice.is_local, self.network.count_entries),
             self._announce_crashes,
             self.metrics,
@@ -111,71 +110,12 @@
             self.state,
             self.network.members,
             self.estimates,
-            self.retry_budget,
+            self._scheduling.retry_budget,
             self._stage_supervisor,
             self._connector.paths,
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
-    def _build_schedulers(self) -> None:
-        """Build the scheduler shared by all entries and this entry's own fallback."""
-        shares = OwnShares(
-            self.network.count_entries,
-            lambda: self._placer.last_answered_at_s,
-            lambda: self.settings.retry.window_s,
-        )
-        self._stream_versions = self._build_stream_versions()
-        parts = SchedulingParts.from_estimates(
-            self.estimates,
-            lambda: self.state.routes,
-            self.log,
-            shares.limit_share,
-            self._rng,
-            self._stream_versions,
-        )
-        retry = self.settings.retry
-        self.retry_budget = SharedRetryBudget(
-            retry.ratio,
-            retry.slack,
-            retry.window_s,
-            self.network.count_entries,
-            share=shares.retry_share,
-        )
-        self._shared_retry_budget = SharedRetryBudget(
-            retry.ratio,
-            retry.slack,
-            retry.window_s,
-            lambda: 1,
-            share=lambda: SCHEDULER_SHARE,
-            ramps_up=True,
-        )
-        self._shared_scheduler = Scheduler(
-            parts, self._shared_retry_budget, serves_fleet=True
-        )
-        self._placer = FleetPlacer(
-            self.settings.entry_id,
-            self._scheduler_choice,
-            self.state.registry,
-            self._shared_scheduler,
-            Scheduler(parts, self.retry_budget),
-            self.network.peer_address,
-            self.log,
-        )
-
-    def _build_stream_versions(self) -> StreamVersions:
-        own = self.network.members.own_record
-        era = self._adapter.store_era
-        writer = f"{own.entry_id}-{own.incarnation}"
-        versions = StreamVersions(
-            self.estimates,
-            VersionRecords(self._adapter.table, era, writer),
-            lambda: resumable_services(self.state.routes),
-            self._scheduler_choice.is_local,
-            self.log,
-        )
-        era.subscribe(versions.handle_new_era)
-        return versions
-
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
             Contender(
@@ -198,7 +138,7 @@
         return self
 
     async def __aexit__(self, *exc_info) -> None:
-        await self._placer.close()
+        await self._scheduling.placer.close()
         await self._pool.close()
 
     async def run(self, settings_path: str | None = None) -> None:
@@ -232,11 +172,11 @@
         return [
             *self.network.task_mains(),
             self._announce_readiness,
-            self._stream_versions.run,
+            self._scheduling.stream_versions.run,
             self._connector.run,
             SchedulingServer(
                 self.network.peer_address(settings.entry_id),
-                self._shared_scheduler,
+                self._scheduling.shared_scheduler,
                 self._runner.estimate_updater,
                 self.state,
                 self.log,
@@ -275,9 +215,7 @@
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         self.settings = settings
-        retry = settings.retry
-        for budget in (self.retry_budget, self._shared_retry_budget):
-            budget.configure(retry.ratio, retry.slack, retry.window_s)
+        self._scheduling.configure(settings)
 
     async def _announce_readiness(self) -> None:
         """Announce this entry to the others once it has routes and takes callers."""
--- a/wisteriaarch/request/stream_versions.py
+++ b/wisteriaarch/request/stream_versions.py
@@ -12,25 +12,21 @@
 
 import curio
 
-from ..errors import ErrorKind, PlatformError, RequestError, WriteConflict
+from ..errors import ErrorKind, PlatformError, RequestError
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.upstreams import Stage
-from ..process.version_records import VersionRecords, VersionSnapshot, stream_key
+from ..process.version_records import VersionRecords, stream_key
 from ..version.route_table import CallKind
 from .routed_call import RoutedCall
-from .service_versions import ServiceVersions
+from .service_recorder import ServiceRecorder
 
-RECORD_EVERY_S = 0.05
-RETRY_MIN_S = 0.2
-RETRY_MAX_S = 1.0
-CONFIRMATION_WAIT_S = 0.25
 # For this time, streams begin on confirmed versions alone while this entry can't have
 # another one confirmed. An entry that is cut off from the store sees a release go on.
 UNCONFIRMED_MAX_S = 10.0
 RESUME_RETRY_AFTER_S = 0.5
-REMOVED_ROWS_MAX = 50
+FOLLOW_EVERY_S = 0.05
 
 
 class StreamSoftware(Protocol):
@@ -86,7 +82,7 @@
         self._list_services = list_services
         self._is_scheduler = is_scheduler
         self._log = log
-        self._services: dict[str, _TrackedService] = {}
+        self._services: dict[str, ServiceRecorder] = {}
 
     async def run(self) -> None:
         """Keep the store's rows up to date, forever."""
@@ -96,11 +92,11 @@
                 for service in filter(self._is_scheduler, self._list_services()):
                     self._of(service)
                 for service in self._services.keys() - tasks.keys():
-                    tasks[service] = await curio.spawn(self._maintain, service)
+                    tasks[service] = await curio.spawn(self._services[service].run)
                 for task in tasks.values():
                     if task.terminated:
                         await task.join()
-                await curio.sleep(RECORD_EVERY_S)
+                await curio.sleep(FOLLOW_EVERY_S)
         finally:
             for task in tasks.values():
                 await task.cancel()
@@ -110,16 +106,14 @@
         for tracked in self._services.values():
             tracked.versions.handle_new_era()
 
-    def _of(self, service: str) -> "_TrackedService":
+    def _of(self, service: str) -> ServiceRecorder:
         tracked = self._services.get(service)
         if tracked is None:
-            tracked = self._services[service] = _TrackedService()
-            self._observe_registered(service, tracked)
+            tracked = self._services[service] = ServiceRecorder(
+                service, self._registry, self._records, self._is_scheduler, self._log
+            )
         return tracked
 
-    def _observe_registered(self, service: str, tracked: "_TrackedService") -> None:
-        tracked.versions.observe_registered(self._registry.software_of(service))
-
     async def admit(self, call: RoutedCall) -> None:
         """Set the versions that a call may be placed on; raises RequestError.
 
@@ -130,15 +124,17 @@
         if not _is_resumable(call):
             return
         tracked = self._of(call.service)
-        self._observe_registered(call.service, tracked)
+        tracked.observe_registered()
         if call.software is None and call.resume_after is not None:
             call.software = await self._find_software(call, tracked)
         if call.software is not None:
             self._check_served(call, tracked)
             return
         if tracked.versions.unconfirmed:
-            await tracked.wake.set()
-            await self._wait_for_confirmation(call.service, tracked)
+            confirmed = tracked.versions.served or frozenset()
+            await tracked.request_confirmation(
+                is_urgent=not self._responding(call.service, confirmed)
+            )
         call.usable_software = self._usable_software(call, tracked)
 
     def find_placed(self, call: RoutedCall) -> str | None:
@@ -146,7 +142,7 @@
         tracked = self._services.get(call.service)
         return tracked and tracked.versions.find(stream_key(call.resumes))
 
-    async def _find_software(self, call: RoutedCall, tracked: "_TrackedService") -> str:
+    async def _find_software(self, call: RoutedCall, tracked: ServiceRecorder) -> str:
         """Return the version that began a resumed stream; raises RequestError."""
         key = stream_key(call.resumes)
         versions = tracked.versions
@@ -154,7 +150,7 @@
         if software is not None:
             return software
         try:
-            await self._reload(call.service, tracked)
+            await tracked.reload()
         except PlatformError as exc:
             if versions.registered == {versions.only_version}:
                 return versions.only_version
@@ -167,7 +163,7 @@
             raise self._not_resumable(call, "its software version isn't known", None)
         return software
 
-    def _check_served(self, call: RoutedCall, tracked: "_TrackedService") -> None:
+    def _check_served(self, call: RoutedCall, tracked: ServiceRecorder) -> None:
         """Raise RequestError if no upstream of the stream's version is left."""
         usable = self._registry.usable(call.service)
         if any(item.software == call.software for item in usable):
@@ -197,18 +193,8 @@
             retry_after_s=retry_after_s,
         )
 
-    async def _wait_for_confirmation(
-        self, service: str, tracked: "_TrackedService"
-    ) -> None:
-        """Wait until streams may begin on some version, unless the store is away."""
-        if self._responding(service, tracked.versions.served or frozenset()):
-            return
-        if not tracked.has_failed:
-            async with curio.ignore_after(CONFIRMATION_WAIT_S):
-                await tracked.confirmed.wait()
-
     def _usable_software(
-        self, call: RoutedCall, tracked: "_TrackedService"
+        self, call: RoutedCall, tracked: ServiceRecorder
     ) -> frozenset[str] | None:
         """Return the versions that a stream may begin on; None for all."""
         preferred = frozenset({call.preferred_software} - {None})
@@ -245,139 +231,6 @@
         if tracked is not None:
             tracked.versions.end(stream_key(call.call_id))
 
-    async def _maintain(self, service: str) -> None:
-        tracked = self._services[service]
-        delay_s = RETRY_MIN_S
-        while True:
-            async with curio.ignore_after(RECORD_EVERY_S):
-                await tracked.wake.wait()
-            tracked.wake.clear()
-            self._observe_registered(service, tracked)
-            tracked.versions.discard_expired()
-            tracked.note_confirmation(now_s())
-            try:
-                await self._update_store(service, tracked)
-            except WriteConflict:
-                continue
-            except PlatformError as exc:
-                self._note_failure(service, tracked, exc)
-                await curio.sleep(delay_s)
-                delay_s = min(RETRY_MAX_S, 2 * delay_s)
-                continue
-            tracked.has_failed = False
-            delay_s = RETRY_MIN_S
-            await tracked.note_confirmed()
-
-    def _note_failure(
-        self, service: str, tracked: "_TrackedService", exc: PlatformError
-    ) -> None:
-        if not tracked.has_failed:
-            self._log.write(
-                Event.STREAM_VERSIONS_UNRECORDED, service=service, error=str(exc)
-            )
-        tracked.has_failed = True
-
-    async def _update_store(self, service: str, tracked: "_TrackedService") -> None:
-        """Write what the store lacks; raises PlatformError."""
-        versions = tracked.versions
-        if versions.unconfirmed:
-            await self._confirm(service, tracked)
-        elif self._is_scheduler(service) and versions.retired():
-            await self._retire(service, tracked)
-        await self._write_streams(service, versions)
-
-    async def _confirm(self, service: str, tracked: "_TrackedService") -> None:
-        """Have the store name all registered versions, and the streams before them."""
-        async with tracked.lock:
-            snapshot = await self._load(service, tracked)
-            served = tracked.versions.versions_to_serve(snapshot.era)
-            if served != snapshot.served:
-                await self._write_served(service, tracked, snapshot, served)
-
-    async def _retire(self, service: str, tracked: "_TrackedService") -> None:
-        """Remove versions that no stream can go on at any more."""
-        async with tracked.lock:
-            snapshot = await self._load(service, tracked)
-            served = snapshot.served or frozenset()
-            kept = served - tracked.versions.retired()
-            if kept and kept != served:
-                await self._write_served(service, tracked, snapshot, kept)
-
-    async def _write_served(self, service, tracked, snapshot, served) -> None:
-        versions = tracked.versions
-        streams = versions.take_unrecorded()
-        try:
-            keys = await self._records.write_served(service, snapshot, served, streams)
-        except PlatformError:
-            versions.served = None
-            versions.put_back(streams)
-            raise
-        versions.served = served
-        versions.record_rows(keys)
-        self._log.write(
-            Event.STREAM_VERSIONS_CHANGED,
-            service=service,
-            versions=sorted(served),
-            streams=len(streams),
-        )
-
-    async def _write_streams(self, service: str, versions: ServiceVersions) -> None:
-        """Record new streams where there are several versions; remove expired rows."""
-        streams = versions.take_unrecorded() if versions.is_mixed else {}
-        expired = versions.expired_rows(REMOVED_ROWS_MAX)
-        if not streams and not (expired and self._is_scheduler(service)):
-            return
-        try:
-            keys = await self._records.write_streams(service, streams, expired)
-        except PlatformError:
-            versions.put_back(streams)
-            raise
-        versions.discard_rows(expired)
-        versions.record_rows(keys)
-
-    async def _reload(self, service: str, tracked: "_TrackedService") -> None:
-        """Read what the store has, unless a read has begun since this call."""
-        asked_at_s = now_s()
-        async with tracked.lock:
-            if tracked.load_started_at_s <= asked_at_s:
-                await self._load(service, tracked)
-
-    async def _load(self, service: str, tracked: "_TrackedService") -> VersionSnapshot:
-        started_at_s = now_s()
-        snapshot = await self._records.load(service)
-        tracked.load_started_at_s = started_at_s
-        tracked.versions.apply(snapshot)
-        return snapshot
-
-
-class _TrackedService:
-    """Versions of one service, and the progress of writing them to the store.
-
-    ``has_failed`` is set while the store can't be reached; ``load_started_at_s`` is
-    when the latest successful read of the rows began.
-    """
-
-    def __init__(self):
-        self.versions = ServiceVersions()
-        self.wake = curio.Event()
-        self.confirmed = curio.Event()
-        self.lock = curio.Lock()
-        self.has_failed = False
-        self.load_started_at_s = float("-inf")
-        self.unconfirmed_since_s = now_s()
-
-    def note_confirmation(self, at_s: float) -> None:
-        """Note since when some version has been unconfirmed."""
-        if not self.versions.unconfirmed:
-            self.unconfirmed_since_s = at_s
-        else:
-            self.confirmed.clear()
-
-    async def note_confirmed(self) -> None:
-        """Wake the calls that wait for a version to be confirmed."""
-        self.unconfirmed_since_s = now_s()
-        await self.confirmed.set()
-
 
 def _is_resumable(call: RoutedCall) -> bool:
     return call.route.kind is CallKind.STREAM and call.route.resumable
