Keep what is known of crashing blocks through a restart of all entries

Cause: crashes and answers were kept by the entries alone.

Change: one entry (rendezvous; the first living one on the own interface) writes what it knows of blocks to a row of the store 0.1 s after each change; an entry reads it when it starts. The time since the row was written isn't counted, so that a verdict gets its trials later, not sooner. A crash less than 0.15 s before the loss of all entries is still lost.

--- a/tests/test_block_quarantine.py
+++ b/tests/test_block_quarantine.py
@@ -4,15 +4,29 @@
 import unittest
 from unittest import mock
 
+import curio
+
 from wisteriaarch.connection.member_codec import (
     Datagram,
     DatagramKind,
     decode_datagram,
     encode_datagram,
 )
-from wisteriaarch.errors import ErrorKind, FrameError, Ran, RequestError
-from wisteriaarch.process.digest import BlockAnswer, BlockCrash, BlockRecords
+from wisteriaarch.errors import (
+    ErrorKind,
+    FrameError,
+    Ran,
+    RequestError,
+    StoreUnavailable,
+)
+from wisteriaarch.process.digest import (
+    NO_BLOCK_RECORDS,
+    BlockAnswer,
+    BlockCrash,
+    BlockRecords,
+)
 from wisteriaarch.process.member_list import MemberRecord
+from wisteriaarch.process.store import Row
 from wisteriaarch.request.block_history import RECENT_S, RETENTION_S
 from wisteriaarch.request.block_quarantine import (
     PROBE_INTERVAL_S,
@@ -20,6 +34,13 @@
     BlockQuarantine,
     TrialPolicy,
 )
+from wisteriaarch.request.block_rows import (
+    CHECK_EVERY_S,
+    RECORDS_MAX,
+    BlockRows,
+    decode_records,
+    encode_records,
+)
 from wisteriaarch.request.block_trial import BlockTrial, choose_trial_owner
 from wisteriaarch.request.prefix_assignments import BLOCK_BYTES, prefix_digests
 
@@ -301,7 +322,8 @@
     ):
         """Return the times of the crashes, and the served share of sound requests.
 
-        All entries start again at ``restart_s``.
+        All entries start again at ``restart_s``, and read what the first one wrote to
+        the store, which it does 0.1 s after a change.
         """
         rng = random.Random(seed)
         clock = Clock()
@@ -323,6 +345,7 @@
         down_until = dict.fromkeys(range(engines), 0.0)
         running = {engine: [] for engine in range(engines)}
         inbox = []
+        row, written_version, writes = encode_records(NO_BLOCK_RECORDS), 0, []
         crashes, sound, served = [], 0, 0
         number = 0
         while clock.now_s < 1025.0:
@@ -330,6 +353,16 @@
             if clock.now_s >= restart_s:
                 restart_s = 1e9
                 fleet = {name: start(name) for name in names}
+                for quarantine in fleet.values():
+                    quarantine.merge(decode_records(row))
+                written_version, writes = fleet[names[0]].version, []
+            writer = fleet[names[0]]
+            if writer.version != written_version:
+                written_version = writer.version
+                value = encode_records(writer.export(RECORDS_MAX))
+                writes.append((clock.now_s + CHECK_EVERY_S, value))
+            while writes and writes[0][0] <= clock.now_s:
+                row = writes.pop(0)[1]
             for item in [item for item in inbox if item[0] <= clock.now_s]:
                 inbox.remove(item)
                 for name in names:
@@ -391,3 +424,66 @@
         for seed in range(12):
             with self.subTest(seed=seed):
                 self.assert_rules_kept(*self.play(8, 6, seed, restart_s=1014.0))
+
+
+class BlockRowsTest(QuarantineTestCase):
+    """What all entries knew is in the store when they start again."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = MemoryTable()
+
+    async def run_for_a_while(self, quarantine, is_writer=True):
+        rows = BlockRows(quarantine, self.store, lambda: is_writer)
+        task = await curio.spawn(rows.run)
+        await curio.sleep(2.5 * CHECK_EVERY_S)
+        await task.cancel()
+
+    def start(self, quarantine, is_writer=True):
+        curio.run(self.run_for_a_while, quarantine, is_writer)
+
+    def test_verdict_outlives_all_entries(self):
+        self.convict()
+        self.start(self.quarantine)
+        restarted = self.new_quarantine()
+        self.start(restarted)
+        self.assertTrue(self.is_refused(CRASH_BLOCK, quarantine=restarted))
+        self.assertFalse(self.is_refused("first-4", quarantine=restarted))
+
+    def test_only_the_writer_writes(self):
+        self.convict()
+        self.start(self.quarantine, is_writer=False)
+        self.assertEqual(self.store.rows, {})
+
+    def test_store_that_is_away_is_asked_again(self):
+        self.store.error = StoreUnavailable("away")
+        self.start(self.quarantine)
+        self.store.error = None
+        self.convict()
+        self.start(self.quarantine)
+        self.assertEqual(len(self.store.rows), 1)
+
+    def test_row_of_another_form_says_nothing(self):
+        for value in (None, [], {"crashes": 3}, {"crashes": [[1]], "answers": []}):
+            with self.subTest(value=value):
+                self.assertEqual(decode_records(value), NO_BLOCK_RECORDS)
+
+
+class MemoryTable:
+    """One row in memory, that may be away."""
+
+    def __init__(self):
+        self.rows = {}
+        self.error = None
+
+    async def read(self, table, key):
+        if self.error is not None:
+            raise self.error
+        return self.rows.get((table, key), Row(table, key, 0, None))
+
+    async def write(self, transaction):
+        if self.error is not None:
+            raise self.error
+        for put in transaction.puts:
+            row = Row(put.table, put.key, 1, put.value)
+            self.rows[put.table, put.key] = row
--- a/tests/test_crashing_blocks.py
+++ b/tests/test_crashing_blocks.py
@@ -164,6 +164,21 @@
         self.play(disturb)
         self.assert_rules_kept()
 
+    def test_verdict_outlives_a_restart_of_all_entries(self):
+        def restart_all():
+            time.sleep(7.0)
+            for entry in self.entries:
+                entry.send_signal(signal.SIGKILL)
+            for number, entry in zip((2, 3, 4), self.entries, strict=True):
+                entry.wait()
+                self.cluster.start_gateway(number, entry.ports)
+            self.restarted_at_s = time.monotonic()
+
+        self.play(restart_all)
+        self.assert_rules_kept()
+        late = [at_s for at_s in self.engines.ended_at_s if at_s > self.restarted_at_s]
+        self.assertLessEqual(len(late), TOLERATED, "BUDGET")
+
 
 class CrashingPrefixTest(PoisonTestCase):
     """The own interface: prompts that begin alike crash engines."""
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -27,6 +27,7 @@
 from .process.signals import StopSignals
 from .process.staleness import ServingBasis, StalenessCheck
 from .process.supervision import run_all_until
+from .request.block_rows import BlockRows
 from .request.limit_log import log_limit
 from .request.policy import build_admission, build_router
 from .request.request_limiter import RequestLimiter, entry_share
@@ -150,6 +151,10 @@
         self._routes = Routes(self)
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
+    def _is_first_entry(self) -> bool:
+        own_id = self.settings.entry_id
+        return own_id == min((own_id, *self._living_peers()))
+
     def _living_peers(self) -> list[str]:
         is_alive = self.membership.is_alive
         return [name for name in self.membership.known_peer_ids() if is_alive(name)]
@@ -190,6 +195,7 @@
             self.peers.run,
             self.connector.run,
             self.control.run,
+            BlockRows(self.requests.blocks, self.table, self._is_first_entry).run,
             *self.requests.task_mains(),
             partial(self.staleness.log_changes, self.log),
             ManifestSettingsCheck(self.settings, self.watcher, self.log).run,
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -33,6 +33,7 @@
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.supervision import run_all_until
 from .request.block_quarantine import TrialPolicy
+from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
 from .request.stop_admission import StopAdmission
 from .sockets import listen_on
@@ -49,6 +50,8 @@
 FIRST_ROUTES_POLL_S = 0.05
 CRASHES_ANNOUNCED_MAX = 16
 BLOCK_CRASHES_ANNOUNCED_MAX = 32
+# Name by which the entry that writes the rows of blocks is chosen.
+BLOCK_ROWS_DUTY = "block records"
 
 
 class Gateway:
@@ -173,6 +176,11 @@
             *self.network.task_mains(),
             self._announce_readiness,
             self._scheduling.stream_versions.run,
+            BlockRows(
+                self._runner.blocks,
+                self._adapter.table,
+                lambda: self._scheduler_choice.is_local(BLOCK_ROWS_DUTY),
+            ).run,
             self._connector.run,
             SchedulingServer(
                 self.network.peer_address(settings.entry_id),
--- a/wisteriaarch/request/block_quarantine.py
+++ b/wisteriaarch/request/block_quarantine.py
@@ -95,6 +95,11 @@
         """Whether any block was in flight at a crash that is still remembered."""
         return bool(self._history)
 
+    @property
+    def version(self) -> int:
+        """Number that rises with each change from which verdicts are derived."""
+        return self._history.version
+
     def check(self, blocks: Iterable[str], trial: BlockTrial, ran: Ran) -> None:
         """Raise RequestError if a request has a block that is in quarantine.
 
