--- a/wisteriaarch/request/service_recorder.py
+++ b/wisteriaarch/request/service_recorder.py
@@ -11,7 +11,9 @@
 from ..process.version_records import VersionRecords, VersionSnapshot
 from .service_versions import ServiceVersions
 
-RECORD_EVERY_S = 0.05
+# Streams placed since the last write are unknown after the loss of all entries.
+RECORD_EVERY_S = 0.02
+CHECK_EVERY_S = 0.1
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 CONFIRMATION_WAIT_S = 0.25
@@ -75,7 +77,10 @@
         """Keep the rows up to date, forever."""
         delay_s = RETRY_MIN_S
         while True:
-            async with curio.ignore_after(RECORD_EVERY_S):
+            is_mixed = self.versions.is_mixed
+            async with curio.ignore_after(
+                RECORD_EVERY_S if is_mixed else CHECK_EVERY_S
+            ):
                 await self._wake.wait()
             self._wake.clear()
             try:
