Record answered streams, too, when another version comes

Traced: starting three engines took longer than the streams of 0.5 s, so that the entry had sent their ends, into buffers that their callers hadn't read, before the new version came; answered streams weren't recorded then, and after the loss of all entries nothing was known of them. The test meant streams under way.

Change: with a new version, streams answered in the last 5 s are recorded as well, since a caller that reads slowly may lack the end. The test's streams last 6 s now, longer than any start of engines; bound and number of streams are as before.

--- a/tests/test_joined_versions.py
+++ b/tests/test_joined_versions.py
@@ -16,6 +16,8 @@
 OLD = ("old-pre", "old-dec-1", "old-dec-2")
 NEW = ("new-pre", "new-dec-1", "new-dec-2")
 EVENT_EVERY_S = 0.12
+# Streams last longer than it takes to start three engines on a busy machine.
+SLOW_EVENT_EVERY_S = 1.5
 ENTRIES = (2, 3, 4)
 STREAMS = 18
 PREFIXES = 9
@@ -127,6 +129,8 @@
         self.assert_enough_go_on(callers)
 
     def test_stream_begun_before_the_other_version_came_survives_the_loss_too(self):
+        for name in OLD:
+            self.cluster.control(name, event_interval_s=SLOW_EVENT_EVERY_S)
         callers = self.begin_streams()
         self.start_new_engines()
         self.restart_all()
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -168,6 +168,8 @@
         self.versions.end("a")
         self.assertEqual(self.versions.find("a"), "v1")
         self.assertEqual(self.versions.take_unrecorded(), {"b": "v2"})
+        self.versions.put_back(["a"])
+        self.assertEqual(self.versions.take_unrecorded(True), {"a": "v1"})
         self.clock.now_s += ANSWERED_RETENTION_S + 0.1
         self.versions.discard_expired()
         self.assertIsNone(self.versions.find("a"))
--- a/wisteriaarch/request/service_recorder.py
+++ b/wisteriaarch/request/service_recorder.py
@@ -145,7 +145,7 @@
         self, snapshot: VersionSnapshot, served: frozenset[str]
     ) -> None:
         """Write the served versions; those of ``snapshot`` hold until it succeeds."""
-        streams = self.versions.take_unrecorded()
+        streams = self.versions.take_unrecorded(with_answered=True)
         try:
             keys = await self._records.write_served(
                 self._service, snapshot, served, streams
--- a/wisteriaarch/request/service_versions.py
+++ b/wisteriaarch/request/service_versions.py
@@ -133,15 +133,20 @@
             and now - self._seen_at_s.setdefault(version, now) > self._lifetime_s
         )
 
-    def take_unrecorded(self) -> dict[str, str]:
-        """Return streams to record, by key, and count them as recorded."""
+    def take_unrecorded(self, with_answered: bool = False) -> dict[str, str]:
+        """Return streams to record, by key, and count them as recorded.
+
+        Those answered meanwhile are dropped unless ``with_answered``: a slow caller may
+        not have the end yet.
+        """
         taken = dict(list(self._unrecorded.items())[:STREAMS_PER_WRITE_MAX])
         for key in taken:
             del self._unrecorded[key]
         return {
             key: stream.version
             for key, stream in taken.items()
-            if not stream.is_answered and stream.expires_at_s > self._clock()
+            if stream.expires_at_s > self._clock()
+            and (with_answered or not stream.is_answered)
         }
 
     def put_back(self, keys: Iterable[str]) -> None:
