Ask other entries for an upstream that is down once a second

A refused connection is asked for through another entry at once, since some cuts refuse new connections while the kept ones live on. An upstream that is down, or resets what is beyond its connections, would be asked for twice by each attempt so. Where other entries don't reach it either, they aren't asked for it again for 1 s, unless it answers.

--- a/tests/test_upstream_paths.py
+++ b/tests/test_upstream_paths.py
@@ -68,6 +68,16 @@
         self.assertFalse(self.probe(probed=2, known=9))
         self.assertTrue(self.probe(probed=2, known=2))
 
+    def test_upstream_that_no_entry_reaches_is_asked_for_once_a_second(self):
+        self.assertTrue(self.paths.may_have_detour(ADDRESS))
+        self.paths.record_no_detour(ADDRESS)
+        self.assertFalse(self.paths.may_have_detour(ADDRESS))
+        self.now_s += DETOUR_S + 0.01
+        self.assertTrue(self.paths.may_have_detour(ADDRESS))
+        self.paths.record_no_detour(ADDRESS)
+        self.paths.record_answer(ADDRESS)
+        self.assertTrue(self.paths.may_have_detour(ADDRESS))
+
     def test_single_upstream_is_reached_through_another_entry_for_a_while(self):
         other = Address("10.0.0.2", 80)
         self.paths.record_detour(ADDRESS)
--- a/wisteriaarch/connection/upstream_connector.py
+++ b/wisteriaarch/connection/upstream_connector.py
@@ -84,22 +84,29 @@
             raise
         except OSError as exc:
             self.paths.record_failure()
-            if self._relay_client is None or not self._may_be_own_fault(
-                exc, started_at_s
-            ):
+            if not self._may_be_own_fault(address, exc, started_at_s):
                 raise
-            conn = await self._connect_relayed(address)
-            self.paths.record_detour(address)
-            return conn
+            return await self._try_detour(address)
         self.paths.record_answer(address)
         return HttpClientConnection(address, sock)
 
-    def _may_be_own_fault(self, exc: OSError, since_s: float) -> bool:
+    async def _try_detour(self, address: Address) -> HttpClientConnection:
+        try:
+            conn = await self._connect_relayed(address)
+        except OSError:
+            self.paths.record_no_detour(address)
+            raise
+        self.paths.record_detour(address)
+        return conn
+
+    def _may_be_own_fault(self, address: Address, exc: OSError, since_s: float) -> bool:
         """Whether another entry may reach an upstream that can't be reached from here.
 
-        It is asked about every refusal, which costs little time. A time-out is the
-        upstream's own fault if others have answered meanwhile.
+        It is asked about refusals, which costs little time, but not again and again. A
+        time-out is the upstream's own fault if others have answered meanwhile.
         """
+        if self._relay_client is None or not self.paths.may_have_detour(address):
+            return False
         if not isinstance(exc, TimeoutError):
             return True
         return not self.paths.has_answered_since(since_s)
--- a/wisteriaarch/process/upstream_paths.py
+++ b/wisteriaarch/process/upstream_paths.py
@@ -17,7 +17,8 @@
 ANSWERS_WINDOW_S = 1.0
 # Upstreams that must be unreachable before this entry counts as cut off.
 UNREACHABLE_MIN = 3
-# An upstream that was reached through another entry is reached so for this time.
+# An upstream that was reached through another entry is reached so for this time; one
+# that wasn't is left alone for it.
 DETOUR_S = 1.0
 
 
@@ -33,6 +34,7 @@
         self._numbers = itertools.count()
         self._waiting_since_s: dict[int, float] = {}
         self._detour_until_s: dict[Address, float] = {}
+        self._no_detour_until_s: dict[Address, float] = {}
 
     @contextmanager
     def waiting_unless(self, is_relayed: bool) -> Iterator[None]:
@@ -51,6 +53,7 @@
         """Record that an upstream accepted a connection or sent bytes on one."""
         self._answered_at_s = self._clock()
         self._detour_until_s.pop(address, None)
+        self._no_detour_until_s.pop(address, None)
 
     def record_failure(self) -> None:
         """Record that an upstream accepted no connection."""
@@ -60,6 +63,14 @@
         """Record that an upstream was reached through another entry alone."""
         self._detour_until_s[address] = self._clock() + DETOUR_S
 
+    def record_no_detour(self, address: Address) -> None:
+        """Record that other entries don't reach an upstream either."""
+        self._no_detour_until_s[address] = self._clock() + DETOUR_S
+
+    def may_have_detour(self, address: Address) -> bool:
+        """Whether to ask other entries for an upstream that can't be reached."""
+        return self._clock() >= self._no_detour_until_s.get(address, float("-inf"))
+
     def needs_detour(self, address: Address) -> bool:
         """Whether to reach an upstream through another entry at first."""
         if self.is_cut_off:
