Read the retry budget of a starting entry where it is now

The schedulers of a gateway entry moved to entry_scheduling.py; the test still asked the entry itself.

--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -62,7 +62,8 @@
         """All entries start while their service fails and the store is unavailable."""
         hosts = tuple(f"10.0.0.{number}" for number in range(1, 6))
         total = sum(
-            self.taken(self.starting(host, hosts).retry_budget) for host in hosts
+            self.taken(self.starting(host, hosts)._scheduling.retry_budget)
+            for host in hosts
         )
         self.assertLessEqual(total, 50)
         self.assertGreater(total, 25)
