--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -15,6 +15,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 LIB = Path(__file__).resolve().parent
 START_TIMEOUT_S = 20.0
+# A case that takes longer than this can't run; its processes are ended.
+CASE_MAX_S = 115
 HOST = "shop.example"
 BROKEN, HELD, UNABLE = 1, 0, 2
 
@@ -29,6 +31,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+def end_case(number, _frame):
+    """End the case at a signal; leaving ``Rig`` ends all its processes."""
+    sys.exit(UNABLE)
+
+
 def free_ports(count, host="127.0.0.1"):
     """Return different ports that are free now."""
     socks = [socket.socket() for _ in range(count)]
@@ -102,6 +109,9 @@
         self.seeds = []
 
     def __enter__(self):
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGALRM):
+            signal.signal(number, end_case)
+        signal.alarm(CASE_MAX_S)
         return self
 
     def __exit__(self, *exc_info):
