log: say which requests an entry cut, when its signal came and why it ended

Cause: a request whose connection is cancelled by the end of the event loop logged nothing, one whose handler was cancelled first an internal error; the log's last lines were lost where its reader was behind.

Change: 305 for each cut request, with the id that the caller gave and how far it was; 108 names an error that ends the entry; 102 the delay between the signal and the stop, 104 the connections still open. 108 and 305 are never left out by the log budget, and a process waits up to 0.2 s for the reader of its log at its end. No decision is changed.

--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -25,6 +25,9 @@
     orders: OrderProtocol
     configuration_key: str
 
+    def call_id(self, req: HttpRequest) -> str:
+        """Return the id that the caller gave a request; empty if there is none."""
+
     def decode_call(
         self, req: HttpRequest, table: RouteTable, rng: random.Random
     ) -> RoutedCall:
--- a/wisteriaarch/cli/daemon_log.py
+++ b/wisteriaarch/cli/daemon_log.py
@@ -24,9 +24,11 @@
         finally:
             await flush_task.cancel()
 
-    with handler.applicationbound():
-        curio.run(run)
-    handler.stream.flush()
+    try:
+        with handler.applicationbound():
+            curio.run(run)
+    finally:
+        _drain(handler.stream)
 
 
 def _open_handler(settings: LogSettings, stream: TextIO) -> LogHandler:
@@ -39,3 +41,10 @@
     output = stream if stream.isatty() else NonBlockingStream.from_stream(stream)
     budget = LogBudget(settings.lines_per_s, settings.bytes_per_s)
     return open_log(settings.form, settings.level, output, budget)
+
+
+def _drain(stream: TextIO | NonBlockingStream) -> None:
+    if isinstance(stream, NonBlockingStream):
+        stream.drain()
+    else:
+        stream.flush()
--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -37,7 +37,8 @@
 class CallerConnection:
     """Serves one connection and is the sink for its answers.
 
-    ``request_id`` is the id of the current request; empty until the handler sets it.
+    ``request_id`` is the id of the current request; empty if the caller names none and
+    the handler hasn't set one.
     """
 
     def __init__(self, sock, app):
@@ -80,7 +81,8 @@
             req = await self._read_head()
             if req is None:
                 return False
-            req.body = await self._conn.read_body()
+            self.request_id = self._app.request_id(req)
+            await self._read_body(req)
         except RequestError as exc:
             await self._refuse("", exc)
             await self._conn.linger()
@@ -107,10 +109,21 @@
         # A request already in transit when the entry stops still gets an answer.
         return await self._conn.read_head(CLOSING_TIMEOUT_S)
 
+    async def _read_body(self, req: HttpRequest) -> None:
+        try:
+            req.body = await self._conn.read_body()
+        except curio.TaskCancelled:
+            self._record_cut(req.path, "reading")
+            raise
+
     async def _answer_unless_closed(self, req: HttpRequest) -> None:
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._conn.wait_for_close)
-            handler_task = await group.spawn(self._handle, req)
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                await group.spawn(self._conn.wait_for_close)
+                handler_task = await group.spawn(self._handle, req)
+        except curio.TaskCancelled:
+            self._record_cut(req.path, self._answer_phase())
+            raise
         if group.completed is not handler_task:
             self._record_disconnect(req.path, "closed")
             raise ConnectionError("the caller closed the connection")
@@ -132,15 +145,26 @@
             self._record_disconnect(path, repr(exc))
             raise exc
         if not isinstance(exc, RequestError):
-            self._app.log.write(
-                Event.INTERNAL_ERROR,
-                request=self.request_id,
-                path=path,
-                error=repr(exc),
-            )
+            self._record_failure(path, exc)
             exc = RequestError(ErrorKind.INTERNAL, "the entry failed", ran=Ran.UNKNOWN)
         await self._refuse(path, exc)
 
+    def _record_failure(self, path: str, exc: BaseException) -> None:
+        if isinstance(exc, curio.TaskCancelled):
+            self._record_cut(path, self._answer_phase())
+            return
+        self._app.log.write(
+            Event.INTERNAL_ERROR, request=self.request_id, path=path, error=repr(exc)
+        )
+
+    def _answer_phase(self) -> str:
+        return "answering" if self._conn.is_head_sent else "waiting"
+
+    def _record_cut(self, path: str, phase: str) -> None:
+        self._app.log.write(
+            Event.REQUEST_CUT, request=self.request_id, path=path, phase=phase
+        )
+
     def _record_disconnect(self, path: str, detail: str) -> None:
         self._app.log.write(
             Event.REQUEST_CANCELLED, request=self.request_id, path=path, detail=detail
--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -32,6 +32,11 @@
         self._sock = sock
         self._accept_task = await curio.spawn(run_supervised, self._accept, self._log)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open, idle ones included."""
+        return len(self._connections)
+
     async def close_connections(self) -> None:
         """Close the currently open connections and wait until they are closed.
 
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -167,7 +167,7 @@
 
     async def run(self, announce: Callable[[Address], None]) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
-        with StopSignals() as signals:
+        with StopSignals() as signals, self.log.record_failure():
             await self._run_until(signals, announce)
         self.log.write(Event.ENTRY_STOPPED)
 
@@ -291,6 +291,10 @@
     def _listed_entries(self) -> list[str]:
         return [item.instance_id for item in self.fleet.of_kind("entry")]
 
+    def request_id(self, _req: HttpRequest) -> str:
+        """Return no id: this entry names the requests itself once they are parsed."""
+        return ""
+
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
         await self._routes.handle(req, conn)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -6,6 +6,8 @@
 never be logged as fields of an event.
 """
 
+import contextlib
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -38,6 +40,9 @@
     )
     ENTRY_STOPPED = EventKind(103, logbook.INFO, "entry stopped")
     ENTRY_STOP_TIMED_OUT = EventKind(104, logbook.WARNING, "stop timeout reached")
+    ENTRY_FAILED = EventKind(
+        108, logbook.ERROR, "entry ends because of an error", Importance.REQUIRED
+    )
     HANDSHAKE_FILTER_FAILED = EventKind(
         107,
         logbook.WARNING,
@@ -121,6 +126,12 @@
         logbook.WARNING,
         "changed settings are invalid; the previous ones stay in force",
     )
+    REQUEST_CUT = EventKind(
+        305,
+        logbook.WARNING,
+        "request cut as its entry ends",
+        Importance.REQUIRED,
+    )
     ATTEMPT_PLACED = EventKind(
         310, logbook.INFO, "attempt placed on an upstream", Importance.PROGRESS
     )
@@ -281,3 +292,12 @@
         self._logger.log(
             kind.level, kind.message, extra={"kind": kind, "fields": fields}
         )
+
+    @contextlib.contextmanager
+    def record_failure(self) -> Iterator[None]:
+        """Log an exception that ends the entry, and let it through."""
+        try:
+            yield
+        except Exception as exc:
+            self.write(Event.ENTRY_FAILED, error=repr(exc))
+            raise
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -146,7 +146,7 @@
 
     async def run(self, settings_path: str | None = None) -> None:
         """Serve until SIGTERM or SIGINT, then stop gracefully."""
-        with ProcessSignals() as signals:
+        with ProcessSignals() as signals, self.log.record_failure():
             await self._run_until(signals, settings_path)
         self.log.write(Event.ENTRY_STOPPED)
 
@@ -166,7 +166,7 @@
             )
             while await signals.next_signal() == RELOAD_SIGNAL:
                 watch.reload()
-            await self._stop_gracefully()
+            await self._stop_gracefully(signals)
 
         await run_all_until((*self._task_mains(), watch.run), serve, self.log)
 
@@ -201,13 +201,17 @@
     def _info_server(self, field: str, listen: AddressSettings, answer) -> InfoServer:
         return InfoServer(field, listen.address(), answer, self.log)
 
-    async def _stop_gracefully(self) -> None:
+    async def _stop_gracefully(self, signals: ProcessSignals) -> None:
         """Withdraw from the address list, then drain and close the connections.
 
         Callers that cached this entry's address are still served for a while.
         """
         self.closing = True
-        self.log.write(Event.ENTRY_DRAINING)
+        self.log.write(
+            Event.ENTRY_DRAINING,
+            delay_s=now_s() - signals.stop_requested_at_s,
+            open_connections=self._callers.open_connections,
+        )
         await self._announce_own_state()
         settings = self.settings
         grace_s = settings.stop_grace_s - STOP_MARGIN_S
@@ -219,7 +223,10 @@
                 await self._callers.close_connections()
                 await self._callers.stop()
         except curio.TaskTimeout:
-            self.log.write(Event.ENTRY_STOP_TIMED_OUT)
+            self.log.write(
+                Event.ENTRY_STOP_TIMED_OUT,
+                open_connections=self._callers.open_connections,
+            )
 
     def _apply_settings(self, settings: GatewaySettings) -> None:
         self.settings = settings
@@ -243,6 +250,10 @@
             self._runner.blocks.export(BLOCK_CRASHES_ANNOUNCED_MAX),
         )
 
+    def request_id(self, req: HttpRequest) -> str:
+        """Return the id that the caller gave a request; empty if there is none."""
+        return self._adapter.call_id(req)
+
     async def handle(self, req: HttpRequest, conn: CallerConnection) -> None:
         """Answer one request; raises RequestError."""
         table = await self.state.wait_for_routes(FIRST_ROUTES_WAIT_S)
@@ -253,7 +264,6 @@
             )
         call = self._adapter.decode_call(req, table, self._rng)
         call.zone = self.settings.zone
-        conn.request_id = call.call_id
         self._stop_admission.check(call)
         await self._runner.run(call, conn)
         self._stop_admission.observe(call, now_s() - call.arrived_at_s)
--- a/wisteriaarch/log_budget.py
+++ b/wisteriaarch/log_budget.py
@@ -18,11 +18,15 @@
 
 
 class Importance(IntEnum):
-    """Importance of a line; the least important ones are suppressed first."""
+    """Importance of a line; the least important ones are suppressed first.
+
+    Lines that are REQUIRED are never suppressed.
+    """
 
     PROGRESS = 0
     FAILURE = 1
     STATE = 2
+    REQUIRED = 3
 
 
 # Share of the bucket that is reserved for more important lines.
@@ -74,6 +78,8 @@
 
     def admits(self, importance: Importance, event: int) -> bool:
         """Return whether a line may be written now; counts it as suppressed if not."""
+        if importance is Importance.REQUIRED:
+            return True
         reserved_share = RESERVED_SHARES[importance]
         now = self._clock()
         has_lines = self._lines.has_tokens(reserved_share, now)
--- a/wisteriaarch/log_output.py
+++ b/wisteriaarch/log_output.py
@@ -1,11 +1,14 @@
 """Non-blocking output of log lines; lines that can't be written are dropped."""
 
 import os
+import select
 from typing import TextIO
 
 from .events import Event
 
 PENDING_MAX_BYTES = 64 * 1024
+DRAIN_TIMEOUT_S = 0.2
+MS_PER_S = 1000
 # Above this size, the next write flushes without an explicit flush.
 FLUSH_BYTES = 16 * 1024
 
@@ -46,6 +49,17 @@
         """Write as many pending bytes as possible without blocking."""
         self._write_pending()
 
+    def drain(self, timeout_s: float = DRAIN_TIMEOUT_S) -> None:
+        """Write the pending bytes before the process ends.
+
+        Gives up on a reader that takes nothing for ``timeout_s``.
+        """
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        self._write_pending()
+        while self._pending and poll.poll(timeout_s * MS_PER_S):
+            self._write_pending()
+
     def _write_pending(self) -> None:
         try:
             while self._pending:
--- a/wisteriaarch/platform/adapter.py
+++ b/wisteriaarch/platform/adapter.py
@@ -25,6 +25,10 @@
         self.upstreams = PlatformUpstreams()
         self.orders = PlatformOrders()
 
+    def call_id(self, req: HttpRequest) -> str:
+        """Return the id that the caller gave a request; empty if there is none."""
+        return callers.call_id(req)
+
     def decode_call(
         self, req: HttpRequest, table: RouteTable, rng: random.Random
     ) -> RoutedCall:
--- a/wisteriaarch/platform/callers.py
+++ b/wisteriaarch/platform/callers.py
@@ -26,7 +26,7 @@
     arrived_at_s = now_s()
     remaining_s = min(route.timeout_s, _remaining_s(req))
     return RoutedCall(
-        call_id=req.headers.get(names.ATTEMPT_ID.lower(), ""),
+        call_id=call_id(req),
         route=route,
         service=choose_service(route, rng),
         method=req.method,
@@ -41,6 +41,11 @@
     )
 
 
+def call_id(req: HttpRequest) -> str:
+    """Return the id that the caller gave a request; empty if there is none."""
+    return req.headers.get(names.ATTEMPT_ID.lower(), "")
+
+
 def _forwarded_headers(headers: Headers) -> Headers:
     dropped = names.SYSTEM_HEADERS | {"content-length", "last-event-id", "expect"}
     return [
--- a/wisteriaarch/process/signals.py
+++ b/wisteriaarch/process/signals.py
@@ -7,6 +7,8 @@
 
 from curio.io import Socket
 
+from .clock import now_s
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
 
@@ -17,6 +19,9 @@
     A handler may run between any two instructions, even inside a coroutine, where
     curio's events can't be set. The interpreter therefore writes a byte to a socket for
     each signal. After exit, further stop signals are ignored.
+
+    ``stop_requested_at_s`` is the time of the first stop signal; a busy event loop
+    learns of it later.
     """
 
     signals: tuple[signal.Signals, ...] = STOP_SIGNALS
@@ -24,11 +29,12 @@
     def __init__(self):
         self._reader, self._writer = socket.socketpair()
         self._writer.setblocking(False)
+        self.stop_requested_at_s: float | None = None
 
     def __enter__(self) -> Self:
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
         for number in self.signals:
-            signal.signal(number, _do_nothing)
+            signal.signal(number, self._record)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -46,12 +52,12 @@
         """Return the number of the next signal."""
         return (await Socket(self._reader).recv(1))[0]
 
+    def _record(self, number: int, _frame: FrameType | None) -> None:
+        if number in STOP_SIGNALS and self.stop_requested_at_s is None:
+            self.stop_requested_at_s = now_s()
+
 
 class ProcessSignals(StopSignals):
     """Stop signals and the reload signal."""
 
     signals = (*STOP_SIGNALS, RELOAD_SIGNAL)
-
-
-def _do_nothing(_number: int, _frame: FrameType | None) -> None:
-    return None
