stop: admit after a signal only what ends before the entry is cut

Cause: an entry that stops admitted a call by how long answers of its route had taken. Engines that turn slow or pause, and long outputs, outlast that.

Change: from the signal on, a call is admitted if its deadline or its route's timeout ends before the cut, which is a bound. Calls that may be repeated are admitted by their likely duration, too, in the first 3 s, while most callers haven't heard yet that the entry leaves. The rest is refused at once, not run.

--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -5,12 +5,15 @@
 import threading
 import time
 import unittest
+from dataclasses import replace
 
 from extras.cluster import wait_until
 from extras.gateway_cluster import HOST, GatewayCluster, is_ready
 from tests.gateway_support import RouteCluster
-from tests.test_scheduling import make_call
+from tests.test_scheduling import ROUTE, make_call
 from wisteriaarch.errors import ErrorKind, RequestError
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.stop_schedule import StopSchedule
 from wisteriaarch.request.stop_admission import StopAdmission
 
 GRACE_S = 6.0
@@ -100,6 +103,12 @@
         self.now_s = 100.0
         self.admission = StopAdmission(lambda: self.now_s)
 
+    def begin(self):
+        now_s = self.now_s
+        self.admission.begin(
+            StopSchedule(now_s, now_s + 3.0, now_s + 6.0, now_s + 8.0, 0.5)
+        )
+
     def is_refused(self, **more):
         try:
             self.admission.check(make_call(**more))
@@ -113,13 +122,27 @@
 
     def test_calls_are_refused_once_they_would_outlast_the_process(self):
         self.admission.observe(make_call(), 2.0)
-        self.admission.begin(self.now_s + 8.0)
+        self.begin()
         self.assertFalse(self.is_refused())
         self.now_s += 5.3
         self.assertTrue(self.is_refused())
 
     def test_call_of_an_unknown_kind_counts_with_its_deadline(self):
-        self.admission.begin(self.now_s + 8.0)
+        self.begin()
         self.assertFalse(self.is_refused())
         self.now_s += 4.0
         self.assertTrue(self.is_refused())
+
+    def test_past_answers_admit_no_call_that_may_run_once_at_most(self):
+        more = {"route": replace(ROUTE, resumable=False)}
+        self.admission.observe(make_call(**more), 0.1)
+        self.begin()
+        self.assertTrue(self.is_refused(deadline_at_s=now_s() + 15.0, **more))
+
+    def test_past_answers_admit_repeatable_calls_for_a_while(self):
+        more = {"route": replace(ROUTE, resumable=True)}
+        self.admission.observe(make_call(**more), 0.1)
+        self.begin()
+        self.assertFalse(self.is_refused(deadline_at_s=now_s() + 15.0, **more))
+        self.now_s += 3.1
+        self.assertTrue(self.is_refused(deadline_at_s=now_s() + 15.0, **more))
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -31,6 +31,7 @@
 from .process.settings_models import AddressSettings
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
+from .process.stop_schedule import StopSchedule
 from .process.supervision import run_all_until
 from .request.block_quarantine import TrialPolicy
 from .request.block_rows import BlockRows
@@ -43,7 +44,6 @@
 JSON_HEADERS = [("Content-Type", "application/json")]
 TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 SERVED_KEEP_PERIODS = 3
-STOP_MARGIN_S = 0.5
 # Within this time the other entries have received the notice that this one drains.
 LEAVE_PROPAGATION_S = 0.3
 FIRST_ROUTES_WAIT_S = 0.3
@@ -213,13 +213,11 @@
             open_connections=self._callers.open_connections,
         )
         await self._announce_own_state()
-        settings = self.settings
-        grace_s = settings.stop_grace_s - STOP_MARGIN_S
-        self._stop_admission.begin(now_s() + grace_s)
-        serve_s = LEAVE_PROPAGATION_S + SERVED_KEEP_PERIODS * settings.callers_keep_s
+        schedule = self._stop_schedule(signals)
+        self._stop_admission.begin(schedule)
         try:
-            async with curio.timeout_after(grace_s):
-                await curio.sleep(min(serve_s, grace_s))
+            async with curio.timeout_after(schedule.cut_at_s - now_s()):
+                await curio.sleep(max(0.0, schedule.serve_until_s - now_s()))
                 await self._callers.close_connections()
                 await self._callers.stop()
         except curio.TaskTimeout:
@@ -228,6 +226,13 @@
                 open_connections=self._callers.open_connections,
             )
 
+    def _stop_schedule(self, signals: ProcessSignals) -> StopSchedule:
+        settings = self.settings
+        serve_s = LEAVE_PROPAGATION_S + SERVED_KEEP_PERIODS * settings.callers_keep_s
+        return StopSchedule.from_grace(
+            signals.stop_requested_at_s, settings.stop_grace_s, serve_s
+        )
+
     def _apply_settings(self, settings: GatewaySettings) -> None:
         self.settings = settings
         self._scheduling.configure(settings)
