stop: end open requests with an error, and stop listening before that

Cause: connections were closed one poll after the other, and the entry stopped listening after the last of them; one long answer kept it accepting and reading until the end of the grace, which just cancelled all tasks.

A body that doesn't arrive before the cut gets 503, not run. At the cut each open request is ended: 503 where nothing was sent, otherwise 502 `entry_stopped`, ran unknown; a stream that has begun is cut, on the own interface after an error event. The own interface does the same after `stop_timeout_s`.

--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -8,7 +8,7 @@
 
 from ..errors import ANSWERS, ErrorKind, Ran, RequestError
 from ..events import Event
-from ..http_server import HttpServerConnection
+from ..http_server import BODY_TIMEOUT_S, HttpServerConnection
 from ..process.clock import now_s
 from ..process.metrics import Count, Duration
 from ..wire import Headers, HttpRequest
@@ -18,6 +18,7 @@
 JSON_HEADERS = [("Content-Type", "application/json")]
 PROBLEM_TIMEOUT_S = 5.0
 CLOSING_TIMEOUT_S = 0.5
+BODY_TIMEOUT_MIN_S = 0.05
 READ_WAIT = "READ_WAIT"
 EVENT_END = b"\n\n"
 
@@ -52,7 +53,11 @@
         self._tokens = 0
         self._between_tokens = app.metrics.recorder(Duration.BETWEEN_TOKENS)
         self._task: curio.Task | None = None
+        self._handler_task: curio.Task | None = None
+        self._path = ""
         self._idle = False
+        self._reading_body = False
+        self._is_cut = False
         self._idle_timeout_s = limits.idle_timeout_s
         self._conn = HttpServerConnection(
             sock, max_head_bytes=limits.head_bytes, max_body_bytes=limits.body_bytes
@@ -75,16 +80,28 @@
         if self._idle and self._task is not None and self._task.state == READ_WAIT:
             await self._task.cancel(blocking=False)
 
+    async def end_request(self) -> None:
+        """End the open request with an error; an answer that has begun is cut.
+
+        Does nothing if no request is open.
+        """
+        task = self._task if self._reading_body else self._handler_task
+        if task is None or task.terminated:
+            return
+        self._record_cut()
+        await task.cancel(blocking=False)
+
     async def _serve_one(self) -> bool:
-        self.request_id = ""
+        self.request_id = self._path = ""
         try:
             req = await self._read_head()
             if req is None:
                 return False
             self.request_id = self._app.request_id(req)
-            await self._read_body(req)
+            self._path = req.path
+            req.body = await self._read_body()
         except RequestError as exc:
-            await self._refuse("", exc)
+            await self._refuse(exc)
             await self._conn.linger()
             return False
         self._started_at_s = now_s()
@@ -109,27 +126,40 @@
         # A request already in transit when the entry stops still gets an answer.
         return await self._conn.read_head(CLOSING_TIMEOUT_S)
 
-    async def _read_body(self, req: HttpRequest) -> None:
+    async def _read_body(self) -> bytes:
+        left_s = max(BODY_TIMEOUT_MIN_S, self._app.time_left_s())
+        self._reading_body = True
         try:
-            req.body = await self._conn.read_body()
-        except curio.TaskCancelled:
-            self._record_cut(req.path, "reading")
+            return await self._conn.read_body(min(BODY_TIMEOUT_S, left_s))
+        except curio.TaskCancelled as exc:
+            if not self._is_cut:
+                self._record_cut()
+                raise
+            raise _stopping_error() from exc
+        except RequestError as exc:
+            if left_s < BODY_TIMEOUT_S and exc.kind is ErrorKind.REQUEST_TIMEOUT:
+                raise _stopping_error() from exc
             raise
+        finally:
+            self._reading_body = False
 
     async def _answer_unless_closed(self, req: HttpRequest) -> None:
         try:
             async with curio.TaskGroup(wait=any) as group:
                 await group.spawn(self._conn.wait_for_close)
                 handler_task = await group.spawn(self._handle, req)
+                self._handler_task = handler_task
         except curio.TaskCancelled:
-            self._record_cut(req.path, self._answer_phase())
+            self._record_cut()
             raise
+        finally:
+            self._handler_task = None
         if group.completed is not handler_task:
-            self._record_disconnect(req.path, "closed")
+            self._record_disconnect("closed")
             raise ConnectionError("the caller closed the connection")
         error = handler_task.exception or handler_task.result
         if error is not None:
-            await self._answer_failure(req.path, error)
+            await self._answer_failure(error)
 
     async def _handle(self, req: HttpRequest) -> OSError | RequestError | None:
         # Returns these errors instead of raising them: curio prints a stack trace for
@@ -140,42 +170,42 @@
             return exc
         return None
 
-    async def _answer_failure(self, path: str, exc: BaseException) -> None:
+    async def _answer_failure(self, exc: BaseException) -> None:
         if isinstance(exc, OSError):
-            self._record_disconnect(path, repr(exc))
+            self._record_disconnect(repr(exc))
             raise exc
         if not isinstance(exc, RequestError):
-            self._record_failure(path, exc)
-            exc = RequestError(ErrorKind.INTERNAL, "the entry failed", ran=Ran.UNKNOWN)
-        await self._refuse(path, exc)
+            exc = self._record_failure(exc)
+        await self._refuse(exc)
 
-    def _record_failure(self, path: str, exc: BaseException) -> None:
+    def _record_failure(self, exc: BaseException) -> RequestError:
         if isinstance(exc, curio.TaskCancelled):
-            self._record_cut(path, self._answer_phase())
+            self._record_cut()
+            return cut_error(Ran.UNKNOWN)
+        self._write_log(Event.INTERNAL_ERROR, error=repr(exc))
+        return RequestError(ErrorKind.INTERNAL, "the entry failed", ran=Ran.UNKNOWN)
+
+    def _record_cut(self) -> None:
+        if self._is_cut:
             return
-        self._app.log.write(
-            Event.INTERNAL_ERROR, request=self.request_id, path=path, error=repr(exc)
-        )
+        self._is_cut = True
+        self._write_log(Event.REQUEST_CUT, phase=self._phase())
 
-    def _answer_phase(self) -> str:
+    def _phase(self) -> str:
+        if self._reading_body:
+            return "reading"
         return "answering" if self._conn.is_head_sent else "waiting"
 
-    def _record_cut(self, path: str, phase: str) -> None:
-        self._app.log.write(
-            Event.REQUEST_CUT, request=self.request_id, path=path, phase=phase
-        )
+    def _write_log(self, event: Event, **fields: str) -> None:
+        self._app.log.write(event, request=self.request_id, path=self._path, **fields)
 
-    def _record_disconnect(self, path: str, detail: str) -> None:
-        self._app.log.write(
-            Event.REQUEST_CANCELLED, request=self.request_id, path=path, detail=detail
-        )
+    def _record_disconnect(self, detail: str) -> None:
+        self._write_log(Event.REQUEST_CANCELLED, detail=detail)
         self._metrics.count(Count.REQUESTS_CANCELLED)
 
-    async def _refuse(self, path: str, exc: RequestError) -> None:
-        self._app.log.write(
+    async def _refuse(self, exc: RequestError) -> None:
+        self._write_log(
             Event.REQUEST_REFUSED,
-            request=self.request_id,
-            path=path,
             kind=exc.kind.value,
             ran=exc.ran.value,
             detail=exc.detail,
@@ -251,6 +281,19 @@
         await self.send_complete(status, headers, json.dumps(content).encode())
 
 
+def cut_error(ran: Ran) -> RequestError:
+    """Return the error of a request that is ended as its entry stops."""
+    if ran is Ran.NO:
+        return _stopping_error()
+    return RequestError(
+        ErrorKind.ENTRY_STOPPED, "the entry stopped before the call ended", ran=ran
+    )
+
+
+def _stopping_error() -> RequestError:
+    return RequestError(ErrorKind.STOPPING, "this entry is stopping")
+
+
 def problem_content(exc: RequestError) -> dict:
     """Return the body of an error answer (RFC 9457 problem details)."""
     answer = ANSWERS[exc.kind]
--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -8,6 +8,7 @@
 from curio.io import Socket
 
 from ..events import Event, EventLog
+from ..process.clock import now_s
 from ..process.supervision import run_supervised
 from ..sockets import accept_client
 from .caller_connection import CallerConnection
@@ -49,25 +50,51 @@
                 await conn.close_when_idle()
             await curio.sleep(CLOSE_POLL_EVERY_S)
 
-    async def stop(self) -> None:
-        """Stop listening; callers that have already connected still get an answer.
+    async def stop(self, listen_until_s: float | None = None) -> None:
+        """Close all connections, and stop listening once they are closed.
+
+        Callers can connect until ``listen_until_s`` at most, and get an answer if they
+        have connected by then. Without it, the entry stops listening first.
+        """
+        if listen_until_s is not None and listen_until_s > now_s():
+            async with curio.ignore_after(listen_until_s - now_s()):
+                await self.close_connections()
+        await self._stop_listening()
+        await self.close_connections()
+
+    async def end_requests(self, timeout_s: float) -> None:
+        """Stop listening and end the requests that are still open with an error.
+
+        Returns once all connections are closed, at the latest after ``timeout_s``.
+        """
+        async with curio.ignore_after(timeout_s):
+            for conn in tuple(self._connections):
+                await conn.end_request()
+            await self._stop_listening()
+            await self.close_connections()
+
+    async def _stop_listening(self) -> None:
+        """Close the listening socket; does nothing if it is closed.
 
         Closing a listening socket resets the connections in its accept queue.
         Therefore new handshakes are dropped first, those in progress are given
         HANDSHAKE_TIMEOUT_S to complete, and the queue is emptied before the socket is
         closed.
         """
+        if self._sock is None:
+            return
+        sock, self._sock = self._sock, None
         await self._accept_task.cancel()
-        sock = self._sock
         try:
             drop_new_handshakes(sock)
         except OSError as exc:
             self._log.write(Event.HANDSHAKE_FILTER_FAILED, error=str(exc))
-        await self._accept_queued(sock)
-        await curio.sleep(HANDSHAKE_TIMEOUT_S)
-        await self._accept_queued(sock)
-        await sock.close()
-        await self.close_connections()
+        try:
+            await self._accept_queued(sock)
+            await curio.sleep(HANDSHAKE_TIMEOUT_S)
+            await self._accept_queued(sock)
+        finally:
+            await sock.close()
 
     async def _accept_queued(self, sock) -> None:
         """Accept all queued connections without yielding to other tasks.
@@ -80,8 +107,9 @@
                 await self._start(Socket(client))
 
     async def _accept(self) -> None:
+        sock = self._sock
         while True:
-            await self._start(await accept_client(self._sock, self._log))
+            await self._start(await accept_client(sock, self._log))
 
     async def _start(self, client) -> None:
         conn = self._new_connection(client)
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -45,8 +45,7 @@
 from .version.roles import RolePolicy
 from .wire import Address, HttpRequest
 
-BACKLOG = 512
-STOP_POLL_S = 0.05
+CUT_TIME_S = 0.5
 INCARNATION_BITS = 63
 
 
@@ -222,6 +221,8 @@
             self.log.write(
                 Event.ENTRY_STOP_TIMED_OUT, in_flight=self.admission.in_flight
             )
+        finally:
+            await self._callers.end_requests(CUT_TIME_S)
 
     def _new_role_policy(self) -> RolePolicy:
         settings = self.settings
@@ -291,6 +292,10 @@
     def _listed_entries(self) -> list[str]:
         return [item.instance_id for item in self.fleet.of_kind("entry")]
 
+    def time_left_s(self) -> float:
+        """Return how long a request that arrives now may take."""
+        return self.settings.stop_timeout_s if self.closing else float("inf")
+
     def request_id(self, _req: HttpRequest) -> str:
         """Return no id: this entry names the requests itself once they are parsed."""
         return ""
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -9,7 +9,7 @@
 import curio
 
 from .adapter import PlatformAdapter
-from .connection.caller_connection import AnswerForm, CallerConnection
+from .connection.caller_connection import AnswerForm, CallerConnection, cut_error
 from .connection.caller_server import CallerServer
 from .connection.info_server import InfoAnswer, InfoServer
 from .connection.relay_client import RelayClient
@@ -212,19 +212,20 @@
             delay_s=now_s() - signals.stop_requested_at_s,
             open_connections=self._callers.open_connections,
         )
-        await self._announce_own_state()
         schedule = self._stop_schedule(signals)
         self._stop_admission.begin(schedule)
         try:
             async with curio.timeout_after(schedule.cut_at_s - now_s()):
+                await self._announce_own_state()
                 await curio.sleep(max(0.0, schedule.serve_until_s - now_s()))
-                await self._callers.close_connections()
-                await self._callers.stop()
+                await self._callers.stop(schedule.listen_until_s)
         except curio.TaskTimeout:
             self.log.write(
                 Event.ENTRY_STOP_TIMED_OUT,
                 open_connections=self._callers.open_connections,
             )
+        finally:
+            await self._callers.end_requests(schedule.cut_time_s)
 
     def _stop_schedule(self, signals: ProcessSignals) -> StopSchedule:
         settings = self.settings
@@ -255,6 +256,10 @@
             self._runner.blocks.export(BLOCK_CRASHES_ANNOUNCED_MAX),
         )
 
+    def time_left_s(self) -> float:
+        """Return how long a request that arrives now may take."""
+        return self._stop_admission.left_s()
+
     def request_id(self, req: HttpRequest) -> str:
         """Return the id that the caller gave a request; empty if there is none."""
         return self._adapter.call_id(req)
@@ -270,7 +275,10 @@
         call = self._adapter.decode_call(req, table, self._rng)
         call.zone = self.settings.zone
         self._stop_admission.check(call)
-        await self._runner.run(call, conn)
+        try:
+            await self._runner.run(call, conn)
+        except curio.TaskCancelled as exc:
+            raise cut_error(call.known_ran) from exc
         self._stop_admission.observe(call, now_s() - call.arrived_at_s)
 
     @property
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -225,7 +225,7 @@
 
 
 def _deadline_error(call: RoutedCall) -> RequestError:
-    if call.ran is Ran.NO and not call.send_started:
+    if call.known_ran is Ran.NO:
         return RequestError(
             ErrorKind.UPSTREAM_OVERLOADED, "the deadline has passed", ran=Ran.NO
         )
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -126,6 +126,12 @@
             return software == self.software
         return self.usable_software is None or software in self.usable_software
 
+    @property
+    def known_ran(self) -> Ran:
+        """Whether it ran, as far as is known while an attempt may be under way."""
+        is_unsent = self.ran is Ran.NO and not self.send_started
+        return Ran.NO if is_unsent else Ran.UNKNOWN
+
     def remaining_s(self) -> float:
         """Return the time left until the deadline."""
         return self.deadline_at_s - now_s()
