stop: an error in a step of the stop doesn't end the process

Callers of an entry whose stop failed lost all requests that were open, with no line but those of the cancelled tasks.

Cause: the announcement, the release of leases and a reload of settings ran in the main task, whose exception ends the event loop. Two tasks that wait to write to the prober's socket get curio's WriteResourceBusy, which `_send` didn't expect; a settings file can fail in ways other than ConfigError. So could any of the supervised tasks, as the first to end ended the group.

Change: steps of a stop log their failure (111) and the stop goes on; a reload on a signal runs in the supervised task that also polls the file; only the main task's end ends the process; a datagram that can't be sent is dropped.

--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -137,7 +137,7 @@
             return
         try:
             await self._sock.sendto(data, address)
-        except (OSError, UnicodeError) as exc:
+        except (OSError, UnicodeError, curio.errors.WriteResourceBusy) as exc:
             self._log.write(
                 Event.PEER_SEND_FAILED, peer=str(Address(*address)), error=str(exc)
             )
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -26,7 +26,7 @@
 from .process.settings import EntrySettings
 from .process.signals import StopSignals
 from .process.staleness import ServingBasis, StalenessCheck
-from .process.supervision import run_all_until
+from .process.supervision import run_all_until, run_step
 from .request.block_rows import BlockRows
 from .request.limit_log import log_limit
 from .request.policy import build_admission, build_router
@@ -206,7 +206,7 @@
         settings = self.settings
         propagation_s = self.membership.propagation_s()
         await reach_step(Step.STOP_LEAVING)
-        await self.control.stop()
+        await run_step(self.control.stop, self.log)
         await reach_step(Step.STOP_RELEASED)
         await curio.sleep(propagation_s + settings.callers_keep_s)
         self.closing = True
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -58,6 +58,9 @@
         121, logbook.WARNING, "connection can't be accepted; retrying"
     )
     LIBRARY_MESSAGE = EventKind(120, logbook.WARNING, "log message of a library")
+    STOP_STEP_FAILED = EventKind(
+        111, logbook.ERROR, "step of the stop failed; the stop goes on"
+    )
     TASK_FAILED = EventKind(110, logbook.ERROR, "task failed; restarting it")
     MANIFEST_IN_FORCE = EventKind(200, logbook.INFO, "manifest is in force")
     MANIFEST_FETCH_FAILED = EventKind(201, logbook.WARNING, "manifest can't be fetched")
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -32,7 +32,7 @@
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.stop_schedule import StopSchedule
-from .process.supervision import run_all_until
+from .process.supervision import run_all_until, run_step
 from .request.block_quarantine import TrialPolicy
 from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
@@ -165,7 +165,7 @@
                 Event.ENTRY_STARTED, address=str(front), node=self.settings.node
             )
             while await signals.next_signal() == RELOAD_SIGNAL:
-                watch.reload()
+                await watch.request_reload()
             await self._stop_gracefully(signals)
 
         await run_all_until((*self._task_mains(), watch.run), serve, self.log)
@@ -216,7 +216,7 @@
         self._stop_admission.begin(schedule)
         try:
             async with curio.timeout_after(schedule.cut_at_s - now_s()):
-                await self._announce_own_state()
+                await run_step(self._announce_own_state, self.log)
                 await curio.sleep(max(0.0, schedule.serve_until_s - now_s()))
                 await self._callers.stop(schedule.listen_until_s)
         except curio.TaskTimeout:
--- a/wisteriaarch/process/settings_watch.py
+++ b/wisteriaarch/process/settings_watch.py
@@ -28,14 +28,22 @@
         self._apply = apply
         self._log = log
         self._last_content = self._read_file()
+        self._reload_requested = curio.Event()
 
     async def run(self) -> None:
-        """Poll the file for changes; never returns."""
+        """Poll the file for changes, and reload it on request; never returns."""
         while True:
-            await curio.sleep(self._current.settings_poll_every_s)
-            if self._read_file() != self._last_content:
+            async with curio.ignore_after(self._current.settings_poll_every_s):
+                await self._reload_requested.wait()
+            is_requested = self._reload_requested.is_set()
+            self._reload_requested.clear()
+            if is_requested or self._read_file() != self._last_content:
                 self.reload()
 
+    async def request_reload(self) -> None:
+        """Let ``run`` read the settings now, also if the file has not changed."""
+        await self._reload_requested.set()
+
     def reload(self) -> None:
         """Read the settings now; invalid settings are rejected and logged."""
         if self._path is None:
--- a/wisteriaarch/process/supervision.py
+++ b/wisteriaarch/process/supervision.py
@@ -19,12 +19,22 @@
 
     Returns the result of ``until`` or raises its exception.
     """
-    async with curio.TaskGroup(wait=any) as group:
+    async with curio.TaskGroup(wait=None) as group:
         for task_main in task_mains:
             await group.spawn(run_supervised, task_main, log)
-        await group.spawn(until)
-    # Only ``until`` ends by itself; its exception is raised here.
-    return group.result
+        return await until()
+
+
+async def run_step(step: Callable[[], Awaitable], log: EventLog) -> None:
+    """Run a step of a stop; its failure is logged, and the stop goes on."""
+    try:
+        await step()
+    except Exception as exc:
+        log.write(
+            Event.STOP_STEP_FAILED,
+            step=getattr(step, "__qualname__", repr(step)),
+            error=repr(exc),
+        )
 
 
 async def run_supervised(task_main: Callable[[], Awaitable], log: EventLog) -> None:
