stop: SIGHUP stops the own interface gracefully

`serve` doesn't reload settings, so that SIGHUP, as from a terminal that hangs up, ended it at once and cut all answers. It stops as at SIGTERM now, as do the emulators.

--- a/wisteriaarch/process/signals.py
+++ b/wisteriaarch/process/signals.py
@@ -9,7 +9,6 @@
 
 from .clock import now_s
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
 
 
@@ -24,7 +23,8 @@
     learns of it later.
     """
 
-    signals: tuple[signal.Signals, ...] = STOP_SIGNALS
+    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    stop_signals: tuple[signal.Signals, ...] = signals
 
     def __init__(self):
         self._reader, self._writer = socket.socketpair()
@@ -53,11 +53,11 @@
         return (await Socket(self._reader).recv(1))[0]
 
     def _record(self, number: int, _frame: FrameType | None) -> None:
-        if number in STOP_SIGNALS and self.stop_requested_at_s is None:
+        if number in self.stop_signals and self.stop_requested_at_s is None:
             self.stop_requested_at_s = now_s()
 
 
 class ProcessSignals(StopSignals):
     """Stop signals and the reload signal."""
 
-    signals = (*STOP_SIGNALS, RELOAD_SIGNAL)
+    stop_signals = (signal.SIGTERM, signal.SIGINT)
