soak of exits: excuse a broken stream only for an error of its server

A stream that was broken off counted as its server's fault with any error in the log, "internal" too, which is what the end of a process leaves there.

--- a/extras/exit_callers.py
+++ b/extras/exit_callers.py
@@ -197,8 +197,13 @@
     return {call for name in names for call in cluster.control(name)["ran"]}
 
 
-def requests_of(process: Process, event: Event) -> set[str]:
-    """Return the ids of the requests that the lines of an event name."""
-    number = event.value.number
+def requests_of(process: Process, event: Event, kinds: Iterable[str] = ()) -> set[str]:
+    """Return the ids of the requests that the lines of an event name.
+
+    With ``kinds``, only those with an error of one of them.
+    """
     lines = process.log_lines()
-    return {line.get("request", "") for line in lines if line["event"] == number}
+    named = [line for line in lines if line["event"] == event.value.number]
+    return {
+        line.get("request", "") for line in named if not kinds or line["kind"] in kinds
+    }
--- a/extras/exit_soak.py
+++ b/extras/exit_soak.py
@@ -29,6 +29,8 @@
 PATHS = ("/get/x", "/long-get/x", "/long-post/x", "/long-chat/x", "/long-again/x")
 CALLERS = 12
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGTERM, signal.SIGINT)
+# Errors that may break a stream off at any time.
+SERVER_FAILURES = ("deadline_exceeded", "upstream_failed", "answer_incomplete")
 SIGNALS = (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)
 
 
@@ -127,11 +129,10 @@
             trace = entry.log_path.read_text(encoding="utf-8").partition("Traceback")[2]
             self.findings.lost.append(f"{entry.name} ended with {code}: {trace[:2000]}")
         cut = requests_of(entry, Event.REQUEST_CUT)
-        failed = requests_of(entry, Event.REQUEST_REFUSED) - cut
+        failed = requests_of(entry, Event.REQUEST_REFUSED, SERVER_FAILURES) - cut
         signal_s = self._signals_s[entry.name]
         for outcome in (outcome for caller in callers for outcome in caller.outcomes):
             self.findings.statuses[outcome.status] += 1
-            # A server that fails may break a stream off at any time.
             is_broken = not outcome.whole and outcome.call_id in failed
             is_answered = outcome.explained(outcome.call_id in ran)
             is_excused = (
