stop: no error event follows a block that was sent in part

A caller that read its stream slowly got "event: error" amid the bytes of an event when its entry ended the stream, at the cut of a stop or at the deadline (own interface).

Cause: a write that is cancelled leaves a part of a chunk behind; the error event was written as if the chunk were complete. Change: after a write that was cut short the connection is closed.

--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -266,7 +266,8 @@
         """
         content = problem_content(exc)
         form = self._app.answer_form
-        if self._conn.is_head_sent and not form.error_events:
+        can_follow = form.error_events and not self._conn.is_write_cut
+        if self._conn.is_head_sent and not can_follow:
             raise ConnectionError("a started answer was cut")
         if self._conn.is_head_sent:
             event = b"event: error\ndata: " + json.dumps(content).encode() + b"\n\n"
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -42,6 +42,7 @@
     _declared_body_bytes: int = 0
     _expects_response_body: bool = True
     _chunked: bool = False
+    _is_writing: bool = False
 
     def __post_init__(self):
         self._h11 = h11.Connection(
@@ -126,7 +127,12 @@
     async def _send(self, event: Any) -> None:
         data = self._h11.send(event)
         if data:
-            await self.sock.sendall(data)
+            await self._write(data)
+
+    async def _write(self, data: bytes) -> None:
+        self._is_writing = True
+        await self.sock.sendall(data)
+        self._is_writing = False
 
     async def send_response(
         self, status: int, headers: Headers, body: bytes = b""
@@ -146,7 +152,7 @@
         if body and self._expects_response_body:
             parts.append(self._h11.send(h11.Data(data=body)))
         parts.append(self._h11.send(h11.EndOfMessage()))
-        await self.sock.sendall(b"".join(parts))
+        await self._write(b"".join(parts))
 
     async def send_head(self, status: int, headers: Headers) -> None:
         """Start a response whose body is sent in blocks with chunked encoding."""
@@ -163,11 +169,11 @@
             return
         chunk = b"%x\r\n%b\r\n" % (len(block), block)
         if self._chunked:
-            await self.sock.sendall(chunk)
+            await self._write(chunk)
             return
         data = self._h11.send(h11.Data(data=block))
         self._chunked = data == chunk
-        await self.sock.sendall(data)
+        await self._write(data)
 
     async def end_body(self) -> None:
         """Mark a started body as complete."""
@@ -179,6 +185,11 @@
         """Whether a response was started for the current request."""
         return self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
 
+    @property
+    def is_write_cut(self) -> bool:
+        """Whether a write was cut short, so that nothing may follow it."""
+        return self._is_writing
+
     def start_next_cycle(self) -> bool:
         """Prepare for the next request; False if the connection must be closed."""
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
