stop: a connection that was woken to close can be ended again

Callers that had sent half a body to an entry that stops kept it beyond its grace: with a grace of 4 s it was killed; one whose connection had been idle got no answer.

Cause: curio cancels a task once only. A connection that swallowed a cancellation, to read a request in transit or to send its refusal, couldn't be cancelled at the cut, nor at the end of the kernel, which waited for it. Change: a cancellation that was handled is taken back.

--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -121,6 +121,7 @@
         except curio.TaskCancelled:
             if not self._app.closing:
                 raise
+            self._task.cancelled = False
         finally:
             self._idle = False
         # A request already in transit when the entry stops still gets an answer.
@@ -135,6 +136,7 @@
             if not self._is_cut:
                 self._record_cut()
                 raise
+            self._task.cancelled = False
             raise _stopping_error() from exc
         except RequestError as exc:
             if left_s < BODY_TIMEOUT_S and exc.kind is ErrorKind.REQUEST_TIMEOUT:
