start: settings that change while the program loads come into force

Operators who changed a settings file as its entry started got the change only with the next one, since the signal is ignored until the program is loaded and the file counted as read when the watch began.

Change: the watch compares the file with the settings in force first. tests.test_stop_faults.SettingsTest (review) failed before and passes.

--- a/wisteriaarch/process/settings_watch.py
+++ b/wisteriaarch/process/settings_watch.py
@@ -31,7 +31,12 @@
         self._reload_requested = curio.Event()
 
     async def run(self) -> None:
-        """Poll the file for changes, and reload it on request; never returns."""
+        """Poll the file for changes, and reload it on request; never returns.
+
+        The file may have changed since the current settings were read.
+        """
+        if self._read_settings() not in (None, self._current):
+            self.reload()
         while True:
             async with curio.ignore_after(self._current.settings_poll_every_s):
                 await self._reload_requested.wait()
@@ -46,13 +51,9 @@
 
     def reload(self) -> None:
         """Read the settings now; invalid settings are rejected and logged."""
-        if self._path is None:
-            return
         self._last_content = self._read_file()
-        try:
-            settings = GatewaySettings.from_file(self._path)
-        except ConfigError as exc:
-            self._log.write(Event.SETTINGS_INVALID, error=str(exc))
+        settings = self._read_settings()
+        if settings is None:
             return
         changed = [
             name
@@ -63,6 +64,15 @@
         self._apply(settings)
         self._log.write(Event.SETTINGS_RELOADED, changed=changed)
 
+    def _read_settings(self) -> GatewaySettings | None:
+        if self._path is None:
+            return None
+        try:
+            return GatewaySettings.from_file(self._path)
+        except ConfigError as exc:
+            self._log.write(Event.SETTINGS_INVALID, error=str(exc))
+            return None
+
     def _read_file(self) -> bytes | None:
         if self._path is None:
             return None
