stop: an entry that is run with nohup goes on ignoring SIGHUP

An entry of the own interface, or an emulator, that was started with nohup would stop when its terminal hangs up, since SIGHUP stops it gracefully now.

The test of SIGHUP to `serve` sets the signal to its default, so that it holds in a run that was started with nohup, too.

--- a/tests/test_cut_at_exit.py
+++ b/tests/test_cut_at_exit.py
@@ -205,6 +205,13 @@
     entries = ()
     services = ()
 
+    @classmethod
+    def setUpClass(cls):
+        # A run with nohup hands its ignored signal down to the entries.
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+        cls.addClassCleanup(signal.signal, signal.SIGHUP, before)
+        super().setUpClass()
+
     def stop_during_stream(self, name, tokens, number):
         """Return the entry, which has ended, and the last bytes of the answer."""
         entry = self.cluster.start_entry(name, callers_keep_s=0.2, stop_timeout_s=1.5)
--- a/wisteriaarch/process/signals.py
+++ b/wisteriaarch/process/signals.py
@@ -34,7 +34,8 @@
     def __enter__(self) -> Self:
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
         for number in self.signals:
-            signal.signal(number, self._record)
+            if self._is_handled(number):
+                signal.signal(number, self._record)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -52,6 +53,11 @@
         """Return the number of the next signal."""
         return (await Socket(self._reader).recv(1))[0]
 
+    def _is_handled(self, number: signal.Signals) -> bool:
+        """Whether a signal is handled; a process run with nohup ignores SIGHUP."""
+        is_ignored = signal.getsignal(number) is signal.SIG_IGN
+        return not (number is signal.SIGHUP and is_ignored)
+
     def _record(self, number: int, _frame: FrameType | None) -> None:
         if number in self.stop_signals and self.stop_requested_at_s is None:
             self.stop_requested_at_s = now_s()
@@ -61,3 +67,6 @@
     """Stop signals and the reload signal."""
 
     stop_signals = (signal.SIGTERM, signal.SIGINT)
+
+    def _is_handled(self, _number: signal.Signals) -> bool:
+        return True
