stop: a lack of descriptors at the close of the socket cuts no request

Callers of an entry that had no descriptor left as it stopped listening lost their streams at once.

Cause: accepting what is queued raised EMFILE, which ended the stop.

--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -1,6 +1,5 @@
 """Server for caller connections, with graceful shutdown."""
 
-import contextlib
 from collections.abc import Callable
 from typing import Any
 
@@ -101,10 +100,14 @@
 
         More connections could be queued while other tasks run.
         """
-        with contextlib.suppress(BlockingIOError):
+        try:
             while True:
                 client, _address = sock._socket.accept()
                 await self._start(Socket(client))
+        except BlockingIOError:
+            return
+        except OSError as exc:
+            self._log.write(Event.ACCEPT_FAILED, error=str(exc))
 
     async def _accept(self) -> None:
         sock = self._sock
