--- a/extras/exit_callers.py
+++ b/extras/exit_callers.py
@@ -21,7 +21,7 @@
 CHUNK_EVERY_S = 0.1
 STREAM_HEADERS = {"Model": "m", "Token-Counts": "60,40"}
 # A request that is reset earlier than this after its first byte wasn't read.
-UNREAD_S = 0.3
+UNREAD_S = 0.2
 LONG = {"timeout-ms": TIMEOUT_MS}
 LONG_ROUTES = (
     route_row("long-get", "/long-get/", "idempotent", "app", **LONG),
@@ -70,7 +70,8 @@
         A request that ``ran`` at no server may also be refused or reset unread.
         """
         if self.whole:
-            not_run = self.status == 503 and self.headers.get("x-ran") == "no"
+            says_not_run = self.headers.get("x-ran") == "no"
+            not_run = self.status == 503 and says_not_run and not ran
             return self.complete or not_run or self.status in (408, 502, 504)
         unread = self.refused or self.ended_at_s - self.began_at_s < UNREAD_S
         return unread and not ran
--- a/extras/exit_soak.py
+++ b/extras/exit_soak.py
@@ -136,7 +136,8 @@
             is_broken = not outcome.whole and outcome.call_id in failed
             is_answered = outcome.explained(outcome.call_id in ran)
             is_excused = (
-                outcome.sent_at_s is not None
+                outcome.call_id in ran
+                and outcome.sent_at_s is not None
                 and outcome.sent_at_s <= signal_s + LATE_S
                 and outcome.ended_at_s >= signal_s + LAST_SIXTH_S
             )
