stop: admit by likely duration for 2.5 s, as a signal may be seen late

A process that gets its processor late sees the signal later than it was sent; calls it admits by their likely duration until 3 s after that were sent later than 3 s after the signal.

--- a/wisteriaarch/request/stop_admission.py
+++ b/wisteriaarch/request/stop_admission.py
@@ -19,7 +19,7 @@
 DURATION_FACTOR = 1.3
 # Until then after the signal, calls that may be repeated are admitted by their likely
 # duration: most callers haven't heard yet that this entry leaves.
-LIKELY_ADMISSION_S = 3.0
+LIKELY_ADMISSION_S = 2.5
 
 
 class StopAdmission:
