stop: an error while connections are closed doesn't end the wait for answers

Callers of an entry in which closing the listening socket failed lost all open requests; on the own interface the time for a body was the whole `stop_timeout_s` at any moment of a stop.

Cause: only the steps before were guarded. `CallerServer.stop` does one thing again; the error of a cut request is one of errors.py.

--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -6,7 +6,7 @@
 import curio
 from curio import socket
 
-from ..errors import ANSWERS, ErrorKind, Ran, RequestError
+from ..errors import ANSWERS, ErrorKind, Ran, RequestError, cut_error
 from ..events import Event
 from ..http_server import BODY_TIMEOUT_S, HttpServerConnection
 from ..process.clock import now_s
@@ -137,10 +137,10 @@
                 self._record_cut()
                 raise
             self._task.cancelled = False
-            raise _stopping_error() from exc
+            raise cut_error(Ran.NO) from exc
         except RequestError as exc:
             if left_s < BODY_TIMEOUT_S and exc.kind is ErrorKind.REQUEST_TIMEOUT:
-                raise _stopping_error() from exc
+                raise cut_error(Ran.NO) from exc
             raise
         finally:
             self._reading_body = False
@@ -284,19 +284,6 @@
         await self.send_complete(status, headers, json.dumps(content).encode())
 
 
-def cut_error(ran: Ran) -> RequestError:
-    """Return the error of a request that is ended as its entry stops."""
-    if ran is Ran.NO:
-        return _stopping_error()
-    return RequestError(
-        ErrorKind.ENTRY_STOPPED, "the entry stopped before the call ended", ran=ran
-    )
-
-
-def _stopping_error() -> RequestError:
-    return RequestError(ErrorKind.STOPPING, "this entry is stopping")
-
-
 def problem_content(exc: RequestError) -> dict:
     """Return the body of an error answer (RFC 9457 problem details)."""
     answer = ANSWERS[exc.kind]
--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -7,8 +7,7 @@
 from curio.io import Socket
 
 from ..events import Event, EventLog
-from ..process.clock import now_s
-from ..process.supervision import run_supervised
+from ..process.supervision import run_step, run_supervised
 from ..sockets import accept_client
 from .caller_connection import CallerConnection
 from .handshake_filter import drop_new_handshakes
@@ -49,16 +48,9 @@
                 await conn.close_when_idle()
             await curio.sleep(CLOSE_POLL_EVERY_S)
 
-    async def stop(self, listen_until_s: float | None = None) -> None:
-        """Close all connections, and stop listening once they are closed.
-
-        Callers can connect until ``listen_until_s`` at most, and get an answer if they
-        have connected by then. Without it, the entry stops listening first.
-        """
-        if listen_until_s is not None and listen_until_s > now_s():
-            async with curio.ignore_after(listen_until_s - now_s()):
-                await self.close_connections()
-        await self._stop_listening()
+    async def stop(self) -> None:
+        """Stop listening; callers that have already connected still get an answer."""
+        await run_step(self._stop_listening, self._log)
         await self.close_connections()
 
     async def end_requests(self, timeout_s: float) -> None:
@@ -69,8 +61,7 @@
         async with curio.ignore_after(timeout_s):
             for conn in tuple(self._connections):
                 await conn.end_request()
-            await self._stop_listening()
-            await self.close_connections()
+            await self.stop()
 
     async def _stop_listening(self) -> None:
         """Close the listening socket; does nothing if it is closed.
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -61,6 +61,7 @@
         self.incarnation = secrets.randbits(INCARNATION_BITS)
         self.stopping = False
         self.closing = False
+        self._ends_at_s = float("inf")
         platform = settings.platform.address()
         self.table = HttpTableStore(platform)
         self.objects = HttpObjectStore(platform)
@@ -210,11 +211,12 @@
         await reach_step(Step.STOP_RELEASED)
         await curio.sleep(propagation_s + settings.callers_keep_s)
         self.closing = True
+        self._ends_at_s = now_s() + settings.stop_timeout_s
         await reach_step(Step.STOP_CLOSING)
         try:
             async with curio.timeout_after(settings.stop_timeout_s):
                 await self._callers.close_connections()
-                await self.requests.journal.close()
+                await run_step(self.requests.journal.close, self.log)
                 await self._callers.stop()
             await reach_step(Step.STOP_DRAINED)
         except curio.TaskTimeout:
@@ -294,7 +296,7 @@
 
     def time_left_s(self) -> float:
         """Return how long a request that arrives now may take."""
-        return self.settings.stop_timeout_s if self.closing else float("inf")
+        return max(0.0, self._ends_at_s - now_s())
 
     def request_id(self, _req: HttpRequest) -> str:
         """Return no id: this entry names the requests itself once they are parsed."""
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -148,6 +148,15 @@
         self.retry_after_s = retry_after_s
 
 
+def cut_error(ran: Ran) -> RequestError:
+    """Return the error of a request that is ended as its entry stops."""
+    if ran is Ran.NO:
+        return RequestError(ErrorKind.STOPPING, "this entry is stopping")
+    return RequestError(
+        ErrorKind.ENTRY_STOPPED, "the entry stopped before the call ended", ran=ran
+    )
+
+
 class WireError(WisteriaError):
     """An HTTP peer violated the protocol or closed the connection early."""
 
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -9,7 +9,7 @@
 import curio
 
 from .adapter import PlatformAdapter
-from .connection.caller_connection import AnswerForm, CallerConnection, cut_error
+from .connection.caller_connection import AnswerForm, CallerConnection
 from .connection.caller_server import CallerServer
 from .connection.info_server import InfoAnswer, InfoServer
 from .connection.relay_client import RelayClient
@@ -19,7 +19,7 @@
 from .connection.upstream_pool import UpstreamPool
 from .entry_network import EntryNetwork
 from .entry_scheduling import EntryScheduling
-from .errors import ErrorKind, RequestError
+from .errors import ErrorKind, RequestError, cut_error
 from .events import Event, EventLog
 from .gauges import GatewayGauges
 from .process.clock import now_s
@@ -218,7 +218,9 @@
             async with curio.timeout_after(schedule.cut_at_s - now_s()):
                 await run_step(self._announce_own_state, self.log)
                 await curio.sleep(max(0.0, schedule.serve_until_s - now_s()))
-                await self._callers.stop(schedule.listen_until_s)
+                async with curio.ignore_after(schedule.listen_until_s - now_s()):
+                    await self._callers.close_connections()
+                await self._callers.stop()
         except curio.TaskTimeout:
             self.log.write(
                 Event.ENTRY_STOP_TIMED_OUT,
--- a/wisteriaarch/process/signals.py
+++ b/wisteriaarch/process/signals.py
@@ -23,8 +23,8 @@
     learns of it later.
     """
 
-    signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    stop_signals: tuple[signal.Signals, ...] = signals
+    handled_signals = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    stop_signals: tuple[signal.Signals, ...] = handled_signals
 
     def __init__(self):
         self._reader, self._writer = socket.socketpair()
@@ -33,13 +33,13 @@
 
     def __enter__(self) -> Self:
         signal.set_wakeup_fd(self._writer.fileno(), warn_on_full_buffer=False)
-        for number in self.signals:
+        for number in self.handled_signals:
             if self._is_handled(number):
                 signal.signal(number, self._record)
         return self
 
     def __exit__(self, *exc_info) -> None:
-        for number in self.signals:
+        for number in self.handled_signals:
             signal.signal(number, signal.SIG_IGN)
         signal.set_wakeup_fd(-1)
         self._writer.close()
