tests: keep the logs of the processes of failing tests

Seen: seven of the nine entries of KNOWN-RED.txt end with "the logs were not kept" or can't be traced without them; a cluster removes its folder at its end, whether the test passed or not.

Change: a failing test leaves the logs and settings files of its clusters in build/failed-tests/TEST_ID/ (ignored by git), a folder for each cluster, and the runner prints the path below the failures. It holds for clusters of a class (the whole log, to the end of the class), of a test, those that end before the test fails (lanes of the matrix, limit soak) and failed set-ups; with extras.run_tests and with python -m unittest alike. No check is changed.

--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -13,6 +13,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .kept_logs import KEEPER, LogKeeper
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 CLI_TIMEOUT_S = 60.0
@@ -87,8 +89,10 @@
         default_factory=tempfile.TemporaryDirectory
     )
     processes: dict[str, Process] = field(default_factory=dict)
+    keeper: LogKeeper = KEEPER
 
     def __enter__(self) -> "Cluster":
+        self.keeper.cluster_started(self.directory)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -97,7 +101,7 @@
                 process.popen.kill()
             process.popen.wait()
             process.popen.stdout.close()
-        self.directory.cleanup()
+        self.keeper.cluster_ended(self.directory)
 
     @property
     def path(self) -> Path:
--- a/extras/run_tests.py
+++ b/extras/run_tests.py
@@ -16,6 +16,8 @@
 from pathlib import Path
 from typing import TextIO
 
+from .kept_logs import LogKeepingResult
+
 KNOWN_RED_PATH = Path("KNOWN-RED.txt")
 TESTS_PATH = Path("tests")
 JOBS = 4
@@ -144,7 +146,8 @@
 def _collect(suite: unittest.TestSuite) -> SuiteResult:
     existing = frozenset(test.id() for test in iterate_tests(suite))
     stream = io.StringIO()
-    result = unittest.TextTestRunner(stream, verbosity=2).run(suite)
+    runner = unittest.TextTestRunner(stream, verbosity=2, resultclass=LogKeepingResult)
+    result = runner.run(suite)
     return SuiteResult(
         existing,
         frozenset(_failed_ids(result)),
