--- a/wisteriaarch/emulator/engine.py
+++ b/wisteriaarch/emulator/engine.py
@@ -1,31 +1,31 @@
 """Emulator of a language-model engine: HTTP API, load reports and crashes."""
 
 import json
-import re
 from collections import Counter, deque
 from dataclasses import asdict
 
 import curio
 
-from ..errors import ConnectionClosed, WisteriaError
+from ..errors import WisteriaError
 from ..http_server import HttpServerConnection
 from ..process.clock import now_s
-from ..wire import Headers, HttpRequest
+from ..wire import HttpRequest
+from .completions import (
+    JSON_HEADERS,
+    STREAM_ABORTED,
+    new_sequence,
+    prompt_text,
+    send_complete_answer,
+    stream_answer,
+)
 from .costs import EngineCosts
 from .orders import ALL_MODELS, OrderHandler, OrderOptions
-from .scheduler import Scheduler, Sequence
+from .scheduler import Scheduler
 from .server import respond_json, serve_http
 
 CRASH_MARKER = "<crash-engine>"
-STOP_AFTER_MARKER = re.compile(r"<stop-after:(\d+)>")
-DEFAULT_OUTPUT_TOKENS = 16
-CHARS_PER_TOKEN = 4
 SAMPLES_PER_LAG = 4
 SAMPLE_INTERVAL_MAX_S = 0.1
-MARKER_SEARCH_CHARS = 64
-JSON_HEADERS = [("Content-Type", "application/json")]
-SSE_HEADERS = [("Content-Type", "text/event-stream"), ("Cache-Control", "no-cache")]
-STREAM_ABORTED = object()
 SOFTWARE_HEADER = "X-Software-Version"
 COMPLETION_PATHS = ("/v1/completions", "/v1/chat/completions")
 
@@ -96,20 +96,20 @@
             body = json.dumps({"detail": refusal}).encode()
             await conn.send_response(409, headers, body)
             return True
-        prompt = _prompt_text(payload)
+        prompt = prompt_text(payload)
         key = req.headers.get("idempotency-key") or req.headers.get("x-request-id", "")
         self.runs[key] += 1
         if CRASH_MARKER in prompt:
             await self._crash()
             return False
-        seq = _new_sequence(prompt, payload, req.headers)
+        seq = new_sequence(prompt, payload, req.headers)
         await self.scheduler.add(seq)
         chat = req.path.endswith("chat/completions")
         try:
             if payload.get("stream"):
-                await _stream_answer(conn, seq, chat, self.headers)
+                await stream_answer(conn, seq, chat, self.headers)
             else:
-                await _send_complete_answer(conn, seq, chat, self.headers)
+                await send_complete_answer(conn, seq, chat, self.headers)
             return True
         except (OSError, WisteriaError):
             return False
@@ -227,80 +227,3 @@
             await server_task.cancel()
             await curio.sleep(engine.costs.restart_s * engine.costs.time_scale)
             engine.restart()
-
-
-async def _stream_answer(conn, seq: Sequence, chat: bool, headers: Headers) -> None:
-    await conn.send_head(200, [*SSE_HEADERS, *headers])
-    while (token := await _next_token(seq)) is not None:
-        await conn.send_block(b"data: " + _event_body(seq, token, chat) + b"\n\n")
-    await conn.send_block(b"data: [DONE]\n\n")
-    await conn.end_body()
-
-
-async def _send_complete_answer(
-    conn, seq: Sequence, chat: bool, headers: Headers
-) -> None:
-    tokens = []
-    while (token := await _next_token(seq)) is not None:
-        tokens.append(token)
-    body = _answer_body(seq, "".join(tokens), chat)
-    await conn.send_response(200, [*JSON_HEADERS, *headers], body)
-
-
-async def _next_token(seq: Sequence) -> str | None:
-    token = await seq.tokens.get()
-    if token is STREAM_ABORTED:
-        raise ConnectionClosed("an order ended the stream")
-    return token
-
-
-def _new_sequence(prompt: str, payload: dict, headers: dict[str, str]) -> Sequence:
-    return Sequence(
-        request_id=headers.get("x-request-id", ""),
-        prompt=prompt,
-        output_tokens=_output_tokens(prompt, payload),
-        prefill_tokens_left=max(1, len(prompt) // CHARS_PER_TOKEN),
-        priority=int(headers.get("x-priority", "1")),
-        model=payload["model"],
-        next_token_index=int(headers.get("x-resume-from", "0")),
-    )
-
-
-def _output_tokens(prompt: str, payload: dict) -> int:
-    """Return the answer's length in tokens; a marker in the prompt may shorten it."""
-    limit = payload.get("max_tokens", DEFAULT_OUTPUT_TOKENS)
-    marker = STOP_AFTER_MARKER.search(prompt[-MARKER_SEARCH_CHARS:])
-    return min(limit, int(marker[1])) if marker else limit
-
-
-def _prompt_text(payload: dict) -> str:
-    if "prompt" in payload:
-        return payload["prompt"]
-    return "\n".join(message["content"] for message in payload["messages"])
-
-
-def _event_body(seq: Sequence, token: str, chat: bool) -> bytes:
-    choice = {"index": 0, "delta": {"content": token}} if chat else {"text": token}
-    content = {
-        "id": seq.request_id,
-        "object": "chat.completion.chunk" if chat else "text_completion",
-        "model": seq.model,
-        "choices": [choice],
-    }
-    return json.dumps(content, separators=(",", ":")).encode()
-
-
-def _answer_body(seq: Sequence, text: str, chat: bool) -> bytes:
-    choice = {"index": 0, "finish_reason": "stop"}
-    if chat:
-        choice["message"] = {"role": "assistant", "content": text}
-    else:
-        choice["text"] = text
-    content = {
-        "id": seq.request_id,
-        "object": "chat.completion" if chat else "text_completion",
-        "model": seq.model,
-        "choices": [choice],
-        "usage": {"completion_tokens": seq.output_tokens},
-    }
-    return json.dumps(content, separators=(",", ":")).encode()
