placement: a new entry waits for registrations that the scheduler knows already

Cause: an entry is ready once it has routes. Its calls are placed by another entry, which has read all registrations; until this entry has read them too, it doesn't know the chosen upstream, fails four attempts within 10 ms ("the upstream isn't usable here") and answers 503. Where it places calls itself, it waits up to 0.6 s for registrations; here it didn't. In the kept log the call came 40 ms after the configuration, and no registration had been read.

Change: the same wait (registration_wait.py, used by CandidateFinder as before) where the scheduler's choice is unknown here and registrations may be missing, that is within 2.5 s of the first reading or of the store's recovery. A caller that leaves meanwhile is reported to the scheduler.

--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -6,9 +6,12 @@
 
 from collections.abc import Callable
 
+import curio
+
 from ..events import EventLog
 from ..process.clock import now_s
 from ..process.prefix_cache_index import CacheState
+from ..process.registration_wait import wait_for_registrations
 from ..process.scheduler_choice import SchedulerChoice
 from ..process.upstreams import Upstream, UpstreamRegistry
 from ..request.attempt_failures import AttemptFailed
@@ -20,7 +23,7 @@
 from ..request.stage_plan import StagePlan
 from ..wire import Address
 from .scheduler_link import Answer, RemoteTicket, SchedulerLink
-from .scheduling_messages import PlacedChoice, RefusedAnswer
+from .scheduling_messages import PlacedAnswer, PlacedChoice, RefusedAnswer
 
 SCHEDULERS_QUERIED_MAX = 2
 
@@ -123,6 +126,11 @@
                 raise AttemptFailed.nothing_sent(answer.detail)
             answer.error.ran = call.ran
             raise answer.error
+        try:
+            await self._wait_until_known(answer)
+        except curio.CancelledError:
+            await ticket.observe_outcome(AttemptOutcome(ABANDONED, 0.0))
+            raise
         call.prioritized = answer.prioritized
         call.retries_left = answer.retries_left
         self._shared_scheduler.parts.estimates.set_prefill_rate(
@@ -140,6 +148,15 @@
             raise AttemptFailed.nothing_sent("the upstream isn't usable here")
         return Placement(plan, ticket)
 
+    async def _wait_until_known(self, answer: PlacedAnswer) -> None:
+        """Wait briefly where the scheduler has read registrations before this entry."""
+        chosen = [item for item in (answer.prefill, answer.decode) if item is not None]
+
+        def are_known() -> bool:
+            return all(self._registry.get(item.upstream_id) for item in chosen)
+
+        await wait_for_registrations(self._registry, are_known)
+
     def _local_choice(
         self, call: RoutedCall, placed: PlacedChoice | None
     ) -> Choice | None:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable, Iterable
 
-import curio
-
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import (
@@ -11,6 +9,7 @@
     NOTHING_CACHED,
     PrefixCacheState,
 )
+from ..process.registration_wait import wait_for_registrations
 from ..process.upstreams import Stage, Upstream
 from ..version.route_table import EngineSpec, RouteTable
 from .candidate import (
@@ -22,8 +21,6 @@
 from .request_limiter import LimitedRate, RequestLimiter
 from .routed_call import RoutedCall
 
-REGISTRATION_WAIT_S = 0.6
-REGISTRATION_POLL_S = 0.05
 OVERDUE_LIMIT_WAIT_MAX_S = 0.1
 
 
@@ -51,23 +48,16 @@
         return spec.engine if spec else None
 
     async def find(self, call: RoutedCall) -> list[Candidate]:
-        """Return the candidates; waits briefly while registrations are being restored.
+        """Return the candidates; waits briefly while registrations may be missing."""
+        candidates: list[Candidate] = []
 
-        After a restart of all entries or an outage of the store, callers may arrive
-        before the upstreams have registered again.
-        """
-        waited_s = 0.0
-        while True:
+        def has_usable() -> bool:
+            nonlocal candidates
             candidates = self.current(call)
-            if any(can_run(item) for item in candidates):
-                return candidates
-            if (
-                waited_s >= REGISTRATION_WAIT_S
-                or not self._registry.may_be_incomplete()
-            ):
-                return candidates
-            await curio.sleep(REGISTRATION_POLL_S)
-            waited_s += REGISTRATION_POLL_S
+            return any(can_run(item) for item in candidates)
+
+        await wait_for_registrations(self._registry, has_usable)
+        return candidates
 
     def current(
         self, call: RoutedCall, excluded_stage: Stage | None = None
