tests: give clusters ports that no other process of the machine is given

Seen (KNOWN-RED.txt): FollowTest.test_changed_settings_are_reloaded got an empty body from the metrics address, FollowTest.test_draining_entry_is_off_the _address_list a closed connection for its first question for addresses.

Cause: free_port() asked the kernel on 127.0.0.1, while entries of every test process listen on 127.0.0.2 and up; a port in use there by another process was given again. An entry whose own listener can't be bound logs that and goes on, so that the test asks the other cluster's entry.

Evidence: with a second cluster beside, the tests' own words: metrics port = the other's readiness port gives "not found in b''", directory port = its peer port gives "Remote end closed connection without response".

Change: extras/ports.py gives ports of a block below the kernel's own range; a process holds its block by its first port, and a port is given only if it is free on all addresses.

--- a/extras/claim_cost.py
+++ b/extras/claim_cost.py
@@ -14,8 +14,9 @@
 from statistics import median, quantiles
 
 from extras.bench import DEFAULT_INTERVALS
-from extras.cluster import Cluster, free_port, request, wait_until
+from extras.cluster import Cluster, request, wait_until
 from extras.demo import CREDENTIAL, build_manifest
+from extras.ports import free_port
 
 LISTED = (9, 100, 400)
 FULL_CALLERS = 32
--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,7 @@
 from pathlib import Path
 
 from .kept_logs import KEEPER, LogKeeper
+from .ports import free_port
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
@@ -295,13 +295,6 @@
         conn.close()
 
 
-def free_port() -> int:
-    """Return a currently unused TCP port."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def wait_until(condition, timeout_s: float = START_TIMEOUT_S, every_s: float = 0.05):
     """Poll ``condition()`` until it is true and return its value.
 
--- a/extras/gateway_cluster.py
+++ b/extras/gateway_cluster.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from extras.cluster import Cluster, Process, free_port, request
+from extras.cluster import Cluster, Process, request
+from extras.ports import free_port
 
 HOST = "books.example"
 ENGINE = {"slots": 8, "kv-capacity-tokens": 400_000}
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -5,7 +5,8 @@
 import threading
 from concurrent.futures import ThreadPoolExecutor
 
-from extras.cluster import free_port, request, wait_until
+from extras.cluster import request, wait_until
+from extras.ports import free_port
 from extras.step_controller import StepController, kill
 from wisteriaarch.steps import Step
 
--- a/tests/test_settlement.py
+++ b/tests/test_settlement.py
@@ -6,7 +6,8 @@
 
 import curio
 
-from extras.cluster import Cluster, free_port, wait_until
+from extras.cluster import Cluster, wait_until
+from extras.ports import free_port
 from wisteriaarch.errors import WriteConflict
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.group_commit import GroupCommit
