members: datagrams and answers of the prober in modules of their own

prober.py had 349 lines and three jobs: probing, building datagrams and answering those of others. own_datagrams.py (53 lines) builds what this entry sends, datagram_answers.py (91) answers; prober.py has 244 and probes. The four places that gave a ping or an ack its fields are one. _send is untouched; the order of reads (own record, recent changes, gossip) is that of before, and so behaviour is unchanged. tests.test_members, test_odd_rows and test_membership passed (49 tests, beside load 15 on 8 cores).

--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -9,7 +9,6 @@
 
 import random
 from collections.abc import Awaitable, Callable, Iterable
-from typing import Protocol
 
 import curio
 from curio import socket
@@ -22,21 +21,19 @@
     BlockRecords,
     CrashRecord,
 )
-from ..process.member_list import MemberList, MemberRecord, MemberState
-from ..process.rows import StorePosition
+from ..process.member_list import MemberList, MemberState
 from ..process.table_update import TableUpdate
 from ..wire import Address
+from .datagram_answers import RELAY_TIMEOUT_S, DatagramAnswers
 from .gossip import Gossip
 from .member_codec import Datagram, DatagramKind, decode_datagram, encode_datagram
-from .pending_pings import PendingPings, RelayedPing
+from .own_datagrams import OwnDatagrams, VersionsInForce
+from .pending_pings import PendingPings
 
 PROBE_EVERY_S = 0.5
 ACK_TIMEOUT_S = 0.25
-RELAY_TIMEOUT_S = 0.3
 FINAL_TIMEOUT_S = 0.35
 RELAYS_MAX = 3
-CHANGES_PER_PROBE_MAX = 4
-MEMBERS_PER_DATAGRAM_MAX = 32
 DATAGRAM_MAX_BYTES = 32 * 1024
 # An entry that receives nothing for this time may itself be isolated, and marks no
 # other entry dead. Skipped with ISOLATION_EXEMPT_OTHERS_MAX or fewer others.
@@ -48,17 +45,6 @@
 REFUTATIONS = 3
 REFUTATION_EVERY_S = 0.15
 
-
-class VersionsInForce(Protocol):
-    """Versions that are in force at this entry.
-
-    ``generation`` is the store position of the newest change in force.
-    """
-
-    generation: StorePosition
-    configuration_version: int
-
-
 TableUpdateHandler = Callable[[str, tuple[TableUpdate, ...]], Awaitable[None]]
 
 
@@ -85,11 +71,14 @@
         self.on_table_updates: TableUpdateHandler | None = None
         self._list_entry_ids = list_entry_ids
         self._port = port
-        self._versions = versions
+        self._datagrams = OwnDatagrams(members, self.gossip, versions)
         self._log = log
         self._rng = random.Random(seed)
         self._sock = None
         self._pings = PendingPings()
+        self._answers = DatagramAnswers(
+            members, self.gossip, self._pings, self._datagrams, self._send, self._ping
+        )
         self._probe_order: list[str] = []
         self._last_received_at_s = now_s()
 
@@ -108,21 +97,12 @@
         blocks: BlockRecords = NO_BLOCK_RECORDS,
     ) -> None:
         """Send this entry's own record, and crashes, to all others."""
-        await self._broadcast(
-            Datagram(
-                DatagramKind.MEMBER_UPDATE,
-                self._current_own_record(),
-                crashes=crashes,
-                blocks=blocks,
-            )
-        )
+        await self._broadcast(self._datagrams.update(crashes=crashes, blocks=blocks))
 
     async def send_table_updates(self, updates: tuple[TableUpdate, ...]) -> None:
         """Send table updates that this entry has read from the store to all others."""
         kind = DatagramKind.TABLE_UPDATE
-        await self._broadcast(
-            Datagram(kind, self._current_own_record(), table_updates=updates)
-        )
+        await self._broadcast(self._datagrams.build(kind, table_updates=updates))
 
     async def _broadcast(self, datagram: Datagram) -> None:
         data = encode_datagram(datagram)
@@ -142,13 +122,6 @@
                 Event.PEER_SEND_FAILED, peer=str(Address(*address)), error=str(exc)
             )
 
-    def _current_own_record(self) -> MemberRecord:
-        versions = self._versions
-        self.members.update_own_positions(
-            versions.generation, versions.configuration_version
-        )
-        return self.members.own_record
-
     async def _probe_periodically(self) -> None:
         seeds_queried_at_s = float("-inf")
         while True:
@@ -163,10 +136,7 @@
             await curio.sleep(PROBE_EVERY_S * self._rng.uniform(0.8, 1.2))
 
     async def _request_members(self) -> None:
-        own = self._current_own_record()
-        await self._broadcast(
-            Datagram(DatagramKind.MEMBER_UPDATE, own, requests_all=True)
-        )
+        await self._broadcast(self._datagrams.update(requests_all=True))
 
     def _next_target(self) -> str | None:
         living = {item.entry_id for item in self.members.living_others()}
@@ -208,20 +178,10 @@
         if dead is None:
             return
         self._log.write(Event.ENTRY_DECLARED_DEAD, peer=target)
-        await self._broadcast(
-            Datagram(
-                DatagramKind.MEMBER_UPDATE, self._current_own_record(), others=(dead,)
-            )
-        )
+        await self._broadcast(self._datagrams.update(others=(dead,)))
 
     async def _ping(self, target: str, sequence: int) -> None:
-        datagram = Datagram(
-            DatagramKind.PING,
-            self._current_own_record(),
-            sequence,
-            self._recent_changes(),
-            **self.gossip.probe_fields(),
-        )
+        datagram = self._datagrams.probe(DatagramKind.PING, sequence)
         await self._send(encode_datagram(datagram), (target, self._port))
 
     async def _ping_through_others(self, target: str, sequence: int) -> None:
@@ -230,8 +190,8 @@
             for item in self.members.living_others()
             if item.entry_id != target and item.state is MemberState.ALIVE
         ]
-        datagram = Datagram(
-            DatagramKind.RELAY, self._current_own_record(), sequence, target=target
+        datagram = self._datagrams.build(
+            DatagramKind.RELAY, sequence=sequence, target=target
         )
         data = encode_datagram(datagram)
         for name in self._rng.sample(names, min(RELAYS_MAX, len(names))):
@@ -241,9 +201,6 @@
         await self._ping(target, sequence)
         await self._ping_through_others(target, sequence)
 
-    def _recent_changes(self) -> tuple[MemberRecord, ...]:
-        return tuple(self.members.recent_changes(CHANGES_PER_PROBE_MAX))
-
     async def _receive(self) -> None:
         while True:
             data, address = await self._sock.recvfrom(DATAGRAM_MAX_BYTES)
@@ -274,8 +231,8 @@
         if datagram.table_updates and self.on_table_updates is not None:
             await self.on_table_updates(sender.entry_id, datagram.table_updates)
         self.gossip.apply(datagram)
-        await self._answer(datagram, address, is_new)
-        await self._notify_if_marked_dead(sender, address)
+        await self._answers.answer(datagram, address, is_new)
+        await self._answers.notify_if_marked_dead(sender, address)
 
     async def _refute(self) -> None:
         """Announce that this entry is alive.
@@ -285,65 +242,3 @@
         for _ in range(REFUTATIONS):
             await self.announce()
             await curio.sleep(REFUTATION_EVERY_S)
-
-    async def _answer(
-        self, datagram: Datagram, address: tuple[str, int], is_new: bool
-    ) -> None:
-        kind = datagram.kind
-        if kind is DatagramKind.PING:
-            await self._ack(datagram.sequence, address)
-        elif kind is DatagramKind.RELAY:
-            await self._relay(datagram, address)
-        elif kind is DatagramKind.ACK:
-            await self._handle_ack(datagram.sequence)
-        elif datagram.requests_all:
-            await self._send_members(address)
-        elif is_new:
-            await self._ack(0, address)
-
-    async def _ack(self, sequence: int, address: tuple[str, int]) -> None:
-        datagram = Datagram(
-            DatagramKind.ACK,
-            self._current_own_record(),
-            sequence,
-            self._recent_changes(),
-            **self.gossip.probe_fields(),
-        )
-        await self._send(encode_datagram(datagram), address)
-
-    async def _relay(self, datagram: Datagram, address: tuple[str, int]) -> None:
-        sequence = self._pings.add_relayed(RelayedPing(address, datagram.sequence))
-        await self._ping(datagram.target, sequence)
-        remove = self._pings.remove_relayed
-        await curio.spawn(remove, sequence, RELAY_TIMEOUT_S, daemon=True)
-
-    async def _handle_ack(self, sequence: int) -> None:
-        relayed = await self._pings.handle_ack(sequence)
-        if relayed is not None:
-            await self._ack(relayed.sequence, relayed.requester)
-
-    async def _send_members(self, address: tuple[str, int]) -> None:
-        """Send all records and known crashes to an entry that has just started."""
-        records = self.members.all_records()
-        records_of_gossip = self.gossip.start_fields()
-        for start in range(0, len(records), MEMBERS_PER_DATAGRAM_MAX):
-            page = tuple(records[start : start + MEMBERS_PER_DATAGRAM_MAX])
-            datagram = Datagram(
-                DatagramKind.MEMBER_UPDATE,
-                self._current_own_record(),
-                others=page,
-                **records_of_gossip,
-            )
-            await self._send(encode_datagram(datagram), address)
-
-    async def _notify_if_marked_dead(
-        self, sender: MemberRecord, address: tuple[str, int]
-    ) -> None:
-        """Notify an entry that is marked dead here, so that it can refute this."""
-        known = self.members.get(sender.entry_id)
-        if known is None or known.state is not MemberState.DEAD:
-            return
-        datagram = Datagram(
-            DatagramKind.MEMBER_UPDATE, self._current_own_record(), others=(known,)
-        )
-        await self._send(encode_datagram(datagram), address)
