--- a/extras/cluster.py
+++ b/extras/cluster.py
@@ -5,7 +5,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -13,6 +12,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .kept_logs import KEEPER, LogKeeper
+from .ports import free_port
+
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
 CLI_TIMEOUT_S = 60.0
@@ -87,8 +89,10 @@
         default_factory=tempfile.TemporaryDirectory
     )
     processes: dict[str, Process] = field(default_factory=dict)
+    keeper: LogKeeper = KEEPER
 
     def __enter__(self) -> "Cluster":
+        self.keeper.cluster_started(self.directory)
         return self
 
     def __exit__(self, *exc_info) -> None:
@@ -97,7 +101,7 @@
                 process.popen.kill()
             process.popen.wait()
             process.popen.stdout.close()
-        self.directory.cleanup()
+        self.keeper.cluster_ended(self.directory)
 
     @property
     def path(self) -> Path:
@@ -291,13 +295,6 @@
         conn.close()
 
 
-def free_port() -> int:
-    """Return a currently unused TCP port."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
-
-
 def wait_until(condition, timeout_s: float = START_TIMEOUT_S, every_s: float = 0.05):
     """Poll ``condition()`` until it is true and return its value.
 
