versions: refuse streams that an entry can't know while it is cut off

Cause: an entry that couldn't read the rows and knew one version took streams that it didn't know to be of that version. Others may have begun streams on a version that it hasn't heard of.

Evidence: tests.test_version_out_of_step (new; real entries, links cut or an entry stopped, orders from a seed).

Change: only memory and the store name a stream's version; without both the take-up is refused (503, not run, Retry-After 0.5 s). Nothing changes in rows or messages.

Price: with one version in service and the store away, take-ups of streams whose placing entry is gone are refused.

--- a/tests/cut_entry.py
+++ b/tests/cut_entry.py
@@ -3,7 +3,8 @@
 The file named by ``CUT_FILE`` holds the mode and the cut ports: ``hang`` (bytes get
 nowhere, new connections time out), ``reset`` (open connections are reset, new ones time
 out), ``refuse`` (open connections live on, new ones are refused), ``refuse all`` (open
-connections are reset, new ones refused), or nothing.
+connections are reset, new ones refused), or nothing. Datagrams to and from cut ports
+are lost in every mode. Connections accepted at a port in ``listening`` are cut too.
 """
 
 import json
@@ -18,10 +19,16 @@
 POLL_S = 0.01
 CUT_FILE = Path(os.environ["CUT_FILE"])
 open_real_socket = sockets.open_socket
+accept_real_client = sockets.accept_client
+make_real_socket = curio.socket.socket
+
+
+def read_cuts():
+    return json.loads(CUT_FILE.read_text(encoding="utf-8"))
 
 
 def read_mode(port):
-    content = json.loads(CUT_FILE.read_text(encoding="utf-8"))
+    content = read_cuts()
     return content["mode"] if port in content["ports"] else ""
 
 
@@ -93,7 +100,49 @@
     return CutSocket(await open_real_socket(address, timeout_s), address.port)
 
 
+class CutDatagramSocket:
+    """Datagram socket whose datagrams pass only while their link isn't cut."""
+
+    def __init__(self, sock):
+        self._sock = sock
+
+    def __getattr__(self, name):
+        return getattr(self._sock, name)
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._sock.close()
+
+    async def sendto(self, data, address):
+        if read_mode(address[1]):
+            return len(data)
+        return await self._sock.sendto(data, address)
+
+    async def recvfrom(self, size):
+        while True:
+            data, address = await self._sock.recvfrom(size)
+            if not read_mode(address[1]):
+                return data, address
+
+
+async def accept_cut_client(sock, log):
+    client = await accept_real_client(sock, log)
+    port = client.getsockname()[1]
+    return (
+        CutSocket(client, port) if port in read_cuts().get("listening", ()) else client
+    )
+
+
+def make_cut_socket(family, kind):
+    sock = make_real_socket(family, kind)
+    return CutDatagramSocket(sock) if kind == curio.socket.SOCK_DGRAM else sock
+
+
 sockets.open_socket = open_cut_socket
+sockets.accept_client = accept_cut_client
+curio.socket.socket = make_cut_socket
 
 if __name__ == "__main__":
     from wisteriaarch.__main__ import main
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -44,6 +44,26 @@
         return self.now_s
 
 
+class StoreLink:
+    """Link of one entry to the store, which may be cut."""
+
+    def __init__(self, store):
+        self.is_cut = False
+        self._store = store
+
+    async def scan(self, table, prefix=""):
+        self._check()
+        return await self._store.scan(table, prefix)
+
+    async def write(self, transaction):
+        self._check()
+        await self._store.write(transaction)
+
+    def _check(self):
+        if self.is_cut:
+            raise StoreUnavailable("cut off")
+
+
 class MemoryStore:
     """Rows in memory that may be unreachable, or go back to an older copy."""
 
@@ -106,7 +126,8 @@
         store.eras.append(self.era)
         registry = UpstreamRegistry(lambda: None, mock.Mock())
         self.estimates = FleetEstimates.from_registry(registry)
-        records = VersionRecords(store, self.era, f"entry-{Entry.number}")
+        self.link = StoreLink(store)
+        records = VersionRecords(self.link, self.era, f"entry-{Entry.number}")
         self.log = mock.Mock()
         self.streams = StreamVersions(
             self.estimates,
@@ -119,6 +140,9 @@
         self.register(versions)
 
     def register(self, versions):
+        """Have the registrations read, unless the entry is cut off."""
+        if self.link.is_cut:
+            return
         self.estimates.registry.update(
             [self.upstream(name, version) for name, version in versions.items()]
         )
@@ -287,6 +311,18 @@
 
         self.run_async(main)
 
+    def test_unknown_stream_is_refused_where_an_entry_alone_is_cut_off(self):
+        async def main():
+            cut = Entry(self.store, {"a": "v1"})
+            await cut.step()
+            cut.link.is_cut = True
+            entry = Entry(self.store, {"a": "v1", "b": "v2"})
+            await entry.step()
+            await entry.begin("c1", "v2")
+            self.assertIsNone(await cut.take_up("c1"))
+
+        self.run_async(main)
+
     def test_older_copy_is_not_believed(self):
         async def main():
             entry = Entry(self.store, {"a": "v1"})
@@ -379,7 +415,8 @@
     """Entries are killed, all or some, while versions come and go; none joins a stream.
 
     A release replaces the upstreams, entries place streams and take them up at others,
-    and the store is away or goes back to a copy now and then.
+    and the store is away or goes back to a copy now and then. Entries are cut off from
+    the store and hear of no registrations meanwhile.
     """
 
     SEEDS = 20
@@ -411,6 +448,9 @@
                 store.come_back(copy)
             elif action < 0.52:
                 copy = store.copy()
+            elif action < 0.6:
+                link = rng.choice(entries).link
+                link.is_cut = not link.is_cut
             for entry in rng.sample(entries, min(3, len(entries))):
                 await self.step(entry, upstreams)
                 for _stream in range(3):
--- a/wisteriaarch/request/stream_versions.py
+++ b/wisteriaarch/request/stream_versions.py
@@ -143,7 +143,12 @@
         return tracked and tracked.versions.find(stream_key(call.resumes))
 
     async def _find_software(self, call: RoutedCall, tracked: ServiceRecorder) -> str:
-        """Return the version that began a resumed stream; raises RequestError."""
+        """Return the version that began a resumed stream; raises RequestError.
+
+        A stream that this entry doesn't know isn't assumed to be of the only version
+        that it knows: other entries may have begun streams on one that it hasn't heard
+        of. Only the store can tell.
+        """
         key = stream_key(call.resumes)
         versions = tracked.versions
         software = versions.find(key)
@@ -152,8 +157,6 @@
         try:
             await tracked.reload()
         except PlatformError as exc:
-            if versions.registered == {versions.only_version}:
-                return versions.only_version
             detail = "the store doesn't say on which software version it began"
             raise self._not_resumable(call, detail, RESUME_RETRY_AFTER_S) from exc
         software = versions.find(key)
