versions: don't take placements that weren't used for beginnings

Cause: the scheduler recorded a stream's version when it placed it. An entry that doesn't hear the answer within 0.1 s asks another entry or places the stream itself, perhaps on another version. The scheduler kept its record and answered take-ups from it; rows that contradict each other were read only for streams that an entry didn't know. Neither freeze nor cut is needed, a late answer is enough.

Change: the placing entry forgets a placement that is withdrawn or whose outcome says that nothing ran, and writes a later row for the stream with a version that no upstream has; readers of this release skip it, earlier ones refuse the stream, as they did for rows that contradict. While there are several versions, an entry that knows a stream compares with the rows of others (0.05 s at most) and refuses what they contradict. A stream is recorded once it has its permit, not before it waits for one.

Price: a read of the rows for each take-up while there are several versions; some streams that two entries placed are refused.

Not mended here: an entry that is cut off from the store at the same moment can't record its own placement.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -22,6 +22,8 @@
 from wisteriaarch.process.store_era import StoreEra
 from wisteriaarch.process.upstreams import Stage, UpstreamRegistry
 from wisteriaarch.process.version_records import VersionRecords, stream_key
+from wisteriaarch.request.attempt_failures import FailureReason
+from wisteriaarch.request.attempt_outcome import ABANDONED, AttemptOutcome
 from wisteriaarch.request.service_versions import (
     ANSWERED_RETENTION_S,
     LOST_VERSION,
@@ -34,6 +36,7 @@
 )
 
 SERVICE = "s"
+UNUSED_SHARE = 0.1
 
 
 class Clock:
@@ -162,13 +165,19 @@
     async def begin(self, call_id, version=None):
         """Place a new stream; returns its version."""
         call = make_call(call_id)
+        # Nobody confirms versions while this waits.
         self.streams._of(SERVICE).has_failed = True
         await self.streams.admit(call)
+        self.streams._of(SERVICE).has_failed = False
         allowed = call.usable_software or self.estimates.registry.software_of(SERVICE)
         version = version if version in allowed else sorted(allowed)[0]
         self.streams.record(call, version)
         return version
 
+    def withdraw(self, call_id):
+        """Record that the entry that asked for a placement didn't use it."""
+        self.streams.withdraw(make_call(call_id))
+
     async def take_up(self, call_id):
         """Return the version at which a stream goes on; None if it is refused."""
         call = make_call(f"{call_id}-again", resume_after="1", resumes=call_id)
@@ -323,6 +332,55 @@
 
         self.run_async(main)
 
+    def test_stream_goes_on_at_the_placement_that_was_used(self):
+        async def main():
+            first, second = await self.place_twice("c1")
+            first.withdraw("c1")
+            self.assertEqual(await first.take_up("c1"), "v2")
+            await first.step()
+            restarted = Entry(self.store, {"a": "v1", "b": "v2"})
+            for entry in (first, second, restarted):
+                self.assertEqual(await entry.take_up("c1"), "v2")
+
+        self.run_async(main)
+
+    def test_stream_is_refused_where_it_is_unknown_which_placement_was_used(self):
+        async def main():
+            for entry in await self.place_twice("c1"):
+                self.assertIsNone(await entry.take_up("c1"))
+
+        self.run_async(main)
+
+    async def place_twice(self, call_id):
+        """Return the entries that placed a stream on v1 and then on v2."""
+        entries = []
+        for version in ("v1", "v2"):
+            entry = Entry(self.store, {"a": "v1", "b": "v2"})
+            entries.append(entry)
+            await entry.step()
+            await entry.begin(call_id, version)
+            await entry.step()
+        return entries
+
+    def test_attempt_that_did_not_run_leaves_no_record(self):
+        outcomes = {
+            FailureReason.NOT_CONNECTED.value: None,
+            FailureReason.DECLINED.value: None,
+            FailureReason.CLOSED.value: "v1",
+            ABANDONED: "v1",
+        }
+
+        async def main():
+            entry = Entry(self.store, {"a": "v1", "b": "v2"})
+            await entry.step()
+            for cause, version in outcomes.items():
+                await entry.begin(cause, "v1")
+                outcome = AttemptOutcome(cause, 0.1)
+                entry.streams.observe_outcome(make_call(cause), outcome)
+                self.assertEqual(await entry.take_up(cause), version, cause)
+
+        self.run_async(main)
+
     def test_older_copy_is_not_believed(self):
         async def main():
             entry = Entry(self.store, {"a": "v1"})
@@ -416,7 +474,8 @@
 
     A release replaces the upstreams, entries place streams and take them up at others,
     and the store is away or goes back to a copy now and then. Entries are cut off from
-    the store and hear of no registrations meanwhile.
+    the store and hear of no registrations meanwhile. Some streams were placed by
+    another entry before, in vain; these are used once the store has their record.
     """
 
     SEEDS = 20
@@ -456,7 +515,15 @@
                 for _stream in range(3):
                     number += 1
                     name = f"c{number}"
-                    began[name] = await entry.begin(name, f"v{rng.randint(1, version)}")
+                    is_second = rng.random() < UNUSED_SHARE
+                    if is_second:
+                        unused = rng.choice(entries)
+                        await unused.begin(name, f"v{rng.randint(1, version)}")
+                        await self.step(unused, upstreams)
+                        unused.withdraw(name)
+                    placed = await entry.begin(name, f"v{rng.randint(1, version)}")
+                    if not is_second or await self.step(entry, upstreams):
+                        began[name] = placed
             for name in rng.sample(sorted(began), min(4, len(began))):
                 entry = rng.choice(entries)
                 entry.register(upstreams)
@@ -467,9 +534,12 @@
         return went_on, asked
 
     async def step(self, entry, upstreams):
+        """Do what an entry does in an interval; returns whether the store took it."""
         entry.register(upstreams)
         with contextlib.suppress(StoreUnavailable, WriteConflict):
             await entry.step()
+            return not entry.link.is_cut
+        return False
 
     def start(self, store, upstreams, count):
         return [Entry(store, upstreams) for _ in range(count)]
--- a/tests/test_version_out_of_step.py
+++ b/tests/test_version_out_of_step.py
@@ -53,6 +53,15 @@
         path.with_suffix(".new").write_text(json.dumps(content), encoding="utf-8")
         path.with_suffix(".new").rename(path)
 
+    def cut(self, *which):
+        ports = {"store": self.cluster.processes["store"].port, "peers": self.ports[3]}
+        number = int(self.entry.name.rpartition("-")[2])
+        mode = self.rng.choice(MODES)
+        self.set_links(number, mode, [ports[item] for item in which])
+
+    def mend(self):
+        self.set_links(int(self.entry.name.rpartition("-")[2]), "", [])
+
     def prepare(self, seed):
         self.rng = random.Random(seed)
         super().setUp()
@@ -127,15 +136,6 @@
                 finally:
                     self.doCleanups()
 
-    def cut(self, *which):
-        ports = {"store": self.cluster.processes["store"].port, "peers": self.ports[3]}
-        number = int(self.entry.name.rpartition("-")[2])
-        mode = self.rng.choice(MODES)
-        self.set_links(number, mode, [ports[item] for item in which])
-
-    def mend(self):
-        self.set_links(int(self.entry.name.rpartition("-")[2]), "", [])
-
     def test_entry_that_stood_still_joins_no_stream(self):
         self.run_seeds(
             lambda: self.entry.send_signal(signal.SIGSTOP),
--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -57,7 +57,7 @@
     async def place(self, call: RoutedCall) -> Placement:
         """Return the placement of a call; raises RequestError or AttemptFailed."""
         if call.resume_after is not None and call.software is None:
-            call.software = self._stream_software.find_placed(call)
+            call.software = await self._stream_software.find_placed(call)
         scheduler = self._fallback_scheduler
         for name in self._scheduler_choice.ranked(call.service)[
             :SCHEDULERS_QUERIED_MAX
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -187,6 +187,8 @@
         attempt = self._attempts.pop(message.number, None)
         if attempt is not None:
             attempt.end()
+            if attempt.prefills_here:
+                self._scheduler.parts.stream_software.withdraw(attempt.call)
 
     @_handle.register
     async def _(self, _message: CopyQuery) -> None:
@@ -276,8 +278,9 @@
         )
         if attempt.stage is AttemptStage.RUN:
             self._observe_prompt_size(attempt.call, outcome.first_event_s is not None)
-            if outcome.cause == ANSWERED:
-                self._scheduler.parts.stream_software.end(attempt.call)
+        if attempt.stage is AttemptStage.RUN or outcome.cause != ANSWERED:
+            stream_software = self._scheduler.parts.stream_software
+            stream_software.observe_outcome(attempt.call, outcome)
 
     def _observe_prompt_size(self, call: RoutedCall, answered: bool) -> None:
         if call.prompt is not None:
--- a/wisteriaarch/process/version_records.py
+++ b/wisteriaarch/process/version_records.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -20,6 +20,8 @@
 SERVED_KEY = "served"
 KEY_BYTES = 8
 STREAMS_PER_ROW_MAX = 2000
+# Stands for the version of a stream that didn't begin where its writer placed it.
+WITHDRAWN_VERSION = "\0withdrawn"
 
 
 @dataclass(frozen=True)
@@ -29,7 +31,8 @@
     ``served`` are the versions that streams may have begun on, None if no row of the
     store's ``era`` states them. ``earlier_served`` are those of a row of another era.
     ``streams`` maps the keys of streams to versions, to None where rows contradict each
-    other. ``row_keys`` are the rows with streams.
+    other; it has the rows of other writers, ``own_streams`` those of this process.
+    ``row_keys`` are the rows with streams.
     """
 
     era: int
@@ -37,6 +40,7 @@
     earlier_served: frozenset[str] = frozenset()
     served_row_version: int = NO_VERSION
     streams: dict[str, str | None] = field(default_factory=dict)
+    own_streams: dict[str, str | None] = field(default_factory=dict)
     row_keys: tuple[str, ...] = ()
 
 
@@ -63,12 +67,15 @@
         stream_rows = [row for row in rows if row is not served_row]
         is_current = served_row is not None and _era_of(served_row) == era
         versions = _versions_of(served_row)
+        current_rows = [row for row in stream_rows if _era_of(row) == era]
+        own_prefix = f"{prefix}{self._writer}/"
         return VersionSnapshot(
             era,
             versions if is_current else None,
             versions,
             served_row.version if served_row is not None else NO_VERSION,
-            _merge(row for row in stream_rows if _era_of(row) == era),
+            _merge(row for row in current_rows if not row.key.startswith(own_prefix)),
+            _merge(row for row in current_rows if row.key.startswith(own_prefix)),
             tuple(row.key for row in stream_rows),
         )
 
@@ -135,7 +142,7 @@
     }
 
 
-def _merge(rows: Iterator[Row]) -> dict[str, str | None]:
+def _merge(rows: Iterable[Row]) -> dict[str, str | None]:
     """Return the streams of rows; a later row of one writer replaces an earlier one."""
     by_writer: dict[str, dict[str, str]] = {}
     for row in sorted(rows, key=lambda row: row.key):
@@ -144,6 +151,8 @@
     merged: dict[str, str | None] = {}
     for streams in by_writer.values():
         for key, version in streams.items():
+            if version == WITHDRAWN_VERSION:
+                continue
             is_contradicted = merged.get(key, version) != version
             merged[key] = None if is_contradicted else version
     return merged
--- a/wisteriaarch/request/attempt_outcome.py
+++ b/wisteriaarch/request/attempt_outcome.py
@@ -3,13 +3,17 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+from ..errors import Ran
 from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
-from .attempt_failures import FailureReason
+from .attempt_failures import RAN_BY_REASON, FailureReason
 
 ANSWERED = "answered"
 # The caller disconnected, or the call's deadline passed.
 ABANDONED = "left"
 CAUSES = frozenset((ANSWERED, ABANDONED, *(reason.value for reason in FailureReason)))
+NOT_RUN_CAUSES = frozenset(
+    reason.value for reason, ran in RAN_BY_REASON.items() if ran is Ran.NO
+)
 
 
 class AttemptStage(StrEnum):
@@ -34,3 +38,13 @@
     is_overloaded: bool = False
     is_down: bool = False
     signals: UpstreamSignals = NO_SIGNALS
+
+    @property
+    def has_not_begun(self) -> bool:
+        """Whether the upstream certainly didn't answer the attempt.
+
+        One that was abandoned without any time was never made.
+        """
+        if self.cause == ABANDONED:
+            return self.elapsed_s == 0.0
+        return self.cause in NOT_RUN_CAUSES
--- a/wisteriaarch/request/placer.py
+++ b/wisteriaarch/request/placer.py
@@ -5,7 +5,7 @@
 
 from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Upstream
-from .attempt_outcome import ANSWERED, AttemptOutcome
+from .attempt_outcome import AttemptOutcome
 from .candidate import Choice
 from .routed_call import RoutedCall
 from .stage_plan import StagePlan
@@ -40,9 +40,8 @@
     stream_software: StreamSoftware
 
     async def observe_outcome(self, outcome: AttemptOutcome) -> None:
-        """Record the end of a stream that was answered completely."""
-        if outcome.cause == ANSWERED:
-            self.stream_software.end(self.call)
+        """Record where a stream ended or didn't begin."""
+        self.stream_software.observe_outcome(self.call, outcome)
 
 
 @dataclass(frozen=True)
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -117,8 +117,8 @@
         plan = await self._plan(call, on_wait)
         first_choice = plan.prefill or plan.decode
         software = first_choice.candidate.upstream.software
-        self._parts.stream_software.record(call, software)
         await self._acquire_permit(first_choice, on_wait)
+        self._parts.stream_software.record(call, software)
         return plan
 
     async def _plan(self, call: RoutedCall, on_wait: OnWait) -> StagePlan:
--- a/wisteriaarch/request/service_versions.py
+++ b/wisteriaarch/request/service_versions.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..process.clock import now_s
-from ..process.version_records import VersionSnapshot
+from ..process.version_records import WITHDRAWN_VERSION, VersionSnapshot
 
 # A caller may resume a stream until its deadline; longer deadlines extend this.
 STREAM_LIFETIME_MIN_S = 30.0
@@ -44,6 +44,7 @@
         self._answered: dict[str, _Stream] = {}
         self._unrecorded: dict[str, _Stream] = {}
         self._recorded: dict[str, str | None] = {}
+        self._recorded_here: dict[str, str | None] = {}
         self._row_seen_at_s: dict[str, float] = {}
         self._lifetime_s = STREAM_LIFETIME_MIN_S
 
@@ -94,14 +95,38 @@
         stream.expires_at_s = self._clock() + ANSWERED_RETENTION_S
         self._answered[key] = stream
 
+    def withdraw(self, key: str) -> None:
+        """Record that a stream didn't begin where this entry placed it.
+
+        Its record may have been written already.
+        """
+        stream = self._streams.get(key)
+        if stream is not None:
+            withdrawn = _Stream(WITHDRAWN_VERSION, stream.expires_at_s)
+            self._streams[key] = self._unrecorded[key] = withdrawn
+
     def find(self, key: str) -> str | None:
-        """Return the version that a stream began on; None if there is no record."""
-        stream = self._streams.get(key) or self._answered.get(key)
-        return stream.version if stream else self._recorded.get(key)
+        """Return the version that a stream began on.
+
+        None if there is no record, or if records contradict each other: entries may
+        have placed a stream one after the other and not know which placement was used.
+        """
+        placed, recorded = self._placed_version(key), self._recorded.get(key)
+        return None if self.is_contradicted(key) else placed or recorded
 
     def is_contradicted(self, key: str) -> bool:
-        """Whether the store has more than one version for a stream."""
-        return key in self._recorded and self._recorded[key] is None
+        """Whether there is more than one version for a stream."""
+        if key not in self._recorded:
+            return False
+        recorded = self._recorded[key]
+        return recorded is None or self._placed_version(key) not in (None, recorded)
+
+    def _placed_version(self, key: str) -> str | None:
+        """Return the version on which this entry placed a stream that began there."""
+        stream = self._streams.get(key) or self._answered.get(key)
+        if stream is None:
+            return self._recorded_here.get(key)
+        return None if stream.version == WITHDRAWN_VERSION else stream.version
 
     def apply(self, snapshot: VersionSnapshot) -> None:
         """Apply what the store has."""
@@ -109,6 +134,7 @@
         self.served = snapshot.served
         self._earlier_served = snapshot.earlier_served
         self._recorded = snapshot.streams
+        self._recorded_here = snapshot.own_streams
         for version in snapshot.earlier_served:
             self._seen_at_s.setdefault(version, now)
         for key in snapshot.row_keys:
@@ -192,4 +218,5 @@
         """Forget what the store had, and record all streams again."""
         self.served = None
         self._recorded = {}
+        self._recorded_here = {}
         self._unrecorded = {**self._answered, **self._streams}
--- a/wisteriaarch/request/stream_versions.py
+++ b/wisteriaarch/request/stream_versions.py
@@ -7,6 +7,7 @@
 that version stands for all streams.
 """
 
+import contextlib
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -19,6 +20,7 @@
 from ..process.upstreams import Stage
 from ..process.version_records import VersionRecords, stream_key
 from ..version.route_table import CallKind
+from .attempt_outcome import ANSWERED, AttemptOutcome
 from .routed_call import RoutedCall
 from .service_recorder import ServiceRecorder
 
@@ -27,6 +29,8 @@
 UNCONFIRMED_MAX_S = 10.0
 RESUME_RETRY_AFTER_S = 0.5
 FOLLOW_EVERY_S = 0.05
+# Other entries wait 0.1 s for a placement, this included.
+COMPARISON_WAIT_S = 0.05
 
 
 class StreamSoftware(Protocol):
@@ -35,14 +39,17 @@
     async def admit(self, call: RoutedCall) -> None:
         """Set the versions that a call may be placed on; raises RequestError."""
 
-    def find_placed(self, call: RoutedCall) -> str | None:
+    async def find_placed(self, call: RoutedCall) -> str | None:
         """Return the version of a resumed stream if this entry placed it."""
 
     def record(self, call: RoutedCall, software: str) -> None:
         """Record that a call was placed on a version."""
 
-    def end(self, call: RoutedCall) -> None:
-        """Record that a call was answered completely."""
+    def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
+        """Observe the outcome of an attempt that this entry placed."""
+
+    def withdraw(self, call: RoutedCall) -> None:
+        """Record that a call didn't begin where this entry placed it."""
 
 
 class AnySoftware:
@@ -51,13 +58,16 @@
     async def admit(self, call: RoutedCall) -> None:
         """Allow every version."""
 
-    def find_placed(self, call: RoutedCall) -> str | None:
+    async def find_placed(self, call: RoutedCall) -> str | None:
         """Return None: the version doesn't matter."""
 
     def record(self, call: RoutedCall, software: str) -> None:
         """Do nothing."""
 
-    def end(self, call: RoutedCall) -> None:
+    def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
+        """Do nothing."""
+
+    def withdraw(self, call: RoutedCall) -> None:
         """Do nothing."""
 
 
@@ -137,10 +147,28 @@
             )
         call.usable_software = self._usable_software(call, tracked)
 
-    def find_placed(self, call: RoutedCall) -> str | None:
+    async def find_placed(self, call: RoutedCall) -> str | None:
         """Return the version of a resumed stream that this entry placed itself."""
         tracked = self._services.get(call.service)
-        return tracked and tracked.versions.find(stream_key(call.resumes))
+        return tracked and await self._find_known(call, tracked)
+
+    async def _find_known(
+        self, call: RoutedCall, tracked: ServiceRecorder
+    ) -> str | None:
+        """Return the version of a resumed stream if this entry knows it.
+
+        While there are several versions, the stream may have been placed by another
+        entry, too, so records of others are read if the store answers soon.
+        """
+        key = stream_key(call.resumes)
+        versions = tracked.versions
+        software = versions.find(key)
+        if software is None or not versions.is_mixed or tracked.has_failed:
+            return software
+        with contextlib.suppress(PlatformError):
+            async with curio.ignore_after(COMPARISON_WAIT_S):
+                await tracked.reload()
+        return versions.find(key)
 
     async def _find_software(self, call: RoutedCall, tracked: ServiceRecorder) -> str:
         """Return the version that began a resumed stream; raises RequestError.
@@ -149,11 +177,11 @@
         that it knows: other entries may have begun streams on one that it hasn't heard
         of. Only the store can tell.
         """
-        key = stream_key(call.resumes)
-        versions = tracked.versions
-        software = versions.find(key)
+        software = await self._find_known(call, tracked)
         if software is not None:
             return software
+        key = stream_key(call.resumes)
+        versions = tracked.versions
         try:
             await tracked.reload()
         except PlatformError as exc:
@@ -233,11 +261,21 @@
         versions = self._of(call.service).versions
         versions.add(stream_key(call.call_id), software, call.remaining_s())
 
-    def end(self, call: RoutedCall) -> None:
-        """Record that a call was answered completely."""
+    def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
+        """Observe the outcome of an attempt that this entry placed."""
         tracked = self._services.get(call.service)
-        if tracked is not None:
+        if tracked is None:
+            return
+        if outcome.cause == ANSWERED:
             tracked.versions.end(stream_key(call.call_id))
+        elif outcome.has_not_begun:
+            self.withdraw(call)
+
+    def withdraw(self, call: RoutedCall) -> None:
+        """Record that a call didn't begin where this entry placed it."""
+        tracked = self._services.get(call.service)
+        if tracked is not None and call.software is None:
+            tracked.versions.withdraw(stream_key(call.call_id))
 
 
 def _is_resumable(call: RoutedCall) -> bool:
