versions: use an own placement in doubt once it is recorded

Callers whose entry was cut off from the store and the other entries in the moment when their streams began got the rest from another software version (ORDER).

Cause: the entry's question had reached the scheduler, its answer and the word that it isn't used were lost. The entry placed the stream itself, and the row of that came after the take-up, which was answered from the scheduler's record alone.

Change: a call that a scheduler may have placed without being heard, and that this entry then places itself, waits while there are several versions until its row is written, which happens every 0.02 s anyway (no more calls to the store); after 0.25 s, or where the store is known to be away, it is refused (503, not run, Retry-After 0.5 s).

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -11,6 +11,7 @@
 from tests.test_scheduling import make_call
 from wisteriaarch.errors import (
     ErrorKind,
+    Ran,
     RequestError,
     StoreUnavailable,
     WriteConflict,
@@ -362,6 +363,38 @@
             await entry.step()
         return entries
 
+    def test_placement_is_used_once_the_store_has_it(self):
+        """Another entry may hold another placement of the stream."""
+
+        async def main():
+            entry = Entry(self.store, {"a": "v1", "b": "v2"})
+            await entry.step()
+            for call_id in ("c1", "c2"):
+                await entry.begin(call_id, "v1")
+                wait = entry.streams.wait_until_recorded
+                task = await curio.spawn(wait, make_call(call_id))
+                await curio.sleep(0)
+                self.assertFalse(task.terminated)
+                await entry.step()
+                await task.join()
+            entry.link.is_cut = True
+            await entry.begin("c3", "v1")
+            with self.assertRaises(RequestError) as caught:
+                await entry.streams.wait_until_recorded(make_call("c3"))
+            self.assertIs(caught.exception.ran, Ran.NO)
+
+        self.run_async(main)
+
+    def test_single_version_is_used_without_a_record(self):
+        async def main():
+            entry = Entry(self.store, {"a": "v1"})
+            await entry.step()
+            entry.link.is_cut = True
+            await entry.begin("c1", "v1")
+            await entry.streams.wait_until_recorded(make_call("c1"))
+
+        self.run_async(main)
+
     def test_attempt_that_did_not_run_leaves_no_record(self):
         outcomes = {
             FailureReason.NOT_CONNECTED.value: None,
--- a/tests/test_unused_placements.py
+++ b/tests/test_unused_placements.py
@@ -67,3 +67,6 @@
 
     def test_entry_that_was_cut_off_leaves_no_false_record(self):
         self.play_rounds(lambda: self.cut("peers"), self.mend)
+
+    def test_entry_that_was_cut_off_from_the_store_too_leaves_no_false_record(self):
+        self.play_rounds(lambda: self.cut("store", "peers"), self.mend)
--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -72,6 +72,8 @@
         if scheduler is self._shared_scheduler:
             self._record_request(call)
         plan = await scheduler.place(call)
+        if call.may_be_placed:
+            await self._stream_software.wait_until_recorded(call)
         return Placement(plan, NoTicket() if plan.prefill else self._own_ticket(call))
 
     def _own_ticket(self, call: RoutedCall) -> OwnTicket:
--- a/wisteriaarch/connection/scheduler_link.py
+++ b/wisteriaarch/connection/scheduler_link.py
@@ -94,6 +94,7 @@
             if answer is None:
                 await link.send(WithdrawnNotice(number))
         if answer is None:
+            call.may_be_placed = True
             await self._record_unanswered()
             return None
         self._unanswered = 0
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -84,7 +84,8 @@
     placed before other long ones. ``zone`` is the zone of the entry that serves the
     caller, ``retries_left`` the number of retries that its service had left at the last
     placement. ``demand_recorded`` is set once the prefill of its prompt is counted as
-    demand. ``block_trial`` states whether it tests a quarantined block.
+    demand. With ``may_be_placed`` a scheduler may have placed it without being heard.
+    ``block_trial`` states whether it tests a quarantined block.
     """
 
     call_id: str
@@ -112,6 +113,7 @@
     placements: int = 0
     retries_left: int = 0
     demand_recorded: bool = False
+    may_be_placed: bool = False
     block_trial: BlockTrial = field(default_factory=BlockTrial)
 
     @cached_property
--- a/wisteriaarch/request/service_recorder.py
+++ b/wisteriaarch/request/service_recorder.py
@@ -1,10 +1,11 @@
 """Keeps the store's rows on the streams of one service up to date."""
 
-from collections.abc import Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable
 
 import curio
 
-from ..errors import PlatformError, WriteConflict
+from ..errors import PlatformError, StoreUnavailable, WriteConflict
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.upstreams import UpstreamRegistry
@@ -45,6 +46,9 @@
         self._log = log
         self._wake = curio.Event()
         self._confirmed = curio.Event()
+        self._written = curio.Event()
+        self._writes_begun = 0
+        self._writes_ended = 0
         self._lock = curio.Lock()
         self._read_started_at_s = float("-inf")
         self.observe_registered()
@@ -63,6 +67,32 @@
             async with curio.ignore_after(CONFIRMATION_WAIT_S):
                 await self._confirmed.wait()
 
+    async def wait_until_recorded(self, key: str) -> None:
+        """Wait until the placement of a stream is recorded.
+
+        Raises StoreUnavailable if that takes longer than ``CONFIRMATION_WAIT_S``.
+        """
+        number = self._writes_begun + self.versions.is_unrecorded(key)
+        async with curio.ignore_after(CONFIRMATION_WAIT_S):
+            while self._writes_ended < number and not self.has_failed:
+                self._written.clear()
+                await self._written.wait()
+        if self._writes_ended < number:
+            raise StoreUnavailable("the placement isn't recorded")
+
+    @contextlib.asynccontextmanager
+    async def _writing(self, streams: dict[str, str]) -> AsyncIterator[None]:
+        """Count a write of streams just taken; put them back if it fails."""
+        self._writes_begun += 1
+        number = self._writes_begun
+        try:
+            yield
+        except PlatformError:
+            self.versions.put_back(streams)
+            raise
+        self._writes_ended = number
+        await self._written.set()
+
     async def reload(self) -> None:
         """Read the rows, unless a read has begun since this call.
 
@@ -146,13 +176,10 @@
     ) -> None:
         """Write the served versions; those of ``snapshot`` hold until it succeeds."""
         streams = self.versions.take_unrecorded(with_answered=True)
-        try:
+        async with self._writing(streams):
             keys = await self._records.write_served(
                 self._service, snapshot, served, streams
             )
-        except PlatformError:
-            self.versions.put_back(streams)
-            raise
         self.versions.served = served
         self.versions.record_rows(keys)
         self._log.write(
@@ -170,10 +197,7 @@
         is_scheduler = self._is_scheduler(self._service)
         if not streams and not (expired and is_scheduler):
             return
-        try:
+        async with self._writing(streams):
             keys = await self._records.write_streams(self._service, streams, expired)
-        except PlatformError:
-            versions.put_back(streams)
-            raise
         versions.discard_rows(expired)
         versions.record_rows(keys)
--- a/wisteriaarch/request/service_versions.py
+++ b/wisteriaarch/request/service_versions.py
@@ -177,6 +177,10 @@
             and (with_answered or not stream.is_answered)
         }
 
+    def is_unrecorded(self, key: str) -> bool:
+        """Whether the placement of a stream waits to be recorded."""
+        return key in self._unrecorded
+
     def put_back(self, keys: Iterable[str]) -> None:
         """Count streams as unrecorded again, after a write failed."""
         for key in keys:
--- a/wisteriaarch/request/stream_versions.py
+++ b/wisteriaarch/request/stream_versions.py
@@ -45,6 +45,9 @@
     def record(self, call: RoutedCall, software: str) -> None:
         """Record that a call was placed on a version."""
 
+    async def wait_until_recorded(self, call: RoutedCall) -> None:
+        """Wait until the store has a call's placement; raises RequestError."""
+
     def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
         """Observe the outcome of an attempt that this entry placed."""
 
@@ -64,6 +67,9 @@
     def record(self, call: RoutedCall, software: str) -> None:
         """Do nothing."""
 
+    async def wait_until_recorded(self, call: RoutedCall) -> None:
+        """Return at once."""
+
     def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
         """Do nothing."""
 
@@ -261,6 +267,26 @@
         versions = self._of(call.service).versions
         versions.add(stream_key(call.call_id), software, call.remaining_s())
 
+    async def wait_until_recorded(self, call: RoutedCall) -> None:
+        """Wait until the store has a stream's placement; raises RequestError.
+
+        Another entry may have placed the stream on another version and not hear that
+        this wasn't used.
+        """
+        is_new = call.resume_after is None and call.software is None
+        tracked = self._of(call.service)
+        if not (is_new and _is_resumable(call) and tracked.versions.is_mixed):
+            return
+        try:
+            await tracked.wait_until_recorded(stream_key(call.call_id))
+        except PlatformError as exc:
+            raise RequestError(
+                ErrorKind.UPSTREAM_OVERLOADED,
+                "the stream's software version can't be recorded",
+                ran=call.ran,
+                retry_after_s=RESUME_RETRY_AFTER_S,
+            ) from exc
+
     def observe_outcome(self, call: RoutedCall, outcome: AttemptOutcome) -> None:
         """Observe the outcome of an attempt that this entry placed."""
         tracked = self._services.get(call.service)
