--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -60,7 +60,7 @@
     async def place(self, call: RoutedCall) -> Placement:
         """Return the placement of a call; raises RequestError or AttemptFailed."""
         if call.resume_after is not None and call.software is None:
-            call.software = self._stream_software.find_placed(call)
+            call.software = await self._stream_software.find_placed(call)
         scheduler = self._fallback_scheduler
         for name in self._scheduler_choice.ranked(call.service)[
             :SCHEDULERS_QUERIED_MAX
@@ -75,6 +75,8 @@
         if scheduler is self._shared_scheduler:
             self._record_request(call)
         plan = await scheduler.place(call)
+        if call.may_be_placed:
+            await self._stream_software.wait_until_recorded(call)
         return Placement(plan, NoTicket() if plan.prefill else self._own_ticket(call))
 
     def _own_ticket(self, call: RoutedCall) -> OwnTicket:
