reading: let others run between the reads of a peer that always has sent more

Callers of sound servers got no answer for as long as a faulty server, or another caller, sent bytes faster than the entry processed them (a chunked body with chunks of two bytes): one after the other timed out, on both faces.

Cause: curio switches tasks only where one waits, and a socket that always has bytes is never waited for. The reader's own timeout doesn't expire either.

Evidence: the tests of this commit on the code before, 50 answers or requests at once: sound callers timed out after 30 s (gateway, answers), 10 s (gateway, requests, by hand), and both faces gave no answer for the 14 s that were watched.

Change: `ReadTurn` counts the bytes read and the events parsed on a connection and lets other tasks run at a limit; client and server side use it. A block holds at most 65 events of one read.

After: all sound callers are answered 200; the callers of the faulty server get 504 at their deadline (1.5 s; 1.8 s at the latest).

--- /dev/null
+++ b/tests/endless_support.py
@@ -0,0 +1,98 @@
+"""Stand-in of a faulty server, which sends bytes without end, for tests."""
+
+import contextlib
+import re
+import select
+import socket
+import threading
+from pathlib import Path
+
+from wisteriaarch.wire import Address
+
+# The smallest machines have 160 MB.
+PEAK_MAX_KB = 150 * 1024
+BLOCK = b"x" * 65536
+HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: s\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HUGE = b"Content-Length: 999999999999\r\n\r\n"
+
+# What each faulty server sends at first, and then again and again.
+WAYS = {
+    "head": (HEAD, b"A: " + b"x" * 4096 + b"\r\n"),
+    "line": (b"HTTP/1.1 200 ", BLOCK),
+    "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
+    "small-chunks": (CHUNKED, b"2\r\nxx\r\n" * 4096),
+    "extension": (CHUNKED + b"1;", BLOCK),
+    "trailer": (CHUNKED + b"0\r\n", b"A: " + b"x" * 4096 + b"\r\n"),
+    "single-bytes": (HEAD + HUGE, b"x"),
+}
+STREAMED = ()
+
+
+class EndlessServer:
+    """Answers calls without end; ``open`` counts those whose connection isn't closed.
+
+    All other requests are passed on to the address ``sound``, if there is one.
+    """
+
+    def __init__(self, way, sound=None):
+        self.way = way
+        self.sound = sound
+        self.accepted = self.open = 0
+        self._lock = threading.Lock()
+        self._sock = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = str(Address(*self._sock.getsockname()))
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                client, _address = self._sock.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+
+    def _serve(self, client):
+        with client, contextlib.suppress(OSError):
+            head = client.recv(65536)
+            if self.sound and b"/completions" not in head:
+                self._pass_on(client, head)
+            elif head:
+                self._answer(client, head)
+
+    def _pass_on(self, client, head):
+        with socket.create_connection(self.sound) as server:
+            server.sendall(head)
+            ends = {client: server, server: client}
+            while True:
+                for source in select.select(list(ends), [], [])[0]:
+                    block = source.recv(65536)
+                    if not block:
+                        return
+                    ends[source].sendall(block)
+
+    def _answer(self, client, head):
+        self._count(1)
+        try:
+            beginning, block = WAYS[self.way]
+            found = re.search(rb"(?i)attempt-id: (\S+)", head)
+            client.sendall(beginning.replace(b"%b", found[1] if found else b"-"))
+            while True:
+                client.sendall(block)
+        finally:
+            self._count(-1)
+
+    def _count(self, change):
+        with self._lock:
+            self.open += change
+            self.accepted += change > 0
+
+    def close(self):
+        self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+
+
+def peak_kb(process) -> int:
+    """Return the largest resident memory that a process has had."""
+    status = Path(f"/proc/{process.popen.pid}/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+)", status)[1])
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -11,6 +11,7 @@
 import h11
 
 from .errors import ConnectionClosed, WireError
+from .read_turn import ReadTurn
 from .sockets import CONNECT_TIMEOUT_S, open_socket
 from .wire import (
     READ_BYTES,
@@ -24,6 +25,8 @@
 # Bounds of a response that is read completely into memory.
 BODY_MAX_BYTES = 16 * 1024 * 1024
 INFORMATIONAL_MAX = 16
+# Events of one read that are returned as one block.
+BLOCK_EVENTS_MAX = 64
 REQUEST_IDS_MAX = 64
 
 
@@ -47,6 +50,7 @@
     _is_send_complete: bool = True
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
+    _turn: ReadTurn = field(default_factory=ReadTurn)
 
     @classmethod
     async def connect(
@@ -148,9 +152,13 @@
         if type(event) is not h11.Data:
             raise ConnectionClosed("the server closed before the end of the body")
         block = bytes(event.data)
-        while type(event := self._parse_buffered_event()) is h11.Data:
-            block += event.data
-        self._next_parsed_event = event
+        for _ in range(BLOCK_EVENTS_MAX):
+            self._turn.count_event()
+            self._next_parsed_event = self._parse_buffered_event()
+            if type(self._next_parsed_event) is not h11.Data:
+                break
+            block += self._next_parsed_event.data
+            self._next_parsed_event = None
         return block
 
     def _parse_buffered_event(self) -> Any:
@@ -171,11 +179,12 @@
         return b"".join(blocks)
 
     async def _next_event(self) -> Any:
+        await self._turn.end_if_long()
         event, self._next_parsed_event = self._next_parsed_event, None
         try:
             event = event or self._h11.next_event()
             while event is h11.NEED_DATA:
-                self._h11.receive_data(await self.sock.recv(READ_BYTES))
+                await self._receive()
                 event = self._h11.next_event()
             return event
         except h11.RemoteProtocolError as exc:
@@ -183,6 +192,12 @@
         except OSError as exc:
             raise ConnectionClosed(f"the connection failed: {exc}") from exc
 
+    async def _receive(self) -> None:
+        await self._turn.end_if_long()
+        data = await self.sock.recv(READ_BYTES)
+        self._turn.count_read(len(data))
+        self._h11.receive_data(data)
+
     def skip_foreign_response(self, method: str) -> None:
         """Discard the response just read, which belongs to an earlier request.
 
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -13,6 +13,7 @@
 from curio import socket
 
 from .errors import ConnectionClosed, ErrorKind, RequestError
+from .read_turn import ReadTurn
 from .wire import (
     READ_BYTES,
     STATUSES_WITHOUT_BODY,
@@ -42,6 +43,7 @@
     _declared_body_bytes: int = 0
     _expects_response_body: bool = True
     _chunked: bool = False
+    _turn: ReadTurn = field(default_factory=ReadTurn)
 
     def __post_init__(self):
         self._h11 = h11.Connection(
@@ -118,10 +120,18 @@
         while True:
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
+            await self._turn.end_if_long()
             event = self._h11.next_event()
+            self._turn.count_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await self.sock.recv(READ_BYTES))
+            self._h11.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        await self._turn.end_if_long()
+        data = await self.sock.recv(READ_BYTES)
+        self._turn.count_read(len(data))
+        return data
 
     async def _send(self, event: Any) -> None:
         data = self._h11.send(event)
@@ -193,7 +203,7 @@
         """
         pipelined_bytes = 0
         while pipelined_bytes <= PIPELINED_MAX_BYTES:
-            data = await self.sock.recv(READ_BYTES)
+            data = await self._receive()
             if not data:
                 return
             pipelined_bytes += len(data)
@@ -208,7 +218,7 @@
         """
         async with curio.ignore_after(LINGER_TIMEOUT_S):
             await self.sock.shutdown(socket.SHUT_WR)
-            while await self.sock.recv(READ_BYTES):
+            while await self._receive():
                 pass
 
 
