memory: all unfinished answers of an entry share one limit

Cause: each answer had a limit (16 MB), their sum had none. Exceptions that refer to the frames of a failed attempt kept its bytes until a collection. `serve` joined the blocks of an event without any limit, each time anew.

Change: `MemoryBudget`: beyond 16 MB in all, readers wait, except the one that holds most, which gets 16 MB more; where one waits for 0.2 s, the one that holds most is given up: its reading is stopped and its connection reset. Answers up to 64 KB are never counted. Buffers are freed at the end of their reader. Foreign answers are discarded as they arrive. `EventBuffer` bounds the events of both faces and searches new bytes only.

Large sound answers may have to wait, or fail, beside so many others.

--- a/tests/endless_support.py
+++ b/tests/endless_support.py
@@ -14,6 +14,7 @@
 BLOCK = b"x" * 65536
 HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: %b\r\nServer-Seal: s\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+FOREIGN = HEAD.replace(b"%b", b"another")
 HUGE = b"Content-Length: 999999999999\r\n\r\n"
 
 # What each faulty server sends at first, and then again and again.
@@ -21,12 +22,19 @@
     "head": (HEAD, b"A: " + b"x" * 4096 + b"\r\n"),
     "line": (b"HTTP/1.1 200 ", BLOCK),
     "interim": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 64),
+    "until-close": (HEAD + b"\r\n", BLOCK),
+    "length": (HEAD + HUGE, BLOCK),
+    "chunks": (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n"),
     "small-chunks": (CHUNKED, b"2\r\nxx\r\n" * 4096),
     "extension": (CHUNKED + b"1;", BLOCK),
     "trailer": (CHUNKED + b"0\r\n", b"A: " + b"x" * 4096 + b"\r\n"),
+    "not-found": (HEAD.replace(b"200 OK", b"404 No") + HUGE, BLOCK),
+    "foreign": (FOREIGN + HUGE, BLOCK),
     "single-bytes": (HEAD + HUGE, b"x"),
+    "event": (HEAD + b"\r\ndata: ", BLOCK),
+    "event-lines": (HEAD + b"\r\n", b"data: x\n" * 8192),
 }
-STREAMED = ()
+STREAMED = ("event", "event-lines")
 
 
 class EndlessServer:
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -148,6 +148,10 @@
     """An HTTP peer violated the protocol or closed the connection early."""
 
 
+class MemoryExhausted(WireError):
+    """A message was given up since it held too much of the process's memory."""
+
+
 class ConnectionClosed(WireError):
     """The connection ended before a message was complete."""
 
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -5,14 +5,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
+from io import BytesIO
 from typing import Any
 
 import curio
 import h11
 
 from .errors import ConnectionClosed, WireError
+from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
 from .read_turn import ReadTurn
-from .sockets import CONNECT_TIMEOUT_S, open_socket
+from .sockets import CONNECT_TIMEOUT_S, open_socket, stop_reading
 from .wire import (
     READ_BYTES,
     Address,
@@ -51,6 +53,11 @@
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
     _turn: ReadTurn = field(default_factory=ReadTurn)
+    _budget: MemoryBudget = PROCESS_BUDGET
+    _reservation: Reservation = field(init=False)
+
+    def __post_init__(self):
+        self._reservation = Reservation(lambda: stop_reading(self.sock))
 
     @classmethod
     async def connect(
@@ -67,8 +74,16 @@
 
     async def close(self) -> None:
         """Close the socket; bytes not yet delivered may be lost."""
+        self._budget.release(self._reservation)
         await self.sock.close()
 
+    async def hold(self, size: int) -> None:
+        """Account for ``size`` bytes of the answer that are kept in memory.
+
+        Raises MemoryExhausted if the answer must be given up.
+        """
+        await self._budget.resize(self._reservation, size)
+
     async def send_request(
         self, method: str, target: str, headers: Headers, body: bytes = b""
     ) -> None:
@@ -170,13 +185,24 @@
 
     async def read_body(self, max_bytes: int = BODY_MAX_BYTES) -> bytes:
         """Read the rest of the body; raises WireError above ``max_bytes``."""
-        blocks, size = [], 0
+        # Its end frees the memory, also where an exception still refers to the buffer.
+        with BytesIO() as body:
+            while (block := await self.read_block()) is not None:
+                size = body.tell() + len(block)
+                if size > max_bytes:
+                    raise WireError(f"the body is longer than {max_bytes} bytes")
+                await self.hold(size)
+                body.write(block)
+            self._reservation.is_complete = True
+            return body.getvalue()
+
+    async def skip_body(self, max_bytes: int) -> None:
+        """Discard the rest of the body; raises WireError above ``max_bytes``."""
+        size = 0
         while (block := await self.read_block()) is not None:
-            blocks.append(block)
             size += len(block)
             if size > max_bytes:
                 raise WireError(f"the body is longer than {max_bytes} bytes")
-        return b"".join(blocks)
 
     async def _next_event(self) -> Any:
         await self._turn.end_if_long()
@@ -231,6 +257,7 @@
         if self._h11.trailing_data[0]:
             return False
         self._h11.start_next_cycle()
+        self._budget.release(self._reservation)
         self._next_parsed_event = None
         self.has_sent_bytes = False
         self.is_reused = True
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -82,17 +82,23 @@
             raise AttemptFailed(
                 FailureReason.MALFORMED, "a resumed stream got another kind of answer"
             )
-        framer = EventFramer()
+        with EventFramer() as framer:
+            await self._relay_framed(head, exchange, framer)
+        await self._sink.end_stream()
+
+    async def _relay_framed(
+        self, head: UpstreamHead, exchange: Exchange, framer: EventFramer
+    ) -> None:
         has_events = False
         while (block := await exchange.read_block()) is not None:
             events = framer.feed(block)
+            await exchange.hold(framer.partial_bytes)
             if events:
                 has_events = True
                 await self._send(head, events)
                 self._last_event_id = framer.last_id or self._last_event_id
         if framer.has_partial_event or not has_events:
             raise AttemptFailed(FailureReason.CLOSED, "the stream ended in an event")
-        await self._sink.end_stream()
 
     async def _send(self, head: UpstreamHead, events: bytes) -> None:
         if not self.started:
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -19,6 +19,7 @@
 from ..wire import INVALID_CONTENT_ERRORS, HttpResponse, load_json
 from .answer import AnswerSink
 from .call import Call, CompletionCall
+from .event_stream import EventBuffer
 from .forwarding import (
     SOFTWARE_HEADER,
     has_no_body,
@@ -150,14 +151,17 @@
                 f"{self._view.name}: software version {software!r} can't go on with a "
                 f"stream of {self._call.software!r}"
             )
-        pending = b""
+        with EventBuffer() as buffer:
+            return await self._relay_complete_events(conn, head, sink, progress, buffer)
+
+    async def _relay_complete_events(
+        self, conn, head, sink, progress: CallProgress, buffer: EventBuffer
+    ) -> bool:
         id_checked = False
         while (block := await self._read_block(conn)) is not None:
-            pending += block
-            events_end = pending.rfind(EVENT_END) + len(EVENT_END)
-            if events_end < len(EVENT_END):
+            events = await self._complete_events(conn, buffer, block)
+            if not events:
                 continue
-            events, pending = pending[:events_end], pending[events_end:]
             if not id_checked:
                 self._check_first_event(events)
                 id_checked = True
@@ -184,6 +188,14 @@
         if self._call.sent_request is not None:
             self._call.sent_request.record_tokens(event_count)
 
+    async def _complete_events(self, conn, buffer: EventBuffer, block: bytes) -> bytes:
+        try:
+            events = buffer.feed(block)
+            await conn.hold(buffer.partial_bytes)
+        except WireError as exc:
+            raise UpstreamDisconnected(f"{self._view.name}: {exc}") from exc
+        return events
+
     async def _read_block(self, conn) -> bytes | None:
         try:
             return await conn.read_block()
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -105,7 +105,7 @@
                 if not head.foreign:
                     self._keep_alive_s = head.keep_alive_s
                     return head
-                await self._conn.read_body(FOREIGN_ANSWER_MAX_BYTES)
+                await self._conn.skip_body(FOREIGN_ANSWER_MAX_BYTES)
             except (WireError, OSError) as exc:
                 raise _to_attempt_failure(exc) from exc
             self._conn.skip_foreign_response(req.method)
@@ -139,6 +139,13 @@
             self._complete = True
         return block
 
+    async def hold(self, size: int) -> None:
+        """Account for bytes of the body that are kept; raises AttemptFailed."""
+        try:
+            await self._conn.hold(size)
+        except WireError as exc:
+            raise _to_attempt_failure(exc) from exc
+
     async def read_body(self, max_bytes: int = BODY_MAX_BYTES) -> bytes:
         """Return the rest of the body.
 
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -1,6 +1,8 @@
 """TCP connections and listening sockets."""
 
+import contextlib
 import errno
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -13,6 +15,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG = 512
+# struct linger: on, for 0 s.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ACCEPT_RETRY_DELAY_S = 0.05
 # Errors of a single connection, or a temporary lack of descriptors or memory.
 TRANSIENT_ACCEPT_ERRORS = frozenset(
@@ -85,6 +89,16 @@
             await task.cancel()
 
 
+def stop_reading(sock: Any) -> None:
+    """Make a pending read of a curio socket return, and its close reset the connection.
+
+    A peer that still sends would otherwise learn of the close only after a time.
+    """
+    with contextlib.suppress(OSError), sock.blocking() as raw:
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        raw.shutdown(socket.SHUT_RD)
+
+
 async def open_socket(address: Address, timeout_s: float = CONNECT_TIMEOUT_S) -> Any:
     """Return a connected curio socket; raises OSError on failure or time-out.
 
