pool: close idle connections on which an upstream goes on sending

A faulty server that sends bytes after a complete answer without a body (204, HEAD) saw its connection stay open: up to 64 of them per upstream, each with a full receive buffer of the kernel, until the next request to that upstream.

Cause: bytes that arrive after a connection was given back are noticed only when it is taken again, and expired connections are closed only then, too.

Change: at most once a second, a release of any connection closes the idle ones that have expired or have input. A pool that is not used isn't swept.

--- a/tests/endless_support.py
+++ b/tests/endless_support.py
@@ -29,6 +29,7 @@
     "extension": (CHUNKED + b"1;", BLOCK),
     "trailer": (CHUNKED + b"0\r\n", b"A: " + b"x" * 4096 + b"\r\n"),
     "not-found": (HEAD.replace(b"200 OK", b"404 No") + HUGE, BLOCK),
+    "no-content": (HEAD.replace(b"200 OK", b"204 No") + b"\r\n", BLOCK),
     "foreign": (FOREIGN + HUGE, BLOCK),
     "single-bytes": (HEAD + HUGE, b"x"),
     "event": (HEAD + b"\r\ndata: ", BLOCK),
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -6,7 +6,7 @@
 
 import curio
 
-from wisteriaarch.connection.upstream_pool import UpstreamPool
+from wisteriaarch.connection.upstream_pool import SWEEP_EVERY_S, UpstreamPool
 from wisteriaarch.errors import WireError
 from wisteriaarch.http_client import HttpClientConnection
 from wisteriaarch.platform.upstreams import PlatformUpstreams
@@ -160,3 +160,26 @@
         with self.assertRaises(AttemptFailed):
             for _ in range(2 * EVENT_MAX_BYTES // len(BLOCK)):
                 framer.feed(BLOCK)
+
+
+class IdleConnectionTest(unittest.TestCase):
+    def connection(self, port):
+        conn = mock.AsyncMock(HttpClientConnection, address=Address("127.0.0.1", port))
+        conn.start_next_cycle.return_value = True
+        conn.has_unexpected_input.return_value = False
+        return conn
+
+    def release(self, pool, conn):
+        curio.run(pool.release, conn)
+
+    def test_idle_connection_on_which_bytes_arrive_is_closed(self):
+        pool = UpstreamPool()
+        sound, faulty = self.connection(1), self.connection(2)
+        for conn in (sound, faulty):
+            self.release(pool, conn)
+        faulty.has_unexpected_input.return_value = True
+        later_s = now_s() + SWEEP_EVERY_S
+        with mock.patch(f"{UpstreamPool.__module__}.now_s", return_value=later_s):
+            self.release(pool, self.connection(1))
+        faulty.close.assert_awaited_once()
+        sound.close.assert_not_awaited()
--- a/wisteriaarch/connection/upstream_pool.py
+++ b/wisteriaarch/connection/upstream_pool.py
@@ -11,6 +11,7 @@
 IDLE_MAX_S = 20.0
 IDLE_PER_UPSTREAM = 64
 KEEP_ALIVE_USED_RATIO = 0.7
+SWEEP_EVERY_S = 1.0
 
 
 class UpstreamPool:
@@ -21,6 +22,7 @@
         self._idle: dict[Address, list[tuple[HttpClientConnection, float]]] = (
             defaultdict(list)
         )
+        self._swept_at_s = now_s()
 
     async def acquire(
         self,
@@ -72,6 +74,26 @@
             idle.append((conn, now_s() + idle_s))
         else:
             await conn.close()
+        if now_s() - self._swept_at_s >= SWEEP_EVERY_S:
+            self._swept_at_s = now_s()
+            await self._sweep()
+
+    async def _sweep(self) -> None:
+        """Close expired idle connections, and those on which anything has arrived.
+
+        An upstream that sends without end would otherwise fill the socket's buffer.
+        """
+        expired = []
+        for idle in self._idle.values():
+            kept, now = [], now_s()
+            for conn, expires_at_s in idle:
+                if now >= expires_at_s or conn.has_unexpected_input():
+                    expired.append(conn)
+                else:
+                    kept.append((conn, expires_at_s))
+            idle[:] = kept
+        for conn in expired:
+            await conn.close()
 
     async def close(self) -> None:
         """Close all idle connections."""
