memory: request bodies that are still arriving share the limit of answers

Many callers that sent long bodies at once took the memory of an entry, and with it the requests of all others.

Cause: as with answers: each body has a limit (8 or 16 MB), their sum had none.

Change: the body counts in `PROCESS_BUDGET` until it is complete. A caller whose body is given up gets 503 `memory_exhausted` with X-Ran: no and a Retry-After of 1 s; its connection is reset after the linger time.

Complete bodies aren't counted.

--- a/tests/test_endless_requests.py
+++ b/tests/test_endless_requests.py
@@ -20,6 +20,8 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 # What each caller sends after its first headers, and then again and again.
 WAYS = {
+    "chunks": (CHUNKED, b"10000\r\n" + BLOCK + b"\r\n"),
+    "length": (b"Content-Length: 8000000\r\n\r\n", BLOCK),
     "small-chunks": (CHUNKED, b"2\r\nxx\r\n" * 4096),
     "extension": (CHUNKED + b"1;", BLOCK),
     "trailer": (CHUNKED + b"0\r\n", b"A: " + b"x" * 4096 + b"\r\n"),
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -46,6 +46,7 @@
     CRASHES_UPSTREAMS = "crashes_upstreams"
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
     STOPPING = "stopping"
+    MEMORY_EXHAUSTED = "memory_exhausted"
     INTERNAL = "internal"
 
 
@@ -104,6 +105,9 @@
     ),
     ErrorKind.STREAM_NOT_RESUMABLE: ErrorAnswer(503, "The stream can't be resumed"),
     ErrorKind.STOPPING: ErrorAnswer(503, "This entry is stopping", 0.0),
+    ErrorKind.MEMORY_EXHAUSTED: ErrorAnswer(
+        503, "This entry has no memory for the request", 1.0
+    ),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error"),
 }
 
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -6,14 +6,17 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
+from io import BytesIO
 from typing import Any
 
 import curio
 import h11
 from curio import socket
 
-from .errors import ConnectionClosed, ErrorKind, RequestError
+from .errors import ConnectionClosed, ErrorKind, MemoryExhausted, RequestError
+from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
 from .read_turn import ReadTurn
+from .sockets import stop_reading
 from .wire import (
     READ_BYTES,
     STATUSES_WITHOUT_BODY,
@@ -43,7 +46,9 @@
     _declared_body_bytes: int = 0
     _expects_response_body: bool = True
     _chunked: bool = False
+    _reading_stopped: bool = False
     _turn: ReadTurn = field(default_factory=ReadTurn)
+    _budget: MemoryBudget = PROCESS_BUDGET
 
     def __post_init__(self):
         self._h11 = h11.Connection(
@@ -76,26 +81,42 @@
         """Read the body; raises RequestError if it is malformed, slow or too large."""
         if self._declared_body_bytes > self.max_body_bytes:
             raise self._body_too_large(str(self._declared_body_bytes))
-        blocks: list[bytes] = []
-        size = 0
-        try:
-            async with curio.timeout_after(timeout_s):
-                async for block in self._body_blocks():
-                    size += len(block)
-                    if size > self.max_body_bytes:
-                        raise self._body_too_large(f"at least {size}")
-                    blocks.append(block)
-        except curio.TaskTimeout as exc:
-            raise RequestError(
-                ErrorKind.REQUEST_TIMEOUT,
-                "the request body did not arrive in time",
-                field="body",
-                value=f"{size} bytes after {timeout_s:g} s",
-                expected="the whole body",
-            ) from exc
-        except h11.RemoteProtocolError as exc:
-            raise _malformed(exc, self.max_head_bytes) from exc
-        return b"".join(blocks)
+        reservation = Reservation(self._stop_reading)
+        # Its end frees the memory, also where an exception still refers to the buffer.
+        with BytesIO() as body:
+            try:
+                async with curio.timeout_after(timeout_s):
+                    await self._receive_body(body, reservation)
+            except curio.TaskTimeout as exc:
+                raise RequestError(
+                    ErrorKind.REQUEST_TIMEOUT,
+                    "the request body did not arrive in time",
+                    field="body",
+                    value=f"{body.tell()} bytes after {timeout_s:g} s",
+                    expected="the whole body",
+                ) from exc
+            except (h11.RemoteProtocolError, ConnectionClosed, MemoryExhausted) as exc:
+                if reservation.is_revoked:
+                    raise _no_memory() from exc
+                if isinstance(exc, h11.RemoteProtocolError):
+                    raise _malformed(exc, self.max_head_bytes) from exc
+                raise
+            finally:
+                self._budget.release(reservation)
+            return body.getvalue()
+
+    async def _receive_body(self, body: BytesIO, reservation: Reservation) -> None:
+        async for block in self._body_blocks():
+            size = body.tell() + len(block)
+            if size > self.max_body_bytes:
+                raise self._body_too_large(f"at least {size}")
+            await self._budget.resize(reservation, size)
+            body.write(block)
+
+    def _stop_reading(self) -> None:
+        """Make a pending read return; an answer can still be sent."""
+        self._reading_stopped = True
+        stop_reading(self.sock)
 
     def _body_too_large(self, size: str) -> RequestError:
         return RequestError(
@@ -220,6 +241,8 @@
             await self.sock.shutdown(socket.SHUT_WR)
             while await self._receive():
                 pass
+            if self._reading_stopped:
+                await curio.sleep(LINGER_TIMEOUT_S)
 
 
 def _request_from_event(event: h11.Request) -> HttpRequest:
@@ -241,6 +264,12 @@
     )
 
 
+def _no_memory() -> RequestError:
+    return RequestError(
+        ErrorKind.MEMORY_EXHAUSTED, "too many large requests arrive at the same time"
+    )
+
+
 def _malformed(exc: h11.RemoteProtocolError, max_head_bytes: int) -> RequestError:
     if exc.error_status_hint == 431:
         return RequestError(
