--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -47,6 +47,7 @@
     STREAM_NOT_RESUMABLE = "stream_not_resumable"
     STOPPING = "stopping"
     ENTRY_STOPPED = "entry_stopped"
+    MEMORY_EXHAUSTED = "memory_exhausted"
     INTERNAL = "internal"
 
 
@@ -108,6 +109,9 @@
     ErrorKind.ENTRY_STOPPED: ErrorAnswer(
         502, "This entry stopped before the answer was complete"
     ),
+    ErrorKind.MEMORY_EXHAUSTED: ErrorAnswer(
+        503, "This entry has no memory for the request", 1.0
+    ),
     ErrorKind.INTERNAL: ErrorAnswer(500, "Internal error"),
 }
 
@@ -161,6 +165,10 @@
     """An HTTP peer violated the protocol or closed the connection early."""
 
 
+class MemoryExhausted(WireError):
+    """A message was given up since it held too much of the process's memory."""
+
+
 class ConnectionClosed(WireError):
     """The connection ended before a message was complete."""
 
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -5,13 +5,16 @@
 from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
+from io import BytesIO
 from typing import Any
 
 import curio
 import h11
 
 from .errors import ConnectionClosed, WireError
-from .sockets import CONNECT_TIMEOUT_S, open_socket
+from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
+from .read_turn import ReadTurn
+from .sockets import CONNECT_TIMEOUT_S, open_socket, stop_reading
 from .wire import (
     READ_BYTES,
     Address,
@@ -24,6 +27,8 @@
 # Bounds of a response that is read completely into memory.
 BODY_MAX_BYTES = 16 * 1024 * 1024
 INFORMATIONAL_MAX = 16
+# Events of one read that are returned as one block.
+BLOCK_EVENTS_MAX = 64
 REQUEST_IDS_MAX = 64
 
 
@@ -47,6 +52,12 @@
     _is_send_complete: bool = True
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
+    _turn: ReadTurn = field(default_factory=ReadTurn)
+    _budget: MemoryBudget = PROCESS_BUDGET
+    _reservation: Reservation = field(init=False)
+
+    def __post_init__(self):
+        self._reservation = Reservation(lambda: stop_reading(self.sock))
 
     @classmethod
     async def connect(
@@ -63,8 +74,16 @@
 
     async def close(self) -> None:
         """Close the socket; bytes not yet delivered may be lost."""
+        self._budget.release(self._reservation)
         await self.sock.close()
 
+    async def hold(self, size: int) -> None:
+        """Account for ``size`` bytes of the answer that are kept in memory.
+
+        Raises MemoryExhausted if the answer must be given up.
+        """
+        await self._budget.resize(self._reservation, size)
+
     async def send_request(
         self, method: str, target: str, headers: Headers, body: bytes = b""
     ) -> None:
@@ -148,9 +167,13 @@
         if type(event) is not h11.Data:
             raise ConnectionClosed("the server closed before the end of the body")
         block = bytes(event.data)
-        while type(event := self._parse_buffered_event()) is h11.Data:
-            block += event.data
-        self._next_parsed_event = event
+        for _ in range(BLOCK_EVENTS_MAX):
+            self._turn.count_event()
+            self._next_parsed_event = self._parse_buffered_event()
+            if type(self._next_parsed_event) is not h11.Data:
+                break
+            block += self._next_parsed_event.data
+            self._next_parsed_event = None
         return block
 
     def _parse_buffered_event(self) -> Any:
@@ -162,20 +185,32 @@
 
     async def read_body(self, max_bytes: int = BODY_MAX_BYTES) -> bytes:
         """Read the rest of the body; raises WireError above ``max_bytes``."""
-        blocks, size = [], 0
+        # Its end frees the memory, also where an exception still refers to the buffer.
+        with BytesIO() as body:
+            while (block := await self.read_block()) is not None:
+                size = body.tell() + len(block)
+                if size > max_bytes:
+                    raise WireError(f"the body is longer than {max_bytes} bytes")
+                await self.hold(size)
+                body.write(block)
+            self._reservation.is_complete = True
+            return body.getvalue()
+
+    async def skip_body(self, max_bytes: int) -> None:
+        """Discard the rest of the body; raises WireError above ``max_bytes``."""
+        size = 0
         while (block := await self.read_block()) is not None:
-            blocks.append(block)
             size += len(block)
             if size > max_bytes:
                 raise WireError(f"the body is longer than {max_bytes} bytes")
-        return b"".join(blocks)
 
     async def _next_event(self) -> Any:
+        await self._turn.end_if_long()
         event, self._next_parsed_event = self._next_parsed_event, None
         try:
             event = event or self._h11.next_event()
             while event is h11.NEED_DATA:
-                self._h11.receive_data(await self.sock.recv(READ_BYTES))
+                await self._receive()
                 event = self._h11.next_event()
             return event
         except h11.RemoteProtocolError as exc:
@@ -183,6 +218,12 @@
         except OSError as exc:
             raise ConnectionClosed(f"the connection failed: {exc}") from exc
 
+    async def _receive(self) -> None:
+        await self._turn.end_if_long()
+        data = await self.sock.recv(READ_BYTES)
+        self._turn.count_read(len(data))
+        self._h11.receive_data(data)
+
     def skip_foreign_response(self, method: str) -> None:
         """Discard the response just read, which belongs to an earlier request.
 
@@ -216,6 +257,7 @@
         if self._h11.trailing_data[0]:
             return False
         self._h11.start_next_cycle()
+        self._budget.release(self._reservation)
         self._next_parsed_event = None
         self.has_sent_bytes = False
         self.is_reused = True
