stop: an entry is gone soon after its last answer; the stop in a module

The stand-in of an answer in test_broken_stream has the method that readers call since the memory limit.

--- a/tests/test_broken_stream.py
+++ b/tests/test_broken_stream.py
@@ -48,6 +48,9 @@
             raise block
         return block
 
+    async def hold(self, _size):
+        pass
+
     async def read_body(self):
         body = b""
         while (block := await self.read_block()) is not None:
--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -12,8 +12,8 @@
 from ..process.clock import now_s
 from ..process.metrics import Count, Duration
 from ..wire import Headers, HttpRequest
+from .problem import PROBLEM_HEADERS, problem_content
 
-PROBLEM_HEADERS = [("Content-Type", "application/problem+json")]
 CLOSE_HEADER = ("Connection", "close")
 JSON_HEADERS = [("Content-Type", "application/json")]
 PROBLEM_TIMEOUT_S = 5.0
@@ -282,36 +282,3 @@
             headers.append(("Retry-After", text))
         status = ANSWERS[exc.kind].status
         await self.send_complete(status, headers, json.dumps(content).encode())
-
-
-def problem_content(exc: RequestError) -> dict:
-    """Return the body of an error answer (RFC 9457 problem details)."""
-    answer = ANSWERS[exc.kind]
-    content = {
-        "type": "about:blank",
-        "title": answer.title,
-        "status": answer.status,
-        "detail": exc.detail,
-        "kind": exc.kind.value,
-        "ran": exc.ran.value,
-    }
-    for name in ("field", "value", "expected"):
-        if getattr(exc, name) is not None:
-            content[name] = getattr(exc, name)
-    retry_after_s = exc.retry_after_s
-    if retry_after_s is None and exc.ran is not Ran.UNKNOWN:
-        retry_after_s = answer.retry_after_s
-    if retry_after_s is not None:
-        content["retry_after_s"] = retry_after_s
-    return content
-
-
-def unknown_path(req: HttpRequest) -> RequestError:
-    """Return the error for a path that does not exist."""
-    return RequestError(
-        ErrorKind.UNKNOWN_PATH,
-        "there is no such path",
-        field="path",
-        value=req.path,
-        expected="a path of docs/HTTP.md",
-    )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -12,6 +12,7 @@
 from .connection.caller_connection import AnswerForm, CallerConnection
 from .connection.caller_server import CallerServer
 from .connection.info_server import InfoAnswer, InfoServer
+from .connection.planned_stop import PlannedStop
 from .connection.relay_client import RelayClient
 from .connection.relay_server import RelayServer
 from .connection.scheduling_server import SchedulingServer
@@ -32,7 +33,7 @@
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.stop_schedule import StopSchedule
-from .process.supervision import run_all_until, run_step
+from .process.supervision import run_all_until
 from .request.block_quarantine import TrialPolicy
 from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
@@ -202,32 +203,12 @@
         return InfoServer(field, listen.address(), answer, self.log)
 
     async def _stop_gracefully(self, signals: ProcessSignals) -> None:
-        """Withdraw from the address list, then drain and close the connections.
-
-        Callers that cached this entry's address are still served for a while.
-        """
         self.closing = True
-        self.log.write(
-            Event.ENTRY_DRAINING,
-            delay_s=now_s() - signals.stop_requested_at_s,
-            open_connections=self._callers.open_connections,
-        )
         schedule = self._stop_schedule(signals)
         self._stop_admission.begin(schedule)
-        try:
-            async with curio.timeout_after(schedule.cut_at_s - now_s()):
-                await run_step(self._announce_own_state, self.log)
-                await curio.sleep(max(0.0, schedule.serve_until_s - now_s()))
-                async with curio.ignore_after(schedule.listen_until_s - now_s()):
-                    await self._callers.close_connections()
-                await self._callers.stop()
-        except curio.TaskTimeout:
-            self.log.write(
-                Event.ENTRY_STOP_TIMED_OUT,
-                open_connections=self._callers.open_connections,
-            )
-        finally:
-            await self._callers.end_requests(schedule.cut_time_s)
+        await PlannedStop(self._callers, self._announce_own_state, self.log).run(
+            schedule
+        )
 
     def _stop_schedule(self, signals: ProcessSignals) -> StopSchedule:
         settings = self.settings
--- a/wisteriaarch/process/stop_schedule.py
+++ b/wisteriaarch/process/stop_schedule.py
@@ -8,7 +8,7 @@
 # Answers that are complete this long before the cut still reach their callers.
 END_MARGIN_S = 0.3
 # Connections get their last answers, and the log is written, after the cut.
-CUT_TIME_SHARE = 1 / 16
+CUT_TIME_SHARE = 1 / 32
 LISTEN_SHARE = 3 / 4
 
 
--- a/wisteriaarch/request/routes.py
+++ b/wisteriaarch/request/routes.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import Awaitable, Callable
 
-from ..connection.caller_connection import CallerConnection, unknown_path
+from ..connection.caller_connection import CallerConnection
+from ..connection.problem import unknown_path
 from ..errors import ErrorKind, RequestError
 from ..process.store import Instance
 from ..version.publication import ActiveManifest
