frames: unfinished frames share the limit of answers, and readers take turns

What connects to the peer port of an entry and sends without end took its memory (frames that are never finished), or all its time (queries without a pause): callers of sound servers timed out.

Cause: a frame has a limit of 8 MB, the sum of all had none; a socket that always has bytes is never waited for.

Evidence: `tests.test_endless_frames` on the code before, 50 peers at once: 458,316 kB at the peak, where less than 150 MB is asked; with queries a sound caller timed out.

Change: the frame that is being read counts in `PROCESS_BUDGET`; `FrameReader` takes turns, a frame counting as 8 events.

Answers queued for a peer that doesn't read have no limit in bytes yet.

--- a/wisteriaarch/connection/frames.py
+++ b/wisteriaarch/connection/frames.py
@@ -2,11 +2,16 @@
 
 from typing import Any
 
-from ..errors import ConnectionClosed, FrameError
+from ..errors import ConnectionClosed, FrameError, MemoryExhausted
+from ..memory_budget import PROCESS_BUDGET, Reservation
+from ..read_turn import ReadTurn
+from ..sockets import stop_reading
 
 LENGTH_BYTES = 4
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
+# Share of a frame, with the handling of its message, in the work of a turn.
+FRAME_UNITS = 8
 
 
 def encode_frame(content: bytes) -> bytes:
@@ -24,13 +29,16 @@
     def __init__(self, sock: Any, received: bytes = b""):
         self._sock = sock
         self._buffer = bytearray(received)
+        self._turn = ReadTurn()
 
     async def read(self) -> bytes:
         """Return the content of the next frame.
 
-        Raises FrameError if the frame is oversized, ConnectionClosed if the peer closed
-        the connection, or OSError.
+        Raises FrameError if the frame is oversized or given up for lack of memory,
+        ConnectionClosed if the peer closed the connection, or OSError.
         """
+        self._turn.count_event(FRAME_UNITS)
+        await self._turn.end_if_long()
         await self._fill(LENGTH_BYTES)
         length = int.from_bytes(self._buffer[:LENGTH_BYTES], "big")
         if length > MAX_FRAME_BYTES:
@@ -38,14 +46,29 @@
                 f"frame of {length} bytes; expected at most {MAX_FRAME_BYTES}"
             )
         end = LENGTH_BYTES + length
-        await self._fill(end)
+        reservation = Reservation(lambda: stop_reading(self._sock))
+        try:
+            await self._fill(end, reservation)
+        except (MemoryExhausted, ConnectionClosed) as exc:
+            # The exception still refers to the buffer.
+            self._buffer.clear()
+            if not reservation.is_revoked:
+                raise
+            raise FrameError(f"no memory for a frame of {length} bytes") from exc
+        finally:
+            PROCESS_BUDGET.release(reservation)
         content = bytes(self._buffer[LENGTH_BYTES:end])
         del self._buffer[:end]
         return content
 
-    async def _fill(self, size: int) -> None:
+    async def _fill(self, size: int, reservation: Reservation | None = None) -> None:
         while len(self._buffer) < size:
+            await self._turn.end_if_long()
             block = await self._sock.recv(READ_BYTES)
             if not block:
                 raise ConnectionClosed("the peer closed the connection")
+            self._turn.count_read(len(block))
+            if reservation is not None:
+                held = len(self._buffer) + len(block)
+                await PROCESS_BUDGET.resize(reservation, held)
             self._buffer += block
--- a/wisteriaarch/read_turn.py
+++ b/wisteriaarch/read_turn.py
@@ -19,9 +19,9 @@
 
     _units: int = 0
 
-    def count_event(self) -> None:
-        """Count a parsed event."""
-        self._units += 1
+    def count_event(self, units: int = 1) -> None:
+        """Count a parsed event, or one whose handling takes several times as long."""
+        self._units += units
 
     def count_read(self, size: int) -> None:
         """Count bytes that were read."""
