upstreams: use the speed that a machine states in Server-Load

Callers saw: nothing directly. An answer whose Server-Load has four fields was logged as malformed and its load wasn't used, and an upstream that restarted under its id while requests were in flight kept the health and speed of its former incarnation.

Change: the fourth field is the present speed of the machine, valid for about 0.15 s; it is taken out of what is learnt of the upstream's own speed. It is reported to the scheduler (Outcome.pacePercent @15). What was learnt is forgotten at a restart, and attempts of a former incarnation teach nothing.

Evidence: tests of the header, the message, the lifetime, the restart; the speed of two machines is learnt within five answers.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -296,7 +296,23 @@
         head = self.head(200, own, ("Server-Load", "3, 2,8"))
         self.assertEqual(head.signals.load, ReportedLoad(running=3, waiting=2, slots=8))
         self.assertEqual(head.unreadable_headers, ())
-        for text in ("3,2", "3,2,8,9", "a,b,c", "-1,0,8", "1.5,0,8", "9" * 40 + ",0,8"):
+        head = self.head(200, own, ("Server-Load", "3, 2,8, 140"))
+        self.assertEqual(head.signals.load, ReportedLoad(3, 2, 8, slowdown=1.4))
+        self.assertEqual(head.unreadable_headers, ())
+        malformed = (
+            "3,2",
+            "3,2,8,9,1",
+            "3,2,8,",
+            "3,2,8,0",
+            "3,2,8,-5",
+            "3,2,8,1e2",
+            "3,2,8," + "9" * 40,
+            "a,b,c",
+            "-1,0,8",
+            "1.5,0,8",
+            "9" * 40 + ",0,8",
+        )
+        for text in malformed:
             head = self.head(200, own, ("Server-Load", text))
             self.assertIsNone(head.signals.load)
             self.assertEqual(head.unreadable_headers, ("server-load",))
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -1,26 +1,34 @@
 """Repeats, health, loads and crashes on routes, without I/O."""
 
 import unittest
+from dataclasses import replace
 from unittest import mock
 
 from wisteriaarch.errors import Ran, RequestError
 from wisteriaarch.gateway import Gateway
 from wisteriaarch.platform.adapter import Platform
+from wisteriaarch.process.clock import now_s
+from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.gateway_settings import GatewaySettings
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import (
     REPORT_RETENTION_S,
     ReportedLoad,
+    ReportedSlowdown,
     Slowdown,
     UpstreamLoads,
 )
+from wisteriaarch.process.upstreams import UpstreamRegistry
 from wisteriaarch.request.attempt_failures import (
     RAN_BY_REASON,
     AttemptFailed,
     FailureReason,
     combine_ran,
 )
+from wisteriaarch.request.attempt_outcome import AttemptOutcome, AttemptStage
+from wisteriaarch.request.candidate import Candidate, Choice
 from wisteriaarch.request.crash_history import CrashHistory
+from wisteriaarch.request.estimate_updater import EstimateUpdater
 from wisteriaarch.request.event_stream import EventFramer
 from wisteriaarch.request.routed_call import RoutedCall
 from wisteriaarch.request.shared_retry_budget import (
@@ -30,6 +38,8 @@
 )
 from wisteriaarch.version.route_table import CallKind, Route
 
+from .route_support import upstream
+
 
 class RetryShareTest(unittest.TestCase):
     def setUp(self):
@@ -188,6 +198,72 @@
             loads.record_report("u", ReportedLoad(running=0, waiting=0, slots=4))
             self.assertEqual(loads.requests("u"), 1)
 
+    def test_stated_speed_holds_for_a_short_time_only(self):
+        """A machine states its speed many times a second; an old one misleads."""
+        stated = ReportedSlowdown()
+        self.assertEqual(stated.at(5.0), 1.0)
+        for number in range(40):
+            stated.record(1.0, number / 10)
+        stated.record(2.0, 4.0)
+        self.assertAlmostEqual(stated.at(4.0), 2.0)
+        self.assertLess(stated.at(5.0), 1.11)
+
+    def test_speed_is_learnt_in_a_few_answers_apart_from_what_the_machine_states(self):
+        """Machines of speeds 0.6 and 1.2; the second states that it is slow now."""
+        loads = UpstreamLoads()
+        for _ in range(5):
+            loads.observe_time("slow", "r", 0.120)
+            loads.record_report("fast", ReportedLoad(1, 0, 6, slowdown=1.5))
+            loads.observe_time("fast", "r", 0.060 * 1.5)
+        now = now_s()
+        slow, fast = loads.of("slow"), loads.of("fast")
+        self.assertGreater(slow.slowdown.at(now) / fast.slowdown.at(now), 1.6)
+        self.assertAlmostEqual(fast.slowdown_at(now), 1.5 * fast.slowdown.at(now), 2)
+
+    def test_restarted_upstream_is_judged_anew_while_requests_are_in_flight(self):
+        loads = UpstreamLoads()
+        with loads.sending("u"):
+            loads.observe_time("other", "r", 0.1)
+            loads.observe_time("u", "r", 0.5)
+            loads.record_report("u", ReportedLoad(9, 9, 6, slowdown=3.0))
+            loads.of("u").health.record_unreachable(now_s())
+            loads.discard("u")
+            load = loads.of("u")
+            self.assertEqual(load.slowdown_at(now_s()), 1.0)
+            self.assertFalse(loads.is_suspended("u"))
+            self.assertEqual(loads.requests("u"), 1)
+        self.assertEqual(loads.requests("u"), 0)
+
+    def test_attempt_of_a_former_incarnation_teaches_nothing(self):
+        """An upstream restarts under its id while an attempt is under way."""
+        registry = UpstreamRegistry(lambda: None, mock.Mock())
+        first = replace(upstream("u"), started_at_ms=1)
+        registry.update([first])
+        estimates = FleetEstimates.from_registry(registry)
+        updater = EstimateUpdater(estimates, mock.Mock())
+        route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 1.0, 1.0)
+        call = RoutedCall("id", route, "s", "GET", "/", [], b"", 0.0, 0.0)
+        choice = Choice(Candidate(first), 0.0)
+        second = replace(first, started_at_ms=2)
+        registry.update([second])
+        outcome = AttemptOutcome(FailureReason.SILENT.value, 0.5)
+        updater.observe_outcome(call, choice, AttemptStage.RUN, outcome)
+        self.assertFalse(estimates.loads.is_suspended("u"))
+        choice = Choice(Candidate(second), 0.0)
+        updater.observe_outcome(call, choice, AttemptStage.RUN, outcome)
+        self.assertTrue(estimates.loads.is_suspended("u"))
+
+    def test_attempts_whose_answer_is_read_slowly_do_not_occupy_the_upstream(self):
+        """Callers that read nothing keep attempts in flight until their deadline."""
+        loads = UpstreamLoads()
+        for _ in range(6):
+            loads.begin("u", 0)
+        load = loads.of("u")
+        self.assertEqual(load.occupied_at(now_s()), 6)
+        loads.record_report("u", ReportedLoad(1, 0, 6))
+        loads.begin("u", 0)
+        self.assertEqual(load.occupied_at(now_s()), 2)
+
     def test_slowdown_rises_and_decays(self):
         pace = Slowdown()
         for number in range(10):
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -103,6 +103,14 @@
                     ABANDONED, 0.5, signals=UpstreamSignals(load=ReportedLoad(1, 2, 8))
                 ),
             ),
+            OutcomeReport(
+                6,
+                AttemptOutcome(
+                    ANSWERED,
+                    0.5,
+                    signals=UpstreamSignals(load=ReportedLoad(1, 2, 8, 1.4)),
+                ),
+            ),
             *(
                 OutcomeReport(
                     6,
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -27,7 +27,7 @@
     WaitingNotice,
     WithdrawnNotice,
 )
-from .scheduling_schema import MS_PER_S, LimitStated, SoftwareIs, schema
+from .scheduling_schema import MS_PER_S, PERCENT, LimitStated, SoftwareIs, schema
 
 LIST_MAX = 1024
 
@@ -160,7 +160,12 @@
 def _signals_from(item) -> UpstreamSignals:
     load = None
     if item.hasLoad:
-        load = ReportedLoad(item.running, item.waitingRequests, item.slots)
+        load = ReportedLoad(
+            item.running,
+            item.waitingRequests,
+            item.slots,
+            item.pacePercent / PERCENT or None,
+        )
     backoff_s = item.waitMs / MS_PER_S
     return UpstreamSignals(backoff_s, item.isLeaving, load, _limit_from(item))
 
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -21,6 +21,7 @@
 from .scheduling_schema import (
     MS_PER_S,
     NO_DURATION_MS,
+    PERCENT,
     LimitStated,
     SoftwareIs,
     schema,
@@ -160,6 +161,7 @@
             "running": signals.load.running,
             "waitingRequests": signals.load.waiting,
             "slots": signals.load.slots,
+            "pacePercent": round((signals.load.slowdown or 0.0) * PERCENT),
         }
     return {"outcome": content}
 
--- a/wisteriaarch/connection/scheduling_schema.py
+++ b/wisteriaarch/connection/scheduling_schema.py
@@ -7,6 +7,7 @@
 
 SCHEMA_PATH = Path(__file__).parents[1] / "schema" / "scheduling.capnp"
 MS_PER_S = 1000
+PERCENT = 100
 # Encodes an absent duration.
 NO_DURATION_MS = -1.0
 
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -84,7 +84,7 @@
             return {(item.upstream_id,): value(item) for item in upstreams}
 
         def pace(upstream: Upstream) -> float:
-            return loads.of(upstream.upstream_id).slowdown.at(now_s())
+            return loads.of(upstream.upstream_id).slowdown_at(now_s())
 
         upstreams = self.state.registry.listed()
         return {
--- a/wisteriaarch/platform/upstreams.py
+++ b/wisteriaarch/platform/upstreams.py
@@ -17,8 +17,9 @@
 
 MISDIRECTED_STATUS = 421
 UNAVAILABLE_STATUS = 503
-LOAD_FIELD_COUNT = 3
+LOAD_FIELD_COUNTS = (3, 4)
 COUNT_DIGITS_MAX = 7
+PERCENT = 100
 EXCERPT_BYTES = 80
 
 
@@ -134,13 +135,22 @@
 
 
 def _reported_load(head: HttpResponse) -> ReportedLoad | None:
-    """Return the load reported by a server; None if it is absent or malformed."""
-    counts = head.headers.get(names.SERVER_LOAD, "").split(",")
-    if len(counts) != LOAD_FIELD_COUNT or not all(
-        item.strip().isdecimal() and len(item) <= COUNT_DIGITS_MAX for item in counts
+    """Return the load reported by a server; None if it is absent or malformed.
+
+    The optional fourth field states how long work takes there now, in percent of the
+    usual time.
+    """
+    fields = head.headers.get(names.SERVER_LOAD, "").split(",")
+    if len(fields) not in LOAD_FIELD_COUNTS or not all(
+        item.strip().isdecimal() and len(item) <= COUNT_DIGITS_MAX for item in fields
     ):
         return None
-    return ReportedLoad(*(int(item) for item in counts))
+    running, waiting, slots, *percent = (int(item) for item in fields)
+    if not percent:
+        return ReportedLoad(running, waiting, slots)
+    if percent[0] == 0:
+        return None
+    return ReportedLoad(running, waiting, slots, percent[0] / PERCENT)
 
 
 def _request_limit(head: HttpResponse) -> float | None:
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -16,6 +16,10 @@
 SLOWDOWN_MAX = 10.0
 TYPICAL_TIME_WEIGHT = 0.05
 PREFILLED_SHARE_MAX = 0.9
+# An upstream's own statement of its speed changes many times a second.
+STATED_SLOWDOWN_LIFETIME_S = 0.15
+STATED_SLOWDOWN_WEIGHT = 0.1
+STATED_SLOWDOWN_MIN = 0.1
 
 
 @dataclass
@@ -42,13 +46,47 @@
         return 1 + (self.ratio - 1) * math.exp(-age_s / SLOWDOWN_DECAY_S)
 
 
+@dataclass
+class ReportedSlowdown:
+    """Ratio of present to usual time that an upstream states in its answers.
+
+    It changes many times a second. Without a new statement it approaches the average
+    of the earlier ones; it is 1 for an upstream that states none.
+    """
+
+    latest: float = 1.0
+    average: float = 1.0
+    stated_at_s: float | None = None
+
+    def record(self, ratio: float, at_s: float) -> None:
+        """Record a statement."""
+        self.latest = min(SLOWDOWN_MAX, max(STATED_SLOWDOWN_MIN, ratio))
+        if self.stated_at_s is None:
+            self.average = self.latest
+        self.average += STATED_SLOWDOWN_WEIGHT * (self.latest - self.average)
+        self.stated_at_s = at_s
+
+    def at(self, at_s: float) -> float:
+        """Return the expected ratio at a time."""
+        if self.stated_at_s is None:
+            return 1.0
+        age_s = max(0.0, at_s - self.stated_at_s)
+        weight = math.exp(-age_s / STATED_SLOWDOWN_LIFETIME_S)
+        return self.average + (self.latest - self.average) * weight
+
+
 @dataclass(frozen=True)
 class ReportedLoad:
-    """Load as reported by an upstream, some milliseconds old."""
+    """Load as reported by an upstream, some milliseconds old.
+
+    ``slowdown`` is the ratio of the time that work takes there now to the usual time;
+    None if the upstream doesn't state it.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
     @property
     def requests(self) -> int:
@@ -64,7 +102,9 @@
     ``prefills`` are the token counts of the prompts in prefill there; the first of them
     started at ``prefill_started_at_s``. ``last_seen_at_s`` is the time of the last
     response received here. ``untracked_requests`` is the number of requests that the
-    upstream reported at ``reported_at_s`` beyond those tracked here.
+    upstream reported at ``reported_at_s`` beyond those tracked here,
+    ``reported_requests`` that of all requests reported there, and
+    ``begun_since_report`` counts the requests tracked here since then.
     """
 
     requests: int = 0
@@ -75,12 +115,16 @@
     last_seen_at_s: float = 0.0
     untracked_requests: int = 0
     reported_at_s: float = 0.0
+    reported_requests: int = 0
+    begun_since_report: int = 0
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     slowdown: Slowdown = field(default_factory=Slowdown)
+    reported_slowdown: ReportedSlowdown = field(default_factory=ReportedSlowdown)
 
     def begin(self, prompt_tokens: int) -> None:
         """Count a request as in flight; ``end`` must be called once for it."""
         self.requests += 1
+        self.begun_since_report += 1
         self.prompt_tokens += prompt_tokens
         if prompt_tokens:
             if not self.prefills:
@@ -115,6 +159,29 @@
             else 0
         )
 
+    def occupied_at(self, at_s: float) -> int:
+        """Return an upper bound of the requests that the upstream itself has.
+
+        An attempt stays in flight here until its answer has been relayed, which a slow
+        caller may delay; the upstream's report doesn't include it then.
+        """
+        requests = self.requests + self.untracked_requests_at(at_s)
+        if at_s - self.reported_at_s >= REPORT_RETENTION_S:
+            return requests
+        return min(requests, self.reported_requests + self.begun_since_report)
+
+    def slowdown_at(self, at_s: float) -> float:
+        """Return the ratio of the expected time of work there to the usual time."""
+        return self.slowdown.at(at_s) * self.reported_slowdown.at(at_s)
+
+    def forget(self) -> None:
+        """Forget what was learnt; the requests in flight stay counted."""
+        self.untracked_requests = 0
+        self.reported_at_s = 0.0
+        self.health = UpstreamHealth()
+        self.slowdown = Slowdown()
+        self.reported_slowdown = ReportedSlowdown()
+
 
 @dataclass
 class TypicalTime:
@@ -163,6 +230,9 @@
         load = self._loads[upstream_id]
         load.untracked_requests = max(0, report.requests - load.requests)
         load.reported_at_s = now_s()
+        load.reported_requests, load.begun_since_report = report.requests, 0
+        if report.slowdown is not None:
+            load.reported_slowdown.record(report.slowdown, now_s())
 
     def is_suspended(self, upstream_id: str) -> bool:
         """Whether an upstream is avoided while others can take the work."""
@@ -182,9 +252,14 @@
         return load is not None and load.health.is_in_backoff(now_s())
 
     def observe_time(self, upstream_id: str, work: str, observed_s: float) -> None:
-        """Compare the duration of a kind of work with the average of all upstreams."""
-        expected_s = self._typical_times[work].observe(observed_s)
-        self._loads[upstream_id].slowdown.observe(observed_s, expected_s, now_s())
+        """Compare the duration of a kind of work with the average of all upstreams.
+
+        What the upstream itself stated as its present speed is taken out of it.
+        """
+        load = self._loads[upstream_id]
+        usual_s = observed_s / load.reported_slowdown.at(now_s())
+        expected_s = self._typical_times[work].observe(usual_s)
+        load.slowdown.observe(usual_s, expected_s, now_s())
 
     def requests(self, upstream_id: str) -> int:
         """Return the requests in flight, including reported ones of other senders."""
@@ -200,7 +275,11 @@
         return self._loads[upstream_id].prompt_tokens
 
     def discard(self, upstream_id: str) -> None:
-        """Discard the data of an upstream, unless requests are in flight there."""
+        """Discard the data of an upstream; requests in flight there stay counted."""
         load = self._loads.get(upstream_id)
-        if load is not None and not load.requests:
+        if load is None:
+            return
+        if load.requests:
+            load.forget()
+        else:
             del self._loads[upstream_id]
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -24,7 +24,8 @@
 class Candidate:
     """Upstream with its estimated load; created anew for each decision.
 
-    ``requests`` counts requests in flight, ``prompt_tokens`` tokens still to be
+    ``requests`` counts requests in flight, ``occupied`` those of them that may still
+    occupy the upstream, ``prompt_tokens`` tokens still to be
     prefilled. ``slowdown`` is the ratio of observed to expected time, ``failure_rate``
     the share of recent attempts that failed. ``cache_state`` is the estimated state of
     the prompt's shared prefix in the engine's cache, ``cached_prefix_tokens`` the
@@ -44,6 +45,7 @@
     cached_prefix_tokens: int = 0
     limit_wait_s: float = 0.0
     limit_per_s: float = UNLIMITED
+    occupied: int = 0
 
     @property
     def has_full_prefix(self) -> bool:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -113,8 +113,9 @@
         return Candidate(
             upstream,
             requests=load.requests + load.untracked_requests_at(now),
+            occupied=load.occupied_at(now),
             prompt_tokens=load.prefill_tokens_left(now, rate),
-            slowdown=load.slowdown.at(now),
+            slowdown=load.slowdown_at(now),
             failure_rate=health.failure_rate(now),
             is_suspended=is_changing or health.is_suspended(now),
             is_overloaded=health.is_overloaded(now),
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -13,7 +13,7 @@
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
 from ..process.upstream_signals import UpstreamSignals
-from ..process.upstreams import Stage
+from ..process.upstreams import Stage, Upstream
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
 from .candidate import Choice
@@ -90,10 +90,11 @@
     ) -> None:
         """Record the outcome of an attempt.
 
-        Without ``includes_prefill`` another engine had prefilled the prompt.
+        Without ``includes_prefill`` another engine had prefilled the prompt. What an
+        earlier incarnation of the upstream did says nothing about the present one.
         """
         upstream_id = choice.candidate.upstream.upstream_id
-        if outcome.cause == ABANDONED:
+        if outcome.cause == ABANDONED or self._has_restarted(choice.candidate.upstream):
             return
         if outcome.cause != ANSWERED:
             self._observe_failure(upstream_id, outcome)
@@ -104,6 +105,10 @@
         else:
             self._observe_answer(call, choice, outcome, includes_prefill)
 
+    def _has_restarted(self, upstream: Upstream) -> bool:
+        current = self._estimates.registry.get(upstream.upstream_id)
+        return current is not None and current.started_at_ms != upstream.started_at_ms
+
     def observe_signals(
         self, upstream_id: str, signals: UpstreamSignals, sent_at_s: float
     ) -> None:
@@ -168,7 +173,8 @@
         input_tokens = call.prompt.input_tokens
         rate = self._estimates.prefill_rate(call.service)
         full_prefill_s = PREFILL_OVERHEAD_S + (queued_tokens + input_tokens) / rate
-        load.slowdown.observe(max(elapsed_s, full_prefill_s), full_prefill_s, now_s())
+        usual_s = elapsed_s / load.reported_slowdown.at(now_s())
+        load.slowdown.observe(max(usual_s, full_prefill_s), full_prefill_s, now_s())
         is_reliable = queued_tokens <= RELIABLE_QUEUE_SHARE * choice.prefill_tokens
         if is_reliable:
             self._estimates.observe_prefill(
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -97,6 +97,7 @@
   limitStated @12 :UInt8;        # 0 nothing said, 1 the upstream states no request limit, 2 it states limitPerS
   limitPerS @13 :Float32;        # requests a second from all entries
   isInterim @14 :Bool;           # the attempt goes on; only what the upstream says of itself counts
+  pacePercent @15 :UInt32;       # time that work takes at the upstream now, in percent of the usual; 0 not said
 }
 
 struct Copy {
