scheduler: queue of plain calls, and placement by learnt service times

Callers saw: at a peak an upstream with 6 slots and a queue of 24 declined calls that it was sent, and those that it took waited too long there.

Cause: each call was sent at once, and every service was taken to need 20 ms a call.

Change: service times are learnt by route. While all usable upstreams of a service are full, calls wait at its scheduler by priority, those that can still meet their objective first, then by arrival. Upstreams are sent as many calls in advance as end until the scheduler hears of it, learnt from how late ends are reported. A call that would miss its deadline is refused at once with the expected wait as Retry-After.

--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -273,6 +273,9 @@
 
     def _end(self, attempt: PlacedAttempt, outcome: AttemptOutcome) -> None:
         attempt.end()
+        self._estimate_updater.observe_report_delay(
+            attempt.call, now_s() - attempt.placed_at_s, outcome
+        )
         self._estimate_updater.observe_outcome(
             attempt.call, attempt.choice, attempt.stage, outcome, attempt.prefills_here
         )
--- a/wisteriaarch/process/fleet_estimates.py
+++ b/wisteriaarch/process/fleet_estimates.py
@@ -8,6 +8,7 @@
 from .prefill_rate import PrefillRate
 from .prefix_cache_index import PrefixCacheIndex
 from .request_limits import RequestLimits
+from .service_times import ServiceTimes
 from .stage_changes import StageChanges
 from .stage_utilization import StageUtilization
 from .upstream_loads import UpstreamLoads
@@ -24,6 +25,7 @@
     limits: RequestLimits = field(init=False)
     stage_changes: StageChanges = field(default_factory=StageChanges)
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
+    service_times: ServiceTimes = field(default_factory=ServiceTimes)
     _handoff_times: dict[str, HandoffTime] = field(
         default_factory=lambda: defaultdict(HandoffTime)
     )
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -14,9 +14,10 @@
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
 from ..process.upstream_signals import UpstreamSignals
 from ..process.upstreams import Stage, Upstream
+from ..version.route_table import CallKind
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
-from .candidate import Choice
+from .candidate import Candidate, Choice
 from .limit_log import log_limit
 from .placement import DIRECT_SLOWDOWN
 from .routed_call import RoutedCall
@@ -197,6 +198,44 @@
                 self._estimates.observe_handoff(call.service, outcome.first_event_s)
             work = f"{call.route.name} {'direct' if includes_prefill else 'apart'}"
             self._loads.observe_time(upstream_id, work, outcome.first_event_s)
+        if call.prompt is None:
+            self._observe_service_time(call, choice.candidate, outcome)
+
+    def _observe_service_time(
+        self, call: RoutedCall, candidate: Candidate, outcome: AttemptOutcome
+    ) -> None:
+        """Record a plain call's time, without its share of waiting for a slot."""
+        occupied_s = occupied_time_s(call, outcome)
+        if occupied_s is None:
+            return
+        upstream = candidate.upstream
+        load = self._loads.of(upstream.upstream_id)
+        crowding = (candidate.requests + 1) / max(1, upstream.slots)
+        usual_s = occupied_s / load.reported_slowdown.at(now_s())
+        self._estimates.service_times.observe(
+            call.service, call.route.name, usual_s / max(1.0, crowding)
+        )
+
+    def observe_report_delay(
+        self, call: RoutedCall, in_flight_s: float, outcome: AttemptOutcome
+    ) -> None:
+        """Record how late the end of another entry's attempt is reported here."""
+        occupied_s = occupied_time_s(call, outcome)
+        if call.prompt is None and occupied_s is not None:
+            self._estimates.service_times.observe_report_delay(
+                call.service, max(0.0, in_flight_s - occupied_s)
+            )
+
+
+def occupied_time_s(call: RoutedCall, outcome: AttemptOutcome) -> float | None:
+    """Return how long a plain call occupied its upstream; None if it didn't end there.
+
+    An answer is read as a whole before its caller gets it, unless it is a stream.
+    """
+    if outcome.cause != ANSWERED or outcome.first_event_s is None:
+        return None
+    is_stream = call.route.kind is CallKind.STREAM
+    return outcome.elapsed_s if is_stream else outcome.first_event_s
 
 
 def _is_failed_handoff(choice: Choice, outcome: AttemptOutcome) -> bool:
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -21,17 +21,22 @@
 COLD_START_FACTOR = 1.5
 
 
-def place_service_call(candidates: Sequence[Candidate], zone: str) -> Choice | None:
+def place_service_call(
+    candidates: Sequence[Candidate], zone: str, service_s: float = REQUEST_COST_S
+) -> Choice | None:
     """Return the upstream with the shortest expected wait.
 
-    Meant for many short calls on upstreams with few slots and different speeds.
+    Meant for many short calls on upstreams with few slots and different speeds;
+    ``service_s`` is the time of one at average speed. Other zones are avoided by the
+    same number of requests in flight, however long these take.
     """
+    other_zone_s = OTHER_ZONE_COST_S * service_s / REQUEST_COST_S
 
     def cost_s(item: Candidate) -> float:
         share = (item.requests + 1) / max(1, item.upstream.slots)
-        return REQUEST_COST_S * item.slowdown * (1 + share)
+        return service_s * item.slowdown * (1 + share)
 
-    return _cheapest(candidates, zone, cost_s)
+    return _cheapest(candidates, zone, cost_s, other_zone_s)
 
 
 def place_prefill(
@@ -119,9 +124,12 @@
     return tokens / rate
 
 
-def _cheapest(candidates, zone: str, cost_s) -> Choice | None:
+def _cheapest(
+    candidates, zone: str, cost_s, other_zone_s: float = OTHER_ZONE_COST_S
+) -> Choice | None:
     choices = [
-        Choice(item, cost_s(item) + _penalty_s(item, zone)) for item in candidates
+        Choice(item, cost_s(item) + _penalty_s(item, zone, other_zone_s))
+        for item in candidates
     ]
     return min(
         choices,
@@ -130,12 +138,12 @@
     )
 
 
-def _penalty_s(item: Candidate, zone: str) -> float:
+def _penalty_s(item: Candidate, zone: str, other_zone_s: float) -> float:
     cost_s = FAILURE_COST_S * item.failure_rate**2
     if item.is_overloaded:
         cost_s += FULL_COST_S
     if item.upstream.zone != zone:
-        cost_s += OTHER_ZONE_COST_S
+        cost_s += other_zone_s
     if item.upstream.cold_start_left_s > 0:
         cost_s *= COLD_START_FACTOR
     return cost_s + item.limit_wait_s
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -20,10 +20,11 @@
 from .attempt_failures import AttemptFailed, FailureReason
 from .candidate import Choice, can_run
 from .candidate_finder import CandidateFinder
-from .placement import place_decode, place_service_call
+from .placement import place_decode
 from .planner import CompletionPlanner
 from .request_limiter import SCHEDULER_IDLE_S, RequestLimiter, entry_share
 from .routed_call import RoutedCall
+from .service_planner import ServicePlanner
 from .shared_prefill import OnWait, ignore_wait
 from .shared_retry_budget import SharedRetryBudget
 from .size_fairness import SizeFairness
@@ -40,6 +41,7 @@
     estimates: FleetEstimates
     finder: CandidateFinder
     planner: CompletionPlanner
+    service_planner: ServicePlanner
     fairness: SizeFairness
     limiter: RequestLimiter
     stream_software: StreamSoftware
@@ -75,6 +77,7 @@
             estimates,
             finder,
             planner,
+            ServicePlanner(finder, estimates.service_times, log),
             fairness,
             limiter,
             stream_software or AnySoftware(),
@@ -127,7 +130,8 @@
             raise self._no_upstream_error(call)
         call.retries_left = self.retries.remaining(call.service)
         if call.prompt is None or self._parts.finder.engine_spec(call.service) is None:
-            return StagePlan(None, place_service_call(candidates, call.zone))
+            choice = await self._parts.service_planner.plan(call, candidates, on_wait)
+            return StagePlan(None, choice)
         plan = await self._parts.planner.plan(call, candidates, on_wait)
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
--- /dev/null
+++ b/wisteriaarch/request/service_planner.py
@@ -0,0 +1,178 @@
+"""Places plain calls on the upstreams of their service, and lets them wait.
+
+Meant for many short calls on upstreams with few slots and different speeds, also while
+more of them arrive than the upstreams serve.
+"""
+
+import math
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
+
+from ..errors import ErrorKind, RequestError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.service_times import ServiceTimes
+from .candidate import Candidate, Choice
+from .candidate_finder import CandidateFinder
+from .placement import place_service_call
+from .routed_call import RoutedCall
+from .service_queue import POLL_INTERVAL_S, ServiceQueue, WaitingCall
+from .shared_prefill import OnWait, ignore_wait
+
+RETRY_AFTER_MIN_S = 0.3
+# A call meets its objective if it starts this many service times before.
+ON_TIME_MARGIN = 1.5
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """Decision on a call that can't meet its deadline."""
+
+    wait_s: float
+
+
+def priority_of(call: RoutedCall) -> int:
+    """Return the priority of a call; 0 is the most urgent."""
+    return call.route.priority
+
+
+class ServicePlanner:
+    """Places plain calls; one instance serves the whole entry."""
+
+    def __init__(self, finder: CandidateFinder, times: ServiceTimes, log: EventLog):
+        self._finder = finder
+        self._times = times
+        self._log = log
+        self._queues: dict[str, ServiceQueue[Choice | Refusal]] = defaultdict(
+            ServiceQueue
+        )
+
+    def queue_length(self, service: str) -> int:
+        """Return how many calls of a service wait."""
+        return len(self._queues[service])
+
+    async def plan(
+        self,
+        call: RoutedCall,
+        candidates: list[Candidate],
+        on_wait: OnWait = ignore_wait,
+    ) -> Choice:
+        """Return the upstream to send a call to now; the call may wait first.
+
+        ``candidates`` are the current ones, ``on_wait`` is called before a wait. Raises
+        RequestError if the call can't be answered before its deadline.
+        """
+        queue = self._queues[call.service]
+        priority, work_s = priority_of(call), self._service_s(call)
+        on_time_within_s = self._on_time_within_s(call, work_s)
+        is_behind = queue.work_ahead_s(priority, call.arrived_at_s) > 0
+        choice = None if is_behind else self._decide(call, candidates)
+        if choice is None:
+            wait_s = queue.expected_wait_s(
+                priority, call.arrived_at_s, on_time_within_s, capacity_of(candidates)
+            )
+            if wait_s + work_s > call.remaining_s():
+                raise _refusal_error(call, wait_s)
+        if on_time_within_s >= 0:
+            queue.record_accepted(priority, work_s)
+        if choice is not None:
+            return choice
+        await on_wait()
+        return await self._wait(call, candidates, work_s)
+
+    async def _wait(
+        self, call: RoutedCall, candidates: list[Candidate], work_s: float
+    ) -> Choice:
+        queue, waits_from_s = self._queues[call.service], now_s()
+        capacity = capacity_of(candidates)
+        find = partial(self._finder.current, call)
+
+        def refuse() -> Refusal:
+            wait_s = queue.expected_wait_s(
+                priority_of(call), now_s(), 0.0, capacity_of(find())
+            )
+            return Refusal(wait_s)
+
+        decision = await queue.wait(
+            WaitingCall(
+                priority_of(call),
+                call.arrived_at_s,
+                on_time_until_s=waits_from_s + self._on_time_within_s(call, work_s),
+                unservable_at_s=waits_from_s + call.remaining_s() - work_s,
+                work_s=work_s,
+                capacity=capacity,
+                decide=lambda: self._decide(call, find()),
+                refuse=refuse,
+            )
+        )
+        is_refused = isinstance(decision, Refusal)
+        self._log.write(
+            Event.CALL_QUEUED,
+            request=call.call_id,
+            seconds=now_s() - waits_from_s,
+            reason="deadline" if is_refused else "free slot",
+        )
+        if is_refused:
+            raise _refusal_error(call, decision.wait_s)
+        return decision
+
+    def _decide(
+        self, call: RoutedCall, candidates: Sequence[Candidate]
+    ) -> Choice | Refusal | None:
+        """Return the upstream for a call; None while it should wait for one.
+
+        A call that waits is refused once no upstream is left.
+        """
+        if not candidates:
+            return Refusal(RETRY_AFTER_MIN_S)
+        service_s = self._service_s(call)
+        is_full = self._fullness(call, service_s)
+        regular = [item for item in candidates if not item.is_suspended]
+        if regular and all(is_full(item) for item in regular):
+            return None
+        free = [item for item in candidates if not is_full(item)]
+        return place_service_call(free or candidates, call.zone, service_s)
+
+    def _fullness(
+        self, call: RoutedCall, service_s: float
+    ) -> Callable[[Candidate], bool]:
+        """Return the predicate of upstreams that can't begin another call soon.
+
+        An upstream is sent a few calls in advance, as many as it ends until the next
+        one can arrive there.
+        """
+        lead_s = POLL_INTERVAL_S + self._times.report_delay_s(call.service)
+
+        def is_full(item: Candidate) -> bool:
+            slots = max(1, item.upstream.slots)
+            ended = slots * lead_s / (service_s * item.slowdown)
+            return item.occupied >= slots + math.ceil(ended)
+
+        return is_full
+
+    def _service_s(self, call: RoutedCall) -> float:
+        return self._times.service_s(call.service, call.route.name)
+
+    def _on_time_within_s(self, call: RoutedCall, work_s: float) -> float:
+        """Return within how many seconds a call must start to meet its objective."""
+        elapsed_s = now_s() - call.arrived_at_s
+        margin_s = ON_TIME_MARGIN * work_s + self._times.report_delay_s(call.service)
+        return call.route.objective_s - elapsed_s - margin_s
+
+
+def capacity_of(candidates: Sequence[Candidate]) -> float:
+    """Return the work of the upstreams, in seconds of average speed a second."""
+    usable = [item for item in candidates if not item.is_suspended] or candidates
+    return sum(max(1, item.upstream.slots) / item.slowdown for item in usable)
+
+
+def _refusal_error(call: RoutedCall, wait_s: float) -> RequestError:
+    """Return the error of a call that can't meet its deadline."""
+    return RequestError(
+        ErrorKind.UPSTREAM_OVERLOADED,
+        f"the call would wait {wait_s:.1f} s for an upstream",
+        ran=call.ran,
+        retry_after_s=max(RETRY_AFTER_MIN_S, min(wait_s, call.route.timeout_s)),
+    )
