zones: leave the zone by marginal cost where zone_transfer is set

Callers saw: nothing yet; without zone_transfer a fixed penalty of 4 ms kept calls in their zone, whatever the bytes cost, the wait was, or callers of the other zone lost.

Change: request/zone_cost.py compares the wait at home with the transfer (delay, price of learnt request and answer sizes), the wait there and what a call takes from the callers there. Plain calls, prefill, direct prompts and decode use it; a KV cache that is moved costs its bytes. Event 318 shows the reason, a counter the pair of zones. Speeds count between zones only where many answers show a clear difference.

--- a/tests/test_handoff_time.py
+++ b/tests/test_handoff_time.py
@@ -30,6 +30,7 @@
         self.now = 0.0
         registry = mock.Mock()
         registry.may_be_incomplete.return_value = False
+        registry.get.return_value = None
         self.estimates = FleetEstimates.from_registry(registry)
         self.time = HandoffTime(clock=lambda: self.now)
         self.estimates._handoff_times["s"] = self.time
--- a/tests/test_route_decisions.py
+++ b/tests/test_route_decisions.py
@@ -10,11 +10,11 @@
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.gateway_settings import GatewaySettings
+from wisteriaarch.process.reported_slowdown import ReportedSlowdown
 from wisteriaarch.process.upstream_health import SUSPEND_MIN_S, UpstreamHealth
 from wisteriaarch.process.upstream_loads import (
     REPORT_RETENTION_S,
     ReportedLoad,
-    ReportedSlowdown,
     Slowdown,
     UpstreamLoads,
 )
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -153,6 +153,7 @@
         item.isBusy,
         item.isDown,
         _signals_from(item),
+        item.bytes,
     )
     return OutcomeReport(item.number, outcome, not item.isInterim)
 
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -154,6 +154,7 @@
         "isLeaving": signals.is_draining,
         **_limit_fields(signals.limit_per_s),
         "isInterim": not message.is_final,
+        "bytes": outcome.transferred_bytes,
     }
     if signals.load is not None:
         content |= {
--- a/wisteriaarch/entry_scheduling.py
+++ b/wisteriaarch/entry_scheduling.py
@@ -15,6 +15,7 @@
 from .request.shared_retry_budget import SCHEDULER_SHARE, SharedRetryBudget
 from .request.size_fairness import SizeFairness
 from .request.stream_versions import StreamVersions
+from .request.zone_cost import TransferPrice
 from .version.route_table import resumable_services
 
 
@@ -54,6 +55,7 @@
             rng,
             self.stream_versions,
         )
+        parts.zone_costs.price = TransferPrice.from_config(settings.zone_transfer)
         self.retry_budget = SharedRetryBudget(
             retry.ratio,
             retry.slack,
@@ -106,9 +108,16 @@
         """Shares of prompts of different sizes."""
         return self.shared_scheduler.parts.fairness
 
+    def calls_waiting(self, service: str) -> int:
+        """Return how many plain calls of a service wait here for an upstream."""
+        return self.shared_scheduler.parts.service_planner.queue_length(service)
+
     def configure(self, settings: GatewaySettings) -> None:
         """Apply changed settings."""
         self._settings = settings
+        self.shared_scheduler.parts.zone_costs.price = TransferPrice.from_config(
+            settings.zone_transfer
+        )
         retry = settings.retry
         for budget in (self.retry_budget, self._shared_retry_budget):
             budget.configure(retry.ratio, retry.slack, retry.window_s)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -149,9 +149,12 @@
     CALL_QUEUED = EventKind(
         315,
         logbook.INFO,
-        "call waited in the prefill queue",
+        "call waited for an upstream that can begin it",
         Importance.PROGRESS,
     )
+    CALL_LEFT_ZONE = EventKind(
+        318, logbook.INFO, "call placed outside its zone", Importance.PROGRESS
+    )
     STREAM_RESUMED = EventKind(
         316, logbook.INFO, "attempt resumes a stream", Importance.FAILURE
     )
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -1,5 +1,6 @@
 """Gauges of a gateway, computed when the metrics are scraped."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from .process.clock import now_s
@@ -27,6 +28,7 @@
     retry_budget: SharedRetryBudget
     stage_supervisor: StageSupervisor
     paths: UpstreamPaths
+    calls_waiting: Callable[[str], int]
 
     def read(self) -> dict[Gauge, dict[Labels, float]]:
         """Return the current values of all gauges, by their labels."""
@@ -65,6 +67,9 @@
             Gauge.RETRIES_LEFT: {
                 (name,): self.retry_budget.remaining(name) for name in services
             },
+            Gauge.CALLS_WAITING: {
+                (name,): self.calls_waiting(name) for name in services
+            },
             Gauge.READING_DEMAND: {
                 (name, stage.value): utilization.engines_needed(name, stage)
                 for name in engine_services
--- a/wisteriaarch/process/fleet_estimates.py
+++ b/wisteriaarch/process/fleet_estimates.py
@@ -11,6 +11,7 @@
 from .service_times import ServiceTimes
 from .stage_changes import StageChanges
 from .stage_utilization import StageUtilization
+from .transfer_sizes import TransferSizes
 from .upstream_loads import UpstreamLoads
 from .upstreams import UpstreamRegistry
 
@@ -26,6 +27,7 @@
     stage_changes: StageChanges = field(default_factory=StageChanges)
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     service_times: ServiceTimes = field(default_factory=ServiceTimes)
+    transfer_sizes: TransferSizes = field(default_factory=TransferSizes)
     _handoff_times: dict[str, HandoffTime] = field(
         default_factory=lambda: defaultdict(HandoffTime)
     )
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -41,6 +41,19 @@
     slack: float = Field(default=50.0, ge=0)
 
 
+class ZoneTransferSettings(StrictModel):
+    """Price of traffic between zones.
+
+    ``delay_ms`` is the time one way, ``price_per_gb`` the price of a gigabyte, and
+    ``value_per_s`` the value of a second of a caller's waiting, in the same unit.
+    """
+
+    delay_ms: float = Field(ge=0)
+    price_per_gb: float = Field(ge=0)
+    value_per_s: float = Field(gt=0)
+    kv_bytes_per_token: int = Field(default=131_072, ge=0)
+
+
 class GatewaySettings(StrictModel):
     """Settings of an entry that serves routes; see docs/CONFIGURATION.md.
 
@@ -73,6 +86,7 @@
     callers_keep_s: float = Field(default=1.0, gt=0)
     stop_grace_s: float = Field(default=8.0, gt=0)
     change_stages: bool = True
+    zone_transfer: ZoneTransferSettings | None = None
     lease_term_ms: float = Field(default=3000.0, gt=0)
     seed: int | None = None
 
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -33,6 +33,10 @@
     TOKENS_RELAYED = Metric("Events of streamed answers relayed to callers")
     CALLS = Metric("Calls on routes that ended", ("kind", "outcome", "cause"))
     ATTEMPTS = Metric("Attempts on upstreams that ended", ("stage", "cause"))
+    ATTEMPTS_OUTSIDE_ZONE = Metric(
+        "Attempts placed in another zone than that of their entry",
+        ("stage", "zone", "upstream_zone"),
+    )
 
 
 class Duration(Enum):
@@ -64,6 +68,7 @@
     UPSTREAMS_REACHABLE = Metric("0 where this entry can't reach any upstream")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
+    CALLS_WAITING = Metric("Plain calls that wait here for an upstream", ("service",))
     STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
     READING_DEMAND = Metric(
         "Engines that prompts placed by all entries keep reading",
--- a/wisteriaarch/process/service_times.py
+++ b/wisteriaarch/process/service_times.py
@@ -23,11 +23,12 @@
 
     value: float = 0.0
     count: int = 0
+    weight_min: float = WEIGHT_MIN
 
     def observe(self, value: float) -> None:
         """Record an observation."""
         self.count += 1
-        self.value += max(WEIGHT_MIN, 1 / self.count) * (value - self.value)
+        self.value += max(self.weight_min, 1 / self.count) * (value - self.value)
 
 
 class ServiceTimes:
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 
 from .clock import now_s
+from .reported_slowdown import ReportedSlowdown
+from .service_times import LearntMean
 from .upstream_health import UpstreamHealth
 
 REPORT_RETENTION_S = 0.4
@@ -16,10 +18,9 @@
 SLOWDOWN_MAX = 10.0
 TYPICAL_TIME_WEIGHT = 0.05
 PREFILLED_SHARE_MAX = 0.9
-# An upstream's own statement of its speed changes many times a second.
-STATED_SLOWDOWN_LIFETIME_S = 0.15
-STATED_SLOWDOWN_WEIGHT = 0.1
-STATED_SLOWDOWN_MIN = 0.1
+# Single service times vary by a third: the mean of 50 is off by 5%.
+SLOWDOWN_MEAN_WEIGHT = 0.02
+SLOWDOWN_ANSWERS_MIN = 50
 
 
 @dataclass
@@ -46,35 +47,6 @@
         return 1 + (self.ratio - 1) * math.exp(-age_s / SLOWDOWN_DECAY_S)
 
 
-@dataclass
-class ReportedSlowdown:
-    """Ratio of present to usual time that an upstream states in its answers.
-
-    It changes many times a second. Without a new statement it approaches the average
-    of the earlier ones; it is 1 for an upstream that states none.
-    """
-
-    latest: float = 1.0
-    average: float = 1.0
-    stated_at_s: float | None = None
-
-    def record(self, ratio: float, at_s: float) -> None:
-        """Record a statement."""
-        self.latest = min(SLOWDOWN_MAX, max(STATED_SLOWDOWN_MIN, ratio))
-        if self.stated_at_s is None:
-            self.average = self.latest
-        self.average += STATED_SLOWDOWN_WEIGHT * (self.latest - self.average)
-        self.stated_at_s = at_s
-
-    def at(self, at_s: float) -> float:
-        """Return the expected ratio at a time."""
-        if self.stated_at_s is None:
-            return 1.0
-        age_s = max(0.0, at_s - self.stated_at_s)
-        weight = math.exp(-age_s / STATED_SLOWDOWN_LIFETIME_S)
-        return self.average + (self.latest - self.average) * weight
-
-
 @dataclass(frozen=True)
 class ReportedLoad:
     """Load as reported by an upstream, some milliseconds old.
@@ -94,6 +66,10 @@
         return self.running + self.waiting
 
 
+def _slowdown_mean() -> LearntMean:
+    return LearntMean(weight_min=SLOWDOWN_MEAN_WEIGHT)
+
+
 @dataclass
 class UpstreamLoad:
     """Requests of this entry in flight on one upstream, and observations of it.
@@ -120,6 +96,7 @@
     health: UpstreamHealth = field(default_factory=UpstreamHealth)
     slowdown: Slowdown = field(default_factory=Slowdown)
     reported_slowdown: ReportedSlowdown = field(default_factory=ReportedSlowdown)
+    slowdown_mean: LearntMean = field(default_factory=_slowdown_mean)
 
     def begin(self, prompt_tokens: int) -> None:
         """Count a request as in flight; ``end`` must be called once for it."""
@@ -174,6 +151,12 @@
         """Return the ratio of the expected time of work there to the usual time."""
         return self.slowdown.at(at_s) * self.reported_slowdown.at(at_s)
 
+    @property
+    def usual_slowdown(self) -> float:
+        """Mean ratio of observed to expected time; 1 until it is reliable."""
+        mean = self.slowdown_mean
+        return mean.value if mean.count >= SLOWDOWN_ANSWERS_MIN else 1.0
+
     def forget(self) -> None:
         """Forget what was learnt; the requests in flight stay counted."""
         self.untracked_requests = 0
@@ -181,6 +164,7 @@
         self.health = UpstreamHealth()
         self.slowdown = Slowdown()
         self.reported_slowdown = ReportedSlowdown()
+        self.slowdown_mean = _slowdown_mean()
 
 
 @dataclass
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -47,6 +47,7 @@
         self.status = 0
         self.first_event_at_s: float | None = None
         self.longest_pause_s = 0.0
+        self.body_bytes = 0
         self._last_event_at_s = 0.0
 
     @property
@@ -71,6 +72,7 @@
                 f"a resumed stream got {head.status}",
             )
         body = await exchange.read_body()
+        self.body_bytes += len(body)
         self.status = head.status
         self.first_event_at_s = now_s()
         await self._sink.send_complete(
@@ -113,6 +115,7 @@
                 self.longest_pause_s, now - self._last_event_at_s
             )
         self._last_event_at_s = now
+        self.body_bytes += len(events)
         await self._sink.send_block(events)
 
 
--- a/wisteriaarch/request/attempt_outcome.py
+++ b/wisteriaarch/request/attempt_outcome.py
@@ -30,6 +30,7 @@
     ``cause`` is one of ``CAUSES``. ``is_overloaded`` marks an upstream that timed out
     here while it answered other requests, ``is_down`` one that no longer accepts
     connections. ``signals`` are those of its answer that weren't reported before.
+    ``transferred_bytes`` is the size of the request and its answer, 0 if not known.
     """
 
     cause: str
@@ -38,6 +39,7 @@
     is_overloaded: bool = False
     is_down: bool = False
     signals: UpstreamSignals = NO_SIGNALS
+    transferred_bytes: int = 0
 
     @property
     def has_not_begun(self) -> bool:
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -50,6 +50,7 @@
     _first_event_s: float | None = None
     _is_overloaded: bool = False
     _is_down: bool = False
+    _transferred_bytes: int = 0
 
     @property
     def upstream(self) -> Upstream:
@@ -57,9 +58,13 @@
         return self.choice.candidate.upstream
 
     def record_answer(
-        self, first_event_at_s: float | None = None, failed: bool = False
+        self,
+        first_event_at_s: float | None = None,
+        failed: bool = False,
+        answer_bytes: int = 0,
     ) -> None:
         """Record a complete answer; ``failed`` if it reports an upstream's error."""
+        self._transferred_bytes = len(self.call.body) + answer_bytes
         self._cause = FailureReason.FAILED.value if failed else ANSWERED
         if first_event_at_s is not None:
             self._first_event_s = first_event_at_s - self.started_at_s
@@ -81,6 +86,7 @@
             self._is_overloaded,
             self._is_down,
             self.unreported_signals,
+            self._transferred_bytes,
         )
 
 
@@ -155,6 +161,9 @@
     def _log_placement(self, attempt: TrackedAttempt) -> None:
         call, choice = attempt.call, attempt.choice
         candidate = choice.candidate
+        self._metrics.record_zone(
+            attempt.stage.value, call.zone, candidate.upstream.zone
+        )
         self._log.write(
             Event.ATTEMPT_PLACED,
             request=call.call_id,
@@ -255,7 +264,7 @@
         """Record an answer that was relayed to the caller."""
         call = attempt.call
         failed = relay.status >= SERVER_ERROR_STATUS
-        attempt.record_answer(relay.first_event_at_s, failed)
+        attempt.record_answer(relay.first_event_at_s, failed, relay.body_bytes)
         self._metrics.record_attempt(
             AttemptStage.RUN.value, ANSWERED, attempt.started_at_s
         )
--- a/wisteriaarch/request/call_metrics.py
+++ b/wisteriaarch/request/call_metrics.py
@@ -58,6 +58,11 @@
         elapsed_s = now_s() - started_at_s
         self._metrics.observe(Duration.ATTEMPT, elapsed_s, stage, cause)
 
+    def record_zone(self, stage: str, zone: str, upstream_zone: str) -> None:
+        """Record the placement of an attempt if it leaves the zone of its entry."""
+        if upstream_zone != zone:
+            self._metrics.count(Count.ATTEMPTS_OUTSIDE_ZONE, stage, zone, upstream_zone)
+
     def _record_call(
         self, call: RoutedCall, relay: AnswerRelay, outcome: CallOutcome, cause: str
     ) -> None:
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -25,13 +25,13 @@
     """Upstream with its estimated load; created anew for each decision.
 
     ``requests`` counts requests in flight, ``occupied`` those of them that may still
-    occupy the upstream, ``prompt_tokens`` tokens still to be
-    prefilled. ``slowdown`` is the ratio of observed to expected time, ``failure_rate``
-    the share of recent attempts that failed. ``cache_state`` is the estimated state of
-    the prompt's shared prefix in the engine's cache, ``cached_prefix_tokens`` the
-    number of its tokens that are cached if only some are. A request would have to wait
-    ``limit_wait_s`` for a permit under the upstream's request limit, of which
-    ``limit_per_s`` requests a second may be used here.
+    occupy the upstream, ``prompt_tokens`` tokens still to be prefilled. ``slowdown`` is
+    the ratio of observed to expected time, ``usual_slowdown`` its mean over many
+    answers, ``failure_rate`` the share of recent attempts that failed. ``cache_state``
+    is the estimated state of the prompt's shared prefix in the engine's cache,
+    ``cached_prefix_tokens`` the number of its tokens that are cached if only some are.
+    A request would have to wait ``limit_wait_s`` for a permit under the upstream's
+    request limit, of which ``limit_per_s`` requests a second may be used here.
     """
 
     upstream: Upstream
@@ -46,6 +46,7 @@
     limit_wait_s: float = 0.0
     limit_per_s: float = UNLIMITED
     occupied: int = 0
+    usual_slowdown: float = 1.0
 
     @property
     def has_full_prefix(self) -> bool:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -116,6 +116,7 @@
             occupied=load.occupied_at(now),
             prompt_tokens=load.prefill_tokens_left(now, rate),
             slowdown=load.slowdown_at(now),
+            usual_slowdown=load.usual_slowdown,
             failure_rate=health.failure_rate(now),
             is_suspended=is_changing or health.is_suspended(now),
             is_overloaded=health.is_overloaded(now),
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -193,6 +193,10 @@
         upstream_id = choice.candidate.upstream.upstream_id
         self._loads.of(upstream_id).health.record_success(now_s())
         self._observe_prefix(call, choice, 0, ready=True)
+        if outcome.transferred_bytes:
+            self._estimates.transfer_sizes.observe(
+                call.service, call.route.name, outcome.transferred_bytes
+            )
         if outcome.first_event_s is not None:
             if not includes_prefill:
                 self._estimates.observe_handoff(call.service, outcome.first_event_s)
@@ -210,11 +214,15 @@
             return
         upstream = candidate.upstream
         load = self._loads.of(upstream.upstream_id)
-        crowding = (candidate.requests + 1) / max(1, upstream.slots)
-        usual_s = occupied_s / load.reported_slowdown.at(now_s())
-        self._estimates.service_times.observe(
-            call.service, call.route.name, usual_s / max(1.0, crowding)
-        )
+        times = self._estimates.service_times
+        # Ends are reported late: a part of the requests had ended at the placement.
+        held_s = occupied_s + times.report_delay_s(call.service)
+        requests = candidate.requests * occupied_s / held_s + 1
+        crowding = max(1.0, requests / max(1, upstream.slots))
+        usual_s = occupied_s / load.reported_slowdown.at(now_s()) / crowding
+        times.observe(call.service, call.route.name, usual_s)
+        ratio = usual_s / times.service_s(call.service, call.route.name)
+        load.slowdown_mean.observe(ratio)
 
     def observe_report_delay(
         self, call: RoutedCall, in_flight_s: float, outcome: AttemptOutcome
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -22,8 +22,9 @@
 from .routed_call import RoutedCall
 from .shared_prefill import OnWait, ignore_wait, wait_for_prefix
 from .size_fairness import SizeFairness
-from .stage_plan import FleetLoad, StagePlan, plan_stages
+from .stage_plan import FleetLoad, StagePlan, StageTransfers, plan_stages
 from .urgency import queue_ahead_s
+from .zone_cost import ZoneCosts
 
 # Callers of streams disconnect well before the deadline if they receive nothing.
 CALLER_TIMEOUT_MIN_S = 2.0
@@ -51,6 +52,7 @@
         prefill_rate: Callable[[str], float],
         handoff_s: Callable[[str], float],
         log: EventLog,
+        zone_costs: ZoneCosts,
     ):
         self._finder = finder
         self._utilization = utilization
@@ -58,6 +60,7 @@
         self._prefill_rate = prefill_rate
         self._handoff_s = handoff_s
         self._log = log
+        self._zone_costs = zone_costs
         self._queues: dict[str, PrefillQueue[DispatchPlan]] = defaultdict(PrefillQueue)
 
     async def plan(
@@ -225,6 +228,9 @@
             self._fleet_load(call, candidates),
             call.zone,
             call.route.pause_s,
+            StageTransfers(
+                self._zone_costs.for_prefill(call), self._zone_costs.for_direct(call)
+            ),
         )
         choice = plan.prefill
         if choice is None or choice.prefill_tokens < LONG_PREFILL_TOKENS:
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -30,6 +30,8 @@
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
 from .stream_versions import AnySoftware, StreamSoftware
+from .zone_cost import ZoneCosts
+from .zone_log import ZoneLog
 
 RETRY_AFTER_S = 0.3
 
@@ -45,6 +47,8 @@
     fairness: SizeFairness
     limiter: RequestLimiter
     stream_software: StreamSoftware
+    zone_costs: ZoneCosts
+    zone_log: ZoneLog
 
     @classmethod
     def from_estimates(
@@ -65,6 +69,7 @@
         limiter = RequestLimiter(estimates.limits, limit_share, rng or random.Random())
         finder = CandidateFinder(estimates, routes, limiter)
         fairness = SizeFairness()
+        zone_costs = ZoneCosts(estimates.transfer_sizes)
         planner = CompletionPlanner(
             finder,
             estimates.utilization,
@@ -72,15 +77,18 @@
             estimates.prefill_rate,
             estimates.handoff_s,
             log,
+            zone_costs,
         )
         return cls(
             estimates,
             finder,
             planner,
-            ServicePlanner(finder, estimates.service_times, log),
+            ServicePlanner(finder, estimates.service_times, log, zone_costs),
             fairness,
             limiter,
             stream_software or AnySoftware(),
+            zone_costs,
+            ZoneLog(zone_costs, estimates, log),
         )
 
 
@@ -119,6 +127,7 @@
         await self._parts.stream_software.admit(call)
         plan = await self._plan(call, on_wait)
         first_choice = plan.prefill or plan.decode
+        self._parts.zone_log.write(call, first_choice)
         software = first_choice.candidate.upstream.software
         await self._acquire_permit(first_choice, on_wait)
         self._parts.stream_software.record(call, software)
@@ -221,7 +230,8 @@
             if item.upstream.software == prefill_engine.software
         ]
         rate = self._parts.estimates.prefill_rate(call.service)
-        choice = place_decode(engines, call.prompt, rate, prefill_engine.zone)
+        transfer = self._parts.zone_costs.for_decode(call, prefill_engine)
+        choice = place_decode(engines, call.prompt, rate, prefill_engine.zone, transfer)
         if choice is None:
             raise AttemptFailed(
                 FailureReason.NOTHING_SENT,
--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -20,6 +20,7 @@
 from .routed_call import RoutedCall
 from .service_queue import POLL_INTERVAL_S, ServiceQueue, WaitingCall
 from .shared_prefill import OnWait, ignore_wait
+from .zone_cost import TransferCost, ZoneCosts, zone_loads
 
 RETRY_AFTER_MIN_S = 0.3
 # A call meets its objective if it starts this many service times before.
@@ -41,7 +42,14 @@
 class ServicePlanner:
     """Places plain calls; one instance serves the whole entry."""
 
-    def __init__(self, finder: CandidateFinder, times: ServiceTimes, log: EventLog):
+    def __init__(
+        self,
+        finder: CandidateFinder,
+        times: ServiceTimes,
+        log: EventLog,
+        zone_costs: ZoneCosts,
+    ):
+        self._zone_costs = zone_costs
         self._finder = finder
         self._times = times
         self._log = log
@@ -67,8 +75,11 @@
         queue = self._queues[call.service]
         priority, work_s = priority_of(call), self._service_s(call)
         on_time_within_s = self._on_time_within_s(call, work_s)
-        is_behind = queue.work_ahead_s(priority, call.arrived_at_s) > 0
-        choice = None if is_behind else self._decide(call, candidates)
+        if call.placements == 0:
+            self._zone_costs.record_demand(call, work_s)
+        choice = self._decide(call, candidates)
+        if choice is not None and self._is_behind_others(call, choice):
+            choice = None
         if choice is None:
             wait_s = queue.expected_wait_s(
                 priority, call.arrived_at_s, on_time_within_s, capacity_of(candidates)
@@ -82,6 +93,20 @@
         await on_wait()
         return await self._wait(call, candidates, work_s)
 
+    def _is_behind_others(self, call: RoutedCall, choice: Choice) -> bool:
+        """Whether a call would overtake calls that wait for the same upstreams."""
+        group = self._group(call)
+        if group and choice.candidate.upstream.zone != group:
+            return False
+        ahead_s = self._queues[call.service].work_ahead_s(
+            priority_of(call), call.arrived_at_s, group
+        )
+        return ahead_s > 0
+
+    def _group(self, call: RoutedCall) -> str:
+        """Return the zone whose upstreams a call waits for; empty for all zones."""
+        return "" if self._zone_costs.price is None else call.zone
+
     async def _wait(
         self, call: RoutedCall, candidates: list[Candidate], work_s: float
     ) -> Choice:
@@ -103,8 +128,9 @@
                 unservable_at_s=waits_from_s + call.remaining_s() - work_s,
                 work_s=work_s,
                 capacity=capacity,
-                decide=lambda: self._decide(call, find()),
+                decide=lambda: self._decide(call, find(), own_work_s=work_s),
                 refuse=refuse,
+                group=self._group(call),
             )
         )
         is_refused = isinstance(decision, Refusal)
@@ -119,11 +145,15 @@
         return decision
 
     def _decide(
-        self, call: RoutedCall, candidates: Sequence[Candidate]
+        self,
+        call: RoutedCall,
+        candidates: Sequence[Candidate],
+        own_work_s: float = 0.0,
     ) -> Choice | Refusal | None:
         """Return the upstream for a call; None while it should wait for one.
 
-        A call that waits is refused once no upstream is left.
+        A call that waits, with ``own_work_s`` in the queue, is refused once no upstream
+        is left.
         """
         if not candidates:
             return Refusal(RETRY_AFTER_MIN_S)
@@ -132,9 +162,45 @@
         regular = [item for item in candidates if not item.is_suspended]
         if regular and all(is_full(item) for item in regular):
             return None
+        if self._zone_costs.price is not None:
+            usable = [
+                item
+                for item in regular or candidates
+                if item.upstream.zone == call.zone or not is_full(item)
+            ]
+            transfer = self._transfer_cost(call, usable, service_s, own_work_s)
+            choice = place_service_call(usable, call.zone, service_s, transfer)
+            return None if regular and is_full(choice.candidate) else choice
         free = [item for item in candidates if not is_full(item)]
         return place_service_call(free or candidates, call.zone, service_s)
 
+    def _transfer_cost(
+        self,
+        call: RoutedCall,
+        candidates: Sequence[Candidate],
+        service_s: float,
+        own_work_s: float,
+    ) -> TransferCost:
+        """Return the cost of a call by zone, with the waits there.
+
+        A call that leaves a queue shortens the wait of all behind it by as much as its
+        own, so that all calls of a zone's queue count, whatever its place.
+        """
+        costs, queue = self._zone_costs, self._queues[call.service]
+
+        def waiting_s(zone: str) -> float:
+            own_s = own_work_s if zone == call.zone else 0.0
+            return max(0.0, queue.group_work_s(zone) - own_s)
+
+        loads = zone_loads(
+            candidates,
+            service_s,
+            self._times.report_delay_s(call.service),
+            lambda zone: costs.demand(call.service, zone),
+            waiting_s,
+        )
+        return costs.for_plain_call(call, loads)
+
     def _fullness(
         self, call: RoutedCall, service_s: float
     ) -> Callable[[Candidate], bool]:
@@ -148,7 +214,7 @@
         def is_full(item: Candidate) -> bool:
             slots = max(1, item.upstream.slots)
             ended = slots * lead_s / (service_s * item.slowdown)
-            return item.occupied >= slots + math.ceil(ended)
+            return item.upstream.slots > 0 and item.occupied >= slots + math.ceil(ended)
 
         return is_full
 
--- a/wisteriaarch/request/service_queue.py
+++ b/wisteriaarch/request/service_queue.py
@@ -72,6 +72,10 @@
     def __len__(self) -> int:
         return len(self._calls)
 
+    def group_work_s(self, group: str) -> float:
+        """Return the waiting work of a group."""
+        return sum(item.work_s for item in self._calls if item.group == group)
+
     def work_ahead_s(
         self, priority: int, arrived_at_s: float, group: str | None = None
     ) -> float:
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -15,6 +15,7 @@
 )
 from .placement import DIRECT_SLOWDOWN, place_direct, place_prefill
 from .routed_call import Prompt
+from .zone_cost import TransferCost
 
 PREFILL_SHARE_OF_PAUSE = 0.65
 # Counts against engines of a software version that has no prefill stage.
@@ -51,12 +52,24 @@
 NO_PLAN = StagePlan(None, None)
 
 
+@dataclass(frozen=True)
+class StageTransfers:
+    """Costs of leaving the zone with a prompt; None for the fixed penalty."""
+
+    prefill: TransferCost | None = None
+    direct: TransferCost | None = None
+
+
+NO_TRANSFERS = StageTransfers()
+
+
 def plan_stages(
     candidates: Sequence[Candidate],
     prompt: Prompt,
     fleet: FleetLoad,
     zone: str,
     pause_s: float | None,
+    transfers: StageTransfers = NO_TRANSFERS,
 ) -> StagePlan:
     """Choose disaggregated or direct prefill, whichever gives the earlier first event.
 
@@ -69,7 +82,7 @@
     for item in candidates:
         by_software.setdefault(item.upstream.software, []).append(item)
     plans = [
-        _plan_version(items, prompt, fleet, zone, pause_s)
+        _plan_version(items, prompt, fleet, zone, pause_s, transfers)
         for items in by_software.values()
     ]
     return min(plans, key=lambda item: item[0], default=(0.0, NO_PLAN))[1]
@@ -81,13 +94,17 @@
     fleet: FleetLoad,
     zone: str,
     pause_s: float | None,
+    transfers: StageTransfers,
 ) -> tuple[float, StagePlan]:
     """Return the expected cost and the plan for engines of one software version."""
     prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
     decodes = [item for item in candidates if can_run(item)]
     copyable = find_copyable_tokens(candidates, prompt)
-    direct = place_direct(decodes, prompt, fleet.prefill_rate, zone, copyable)
-    disaggregated = place_prefill(prefills, prompt, fleet.prefill_rate, zone, copyable)
+    rate = fleet.prefill_rate
+    direct = place_direct(decodes, prompt, rate, zone, copyable, transfers.direct)
+    disaggregated = place_prefill(
+        prefills, prompt, rate, zone, copyable, transfers.prefill
+    )
     if direct is None:
         return float("inf"), NO_PLAN
     direct = _with_copy_source(direct, prompt, candidates, copyable)
