scheduler: place long streams on engines that produce tokens fast

Cause: engines of one service have different speeds. Placement took no account of it.

Entries report the mean interval between a stream's events. A long stream pays for an engine's interval relative to the acceptable pause, and a long prompt pays for the delay of the long streams beside which it would be prefilled. TrackedAttempt moves to a module of its own.

--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -143,7 +143,7 @@
 
 
 def _report_from(item) -> OutcomeReport:
-    _check_finite(item.elapsedMs, item.firstMs)
+    _check_finite(item.elapsedMs, item.firstMs, item.eventIntervalMs)
     if item.cause not in CAUSES:
         raise FrameError(f"unknown outcome cause {item.cause!r}")
     outcome = AttemptOutcome(
@@ -154,6 +154,7 @@
         item.isDown,
         _signals_from(item),
         item.bytes,
+        item.eventIntervalMs / MS_PER_S if item.eventIntervalMs > 0 else None,
     )
     return OutcomeReport(item.number, outcome, not item.isInterim)
 
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -155,6 +155,7 @@
         **_limit_fields(signals.limit_per_s),
         "isInterim": not message.is_final,
         "bytes": outcome.transferred_bytes,
+        "eventIntervalMs": (outcome.event_interval_s or 0.0) * MS_PER_S,
     }
     if signals.load is not None:
         content |= {
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -10,7 +10,12 @@
 from ..process.manifest_copy import ManifestCopySource
 from ..process.upstream_loads import UpstreamLoad
 from ..request.attempt_failures import AttemptFailed
-from ..request.attempt_outcome import ANSWERED, AttemptOutcome, AttemptStage
+from ..request.attempt_outcome import (
+    ANSWERED,
+    AttemptOutcome,
+    AttemptStage,
+    runs_long_stream,
+)
 from ..request.candidate import Choice
 from ..request.estimate_updater import EstimateUpdater
 from ..request.routed_call import RoutedCall
@@ -55,13 +60,14 @@
         self.prefills_here = prefills_here
         self.placed_at_s = now_s()
         self._tokens = choice.prefill_tokens if prefills_here else 0
+        self._is_long_stream = runs_long_stream(call, stage)
         self._load: UpstreamLoad | None = None
 
     def begin(self, scheduler: Scheduler, estimate_updater: EstimateUpdater) -> None:
         """Count the attempt as in flight."""
         loads = scheduler.parts.estimates.loads
         upstream_id = self.choice.candidate.upstream.upstream_id
-        self._load = loads.begin(upstream_id, self._tokens)
+        self._load = loads.begin(upstream_id, self._tokens, self._is_long_stream)
         if self.prefills_here:
             estimate_updater.observe_placement(self.call, self.choice, self.stage)
         else:
@@ -70,7 +76,7 @@
     def end(self) -> None:
         """Stop counting the attempt as in flight; may be called more than once."""
         if self._load is not None:
-            self._load.end(self._tokens)
+            self._load.end(self._tokens, self._is_long_stream)
             self._load = None
 
     @property
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -17,6 +17,7 @@
 SLOWDOWN_MIN = 0.5
 SLOWDOWN_MAX = 10.0
 TYPICAL_TIME_WEIGHT = 0.05
+EVENT_INTERVAL_WEIGHT = 0.1
 PREFILLED_SHARE_MAX = 0.9
 # Single service times vary by a third: the mean of 50 is off by 5%.
 SLOWDOWN_MEAN_WEIGHT = 0.02
@@ -81,12 +82,16 @@
     upstream reported at ``reported_at_s`` beyond those tracked here,
     ``reported_requests`` that of all requests reported there, and
     ``begun_since_report`` counts the requests tracked here since then.
+    ``long_streams`` counts the requests with long outputs among ``requests``,
+    ``event_interval_s`` is the usual time between a stream's events, 0 if unknown.
     """
 
     requests: int = 0
     sent: int = 0
     prompt_tokens: int = 0
     prefills: list[int] = field(default_factory=list)
+    long_streams: int = 0
+    event_interval_s: float = 0.0
     prefill_started_at_s: float = 0.0
     last_seen_at_s: float = 0.0
     untracked_requests: int = 0
@@ -98,9 +103,10 @@
     reported_slowdown: ReportedSlowdown = field(default_factory=ReportedSlowdown)
     slowdown_mean: LearntMean = field(default_factory=_slowdown_mean)
 
-    def begin(self, prompt_tokens: int) -> None:
+    def begin(self, prompt_tokens: int, is_long_stream: bool = False) -> None:
         """Count a request as in flight; ``end`` must be called once for it."""
         self.requests += 1
+        self.long_streams += is_long_stream
         self.begun_since_report += 1
         self.prompt_tokens += prompt_tokens
         if prompt_tokens:
@@ -108,14 +114,22 @@
                 self.prefill_started_at_s = now_s()
             self.prefills.append(prompt_tokens)
 
-    def end(self, prompt_tokens: int) -> None:
+    def end(self, prompt_tokens: int, is_long_stream: bool = False) -> None:
         """Remove one request that is no longer in flight."""
         self.requests -= 1
+        self.long_streams -= is_long_stream
         self.prompt_tokens -= prompt_tokens
         if prompt_tokens:
             self.prefills.remove(prompt_tokens)
             self.prefill_started_at_s = now_s()
 
+    def observe_event_interval(self, interval_s: float) -> None:
+        """Record the mean time between the events of one stream."""
+        if not self.event_interval_s:
+            self.event_interval_s = interval_s
+        change_s = interval_s - self.event_interval_s
+        self.event_interval_s += EVENT_INTERVAL_WEIGHT * change_s
+
     def prefill_tokens_left(self, at_s: float, tokens_per_s: float) -> int:
         """Return the tokens left to prefill, at ``tokens_per_s`` tokens a second.
 
@@ -194,19 +208,23 @@
         return self._loads[upstream_id]
 
     @contextlib.contextmanager
-    def sending(self, upstream_id: str, prompt_tokens: int = 0) -> Iterator[None]:
+    def sending(
+        self, upstream_id: str, prompt_tokens: int = 0, is_long_stream: bool = False
+    ) -> Iterator[None]:
         """Count one request, with its prompt tokens to prefill, as in flight."""
-        load = self.begin(upstream_id, prompt_tokens)
+        load = self.begin(upstream_id, prompt_tokens, is_long_stream)
         load.sent += 1
         try:
             yield
         finally:
-            load.end(prompt_tokens)
+            load.end(prompt_tokens, is_long_stream)
 
-    def begin(self, upstream_id: str, prompt_tokens: int) -> UpstreamLoad:
+    def begin(
+        self, upstream_id: str, prompt_tokens: int, is_long_stream: bool = False
+    ) -> UpstreamLoad:
         """Count one request as in flight; ``end`` must be called once for it."""
         load = self._loads[upstream_id]
-        load.begin(prompt_tokens)
+        load.begin(prompt_tokens, is_long_stream)
         return load
 
     def record_report(self, upstream_id: str, report: ReportedLoad) -> None:
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -1,5 +1,6 @@
 """Relays an upstream's answer to the caller, complete or event by event."""
 
+from dataclasses import dataclass
 from typing import Protocol
 
 from ..process.clock import now_s
@@ -32,6 +33,29 @@
         """Mark a streamed answer as complete."""
 
 
+@dataclass
+class EventTimes:
+    """Times at which the events of one attempt's stream arrived."""
+
+    count: int = 0
+    first_at_s: float = 0.0
+    last_at_s: float = 0.0
+
+    def record(self, at_s: float) -> None:
+        """Record the arrival of events."""
+        if not self.count:
+            self.first_at_s = at_s
+        self.count += 1
+        self.last_at_s = at_s
+
+    @property
+    def mean_interval_s(self) -> float | None:
+        """Mean time between arrivals; None before the second one."""
+        if self.count < 2:
+            return None
+        return (self.last_at_s - self.first_at_s) / (self.count - 1)
+
+
 class AnswerRelay:
     """Answer of one call over all its attempts.
 
@@ -49,12 +73,18 @@
         self.longest_pause_s = 0.0
         self.body_bytes = 0
         self._last_event_at_s = 0.0
+        self._attempt_events = EventTimes()
 
     @property
     def resume_after(self) -> str | None:
         """Id of the last event sent to the caller; None if none was sent."""
         return self._last_event_id
 
+    @property
+    def event_interval_s(self) -> float | None:
+        """Mean time between the events of the last attempt; None before the second."""
+        return self._attempt_events.mean_interval_s
+
     @property
     def can_resume(self) -> bool:
         """Whether a started stream can be resumed from another upstream."""
@@ -92,6 +122,7 @@
         self, head: UpstreamHead, exchange: Exchange, framer: EventFramer
     ) -> None:
         has_events = False
+        self._attempt_events = EventTimes()
         while (block := await exchange.read_block()) is not None:
             events = framer.feed(block)
             await exchange.hold(framer.partial_bytes)
@@ -116,6 +147,7 @@
             )
         self._last_event_at_s = now
         self.body_bytes += len(events)
+        self._attempt_events.record(now)
         await self._sink.send_block(events)
 
 
--- a/wisteriaarch/request/attempt_outcome.py
+++ b/wisteriaarch/request/attempt_outcome.py
@@ -6,6 +6,7 @@
 from ..errors import Ran
 from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
 from .attempt_failures import RAN_BY_REASON, FailureReason
+from .routed_call import RoutedCall
 
 ANSWERED = "answered"
 # The caller disconnected, or the call's deadline passed.
@@ -23,6 +24,13 @@
     RUN = "run"
 
 
+def runs_long_stream(call: RoutedCall, stage: AttemptStage) -> bool:
+    """Whether an attempt occupies its engine with a long output."""
+    if stage is not AttemptStage.RUN or call.prompt is None:
+        return False
+    return call.prompt.has_long_output
+
+
 @dataclass(frozen=True)
 class AttemptOutcome:
     """End of one attempt.
@@ -31,6 +39,8 @@
     here while it answered other requests, ``is_down`` one that no longer accepts
     connections. ``signals`` are those of its answer that weren't reported before.
     ``transferred_bytes`` is the size of the request and its answer, 0 if not known.
+    ``event_interval_s`` is the mean time between the events of a stream, None for an
+    answer without a second one.
     """
 
     cause: str
@@ -40,6 +50,7 @@
     is_down: bool = False
     signals: UpstreamSignals = NO_SIGNALS
     transferred_bytes: int = 0
+    event_interval_s: float | None = None
 
     @property
     def has_not_begun(self) -> bool:
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -2,17 +2,19 @@
 
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
-from dataclasses import dataclass, field
 
 from ..connection.upstream_pool import UpstreamPool
 from ..events import Event, EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
-from ..process.upstream_signals import NO_SIGNALS, UpstreamSignals
-from ..process.upstreams import Upstream
+from ..process.upstream_signals import UpstreamSignals
 from .answer_relay import AnswerRelay
 from .attempt_failures import AttemptFailed, FailureReason
-from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
+from .attempt_outcome import (
+    ANSWERED,
+    AttemptStage,
+    runs_long_stream,
+)
 from .block_quarantine import BlockQuarantine
 from .call_metrics import SERVER_ERROR_STATUS, CallMetrics
 from .candidate import Choice
@@ -22,6 +24,7 @@
 from .invalid_header_log import InvalidHeaderLog
 from .placer import Ticket
 from .routed_call import RoutedCall
+from .tracked_attempt import TrackedAttempt
 from .upstream_protocol import OutgoingRequest, UpstreamHead
 
 SUCCESS_STATUSES = range(200, 300)
@@ -31,65 +34,6 @@
 BROKEN_ANSWER_REASONS = frozenset((FailureReason.CLOSED, FailureReason.MALFORMED))
 
 
-@dataclass
-class TrackedAttempt:
-    """An attempt in progress.
-
-    With ``includes_prefill`` the engine prefills the prompt itself.
-    ``unreported_signals`` are those of the answer that the scheduler learns at the end.
-    """
-
-    call: RoutedCall
-    choice: Choice
-    stage: AttemptStage
-    ticket: Ticket
-    includes_prefill: bool = True
-    unreported_signals: UpstreamSignals = NO_SIGNALS
-    started_at_s: float = field(default_factory=now_s)
-    _cause: str = ABANDONED
-    _first_event_s: float | None = None
-    _is_overloaded: bool = False
-    _is_down: bool = False
-    _transferred_bytes: int = 0
-
-    @property
-    def upstream(self) -> Upstream:
-        """Upstream that the request is sent to."""
-        return self.choice.candidate.upstream
-
-    def record_answer(
-        self,
-        first_event_at_s: float | None = None,
-        failed: bool = False,
-        answer_bytes: int = 0,
-    ) -> None:
-        """Record a complete answer; ``failed`` if it reports an upstream's error."""
-        self._transferred_bytes = len(self.call.body) + answer_bytes
-        self._cause = FailureReason.FAILED.value if failed else ANSWERED
-        if first_event_at_s is not None:
-            self._first_event_s = first_event_at_s - self.started_at_s
-
-    def record_failure(
-        self, reason: FailureReason, is_overloaded: bool, is_down: bool
-    ) -> None:
-        """Record that the attempt ended without a usable answer."""
-        self._cause = reason.value
-        self._is_overloaded = is_overloaded
-        self._is_down = is_down
-
-    def outcome(self) -> AttemptOutcome:
-        """Return the outcome; abandoned if neither answer nor failure was recorded."""
-        return AttemptOutcome(
-            self._cause,
-            now_s() - self.started_at_s,
-            self._first_event_s,
-            self._is_overloaded,
-            self._is_down,
-            self.unreported_signals,
-            self._transferred_bytes,
-        )
-
-
 class AttemptRecorder:
     """Sends the requests of attempts and records their outcomes."""
 
@@ -141,7 +85,9 @@
             self._estimate_updater.observe_decode_placement(call, choice)
         try:
             self.check_crashes(call)
-            with self._loads.sending(attempt.upstream.upstream_id, tokens):
+            with self._loads.sending(
+                attempt.upstream.upstream_id, tokens, runs_long_stream(call, stage)
+            ):
                 yield attempt
         except AttemptFailed as exc:
             await self._record_failure(attempt, exc)
@@ -177,6 +123,8 @@
             left_s=call.remaining_s(),
             input_tokens=call.prompt.input_tokens if call.prompt else 0,
             own_tokens=call.prompt.own_tokens if call.prompt else 0,
+            output_tokens=call.prompt.output_tokens_max if call.prompt else 0,
+            long_streams=candidate.long_streams,
             favoured=call.prioritized,
             holding=candidate.cache_state.name.lower(),
             copied_from=choice.fetch_from.upstream_id if choice.fetch_from else None,
@@ -264,7 +212,9 @@
         """Record an answer that was relayed to the caller."""
         call = attempt.call
         failed = relay.status >= SERVER_ERROR_STATUS
-        attempt.record_answer(relay.first_event_at_s, failed, relay.body_bytes)
+        attempt.record_answer(
+            relay.first_event_at_s, failed, relay.body_bytes, relay.event_interval_s
+        )
         self._metrics.record_attempt(
             AttemptStage.RUN.value, ANSWERED, attempt.started_at_s
         )
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -15,7 +15,7 @@
 from .answer_relay import AnswerRelay, CallSink
 from .attempt_failures import AttemptFailed, FailureReason, combine_ran
 from .attempt_outcome import AttemptStage
-from .attempt_recorder import AttemptRecorder, TrackedAttempt
+from .attempt_recorder import AttemptRecorder
 from .attempt_timeouts import answer_timeout_s
 from .block_quarantine import BlockQuarantine, TrialPolicy
 from .call_metrics import SERVER_ERROR_STATUS, CallMetrics
@@ -29,6 +29,7 @@
 from .scheduler import RETRY_AFTER_S
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
+from .tracked_attempt import TrackedAttempt
 from .upstream_protocol import (
     AttemptOptions,
     KvCacheHandle,
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -32,6 +32,9 @@
     ``cached_prefix_tokens`` the number of its tokens that are cached if only some are.
     A request would have to wait ``limit_wait_s`` for a permit under the upstream's
     request limit, of which ``limit_per_s`` requests a second may be used here.
+    ``long_streams`` counts the requests with long outputs in flight, ``pause_share`` is
+    the usual time between a stream's events there, relative to the longest acceptable
+    pause of a long stream; 0 for other calls, and while it is unknown.
     """
 
     upstream: Upstream
@@ -47,6 +50,8 @@
     limit_per_s: float = UNLIMITED
     occupied: int = 0
     usual_slowdown: float = 1.0
+    long_streams: int = 0
+    pause_share: float = 0.0
 
     @property
     def has_full_prefix(self) -> bool:
--- a/wisteriaarch/request/candidate_finder.py
+++ b/wisteriaarch/request/candidate_finder.py
@@ -1,5 +1,6 @@
 """Finds the upstreams that are eligible for a call, with their estimated load."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from ..process.clock import now_s
@@ -89,8 +90,10 @@
             untried = usable
         cache_state_of = self._cache_state_lookup(call)
         rate = self._prefill_rate(call.service)
+        pause_s = _stream_pause_s(call)
         candidates = [
-            self._candidate(item, now, rate, cache_state_of) for item in untried
+            self._candidate(item, now, rate, pause_s, cache_state_of)
+            for item in untried
         ]
         if limits:
             _apply_limits(candidates, limits)
@@ -103,6 +106,7 @@
         upstream: Upstream,
         now: float,
         rate: float,
+        pause_s: float,
         cache_state_of: Callable[[str], PrefixCacheState],
     ) -> Candidate:
         name = upstream.upstream_id
@@ -122,6 +126,8 @@
             is_overloaded=health.is_overloaded(now),
             cache_state=prefix.state,
             cached_prefix_tokens=prefix.cached_tokens,
+            long_streams=load.long_streams,
+            pause_share=load.event_interval_s / pause_s,
         )
 
     def _cache_state_lookup(
@@ -166,6 +172,13 @@
             item.limit_wait_s, item.limit_per_s = limit.wait_s, limit.per_s
 
 
+def _stream_pause_s(call: RoutedCall) -> float:
+    """Return the longest acceptable pause of a long stream; unlimited for others."""
+    if call.prompt is None or not call.prompt.has_long_output:
+        return math.inf
+    return call.route.pause_s or math.inf
+
+
 def _nothing_cached(_upstream_id: str) -> PrefixCacheState:
     return NOTHING_CACHED
 
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -202,6 +202,9 @@
                 self._estimates.observe_handoff(call.service, outcome.first_event_s)
             work = f"{call.route.name} {'direct' if includes_prefill else 'apart'}"
             self._loads.observe_time(upstream_id, work, outcome.first_event_s)
+        if outcome.event_interval_s is not None:
+            load = self._loads.of(upstream_id)
+            load.observe_event_interval(outcome.event_interval_s)
         if call.prompt is None:
             self._observe_service_time(call, choice.candidate, outcome)
 
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -22,6 +22,10 @@
 OWNER_GAIN_SHARE = 0.15
 # Learnt speeds of equal upstreams differ by up to this.
 SPEED_TOLERANCE = 0.15
+# Shorter prompts are prefilled within a few steps and delay no stream noticeably.
+DELAYING_PREFILL_TOKENS = 1024
+# Cost of a long stream on an engine whose events are as far apart as is acceptable.
+PAUSE_COST_S = 2.0
 # Applies to the penalties of an upstream during its cold start, not to its cost.
 COLD_START_FACTOR = 1.5
 
@@ -119,6 +123,7 @@
 
     def cost_s(item: Candidate) -> float:
         delay_s = item.slowdown * (_batch_delay_s(item) + item.prompt_tokens / rate)
+        delay_s += pause_cost_s(item)
         return delay_s - _locality_gain_s(prompt, item, owner, rate)
 
     return _cheapest(candidates, cost_s, _zone_penalty(zone, transfer))
@@ -136,17 +141,35 @@
 
     Meant for short prompts, which would be queued behind long ones in the prefill
     stage.
+
+    Engines prefill between the tokens of their streams. A burst of long prompts
+    stretches the pauses of all long streams there, so the delay of these counts as a
+    cost of a long prompt. Long streams avoid engines that produce tokens slowly.
     """
     direct_rate = rate / DIRECT_SLOWDOWN
 
     def cost_s(item: Candidate) -> float:
         tokens = tokens_to_prefill(prompt, item, copyable)
-        prefill_s = (item.prompt_tokens + tokens) / direct_rate
-        return item.slowdown * (prefill_s + _batch_delay_s(item))
+        own_prefill_s = tokens / direct_rate
+        prefill_s = item.prompt_tokens / direct_rate + own_prefill_s
+        if tokens >= DELAYING_PREFILL_TOKENS:
+            prefill_s += item.long_streams * own_prefill_s
+        delay_s = item.slowdown * (prefill_s + _batch_delay_s(item))
+        return delay_s + pause_cost_s(item)
 
     return _cheapest(candidates, cost_s, _zone_penalty(zone, transfer))
 
 
+def pause_cost_s(item: Candidate) -> float:
+    """Return the cost of the pauses that an engine causes in a long stream.
+
+    It rises with the square: every engine is slower than usual now and then, and the
+    closer its usual pauses are to the longest acceptable one, the more often they
+    exceed it.
+    """
+    return PAUSE_COST_S * item.pause_share**2
+
+
 def _batch_delay_s(item: Candidate) -> float:
     """Return the delay added by an engine's batch; it jumps when nearly full."""
     free = item.upstream.slots - item.requests
--- a/wisteriaarch/request/prefill_client.py
+++ b/wisteriaarch/request/prefill_client.py
@@ -5,13 +5,14 @@
 from ..process.fleet_estimates import FleetEstimates
 from .attempt_failures import AttemptFailed, FailureReason
 from .attempt_outcome import AttemptStage
-from .attempt_recorder import AttemptRecorder, TrackedAttempt
+from .attempt_recorder import AttemptRecorder
 from .attempt_timeouts import prefill_timeout_s
 from .candidate import Choice
 from .estimate_updater import PREFILL_OVERHEAD_S
 from .exchange import CONTROL_ANSWER_MAX_BYTES, Exchange
 from .placer import Ticket
 from .routed_call import RoutedCall
+from .tracked_attempt import TrackedAttempt
 from .upstream_protocol import AttemptOptions, KvCacheHandle, UpstreamProtocol
 from .urgency import urgency_of
 
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -15,6 +15,8 @@
 from .block_trial import BlockTrial
 
 BLOCK_KEY_BYTES = 10
+# Streams of this size last for seconds, beside the prefill of many prompts.
+LONG_OUTPUT_TOKENS = 2048
 
 
 def block_key(scope: str, content: str | bytes) -> str:
@@ -61,6 +63,11 @@
         """Tokens of the last block, which no other request shares."""
         return self.blocks[-1].tokens if self.blocks else self.input_tokens
 
+    @property
+    def has_long_output(self) -> bool:
+        """Whether the output may be long, so that pauses between its tokens matter."""
+        return self.output_tokens_max >= LONG_OUTPUT_TOKENS
+
     @cached_property
     def shared_tokens(self) -> int:
         """Tokens of the prefix blocks that other requests may share."""
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -13,7 +13,7 @@
     find_copyable_tokens,
     tokens_to_prefill,
 )
-from .placement import DIRECT_SLOWDOWN, place_direct, place_prefill
+from .placement import DIRECT_SLOWDOWN, pause_cost_s, place_direct, place_prefill
 from .routed_call import Prompt
 from .zone_cost import TransferCost
 
@@ -119,6 +119,8 @@
         return direct_s + unfit_cost_s, StagePlan(None, direct)
     disaggregated = _with_copy_source(disaggregated, prompt, candidates, copyable)
     disaggregated_s = disaggregated.cost_s + fleet.handoff_s + fleet.queue_wait_s
+    # Its decode engine, which is chosen later, causes pauses as well.
+    disaggregated_s += pause_cost_s(direct.candidate)
     disaggregated_s += mean_queue_wait_s(
         disaggregated.prefill_tokens / fleet.prefill_rate, fleet.prefill_utilization
     )
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -99,6 +99,7 @@
   isInterim @14 :Bool;           # the attempt goes on; only what the upstream says of itself counts
   pacePercent @15 :UInt32;       # time that work takes at the upstream now, in percent of the usual; 0 not said
   bytes @16 :UInt64;             # of the request and its answer; 0 if not known
+  eventIntervalMs @17 :Float32;  # mean time between a stream's events; 0 for none
 }
 
 struct Copy {
