--- a/tests/test_long_streams.py
+++ b/tests/test_long_streams.py
@@ -36,10 +36,12 @@
                 self.assertEqual(choice.candidate, fast)
 
     def test_long_stream_uses_a_slow_engine_once_fast_ones_are_full(self):
-        slow = engine("slow", pause_share=0.45)
+        """Guards against streams that wait for the end of others for seconds."""
         full = engine("fast", pause_share=0.2, requests=SLOTS)
-        choice = place_direct([slow, full], stream(), RATE, "z1")
-        self.assertEqual(choice.candidate, slow)
+        for pause_share in (0.45, 0.9):
+            slow = engine("slow", pause_share=pause_share)
+            choice = place_direct([slow, full], stream(), RATE, "z1")
+            self.assertEqual(choice.candidate, slow)
 
     def test_long_prompt_avoids_engines_with_long_streams(self):
         """Guards against prompts that stretch the pauses of several streams."""
--- a/wisteriaarch/request/placement.py
+++ b/wisteriaarch/request/placement.py
@@ -26,6 +26,7 @@
 DELAYING_PREFILL_TOKENS = 1024
 # Cost of a long stream on an engine whose events are as far apart as is acceptable.
 PAUSE_COST_S = 2.0
+PAUSE_COST_MAX_S = 0.8 * FULL_COST_S
 # Applies to the penalties of an upstream during its cold start, not to its cost.
 COLD_START_FACTOR = 1.5
 
@@ -165,9 +166,10 @@
 
     It rises with the square: every engine is slower than usual now and then, and the
     closer its usual pauses are to the longest acceptable one, the more often they
-    exceed it.
+    exceed it. A full engine isn't chosen for its speed, as a stream would wait there
+    for the end of another one.
     """
-    return PAUSE_COST_S * item.pause_share**2
+    return min(PAUSE_COST_MAX_S, PAUSE_COST_S * item.pause_share**2)
 
 
 def _batch_delay_s(item: Candidate) -> float:
