customers: refuse calls whose key is removed while they wait

Callers saw: a call that waited in a queue, or between attempts, was still sent after a configuration had removed its key. A malformed Authorization line was quoted in event 303 and in the 400 answer. Cause: the key was only looked up on arrival; h11's error quotes the line. Change: RevocablePlacer places each call with a key in a task of its own and cancels it within 0.1 s after a newer configuration without the key is known; KeyCheck looks the key up again before and after each placement. Only a call of which no attempt may have run is refused, with 401. Error texts are cut at a credential. Calls without a key digest are placed as before. Evidence: tests.test_key_check (20), tests.test_customer_codecs (24), tests.test_gateway, tests.test_http, tests.test_settings, tests.test_events, tests.test_reference, tests.test_platform_codecs and tests.test_call_runner pass.

--- a/tests/test_customer_codecs.py
+++ b/tests/test_customer_codecs.py
@@ -15,13 +15,12 @@
 from wisteriaarch.platform.rows import decode_configuration
 from wisteriaarch.platform.store import _decode_rows, _without_keys
 from wisteriaarch.platform.upstreams import PlatformUpstreams
-from wisteriaarch.process.metrics import Metrics
 from wisteriaarch.process.rows import RowTable, StoredRow
-from wisteriaarch.request.key_check import KeyCheck
 from wisteriaarch.request.upstream_protocol import AttemptOptions
 from wisteriaarch.version.customers import key_digest
 from wisteriaarch.wire import HttpRequest
 
+from .customer_support import check_for
 from .route_support import upstream
 
 KEYS = ("r26t-first-key", "nirt-second-key", "olla-third-key")
@@ -64,7 +63,7 @@
 
 def admitted_call(table, target="/a/x", **headers):
     call = decode_call(make_request(target, **headers), table, random.Random(1))
-    KeyCheck(Metrics()).admit(call, table)
+    check_for(table).admit(call, table)
     return call
 
 
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -38,6 +38,7 @@
 from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
 from .request.key_check import KeyCheck
+from .request.revocable_placer import RevocablePlacer
 from .request.stop_admission import StopAdmission
 from .sockets import listen_on
 from .version.stage_supervisor import StageSupervisor
@@ -74,7 +75,12 @@
         self._scheduler_choice = SchedulerChoice(self.network.members)
         self.estimates = FleetEstimates.from_registry(self.state.registry)
         self._stop_admission = StopAdmission()
-        self._key_check = KeyCheck(self.metrics)
+        self._key_check = KeyCheck(
+            lambda: self.settings,
+            lambda: self.state.routes,
+            lambda: self.state.confirmed_at_s,
+            self.metrics,
+        )
         self._connector = UpstreamConnector(
             self.state.registry.addresses,
             self.log,
@@ -91,16 +97,18 @@
             self._rng,
             self.log,
         )
+        self._placer = RevocablePlacer(self._scheduling.placer, self._key_check)
         self._runner = CallRunner(
             adapter.upstreams,
             self.estimates,
             self._pool,
-            self._scheduling.placer,
+            self._placer,
             self._scheduling.fairness,
             TrialPolicy(self._scheduler_choice.is_local, self.network.count_entries),
             self._announce_crashes,
             self.metrics,
             self.log,
+            self._key_check.check_again,
         )
         self.network.exchange_crashes(
             self._runner.crashes.export, self._runner.crashes.merge
@@ -179,6 +187,7 @@
             *self.network.task_mains(),
             self._announce_readiness,
             self._scheduling.stream_versions.run,
+            self._placer.run,
             BlockRows(
                 self._runner.blocks,
                 self._adapter.table,
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -24,6 +24,7 @@
     HttpRequest,
     decoded_header_list,
     decoded_headers,
+    without_credential,
 )
 
 MAX_HEAD_BYTES = 32 * 1024
@@ -266,9 +267,8 @@
             value=headers["content-length"],
             expected="either Content-Length or Transfer-Encoding, not both",
         )
-    method = event.method.decode("ascii")
     return HttpRequest(
-        method,
+        event.method.decode("ascii"),
         event.target.decode("latin-1"),
         headers,
         header_list=decoded_header_list(event),
@@ -290,7 +290,7 @@
             value=f"more than {max_head_bytes} bytes",
             expected=f"at most {max_head_bytes} bytes",
         )
-    excerpt = str(exc)[:EXCERPT_CHARS]
+    excerpt = without_credential(str(exc))[:EXCERPT_CHARS]
     return RequestError(
         ErrorKind.MALFORMED_REQUEST,
         f"the request is malformed: {excerpt}",
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -45,7 +45,8 @@
     """Settings of an entry that serves routes; see docs/CONFIGURATION.md.
 
     ``entry_id`` is the IP address of the instance. All entries use the same ports, so
-    that a peer's addresses follow from its id.
+    that a peer's addresses follow from its id. With ``strict_revoke``, API keys are
+    refused once the store hasn't confirmed the configuration for ``revoke_ms``.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -74,6 +75,8 @@
     stop_grace_s: float = Field(default=8.0, gt=0)
     change_stages: bool = True
     lease_term_ms: float = Field(default=3000.0, gt=0)
+    strict_revoke: bool = False
+    revoke_ms: float = Field(default=5000.0, gt=0)
     seed: int | None = None
 
     @classmethod
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -96,8 +96,10 @@
         metrics: CallMetrics,
         log: EventLog,
         pool: UpstreamPool,
+        check_key: Callable[[RoutedCall], None],
     ):
         self._pool = pool
+        self._check_key = check_key
         self._loads = estimates.loads
         self._estimate_updater = EstimateUpdater(estimates, log)
         self._crashes = crashes
@@ -123,8 +125,8 @@
     ) -> AsyncIterator[TrackedAttempt]:
         """Count an attempt as in flight and report its outcome when the block ends.
 
-        Raises RequestError for a call that crashes upstreams: it may have waited for
-        its placement while others crashed.
+        Raises RequestError for a call that crashes upstreams or whose key was removed:
+        it may have waited for its placement meanwhile.
         """
         attempt = TrackedAttempt(call, choice, stage, ticket, includes_prefill)
         tokens = choice.prefill_tokens if includes_prefill else 0
@@ -134,6 +136,7 @@
         else:
             self._estimate_updater.observe_decode_placement(call, choice)
         try:
+            self._check_key(call)
             self.check_crashes(call)
             with self._loads.sending(attempt.upstream.upstream_id, tokens):
                 yield attempt
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -39,8 +39,15 @@
 RETRY_MIN_REMAINING_S = 0.05
 
 
+def _admit_all(_call: RoutedCall) -> None:
+    """Admit a call of a deployment without customers."""
+
+
 class CallRunner:
-    """Runs routed calls; one instance serves the whole entry."""
+    """Runs routed calls; one instance serves the whole entry.
+
+    ``check_key`` raises RequestError for a call whose API key was removed meanwhile.
+    """
 
     def __init__(
         self,
@@ -53,6 +60,7 @@
         announce_crashes: Callable[[], Awaitable[None]],
         metrics: Metrics,
         log: EventLog,
+        check_key: Callable[[RoutedCall], None] = _admit_all,
     ):
         self._protocol = protocol
         self._pool = pool
@@ -70,6 +78,7 @@
             self._metrics,
             log,
             pool,
+            check_key,
         )
         self._prefill_client = PrefillClient(pool, protocol, estimates, self._recorder)
         self._kv_cache_releaser = KvCacheReleaser(
--- a/wisteriaarch/wire.py
+++ b/wisteriaarch/wire.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import json
+import re
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -17,6 +18,7 @@
     ("connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade")
 )
 PROXY_HEADER_PREFIX = "proxy-"
+CREDENTIAL_PATTERN = re.compile(r"(authorization|bearer).*", re.DOTALL | re.IGNORECASE)
 
 
 @dataclass(frozen=True)
@@ -137,6 +139,11 @@
     ]
 
 
+def without_credential(text: str) -> str:
+    """Return an error text without the credential of a header line that it quotes."""
+    return CREDENTIAL_PATTERN.sub(r"\1", text)
+
+
 def end_to_end_headers(headers: Headers) -> Headers:
     """Return the headers that a proxy forwards (RFC 9110, section 7.6.1)."""
     dropped = set(HOP_BY_HOP_HEADERS)
