--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -253,6 +253,21 @@
 
         self.run_waiting(main)
 
+    def test_next_attempt_of_a_removed_key_is_not_placed(self):
+        """The first attempt was declined; the key is removed before the second."""
+
+        async def main():
+            call = self.admit(make_call())
+            await self.inner.free.set()
+            self.assertIsInstance(await self.placer.place(call), Placement)
+            self.table = table()
+            with self.assertRaises(RequestError) as caught:
+                await self.placer.place(call)
+            self.assertEqual(ANSWERS[caught.exception.kind].status, 401)
+            self.assertEqual(self.inner.asked, 1)
+
+        self.run_waiting(main)
+
     def test_only_calls_of_the_removed_key_are_refused(self):
         async def main():
             self.table = table(customer(), customer("taro", "other"))
