--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -36,7 +36,7 @@
 
 def priority_of(call: RoutedCall) -> int:
     """Return the priority of a call; 0 is the most urgent."""
-    return call.route.priority
+    return call.priority
 
 
 class ServicePlanner:
