--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -27,7 +27,7 @@
     WaitingNotice,
     WithdrawnNotice,
 )
-from .scheduling_schema import MS_PER_S, LimitStated, SoftwareIs, schema
+from .scheduling_schema import MS_PER_S, PERCENT, LimitStated, SoftwareIs, schema
 
 LIST_MAX = 1024
 # Default of the field, which entries of older program versions don't send.
@@ -147,7 +147,7 @@
 
 
 def _report_from(item) -> OutcomeReport:
-    _check_finite(item.elapsedMs, item.firstMs)
+    _check_finite(item.elapsedMs, item.firstMs, item.eventIntervalMs)
     if item.cause not in CAUSES:
         raise FrameError(f"unknown outcome cause {item.cause!r}")
     outcome = AttemptOutcome(
@@ -157,6 +157,8 @@
         item.isBusy,
         item.isDown,
         _signals_from(item),
+        item.bytes,
+        item.eventIntervalMs / MS_PER_S if item.eventIntervalMs > 0 else None,
     )
     return OutcomeReport(item.number, outcome, not item.isInterim)
 
@@ -164,7 +166,12 @@
 def _signals_from(item) -> UpstreamSignals:
     load = None
     if item.hasLoad:
-        load = ReportedLoad(item.running, item.waitingRequests, item.slots)
+        load = ReportedLoad(
+            item.running,
+            item.waitingRequests,
+            item.slots,
+            item.pacePercent / PERCENT or None,
+        )
     backoff_s = item.waitMs / MS_PER_S
     return UpstreamSignals(backoff_s, item.isLeaving, load, _limit_from(item))
 
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -21,6 +21,7 @@
 from .scheduling_schema import (
     MS_PER_S,
     NO_DURATION_MS,
+    PERCENT,
     LimitStated,
     SoftwareIs,
     schema,
@@ -155,6 +156,8 @@
         "isLeaving": signals.is_draining,
         **_limit_fields(signals.limit_per_s),
         "isInterim": not message.is_final,
+        "bytes": outcome.transferred_bytes,
+        "eventIntervalMs": (outcome.event_interval_s or 0.0) * MS_PER_S,
     }
     if signals.load is not None:
         content |= {
@@ -162,6 +165,7 @@
             "running": signals.load.running,
             "waitingRequests": signals.load.waiting,
             "slots": signals.load.slots,
+            "pacePercent": round((signals.load.slowdown or 0.0) * PERCENT),
         }
     return {"outcome": content}
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -139,10 +139,10 @@
         Importance.PROGRESS,
     )
     CALL_QUEUED = EventKind(
-        315,
-        logbook.INFO,
-        "call waited in the prefill queue",
-        Importance.PROGRESS,
+        315, logbook.INFO, "call waited for a free upstream", Importance.PROGRESS
+    )
+    CALL_LEFT_ZONE = EventKind(
+        318, logbook.INFO, "call placed outside its zone", Importance.PROGRESS
     )
     STREAM_RESUMED = EventKind(
         316, logbook.INFO, "attempt resumes a stream", Importance.FAILURE
--- a/wisteriaarch/request/candidate.py
+++ b/wisteriaarch/request/candidate.py
@@ -24,13 +24,17 @@
 class Candidate:
     """Upstream with its estimated load; created anew for each decision.
 
-    ``requests`` counts requests in flight, ``prompt_tokens`` tokens still to be
-    prefilled. ``slowdown`` is the ratio of observed to expected time, ``failure_rate``
-    the share of recent attempts that failed. ``cache_state`` is the estimated state of
-    the prompt's shared prefix in the engine's cache, ``cached_prefix_tokens`` the
-    number of its tokens that are cached if only some are. A request would have to wait
-    ``limit_wait_s`` for a permit under the upstream's request limit, of which
-    ``limit_per_s`` requests a second may be used here.
+    ``requests`` counts requests in flight, ``occupied`` those of them that may still
+    occupy the upstream, ``prompt_tokens`` tokens still to be prefilled. ``slowdown`` is
+    the ratio of observed to expected time, ``usual_slowdown`` its mean over many
+    answers, ``failure_rate`` the share of recent attempts that failed. ``cache_state``
+    is the estimated state of the prompt's shared prefix in the engine's cache,
+    ``cached_prefix_tokens`` the number of its tokens that are cached if only some are.
+    A request would have to wait ``limit_wait_s`` for a permit under the upstream's
+    request limit, of which ``limit_per_s`` requests a second may be used here.
+    ``long_streams`` counts the requests with long outputs in flight, ``pause_share`` is
+    the usual time between a stream's events there, relative to the longest acceptable
+    pause of a long stream; 0 for other calls, and while it is unknown.
     """
 
     upstream: Upstream
@@ -44,6 +48,10 @@
     cached_prefix_tokens: int = 0
     limit_wait_s: float = 0.0
     limit_per_s: float = UNLIMITED
+    occupied: int = 0
+    usual_slowdown: float = 1.0
+    long_streams: int = 0
+    pause_share: float = 0.0
 
     @property
     def has_full_prefix(self) -> bool:
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -13,10 +13,11 @@
 from ..process.fleet_estimates import FleetEstimates
 from ..process.prefix_cache_index import BLOCK_MIN_TOKENS
 from ..process.upstream_signals import UpstreamSignals
-from ..process.upstreams import Stage
+from ..process.upstreams import Stage, Upstream
+from ..version.route_table import CallKind
 from .attempt_failures import FailureReason
 from .attempt_outcome import ABANDONED, ANSWERED, AttemptOutcome, AttemptStage
-from .candidate import Choice
+from .candidate import Candidate, Choice
 from .limit_log import log_limit
 from .placement import DIRECT_SLOWDOWN
 from .routed_call import RoutedCall
@@ -90,10 +91,11 @@
     ) -> None:
         """Record the outcome of an attempt.
 
-        Without ``includes_prefill`` another engine had prefilled the prompt.
+        Without ``includes_prefill`` another engine had prefilled the prompt. What an
+        earlier incarnation of the upstream did says nothing about the present one.
         """
         upstream_id = choice.candidate.upstream.upstream_id
-        if outcome.cause == ABANDONED:
+        if outcome.cause == ABANDONED or self._has_restarted(choice.candidate.upstream):
             return
         if outcome.cause != ANSWERED:
             self._observe_failure(upstream_id, outcome)
@@ -104,6 +106,10 @@
         else:
             self._observe_answer(call, choice, outcome, includes_prefill)
 
+    def _has_restarted(self, upstream: Upstream) -> bool:
+        current = self._estimates.registry.get(upstream.upstream_id)
+        return current is not None and current.started_at_ms != upstream.started_at_ms
+
     def observe_signals(
         self, upstream_id: str, signals: UpstreamSignals, sent_at_s: float
     ) -> None:
@@ -168,7 +174,8 @@
         input_tokens = call.prompt.input_tokens
         rate = self._estimates.prefill_rate(call.service)
         full_prefill_s = PREFILL_OVERHEAD_S + (queued_tokens + input_tokens) / rate
-        load.slowdown.observe(max(elapsed_s, full_prefill_s), full_prefill_s, now_s())
+        usual_s = elapsed_s / load.reported_slowdown.at(now_s())
+        load.slowdown.observe(max(usual_s, full_prefill_s), full_prefill_s, now_s())
         is_reliable = queued_tokens <= RELIABLE_QUEUE_SHARE * choice.prefill_tokens
         if is_reliable:
             self._estimates.observe_prefill(
@@ -186,11 +193,60 @@
         upstream_id = choice.candidate.upstream.upstream_id
         self._loads.of(upstream_id).health.record_success(now_s())
         self._observe_prefix(call, choice, 0, ready=True)
+        if outcome.transferred_bytes:
+            self._estimates.transfer_sizes.observe(
+                call.service, call.route.name, outcome.transferred_bytes
+            )
         if outcome.first_event_s is not None:
             if not includes_prefill:
                 self._estimates.observe_handoff(call.service, outcome.first_event_s)
             work = f"{call.route.name} {'direct' if includes_prefill else 'apart'}"
             self._loads.observe_time(upstream_id, work, outcome.first_event_s)
+        if outcome.event_interval_s is not None:
+            load = self._loads.of(upstream_id)
+            load.observe_event_interval(outcome.event_interval_s)
+        if call.prompt is None:
+            self._observe_service_time(call, choice.candidate, outcome)
+
+    def _observe_service_time(
+        self, call: RoutedCall, candidate: Candidate, outcome: AttemptOutcome
+    ) -> None:
+        """Record a plain call's time, without its share of waiting for a slot."""
+        occupied_s = occupied_time_s(call, outcome)
+        if occupied_s is None:
+            return
+        upstream = candidate.upstream
+        load = self._loads.of(upstream.upstream_id)
+        times = self._estimates.service_times
+        # Ends are reported late: a part of the requests had ended at the placement.
+        held_s = occupied_s + times.report_delay_s(call.service)
+        requests = candidate.requests * occupied_s / held_s + 1
+        crowding = max(1.0, requests / max(1, upstream.slots))
+        usual_s = occupied_s / load.reported_slowdown.at(now_s()) / crowding
+        times.observe(call.service, call.route.name, usual_s)
+        ratio = usual_s / times.service_s(call.service, call.route.name)
+        load.slowdown_mean.observe(ratio)
+
+    def observe_report_delay(
+        self, call: RoutedCall, in_flight_s: float, outcome: AttemptOutcome
+    ) -> None:
+        """Record how late the end of another entry's attempt is reported here."""
+        occupied_s = occupied_time_s(call, outcome)
+        if call.prompt is None and occupied_s is not None:
+            self._estimates.service_times.observe_report_delay(
+                call.service, max(0.0, in_flight_s - occupied_s)
+            )
+
+
+def occupied_time_s(call: RoutedCall, outcome: AttemptOutcome) -> float | None:
+    """Return how long a plain call occupied its upstream; None if it didn't end there.
+
+    An answer is read as a whole before its caller gets it, unless it is a stream.
+    """
+    if outcome.cause != ANSWERED or outcome.first_event_s is None:
+        return None
+    is_stream = call.route.kind is CallKind.STREAM
+    return outcome.elapsed_s if is_stream else outcome.first_event_s
 
 
 def _is_failed_handoff(choice: Choice, outcome: AttemptOutcome) -> bool:
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -20,15 +20,18 @@
 from .attempt_failures import AttemptFailed, FailureReason
 from .candidate import Choice, can_run
 from .candidate_finder import CandidateFinder
-from .placement import place_decode, place_service_call
+from .placement import place_decode
 from .planner import CompletionPlanner
 from .request_limiter import SCHEDULER_IDLE_S, RequestLimiter, entry_share
 from .routed_call import RoutedCall
+from .service_planner import ServicePlanner
 from .shared_prefill import OnWait, ignore_wait
 from .shared_retry_budget import SharedRetryBudget
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
 from .stream_versions import AnySoftware, StreamSoftware
+from .zone_cost import ZoneCosts
+from .zone_log import ZoneLog
 
 RETRY_AFTER_S = 0.3
 
@@ -40,9 +43,12 @@
     estimates: FleetEstimates
     finder: CandidateFinder
     planner: CompletionPlanner
+    service_planner: ServicePlanner
     fairness: SizeFairness
     limiter: RequestLimiter
     stream_software: StreamSoftware
+    zone_costs: ZoneCosts
+    zone_log: ZoneLog
 
     @classmethod
     def from_estimates(
@@ -63,6 +69,7 @@
         limiter = RequestLimiter(estimates.limits, limit_share, rng or random.Random())
         finder = CandidateFinder(estimates, routes, limiter)
         fairness = SizeFairness()
+        zone_costs = ZoneCosts(estimates.transfer_sizes)
         planner = CompletionPlanner(
             finder,
             estimates.utilization,
@@ -70,14 +77,18 @@
             estimates.prefill_rate,
             estimates.handoff_s,
             log,
+            zone_costs,
         )
         return cls(
             estimates,
             finder,
             planner,
+            ServicePlanner(finder, estimates.service_times, log, zone_costs),
             fairness,
             limiter,
             stream_software or AnySoftware(),
+            zone_costs,
+            ZoneLog(zone_costs, estimates, log),
         )
 
 
@@ -116,6 +127,7 @@
         await self._parts.stream_software.admit(call)
         plan = await self._plan(call, on_wait)
         first_choice = plan.prefill or plan.decode
+        self._parts.zone_log.write(call, first_choice)
         software = first_choice.candidate.upstream.software
         await self._acquire_permit(first_choice, on_wait)
         self._parts.stream_software.record(call, software)
@@ -127,7 +139,8 @@
             raise self._no_upstream_error(call)
         call.retries_left = self.retries.remaining(call.service)
         if call.prompt is None or self._parts.finder.engine_spec(call.service) is None:
-            return StagePlan(None, place_service_call(candidates, call.zone))
+            choice = await self._parts.service_planner.plan(call, candidates, on_wait)
+            return StagePlan(None, choice)
         plan = await self._parts.planner.plan(call, candidates, on_wait)
         if plan.prefill is None and plan.decode is None:
             raise AttemptFailed(FailureReason.NOTHING_SENT, "no engine is left")
@@ -217,7 +230,8 @@
             if item.upstream.software == prefill_engine.software
         ]
         rate = self._parts.estimates.prefill_rate(call.service)
-        choice = place_decode(engines, call.prompt, rate, prefill_engine.zone)
+        transfer = self._parts.zone_costs.for_decode(call, prefill_engine)
+        choice = place_decode(engines, call.prompt, rate, prefill_engine.zone, transfer)
         if choice is None:
             raise AttemptFailed(
                 FailureReason.NOTHING_SENT,
