--- a/wisteriaarch/request/service_queue.py
+++ b/wisteriaarch/request/service_queue.py
@@ -23,7 +23,7 @@
 
 POLL_INTERVAL_S = 0.005
 # Calls of a group that are evaluated although those before them had to wait.
-EVALUATED_MAX = 4
+EVALUATED_MAX = 2
 # Minimum share of the capacity assumed for calls that others go before.
 SHARE_MIN = 0.1
 # A waiting call is refused only if the prediction is exceeded by this factor.
