duties: authority, client and settings of calls to the cloud's address

Operators of a deployment with a cloud address can't have its calls made yet: nothing guarded a call against a holder that was paused or cut off.

A duty has a lease and a record in the store. Its holder records that a call may arrive before it sends the call; a successor that finds such a record waits until the call can't arrive any more. An entry that takes over waits for a term after its own last call if another one has called since. Without the settings nothing is created.

--- a/wisteriaarch/adapter.py
+++ b/wisteriaarch/adapter.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
+from .process.duty_messages import DutyProtocol
 from .process.rows import RowSource, StoredRow
 from .process.store import TableStore
 from .process.store_era import StoreEra
@@ -23,6 +24,7 @@
     store_era: StoreEra
     upstreams: UpstreamProtocol
     orders: OrderProtocol
+    duties: DutyProtocol
     configuration_key: str
 
     def call_id(self, req: HttpRequest) -> str:
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -206,6 +206,13 @@
     UPSTREAM_REASSIGNED = EventKind(
         442, logbook.INFO, "upstream belongs to another group"
     )
+    DUTY_TAKEN = EventKind(450, logbook.INFO, "duty taken")
+    DUTY_CALL_ENDED = EventKind(451, logbook.INFO, "call of a duty ended")
+    DUTY_RECORD_FAILED = EventKind(
+        452, logbook.WARNING, "record of a duty can't be read or written"
+    )
+    USAGE_REPORT_FAILED = EventKind(453, logbook.WARNING, "usage report not accepted")
+    USAGE_REPORT_LATE = EventKind(454, logbook.WARNING, "usage report is late")
     ROLE_CHANGE_DECIDED = EventKind(430, logbook.INFO, "role change decided")
     ROLE_CHANGE_DEFERRED = EventKind(
         432,
--- a/wisteriaarch/platform/adapter.py
+++ b/wisteriaarch/platform/adapter.py
@@ -9,6 +9,7 @@
 from ..version.route_table import RouteTable
 from ..wire import Address, HttpRequest
 from . import callers, directory, rows
+from .duties import PlatformDuties
 from .orders import PlatformOrders
 from .store import PlatformStore
 from .upstreams import PlatformUpstreams
@@ -24,6 +25,7 @@
         self.store_era = self.rows.era
         self.upstreams = PlatformUpstreams()
         self.orders = PlatformOrders()
+        self.duties = PlatformDuties()
 
     def call_id(self, req: HttpRequest) -> str:
         """Return the id that the caller gave a request; empty if there is none."""
--- a/wisteriaarch/platform/names.py
+++ b/wisteriaarch/platform/names.py
@@ -24,6 +24,10 @@
 
 REPORT_PATH = "/api/report"
 ORDER_PATH = "/api/order"
+USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
+DUTY_HOLDER = "Duty-Holder"
+FENCING_TOKEN = "Fencing-Token"
 
 # Only the system sets these headers; a caller's values are removed, so that they
 # never reach an upstream.
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -1,10 +1,10 @@
 """Settings of an entry that serves routes, read from a JSON file and validated."""
 
-from typing import Annotated, Self
+from typing import Self
 
-from pydantic import BeforeValidator, ConfigDict, Field
+from pydantic import ConfigDict, Field
 
-from ..wire import Address
+from .duty_settings import AddressText, DutySettings
 from .settings_models import (
     AddressSettings,
     LeaseSettings,
@@ -17,16 +17,9 @@
 MS_PER_S = 1000
 LEASE_RENEW_FRACTION = 0.25
 LEASE_DRIFT_FRACTION = 0.1
-
-
-def _parse_address_text(value: object) -> object:
-    if not isinstance(value, str):
-        return value
-    address = Address.parse(value)
-    return {"host": address.host, "port": address.port}
-
-
-AddressText = Annotated[AddressSettings, BeforeValidator(_parse_address_text)]
+# Fewer renewals than of a stage change: a duty is held all the time, and its calls to
+# the store are priced.
+DUTY_RENEW_FRACTION = 1 / 3
 
 
 class RetrySettings(StrictModel):
@@ -74,6 +67,7 @@
     stop_grace_s: float = Field(default=8.0, gt=0)
     change_stages: bool = True
     lease_term_ms: float = Field(default=3000.0, gt=0)
+    duties: DutySettings | None = None
     seed: int | None = None
 
     @classmethod
@@ -89,10 +83,18 @@
     @property
     def lease(self) -> LeaseSettings:
         """Timing of the lease that a stage change requires."""
+        return self._lease_settings(LEASE_RENEW_FRACTION)
+
+    @property
+    def duty_lease(self) -> LeaseSettings:
+        """Timing of the lease of a duty."""
+        return self._lease_settings(DUTY_RENEW_FRACTION)
+
+    def _lease_settings(self, renew_fraction: float) -> LeaseSettings:
         term_s = self.lease_term_ms / MS_PER_S
         return LeaseSettings(
             term_s=term_s,
-            renew_every_s=term_s * LEASE_RENEW_FRACTION,
+            renew_every_s=term_s * renew_fraction,
             drift_margin_s=term_s * LEASE_DRIFT_FRACTION,
         )
 
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -60,10 +60,10 @@
         self._candidates = candidates
         self._log = log
         self._is_preferred = is_preferred
-        self._observer = LeaseObserver(settings, self._era)
+        self.observer = LeaseObserver(settings, self._era)
         self._observed_candidates: frozenset[str] = frozenset()
         self._next_observation_at_s = float("-inf")
-        self._orders_allowed_from_s = 0.0
+        self._orders_allowed_from_s = self._former_ended_at_s = 0.0
         self._update_lock = curio.Lock()
 
     @property
@@ -178,13 +178,13 @@
         try:
             row = await self._rows.read_lease()
             record = LeaseRecord.from_row(row)
-            self._observer.observe(record, now_s())
+            self.observer.observe(record, now_s())
             await reach_step(Step.LEASE_READ)
             if record.belongs_to(self._contender) and record.was_written_in(row.era):
                 await self._renew(row, record)
                 return
             self._end_term(record)
-            if self._observer.may_acquire(self.rank, row.era, now_s()):
+            if self.observer.may_acquire(self.rank, row.era, now_s()):
                 await self._acquire(row)
         except WriteConflict:
             return
@@ -208,7 +208,7 @@
             return
         try:
             row = await self._rows.read_lease()
-            self._observer.observe(LeaseRecord.from_row(row), now_s())
+            self.observer.observe(LeaseRecord.from_row(row), now_s())
         except PlatformError as exc:
             self._observed_candidates = frozenset()
             self._next_observation_at_s = now_s() + self._settings.term_s
@@ -226,10 +226,10 @@
         if epoch_row.era != row.era:
             return
         now = now_s()
-        order_delay_s = self._observer.order_delay_s(
-            self._contender.entry_id, row.era, now
-        )
+        own_id = self._contender.entry_id
+        order_delay_s = self.observer.order_delay_s(own_id, row.era, now)
         self._orders_allowed_from_s = now + order_delay_s
+        self._former_ended_at_s = self.observer.former_ended_at_s(row.era)
         sent_at_s = now_s()
         await reach_step(Step.LEASE_WRITE)
         await self._rows.acquire(row, epoch_row)
@@ -256,6 +256,7 @@
             expires_at_s,
             self._orders_allowed_from_s,
             era,
+            self._former_ended_at_s,
         )
         self._log.write(
             Event.LEASE_ACQUIRED,
--- a/wisteriaarch/process/lease_observer.py
+++ b/wisteriaarch/process/lease_observer.py
@@ -13,14 +13,15 @@
 class LeaseObserver:
     """Lease record as observed by one contender, and since when it is unchanged.
 
-    All times are seconds on the contender's clock.
+    All times are seconds on the contender's clock. ``unchanged_since_s`` is when the
+    current record was first observed.
     """
 
     def __init__(self, settings: LeaseSettings, era: StoreEra):
         self._settings = settings
         self._era = era
         self._record = LeaseRecord()
-        self._unchanged_since_s = 0.0
+        self.unchanged_since_s = 0.0
         self._has_observed = False
 
     def observe(self, record: LeaseRecord, now: float) -> None:
@@ -28,7 +29,7 @@
         if not self._has_observed or record != self._record:
             self._has_observed = True
             self._record = record
-            self._unchanged_since_s = now
+            self.unchanged_since_s = now
 
     def may_acquire(self, rank: int, era: int, now: float) -> bool:
         """Whether the holder's term has expired for the contender with this rank.
@@ -42,7 +43,7 @@
             return now - self._era.observed_at_s >= wait_s
         if self._record.holder != NO_HOLDER:
             wait_s += self._record.term_s + settings.drift_margin_s
-        return now - self._unchanged_since_s >= wait_s
+        return now - self.unchanged_since_s >= wait_s
 
     def order_delay_s(self, own_id: str, era: int, now: float) -> float:
         """Return how long after a takeover no order may be issued.
@@ -58,5 +59,15 @@
             return max(0.0, 2 * term_s - (now - self._era.observed_at_s))
         if self._record.holder in (NO_HOLDER, own_id):
             return 0.0
-        observed_s = now - self._unchanged_since_s
+        observed_s = now - self.unchanged_since_s
         return max(0.0, self._record.term_s + term_s - observed_s)
+
+    def former_ended_at_s(self, era: int) -> float:
+        """Return when the last holder's term has ended at the latest.
+
+        One that released the lease renewed it before the release.
+        """
+        if not self._record.was_written_in(era):
+            return self._era.observed_at_s + self._settings.term_s
+        term_s = self._record.term_s or self._settings.term_s
+        return self.unchanged_since_s + term_s
--- a/wisteriaarch/process/lease_record.py
+++ b/wisteriaarch/process/lease_record.py
@@ -51,7 +51,8 @@
 
     ``acquired_at_s`` is the time at which the holder received the confirmation that it
     has the lease. Orders may be issued from ``orders_allowed_from_s``, a full term
-    after any order of a former holder.
+    after any order of a former holder. ``former_ended_at_s`` is when the term of a
+    former holder had ended at the latest.
     """
 
     epoch: int
@@ -60,6 +61,7 @@
     expires_at_s: float
     orders_allowed_from_s: float
     era: int = 0
+    former_ended_at_s: float = 0.0
 
 
 def next_epoch(previous: int, era: int) -> int:
