usage: count requests by customer and window, and report them

Operators got no usage reports. Each entry counts the attempts that began to run, dated by a time that single clocks don't shift, and sends the counts to the duty's holder and to the next in rank. The holder records a report in the store before it sends it, so that a repeat by a successor has equal counts.

--- a/extras/replay/fleet.py
+++ b/extras/replay/fleet.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from wisteriaarch.connection.scheduling_server import PlacedAttempt
+from wisteriaarch.connection.placed_attempt import PlacedAttempt
 from wisteriaarch.errors import RequestError
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.clock import now_s
--- a/wisteriaarch/cli/arguments.py
+++ b/wisteriaarch/cli/arguments.py
@@ -111,12 +111,21 @@
     kinds = parser.add_subparsers(dest="kind", required=True, metavar="KIND")
     parsers = {
         kind: kinds.add_parser(kind)
-        for kind in ("platform", "engine", "service", "proxy", "store", "server")
+        for kind in (
+            "platform",
+            "engine",
+            "service",
+            "proxy",
+            "store",
+            "server",
+            "duties",
+        )
     }
     for kind, parser in parsers.items():
         parser.add_argument("--host", default="127.0.0.1")
         parser.add_argument("--port", type=int, default=0)
         parser.add_argument("--name", default=kind)
+    parsers["duties"].add_argument("--require-fence", action="store_true")
     parsers["proxy"].add_argument("--target", required=True, metavar="HOST:PORT")
     parsers["server"].add_argument("--stage", choices=["prefill", "decode"])
     engine = parsers["engine"]
--- a/wisteriaarch/cli/emulation.py
+++ b/wisteriaarch/cli/emulation.py
@@ -15,6 +15,7 @@
 from ..emulator.proxy import run_proxy
 from ..emulator.service import run_service
 from ..environment import Environment
+from ..platform.duty_emulator import run_duties
 from ..platform.server_emulator import run_server
 from ..platform.store_emulator import run_store
 from ..process.signals import StopSignals
@@ -56,6 +57,8 @@
         return partial(run_service, *host_and_port, options.name, announce)
     if options.kind == "store":
         return partial(run_store, *host_and_port, announce)
+    if options.kind == "duties":
+        return partial(run_duties, *host_and_port, options.require_fence, announce)
     if options.kind == "server":
         return partial(
             run_server, *host_and_port, options.name, options.stage, announce
--- a/wisteriaarch/connection/duty_client.py
+++ b/wisteriaarch/connection/duty_client.py
@@ -55,11 +55,13 @@
         duty: Duty,
         req: OutgoingRequest,
         note: Any = None,
+        note_if_accepted: Any = None,
         puts: tuple[Put, ...] = (),
     ) -> DutyResult:
         """Send one call and return its outcome.
 
-        ``note`` and ``puts`` are recorded in the store before it is sent. Raises
+        ``note`` and ``puts`` are recorded in the store before it is sent, and
+        ``note_if_accepted`` after it was accepted. Raises
         LeaseLost or a PlatformError if nothing was sent.
         """
         async with duty.call_lock:
@@ -74,6 +76,8 @@
             except LeaseLost:
                 await duty.end_call(settled_before_s, note)
                 raise
+            if result is DutyResult.ACCEPTED and note_if_accepted is not None:
+                note = note_if_accepted
             if result is not DutyResult.UNKNOWN:
                 await duty.end_call(settled_before_s, note)
             if result is DutyResult.FENCED:
--- a/wisteriaarch/connection/gossip.py
+++ b/wisteriaarch/connection/gossip.py
@@ -26,7 +26,11 @@
     return NO_BLOCK_RECORDS
 
 
-def _ignore(_records: object) -> None:
+def _no_time() -> float:
+    return 0.0
+
+
+def _ignore(*_arguments: object) -> None:
     return None
 
 
@@ -36,6 +40,8 @@
 
     ``limits`` are request limits of upstreams and ``blocks`` what is known of prompt
     blocks and crashes; their callbacks return up to a number of records.
+    ``estimate_time`` returns this entry's estimate of the time, 0 for none; ``on_time``
+    receives that of another entry.
     """
 
     known_crashes: Callable[[], Iterable[CrashRecord]] = tuple
@@ -44,12 +50,15 @@
     on_limits: Callable[[tuple[LimitRecord, ...]], object] = _ignore
     known_blocks: Callable[[int], BlockRecords] = _no_blocks
     on_blocks: Callable[[BlockRecords], None] = _ignore
+    estimate_time: Callable[[], float] = _no_time
+    on_time: Callable[[str, float], None] = _ignore
 
     def probe_fields(self) -> dict[str, Any]:
         """Return the fields of a datagram that pings and acks carry."""
         return {
             "limits": tuple(self.known_limits(LIMITS_PER_PROBE_MAX)),
             "blocks": self.known_blocks(BLOCK_RECORDS_PER_PROBE_MAX),
+            "time_s": self.estimate_time(),
         }
 
     def start_fields(self) -> dict[str, Any]:
@@ -68,3 +77,5 @@
             self.on_limits(datagram.limits)
         if datagram.blocks:
             self.on_blocks(datagram.blocks)
+        if datagram.time_s:
+            self.on_time(datagram.sender.entry_id, datagram.time_s)
--- a/wisteriaarch/connection/member_codec.py
+++ b/wisteriaarch/connection/member_codec.py
@@ -51,7 +51,8 @@
     ``sequence`` is that of a ping, repeated in its ack. ``target`` is the entry to ping
     for RELAY. ``requests_all`` requests the records of all members. ``limits`` are
     request limits of upstreams, ``blocks`` what is known of prompt blocks and crashes;
-    any kind may carry them.
+    any kind may carry them. ``time_s`` is the sender's estimate of the time since the
+    start of 1970, 0 for none.
     """
 
     kind: DatagramKind
@@ -64,6 +65,7 @@
     table_updates: tuple[TableUpdate, ...] = ()
     limits: tuple[LimitRecord, ...] = ()
     blocks: BlockRecords = NO_BLOCK_RECORDS
+    time_s: float = 0.0
 
 
 def encode_datagram(datagram: Datagram) -> bytes:
@@ -78,6 +80,7 @@
         crashes=[{"fingerprint": item.fingerprint} for item in datagram.crashes],
         tableNews=[_update_fields(item) for item in datagram.table_updates],
         limits=[limit_fields(item) for item in datagram.limits],
+        timeMs=int(datagram.time_s * MS_PER_S),
     )
     if datagram.blocks:
         message.blocks = block_fields(datagram.blocks)
@@ -111,6 +114,7 @@
         table_updates=tuple(_update_from(item) for item in message.tableNews),
         limits=tuple(limit_from(item) for item in message.limits),
         blocks=block_records_from(message.blocks, RECORDS_MAX),
+        time_s=message.timeMs / MS_PER_S,
     )
 
 
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -24,10 +24,12 @@
     PlacedChoice,
     PlaceQuery,
     RefusedAnswer,
+    UsageAnswer,
     WaitingNotice,
     WithdrawnNotice,
 )
 from .scheduling_schema import MS_PER_S, LimitStated, SoftwareIs, schema
+from .usage_codec import usage_from
 
 LIST_MAX = 1024
 
@@ -198,4 +200,6 @@
     "withdrawn": WithdrawnNotice,
     "copyQuery": lambda _item: CopyQuery(),
     "copy": _copy_from,
+    "usage": usage_from,
+    "usageApplied": UsageAnswer,
 }
--- a/wisteriaarch/connection/scheduling_encoder.py
+++ b/wisteriaarch/connection/scheduling_encoder.py
@@ -5,6 +5,7 @@
 
 from ..process.clock import now_s
 from ..process.request_limits import UNLIMITED
+from ..process.usage_counts import UsageUpdate
 from ..request.routed_call import RoutedCall
 from ..version.route_table import Route
 from .scheduling_messages import (
@@ -15,6 +16,7 @@
     PlacedAnswer,
     PlaceQuery,
     RefusedAnswer,
+    UsageAnswer,
     WaitingNotice,
     WithdrawnNotice,
 )
@@ -25,6 +27,7 @@
     SoftwareIs,
     schema,
 )
+from .usage_codec import usage_fields
 
 # Upper limit of the time left; stands for calls without a deadline.
 REMAINING_MAX_MS = 3_600_000.0
@@ -193,3 +196,13 @@
         "version": copy.row_version,
     }
     return {"copy": content}
+
+
+@_fields_of.register
+def _(message: UsageUpdate) -> dict:
+    return {"usage": usage_fields(message)}
+
+
+@_fields_of.register
+def _(message: UsageAnswer) -> dict:
+    return {"usageApplied": message.holder}
--- a/wisteriaarch/connection/scheduling_messages.py
+++ b/wisteriaarch/connection/scheduling_messages.py
@@ -4,6 +4,7 @@
 
 from ..errors import RequestError
 from ..process.manifest_copy import ManifestCopy
+from ..process.usage_counts import UsageUpdate
 from ..request.attempt_outcome import AttemptOutcome
 from ..request.candidate import Choice
 from ..request.routed_call import RoutedCall
@@ -126,6 +127,13 @@
     copy: ManifestCopy | None
 
 
+@dataclass(frozen=True)
+class UsageAnswer:
+    """The counts were applied; ``holder`` is the entry that reports, if known."""
+
+    holder: str
+
+
 Message = (
     PlaceQuery
     | PlacedAnswer
@@ -135,4 +143,6 @@
     | WithdrawnNotice
     | CopyQuery
     | CopyAnswer
+    | UsageUpdate
+    | UsageAnswer
 )
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -1,14 +1,14 @@
-"""Server for other entries on the peer port: call placement and copies of rows."""
+"""Server for other entries on the peer port: placement, copies of rows, usage."""
 
+from collections.abc import Callable
 from functools import singledispatchmethod
 
 import curio
 
 from ..errors import FrameError, RequestError, WisteriaError
 from ..events import Event, EventLog
-from ..process.clock import now_s
 from ..process.manifest_copy import ManifestCopySource
-from ..process.upstream_loads import UpstreamLoad
+from ..process.usage_counts import UsageUpdate
 from ..request.attempt_failures import AttemptFailed
 from ..request.attempt_outcome import ANSWERED, AttemptOutcome, AttemptStage
 from ..request.candidate import Choice
@@ -20,6 +20,7 @@
 from ..sockets import listen_on, serve_clients
 from ..wire import Address
 from .message_link import MessageLink
+from .placed_attempt import PlacedAttempt
 from .relay_server import RelayServer
 from .scheduling_messages import (
     CopyAnswer,
@@ -30,53 +31,15 @@
     PlacedChoice,
     PlaceQuery,
     RefusedAnswer,
+    UsageAnswer,
     WaitingNotice,
     WithdrawnNotice,
 )
 
-# An attempt without a reported outcome counts as in flight for this time after its
-# call's deadline.
-OUTCOME_GRACE_S = 0.5
 SWEEP_EVERY_S = 0.5
 
-
-class PlacedAttempt:
-    """Attempt of another entry that was placed here and counts as in flight.
-
-    With ``prefills_here``, the attempt's upstream also prefills the prompt.
-    """
-
-    def __init__(
-        self, call: RoutedCall, choice: Choice, stage: AttemptStage, prefills_here: bool
-    ):
-        self.call = call
-        self.choice = choice
-        self.stage = stage
-        self.prefills_here = prefills_here
-        self.placed_at_s = now_s()
-        self._tokens = choice.prefill_tokens if prefills_here else 0
-        self._load: UpstreamLoad | None = None
-
-    def begin(self, scheduler: Scheduler, estimate_updater: EstimateUpdater) -> None:
-        """Count the attempt as in flight."""
-        loads = scheduler.parts.estimates.loads
-        upstream_id = self.choice.candidate.upstream.upstream_id
-        self._load = loads.begin(upstream_id, self._tokens)
-        if self.prefills_here:
-            estimate_updater.observe_placement(self.call, self.choice, self.stage)
-        else:
-            estimate_updater.observe_decode_placement(self.call, self.choice)
-
-    def end(self) -> None:
-        """Stop counting the attempt as in flight; may be called more than once."""
-        if self._load is not None:
-            self._load.end(self._tokens)
-            self._load = None
-
-    @property
-    def is_overdue(self) -> bool:
-        """Whether the outcome should have been reported by now."""
-        return now_s() > self.call.deadline_at_s + OUTCOME_GRACE_S
+# Applies the counts of another entry and returns the holder of the usage duty.
+UsageHandler = Callable[[UsageUpdate], str]
 
 
 class SchedulingServer:
@@ -90,8 +53,10 @@
         copy_source: ManifestCopySource,
         log: EventLog,
         relay: RelayServer | None = None,
+        on_usage: UsageHandler | None = None,
     ):
         self._relay = relay
+        self._on_usage = on_usage
         self._address = address
         self._scheduler = scheduler
         self._estimate_updater = estimate_updater
@@ -118,7 +83,11 @@
 
     async def _run_session(self, link: MessageLink) -> None:
         session = SchedulingSession(
-            link, self._scheduler, self._estimate_updater, self._copy_source
+            link,
+            self._scheduler,
+            self._estimate_updater,
+            self._copy_source,
+            self._on_usage,
         )
         await session.run()
 
@@ -132,8 +101,10 @@
         scheduler: Scheduler,
         estimate_updater: EstimateUpdater,
         copy_source: ManifestCopySource,
+        on_usage: UsageHandler | None = None,
     ):
         self._link = link
+        self._on_usage = on_usage
         self._scheduler = scheduler
         self._estimate_updater = estimate_updater
         self._copy_source = copy_source
@@ -194,6 +165,11 @@
     async def _(self, _message: CopyQuery) -> None:
         await self._link.send(CopyAnswer(self._copy_source.make_copy()))
 
+    @_handle.register
+    async def _(self, message: UsageUpdate) -> None:
+        if self._on_usage is not None:
+            await self._link.send(UsageAnswer(self._on_usage(message)))
+
     async def _place(self, query: PlaceQuery) -> None:
         """Answer a query, unless it was withdrawn before this task started.
 
--- /dev/null
+++ b/wisteriaarch/connection/usage_reporter.py
@@ -0,0 +1,168 @@
+"""Reports the usage of each window to the cloud's address, as holder of the duty.
+
+The load is one report per window of 5 s, which must be accepted within 10 s of the
+window's end. A report is sent once all entries have sent their counts, or a quarter of
+that time after the window's end. Its counts are recorded in the store before, so that a
+repeat has equal counts, also by a successor.
+"""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import curio
+
+from ..errors import LeaseLost, PlatformError
+from ..events import Event, EventLog
+from ..process.clock import now_s
+from ..process.duty import Duty
+from ..process.duty_messages import DutyProtocol, DutyResult, UsageReport
+from ..process.duty_settings import DutySettings
+from ..process.metrics import Count, Metrics
+from ..process.store import Put
+from ..process.usage_counts import WINDOWS_RETAINED, UsageCounts, UsageTotals
+from .duty_client import DutyClient
+
+STEP_S = 0.2
+RETRY_S = 0.5
+# Share of the time for a report in which the counts of all entries are awaited.
+COLLECT_SHARE = 0.25
+USAGE_TABLE = "usage"
+# Rows of the reports; the oldest is overwritten.
+REPORT_ROWS = 16
+
+
+class UsageReporter:
+    """Reports windows in their order; runs at every entry."""
+
+    def __init__(
+        self,
+        cfg: DutySettings,
+        duty: Duty,
+        client: DutyClient,
+        protocol: DutyProtocol,
+        counts: UsageCounts,
+        totals: UsageTotals,
+        entries: Callable[[], Iterable[str]],
+        metrics: Metrics,
+        log: EventLog,
+    ):
+        self._late_s = cfg.usage_late_s
+        self._duty = duty
+        self._client = client
+        self._protocol = protocol
+        self._counts = counts
+        self._totals = totals
+        self._entries = entries
+        self._metrics = metrics
+        self._log = log
+        self._first_window = counts.current_window()
+        self._accepted: int | None = None
+        self._sent: dict[int, dict[str, int]] = {}
+        self._retry_at_s = float("-inf")
+
+    async def run(self) -> None:
+        """Report windows while the duty is held; never returns."""
+        while True:
+            await curio.sleep(STEP_S)
+            await self.step()
+
+    async def step(self) -> None:
+        """Send at most one report."""
+        self._forget_old_windows()
+        if now_s() < self._retry_at_s:
+            return
+        try:
+            self._duty.authority()
+            window = self._next_window()
+            if self._is_due(window):
+                await self._report(window)
+        except (LeaseLost, PlatformError) as exc:
+            self._retry_at_s = now_s() + RETRY_S
+            if self._duty.is_held and not isinstance(exc, LeaseLost):
+                self._log.write(Event.USAGE_REPORT_FAILED, error=str(exc))
+
+    def _noted(self, name: str) -> int | None:
+        note = self._duty.note
+        return note.get(name) if isinstance(note, dict) else None
+
+    def _last_accepted(self) -> int | None:
+        known = (self._accepted, self._noted("accepted"))
+        return max((item for item in known if item is not None), default=None)
+
+    def _next_window(self) -> int:
+        accepted = self._last_accepted()
+        if accepted is not None:
+            window = accepted + 1
+        else:
+            first = self._totals.first_window()
+            known = self._first_window if first is None else first
+            window = min(self._first_window, known)
+        return max(window, self._oldest_window())
+
+    def _oldest_window(self) -> int:
+        """Return the oldest window whose counts are still retained everywhere."""
+        return self._counts.current_window() - WINDOWS_RETAINED + 2
+
+    def _is_due(self, window: int) -> bool:
+        age_s = self._counts.window_age_s(window)
+        if age_s < 0:
+            return False
+        is_recorded = window in self._sent or window <= (self._noted("sent") or 0)
+        return (
+            is_recorded
+            or age_s >= COLLECT_SHARE * self._late_s
+            or self._totals.is_complete(window, self._entries())
+        )
+
+    async def _report(self, window: int) -> None:
+        counts, puts = await self._record_of(window)
+        # If the write's outcome is unknown, a repeat must have the same counts.
+        self._sent[window] = counts
+        authority = self._duty.authority()
+        report = UsageReport(window, counts)
+        accepted = self._last_accepted()
+        result = await self._client.call(
+            self._duty,
+            self._protocol.usage_request(report, authority),
+            {"accepted": accepted, "sent": window},
+            {"accepted": window, "sent": window},
+            puts,
+        )
+        self._observe(window, result)
+
+    async def _record_of(self, window: int) -> tuple[dict[str, int], tuple[Put, ...]]:
+        """Return the counts of a window's report, and the write that records them."""
+        key = f"report-{window % REPORT_ROWS}"
+        counts = self._sent.get(window)
+        if counts is None and window <= (self._noted("sent") or 0):
+            counts = await self._read_recorded(key, window)
+        if counts is None:
+            counts = self._totals.of_window(window)
+        value: dict[str, Any] = {"window": window, "counts": counts}
+        return counts, (Put(USAGE_TABLE, key, value, None),)
+
+    async def _read_recorded(self, key: str, window: int) -> dict[str, int] | None:
+        row = await self._duty.rows.read_row(USAGE_TABLE, key)
+        if not row.exists or row.value["window"] != window:
+            return None
+        return row.value["counts"]
+
+    def _observe(self, window: int, result: DutyResult) -> None:
+        self._metrics.count(Count.USAGE_REPORTS, result.value)
+        late_s = self._counts.window_age_s(window) - self._late_s
+        if result is not DutyResult.ACCEPTED:
+            self._retry_at_s = now_s() + RETRY_S
+            self._log.write(
+                Event.USAGE_REPORT_FAILED, window=window, result=result.value
+            )
+            return
+        self._accepted = window
+        if late_s > 0:
+            self._metrics.count(Count.USAGE_REPORTS_LATE)
+            self._log.write(Event.USAGE_REPORT_LATE, window=window, late_s=late_s)
+
+    def _forget_old_windows(self) -> None:
+        oldest = self._oldest_window()
+        self._totals.forget_before(oldest)
+        for window in [item for item in self._sent if item < oldest]:
+            del self._sent[window]
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -120,6 +120,13 @@
         self._prober.gossip.known_blocks = export
         self._prober.gossip.on_blocks = merge
 
+    def exchange_times(
+        self, estimate: Callable[[], float], observe: Callable[[str, float], None]
+    ) -> None:
+        """Exchange estimates of the true time with the other entries."""
+        self._prober.gossip.estimate_time = estimate
+        self._prober.gossip.on_time = observe
+
     async def announce(self, *, ready: bool, leaving: bool) -> None:
         """Notify all other entries of this entry's state."""
         self.members.update_own_state(ready=ready, leaving=leaving)
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -18,6 +18,7 @@
 from .connection.scheduling_server import SchedulingServer
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
+from .entry_duties import EntryDuties
 from .entry_network import EntryNetwork
 from .entry_scheduling import EntryScheduling
 from .errors import ErrorKind, RequestError, cut_error
@@ -110,6 +111,9 @@
             self.estimates.limits.export, self._runner.estimate_updater.merge_limits
         )
         self._stage_supervisor = self._build_stage_supervisor()
+        self._duties = EntryDuties.from_config(
+            settings, adapter, self.network, self._runner.runs, self.metrics, self.log
+        )
         self._gauges = GatewayGauges(
             self.state,
             self.network.members,
@@ -117,6 +121,7 @@
             self._scheduling.retry_budget,
             self._stage_supervisor,
             self._connector.paths,
+            self._duties,
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
@@ -190,7 +195,9 @@
                 self.state,
                 self.log,
                 RelayServer(self._connector, self.log),
+                self._duties and self._duties.on_usage,
             ).run,
+            *(self._duties.task_mains() if self._duties else ()),
             *([self._stage_supervisor.run] if settings.change_stages else ()),
             self._info_server("ready", settings.ready, self._answer_info).run,
             self._info_server("directory", settings.directory, self._answer_info).run,
@@ -209,6 +216,8 @@
         await PlannedStop(self._callers, self._announce_own_state, self.log).run(
             schedule
         )
+        if self._duties:
+            await self._duties.close()
 
     def _stop_schedule(self, signals: ProcessSignals) -> StopSchedule:
         settings = self.settings
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from .entry_duties import EntryDuties
 from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
 from .process.fleet_state import FleetState
@@ -27,6 +28,7 @@
     retry_budget: SharedRetryBudget
     stage_supervisor: StageSupervisor
     paths: UpstreamPaths
+    duties: EntryDuties | None = None
 
     def read(self) -> dict[Gauge, dict[Labels, float]]:
         """Return the current values of all gauges, by their labels."""
@@ -40,6 +42,7 @@
             Gauge.UPSTREAMS_REACHABLE: {(): float(not self.paths.is_cut_off)},
             Gauge.ENTRIES: {(): len(self.members.living_records())},
             Gauge.PEER_AGE_SECONDS: self._peer_ages(),
+            Gauge.DUTY_HELD: self.duties.held() if self.duties else {},
             **self._service_values(),
             **self._upstream_values(),
         }
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -10,23 +10,22 @@
 duty over waits for a term after its own last call, if another one has called since.
 """
 
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import curio
 
 from ..errors import LeaseLost, PlatformError
-from ..events import Event, EventLog
+from ..events import Event
 from .clock import now_s
+from .duty_context import DutyContext
 from .duty_messages import DutyAuthority
 from .duty_record import DutyRecord, DutyRows
 from .duty_settings import AUTOSCALE_DUTY, USAGE_DUTY
 from .lease import Lease
-from .lease_record import Contender, LeaseTerm
-from .settings_models import LeaseSettings
-from .store import Put, RowStore
-from .store_era import StoreEra
+from .lease_record import LeaseTerm
+from .store import Put
 
 # Entries that read the lease row; it bounds the duty's calls to the store.
 CONTENDERS_MAX = 2
@@ -40,23 +39,6 @@
 LATE_CALL_S = {USAGE_DUTY: 6.0, AUTOSCALE_DUTY: 12.0}
 
 
-@dataclass(frozen=True)
-class DutyContext:
-    """What the duties of one entry share.
-
-    ``candidates`` returns the ids of the entries that may hold a duty. ``holder`` is
-    the name that calls carry.
-    """
-
-    holder: str
-    contender: Contender
-    table: RowStore
-    lease: LeaseSettings
-    candidates: Callable[[], Iterable[str]]
-    era: StoreEra
-    log: EventLog
-
-
 def always() -> bool:
     """Return True: a duty that is held all the time."""
     return True
@@ -74,6 +56,7 @@
         rows: DutyRows,
         is_wanted: Callable[[], bool] = always,
     ):
+        self.key = _key(name, subject)
         self.name = name
         self.subject = subject
         self.call_lock = curio.Lock()
@@ -105,7 +88,7 @@
         ``is_preferred`` tells whether this entry should hold it; without it,
         rendezvous hashing over the candidates decides.
         """
-        key = f"duty-{name}-{subject}" if subject else f"duty-{name}"
+        key = _key(name, subject)
         lease = Lease(
             key,
             context.contender,
@@ -124,6 +107,13 @@
         """Whether this entry holds the duty's lease now, possibly not yet to call."""
         return self._lease.is_held()
 
+    @property
+    def holder_id(self) -> str:
+        """Entry that holds the duty, as far as this one knows; empty if unknown."""
+        if self.is_held:
+            return self._context.contender.entry_id
+        return self._lease.observer.holder
+
     @property
     def note(self) -> Any:
         """The note in the record, as last read or written by this entry."""
@@ -292,3 +282,7 @@
 
     def _log(self, event: Event, **fields: Any) -> None:
         self._context.log.write(event, duty=self.name, subject=self.subject, **fields)
+
+
+def _key(name: str, subject: str) -> str:
+    return f"duty-{name}-{subject}" if subject else f"duty-{name}"
--- a/wisteriaarch/process/duty_record.py
+++ b/wisteriaarch/process/duty_record.py
@@ -34,7 +34,7 @@
     def __init__(self, key: str, table: RowStore):
         self._key = key
         self._table = table
-        self._version = 0
+        self._version: int | None = None
         self.record = DutyRecord()
 
     async def read(self) -> DutyRecord:
@@ -47,10 +47,17 @@
     async def write(
         self, record: DutyRecord, check: Check, puts: tuple[Put, ...] = ()
     ) -> None:
-        """Write the record, and ``puts`` with it, while the lease ``check`` holds."""
-        put = Put(DUTY_TABLE, self._key, asdict(record), self._version)
+        """Write the record, and ``puts`` with it, while the lease ``check`` holds.
+
+        After a failed write, whose outcome may be unknown, the next one first reads the
+        row's version.
+        """
+        if self._version is None:
+            await self.read()
+        version, self._version = self._version, None
+        put = Put(DUTY_TABLE, self._key, asdict(record), version)
         await self._table.write(Transaction((put, *puts), (check,), record.era))
-        await self.read()
+        self.record = record
 
     async def read_row(self, table: str, key: str) -> Row:
         """Read another row of the duty."""
--- a/wisteriaarch/process/lease_observer.py
+++ b/wisteriaarch/process/lease_observer.py
@@ -24,6 +24,11 @@
         self.unchanged_since_s = 0.0
         self._has_observed = False
 
+    @property
+    def holder(self) -> str:
+        """Holder in the current record, whose term may have ended."""
+        return self._record.holder
+
     def observe(self, record: LeaseRecord, now: float) -> None:
         """Observe the current record."""
         if not self._has_observed or record != self._record:
--- a/wisteriaarch/process/lease_record.py
+++ b/wisteriaarch/process/lease_record.py
@@ -75,6 +75,15 @@
     return sum(_rendezvous_score(group, name) > own_score for name in entry_ids)
 
 
+def rendezvous_first(group: str, entry_ids: Iterable[str], count: int) -> list[str]:
+    """Return the first entries in the rendezvous order of a group."""
+
+    def score(entry_id: str) -> bytes:
+        return _rendezvous_score(group, entry_id)
+
+    return sorted(entry_ids, key=score, reverse=True)[:count]
+
+
 def _rendezvous_score(group: str, entry_id: str) -> bytes:
     return hashlib.blake2b(
         f"{group}\0{entry_id}".encode(), digest_size=SCORE_BYTES
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -33,6 +33,8 @@
     TOKENS_RELAYED = Metric("Events of streamed answers relayed to callers")
     CALLS = Metric("Calls on routes that ended", ("kind", "outcome", "cause"))
     ATTEMPTS = Metric("Attempts on upstreams that ended", ("stage", "cause"))
+    USAGE_REPORTS = Metric("Usage reports sent", ("result",))
+    USAGE_REPORTS_LATE = Metric("Usage reports accepted too late")
 
 
 class Duration(Enum):
@@ -63,6 +65,7 @@
     ENTRIES = Metric("Entries known, this one included")
     UPSTREAMS_REACHABLE = Metric("0 where this entry can't reach any upstream")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
+    DUTY_HELD = Metric("1 where this entry holds a duty", ("duty",))
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
     STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
     READING_DEMAND = Metric(
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -1,5 +1,6 @@
 """Relays an upstream's answer to the caller, complete or event by event."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 from ..process.clock import now_s
@@ -47,6 +48,8 @@
         self.status = 0
         self.first_event_at_s: float | None = None
         self.longest_pause_s = 0.0
+        # Called with the first events of each attempt.
+        self.on_first_events: Callable[[], None] = _ignore
         self._last_event_at_s = 0.0
 
     @property
@@ -94,6 +97,8 @@
             events = framer.feed(block)
             await exchange.hold(framer.partial_bytes)
             if events:
+                if not has_events:
+                    self.on_first_events()
                 has_events = True
                 await self._send(head, events)
                 self._last_event_id = framer.last_id or self._last_event_id
@@ -116,6 +121,10 @@
         await self._sink.send_block(events)
 
 
+def _ignore() -> None:
+    return None
+
+
 def _may_be_event_stream(head: UpstreamHead) -> bool:
     types = [value for name, value in head.headers if name.lower() == "content-type"]
     return not types or types[0].partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import curio
 
@@ -26,6 +27,7 @@
 from .placer import Placer
 from .prefill_client import PrefillClient
 from .routed_call import RoutedCall
+from .run_counter import RunCounter
 from .scheduler import RETRY_AFTER_S
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
@@ -60,6 +62,7 @@
         self._fairness = fairness
         self._log = log
         self.crashes = CrashHistory()
+        self.runs = RunCounter()
         self.blocks = BlockQuarantine(log, ErrorKind.CRASHES_UPSTREAMS, trials)
         self._metrics = CallMetrics(metrics)
         self._recorder = AttemptRecorder(
@@ -84,6 +87,7 @@
     async def run(self, call: RoutedCall, sink: CallSink) -> None:
         """Answer the call; raises RequestError with the error to send to the caller."""
         relay = AnswerRelay(call, sink)
+        relay.on_first_events = partial(self.runs.count_stream, call)
         with self._metrics.measure(call, relay), self._fairness.track(call, relay):
             try:
                 async with curio.timeout_after(max(0.001, call.remaining_s())):
@@ -174,7 +178,8 @@
                 self._log_resumption(attempt, relay)
                 call.send_started = True
                 timeout_s = answer_timeout_s(call)
-                head = await self._recorder.send(attempt, exchange, req, timeout_s)
+                with self.runs.count_plain(call):
+                    head = await self._recorder.send(attempt, exchange, req, timeout_s)
                 call.attempts += 1
                 call.ran = Ran.YES
                 self._raise_if_retryable(call, head, relay)
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -85,7 +85,8 @@
     caller, ``retries_left`` the number of retries that its service had left at the last
     placement. ``demand_recorded`` is set once the prefill of its prompt is counted as
     demand. With ``may_be_placed`` a scheduler may have placed it without being heard.
-    ``block_trial`` states whether it tests a quarantined block.
+    ``block_trial`` states whether it tests a quarantined block. ``customer`` is the
+    name of the customer, empty if it is unknown.
     """
 
     call_id: str
@@ -115,6 +116,7 @@
     demand_recorded: bool = False
     may_be_placed: bool = False
     block_trial: BlockTrial = field(default_factory=BlockTrial)
+    customer: str = ""
 
     @cached_property
     def block_keys(self) -> tuple[str, ...]:
--- a/wisteriaarch/schema/members.capnp
+++ b/wisteriaarch/schema/members.capnp
@@ -13,6 +13,7 @@
   tableNews @7 :List(TableNews);
   limits @8 :List(Limit);
   blocks @9 :BlockRecords;
+  timeMs @10 :UInt64;            # sender's estimate of the time since the start of 1970; 0 for none
 }
 
 struct TableNews {
--- a/wisteriaarch/schema/scheduling.capnp
+++ b/wisteriaarch/schema/scheduling.capnp
@@ -12,6 +12,8 @@
     withdrawn @5 :UInt64;        # number of a query that the asking entry has given up
     copyQuery @6 :Void;
     copy @7 :Copy;
+    usage @8 :Usage;
+    usageApplied @9 :Text;       # entry that reports the usage; empty if unknown
   }
 }
 
@@ -104,3 +106,11 @@
   configuration @1 :Data;
   version @2 :UInt64;
 }
+
+struct Usage {
+  entryId @0 :Text;
+  incarnation @1 :UInt64;
+  number @2 :UInt64;             # of the update, growing
+  closedBefore @3 :UInt64;       # all earlier windows are complete
+  counts @4 :Data;               # compressed JSON, {window: {customer: count since the start}}
+}
