--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,229 @@
+"""Duties: one caller at a time whatever fails, and counts that survive failures."""
+
+import unittest
+from unittest import mock
+
+import curio
+
+from extras import duty_drill
+from extras.duty_drill import EPOCH_S, START_S, WINDOW_S, Simulation, World, play
+from wisteriaarch.connection import usage_sender
+from wisteriaarch.connection.usage_codec import usage_fields, usage_from
+from wisteriaarch.connection.usage_reporter import UsageReporter
+from wisteriaarch.errors import FrameError, LeaseLost
+from wisteriaarch.process import duty
+from wisteriaarch.process.duty import Duty
+from wisteriaarch.process.true_time import TrueTime
+from wisteriaarch.process.usage_counts import UsageCounts, UsageTotals, UsageUpdate
+
+SEEDS = range(1, 5)
+DURATION_S = 120.0
+NO_SCALING = "none"
+
+
+def first_windows_of(world):
+    """Return the windows that began in the run and whose reports are due in it."""
+    first = int((EPOCH_S + START_S) // WINDOW_S) + 1
+    last = int((EPOCH_S + world.sim.now_s - 10.0) // WINDOW_S)
+    return range(first, last)
+
+
+def usage_world(case, **options):
+    """Return a world in virtual time without faults and without scaling."""
+    sim = Simulation(1)
+    for module in duty_drill.MODULES:
+        case.enterContext(mock.patch.object(module, "now_s", lambda: sim.now_s))
+    case.enterContext(mock.patch.object(usage_sender, "UsageLink", duty_drill.Link))
+    case.enterContext(mock.patch.object(World, "_move_scheduler"))
+    world = World(sim, False, faults=False, **options)
+    world.scheduler = NO_SCALING
+    return world
+
+
+class DrillTest(unittest.TestCase):
+    def test_no_order_of_events_breaks_a_rule(self):
+        """Guards against equal tokens, late calls after newer ones and A, B, A."""
+        for seed in SEEDS:
+            for require_fence in (False, True):
+                with self.subTest(seed=seed, require_fence=require_fence):
+                    world = play(seed, require_fence, DURATION_S)
+                    self.assertEqual(world.cloud.violations, [])
+                    self.assertGreater(len(world.cloud.reports), 12)
+
+    def violations(self, seeds):
+        return [item for seed in seeds for item in play(seed, False).cloud.violations]
+
+    def test_drill_finds_a_successor_that_does_not_wait(self):
+        """Guards against a drill that would find nothing."""
+        waits = dict.fromkeys(duty.LATE_CALL_S, 0.0)
+        with mock.patch.dict(duty.LATE_CALL_S, waits):
+            self.assertNotEqual(self.violations(range(1, 16)), [])
+
+    def test_drill_finds_a_call_after_a_pause(self):
+        """Guards against a drill that would find nothing."""
+        with mock.patch.object(Duty, "require_token"):
+            self.assertNotEqual(self.violations(range(1, 16)), [])
+
+    def test_drill_finds_reports_that_are_not_recorded(self):
+        """Guards against a drill that would find nothing."""
+        nothing = mock.AsyncMock(return_value=None)
+        with mock.patch.object(UsageReporter, "_read_recorded", nothing):
+            self.assertNotEqual(self.violations(range(1, 16)), [])
+
+
+class UsageAccuracyTest(unittest.TestCase):
+    def counts_off(self, world):
+        """Return the greatest difference from a true count, as a share of it."""
+        worst = 0.0
+        for window in first_windows_of(world):
+            report = world.cloud.reports[window]
+            for customer in duty_drill.CUSTOMERS:
+                true_count = world.truth[window, customer]
+                difference = abs(report.get(customer, 0) - true_count)
+                worst = max(worst, difference / true_count)
+        return worst
+
+    def test_counts_are_exact_without_faults(self):
+        """Guards against lost and doubled counts."""
+        world = usage_world(self)
+        world.sim.run(60.0)
+        self.assertEqual(self.counts_off(world), 0.0)
+
+    def test_killed_entries_lose_less_than_the_tolerance(self):
+        """Guards against counts that are lost with the holder or another entry."""
+        for holder_dies in (True, False):
+            world = usage_world(self, entries=20)
+            world.sim.run(31.0)
+            held = [item.usage.is_held for item in world.entries.values()]
+            self.assertEqual(held.count(True), 1)
+            victims = [
+                item
+                for item in world.entries.values()
+                if item.usage.is_held is holder_dies
+            ]
+            world._kill(victims[0])
+            world.sim.run(40.0)
+            self.assertLess(self.counts_off(world), 0.05)
+            self.assertEqual(duty_drill.late_windows(world), [])
+
+    def test_clock_steps_do_not_shift_counts(self):
+        """Guards against clocks of a third of the entries that are 2 s off."""
+        world = usage_world(self, entries=10)
+        world.sim.run(10.0)
+        for entry in list(world.entries.values())[:3]:
+            entry.process.step_s = 2.0
+        world.sim.run(20.0)
+        for entry in world.entries.values():
+            entry.process.step_s = 0.0
+        world.sim.run(30.0)
+        self.assertEqual(self.counts_off(world), 0.0)
+
+    def test_calls_to_the_store_are_few(self):
+        """Guards against renewals and polls that cost too much."""
+        world = usage_world(self, entries=10)
+        world.sim.run(20.0)
+        calls = world.store.calls
+        world.sim.run(100.0)
+        self.assertLess((world.store.calls - calls) / 100.0, 4.2)
+
+
+class OrderOfHoldersTest(unittest.TestCase):
+    def test_first_holder_waits_for_a_term_after_its_last_call(self):
+        """Guards against A, B, A within a lease term, each having released cleanly."""
+        sim = Simulation(1)
+        for module in duty_drill.MODULES:
+            self.enterContext(mock.patch.object(module, "now_s", lambda: sim.now_s))
+        self.enterContext(mock.patch.object(usage_sender, "UsageLink", duty_drill.Link))
+        self.enterContext(mock.patch.object(World, "_move_scheduler"))
+        self.enterContext(mock.patch.object(duty, "CONTENDER_POLL_S", 0.0))
+        self.enterContext(
+            mock.patch.object(duty_drill.Client, "_exchange", duty_drill.answer_at_once)
+        )
+        world = World(sim, False, faults=False)
+        sim.run(20.0)
+        for _ in range(20):
+            for name in ("e1", "e0"):
+                world.scheduler = name
+                sim.run(1.0)
+        self.assertEqual(world.cloud.violations, [])
+        holders = {item.holder for item in world.cloud.arrivals("autoscale")}
+        self.assertEqual(holders, {"e0", "e1"})
+
+
+class TrueTimeTest(unittest.TestCase):
+    def setUp(self):
+        self.boot_s, self.step_s = 100.0, 0.0
+        self.time = TrueTime(
+            lambda: 5000.0 + self.boot_s + self.step_s, lambda: self.boot_s
+        )
+
+    def test_step_of_the_own_clock_is_ignored(self):
+        """Guards against an entry without peers whose clock jumps for some seconds."""
+        for _ in range(20):
+            self.boot_s += 1.0
+            self.time.now()
+        self.step_s = 2.0
+        for _ in range(8):
+            self.boot_s += 1.0
+            self.assertEqual(self.time.now(), 5000.0 + self.boot_s)
+
+    def test_wrong_clock_at_the_start_is_outvoted(self):
+        """Guards against an entry that starts while its clock is off."""
+        self.step_s = 2.0
+        self.time = TrueTime(
+            lambda: 5000.0 + self.boot_s + self.step_s, lambda: self.boot_s
+        )
+        for index in range(3):
+            self.time.observe_peer(f"e{index}", 5000.0 + self.boot_s)
+        self.assertEqual(self.time.now(), 5000.0 + self.boot_s)
+
+
+class UsageCountsTest(unittest.TestCase):
+    def setUp(self):
+        self.counts = UsageCounts(5.0, TrueTime(lambda: 100.0, lambda: 100.0))
+
+    def update(self, number, counts, entry_id="a", incarnation=1):
+        return UsageUpdate(entry_id, incarnation, number, 0, counts)
+
+    def test_repeated_and_late_updates_change_nothing(self):
+        """Guards against messages that arrive twice or out of order."""
+        totals = UsageTotals()
+        for number, count in ((2, 7), (2, 7), (1, 3)):
+            totals.apply(self.update(number, {20: {"huka270": count}}))
+        totals.apply(self.update(1, {20: {"huka270": 2}}, incarnation=2))
+        self.assertEqual(totals.of_window(20), {"huka270": 9})
+
+    def test_request_that_was_refused_is_taken_back(self):
+        """Guards against counts of requests that an upstream refused."""
+        self.counts.add("huka270", 100.0)
+        self.counts.add("huka270", 100.0, -1)
+        self.assertEqual(self.counts.changed_since(0), {20: {"huka270": 0}})
+
+    def test_message_of_a_large_entry_stays_small(self):
+        """Guards against counts that exceed the bounds of control traffic."""
+        names = {f"customer{index}": index for index in range(830)}
+        data = usage_fields(self.update(1, {20: names}))["counts"]
+        self.assertLess(len(data), 6 * 1024)
+
+    def test_malformed_counts_are_refused(self):
+        """Guards against a peer's bytes that aren't counts."""
+        for data in (b"", b"x", usage_fields(self.update(1, []))["counts"]):
+            item = mock.Mock(counts=data)
+            with self.assertRaises(FrameError):
+                usage_from(item)
+
+
+class NotHeldTest(unittest.TestCase):
+    def test_duty_that_is_not_held_gives_no_authority(self):
+        """Guards against calls before the lease is taken."""
+        world = usage_world(self)
+        held = next(iter(world.entries.values())).usage
+        with self.assertRaises(LeaseLost):
+            held.authority()
+
+    def test_unwanted_duty_makes_no_calls_to_the_store(self):
+        """Guards against calls to the store for a duty that nobody wants."""
+        world = usage_world(self)
+        entry = next(iter(world.entries.values()))
+        curio.run(entry.scaling.step)
+        self.assertEqual(world.store.calls, 0)
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -159,7 +159,7 @@
                 await self._compete()
             elif not self.call_lock.locked():
                 await self.release()
-        except PlatformError as exc:
+        except (LeaseLost, PlatformError) as exc:
             self._log(Event.DUTY_RECORD_FAILED, error=str(exc))
 
     async def release(self) -> None:
@@ -271,8 +271,8 @@
 
     async def _settle_late_call(self) -> None:
         """Record that an unanswered call can't be executed any more."""
-        is_due = not self._is_settled and now_s() >= self._unsettled_until_s
-        if is_due and not self.call_lock.locked():
+        is_due = self.is_held and now_s() >= self._unsettled_until_s
+        if is_due and not self._is_settled and not self.call_lock.locked():
             await self._write_settled(self.note)
 
     async def _write_settled(self, note: Any) -> None:
