--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -1,5 +1,6 @@
 """Duties: one caller at a time whatever fails, and counts that survive failures."""
 
+import json
 import unittest
 from unittest import mock
 
@@ -10,11 +11,17 @@
 from wisteriaarch.connection import usage_sender
 from wisteriaarch.connection.usage_codec import usage_fields, usage_from
 from wisteriaarch.connection.usage_reporter import UsageReporter
+from wisteriaarch.entry_duties import EntryDuties
 from wisteriaarch.errors import FrameError, LeaseLost
 from wisteriaarch.process import duty
 from wisteriaarch.process.duty import Duty
+from wisteriaarch.process.gateway_settings import GatewaySettings
+from wisteriaarch.process.settings_models import parse_model
 from wisteriaarch.process.true_time import TrueTime
 from wisteriaarch.process.usage_counts import UsageCounts, UsageTotals, UsageUpdate
+from wisteriaarch.request.run_counter import RunCounter
+
+from .template_support import render_settings
 
 SEEDS = range(1, 5)
 DURATION_S = 120.0
@@ -227,3 +234,35 @@
         entry = next(iter(world.entries.values()))
         curio.run(entry.scaling.step)
         self.assertEqual(world.store.calls, 0)
+
+
+class DutySettingsTest(unittest.TestCase):
+    def test_template_names_the_duties_where_there_is_an_address(self):
+        """Guards against a template that isn't JSON on either kind of deployment."""
+        bounds = {
+            "require-fence": False,
+            "report-window-s": 5,
+            "usage-off": 0.05,
+            "usage-late-s": 10,
+        }
+        cloud = {
+            "address": "127.0.0.9:80",
+            "duties": ["usage", "autoscale"],
+            "duty-per-s": 5,
+        }
+        content = render_settings(bounds=bounds, **{"cloud-api": cloud})
+        cfg = parse_model(GatewaySettings, json.dumps(content), "settings.json")
+        self.assertTrue(cfg.duties.has("usage") and cfg.duties.has("autoscale"))
+        self.assertFalse(cfg.duties.require_fence)
+        self.assertEqual(str(cfg.duties.address.address()), "127.0.0.9:80")
+
+    def test_deployment_without_an_address_has_no_duties(self):
+        """Guards against calls to the store and messages that nobody asked for."""
+        content = render_settings()
+        cfg = parse_model(GatewaySettings, json.dumps(content), "settings.json")
+        self.assertIsNone(cfg.duties)
+        network, runs = mock.Mock(), RunCounter()
+        duties = EntryDuties.from_config(cfg, None, network, runs, None, None)
+        self.assertIsNone(duties)
+        self.assertIsNone(runs.counts)
+        self.assertEqual(network.mock_calls, [])
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -38,7 +38,8 @@
     """Settings of an entry that serves routes; see docs/CONFIGURATION.md.
 
     ``entry_id`` is the IP address of the instance. All entries use the same ports, so
-    that a peer's addresses follow from its id.
+    that a peer's addresses follow from its id. With ``strict_revoke``, API keys are
+    refused once the store hasn't confirmed the configuration for ``revoke_ms``.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -68,6 +69,8 @@
     change_stages: bool = True
     lease_term_ms: float = Field(default=3000.0, gt=0)
     duties: DutySettings | None = None
+    strict_revoke: bool = False
+    revoke_ms: float = Field(default=5000.0, gt=0)
     seed: int | None = None
 
     @classmethod
