--- a/extras/reference_tables.py
+++ b/extras/reference_tables.py
@@ -5,6 +5,7 @@
 
 import sys
 from collections.abc import Iterator
+from types import NoneType
 from typing import get_args
 
 import logbook
@@ -86,6 +87,9 @@
             if default is not None:
                 text = _value_text(getattr(default, name))
             yield f"`{prefix}{name}`", _type_text(info), text
+        elif NoneType in get_args(info.annotation):
+            yield f"`{prefix}{name}`", "fields below", _default_text(info)
+            yield from _field_rows(nested, f"{prefix}{name}.")
         elif get_args(info.annotation):
             yield f"`{prefix}{name}`", "list", _default_text(info)
             yield from _field_rows(nested, f"{prefix}{name}[].")
