usage: nothing counts in a window that an entry has closed

One of four runs of the test with three real entries reported fewer requests than were sent, with every request answered and every report accepted. Estimates of the true time vary by the delay of the datagrams that carry them, so that a request could be counted in a window whose counts had been sent as complete. It now counts in the next window. An entry that was paused also ignores the estimates that waited for it.

That the varying estimates caused the failed run is concluded from the code, not shown.

--- a/tests/test_usage_reports.py
+++ b/tests/test_usage_reports.py
@@ -1,5 +1,6 @@
 """Usage reports of real entries arrive with the right counts, also after a kill."""
 
+import contextlib
 import signal
 import unittest
 from collections import Counter
@@ -76,7 +77,9 @@
         return sum((Counter(item) for item in by_window.values()), Counter())
 
     def wait_for_reports(self):
-        wait_until(lambda: self.reported() == self.sent, timeout_s=20)
+        with contextlib.suppress(TimeoutError):
+            wait_until(lambda: self.reported() == self.sent, timeout_s=20)
+        self.assertEqual(self.reported(), self.sent)
 
     def check_rules(self):
         """Check that no report contradicts another one, and that no window is left."""
@@ -117,7 +120,7 @@
         for entry in self.entries.values():
             self.send(entry, "huka270", 5)
         killed = self.holder()
-        wait_until(lambda: self.is_flushed(killed))
+        self.wait_for_reports()
         self.entries[killed].send_signal(signal.SIGKILL)
         others = [item for item in self.entries.items() if item[0] != killed]
         for _number, entry in others:
@@ -126,9 +129,32 @@
         self.wait_for_reports()
         self.check_rules()
 
-    def is_flushed(self, number):
-        """Whether all requests so far are reported."""
-        return self.reported() == self.sent
+    def test_holder_that_was_paused_does_not_call_after_its_successor(self):
+        """Guards against calls of a holder that wakes after its term."""
+        wait_until(lambda: self.holder() is not None)
+        paused = self.holder()
+        self.entries[paused].send_signal(signal.SIGSTOP)
+        self.addCleanup(self.entries[paused].send_signal, signal.SIGCONT)
+        others = [item for item in self.entries.items() if item[0] != paused]
+        for _number, entry in others:
+            self.send(entry, "small", 5)
+        wait_until(lambda: self.holder() != paused, timeout_s=20)
+        self.entries[paused].send_signal(signal.SIGCONT)
+        wait_until(lambda: is_ready(self.entries[paused]))
+        self.send(self.entries[paused], "huka270", 3)
+        self.wait_for_reports()
+        self.check_rules()
+
+    def test_stopped_holder_is_followed_at_once(self):
+        """Guards against counts that a planned stop loses, and a long wait after it."""
+        wait_until(lambda: self.holder() is not None)
+        stopped = self.holder()
+        for entry in self.entries.values():
+            self.send(entry, "huka270", 5)
+        self.assertEqual(self.cluster.stop(f"gateway-{stopped}"), 0)
+        wait_until(lambda: self.holder() != stopped, timeout_s=10)
+        self.wait_for_reports()
+        self.check_rules()
 
     def test_metrics_name_the_holder(self):
         """Guards against a holder that operators can't find."""
--- a/wisteriaarch/connection/usage_sender.py
+++ b/wisteriaarch/connection/usage_sender.py
@@ -123,7 +123,7 @@
 
     async def step(self) -> None:
         """Send what is due."""
-        closed_before = self._counts.closed_before(CLOSE_DELAY_S)
+        closed_before = self._counts.close_windows(CLOSE_DELAY_S)
         self._apply_own(closed_before)
         entries = list(self._entries())
         interval_s = min(
@@ -173,7 +173,7 @@
         if link.is_new and not await self._send_known(link):
             return
         change = self._counts.changes
-        closed_before = self._counts.closed_before(CLOSE_DELAY_S)
+        closed_before = self._counts.close_windows(CLOSE_DELAY_S)
         if (change, closed_before) == (link.confirmed_change, link.confirmed_close):
             return
         holder = await link.send(self._update(link.confirmed_change, closed_before))
--- a/wisteriaarch/process/true_time.py
+++ b/wisteriaarch/process/true_time.py
@@ -17,6 +17,10 @@
 OWN_SAMPLES_MAX = 121
 SAMPLE_EVERY_S = 1.0
 PEERS_MAX = 64
+# A process that didn't use the time for this long was paused. The estimates that have
+# waited for it since are outdated; those received in the next time are ignored.
+PAUSE_S = 1.0
+IGNORE_AFTER_PAUSE_S = 0.5
 
 
 class TrueTime:
@@ -34,6 +38,8 @@
         self._peers: dict[str, float] = {}
         self._offset_s = 0.0
         self._sampled_at_s = float("-inf")
+        self._used_at_s = clock()
+        self._ignore_until_s = float("-inf")
         self._sample()
 
     def at(self, at_s: float) -> float:
@@ -52,13 +58,23 @@
 
     def observe_peer(self, entry_id: str, estimate: float) -> None:
         """Observe the estimate of another entry, which it sent just now."""
+        self._detect_pause()
+        if self._clock() < self._ignore_until_s:
+            return
         self._peers.pop(entry_id, None)
         self._peers[entry_id] = estimate - self._clock()
         if len(self._peers) > PEERS_MAX:
             del self._peers[next(iter(self._peers))]
         self._update()
 
+    def _detect_pause(self) -> None:
+        at_s = self._clock()
+        if at_s - self._used_at_s > PAUSE_S:
+            self._ignore_until_s = at_s + IGNORE_AFTER_PAUSE_S
+        self._used_at_s = at_s
+
     def _sample(self) -> None:
+        self._detect_pause()
         at_s = self._clock()
         if at_s - self._sampled_at_s < SAMPLE_EVERY_S:
             return
--- a/wisteriaarch/process/usage_counts.py
+++ b/wisteriaarch/process/usage_counts.py
@@ -44,15 +44,28 @@
         self.retained = max(RETAINED_WINDOWS_MIN, int(RETAINED_S / window_s))
         self._true_time = true_time
         self._counts: dict[int, Counter[str]] = defaultdict(Counter)
+        self._closed_before = 0
         self._changes = 0
         # Number of the last change of each window and customer.
         self._changed: dict[tuple[int, str], int] = {}
 
-    def add(self, customer: str, at_s: float, amount: int = 1) -> None:
-        """Count a request that began to run at ``at_s``, a reading of ``now_s``."""
+    def add(self, customer: str, at_s: float) -> int:
+        """Count a request that began to run at ``at_s``; returns its window.
+
+        ``at_s`` is a reading of ``now_s``. Estimates of the true time vary, so that it
+        may be in a window that this entry has already closed; it counts in the next.
+        """
+        window = max(self.window_at(self._true_time.at(at_s)), self._closed_before)
+        self._change(window, customer, 1)
+        return window
+
+    def take_back(self, customer: str, window: int) -> None:
+        """Take back a request that was counted in a window."""
+        self._change(window, customer, -1)
+
+    def _change(self, window: int, customer: str, amount: int) -> None:
         if not customer:
             return
-        window = self.window_at(self._true_time.at(at_s))
         self._changes += 1
         self._counts[window][customer] += amount
         self._changed[window, customer] = self._changes
@@ -71,9 +84,14 @@
         """Return the time since the end of a window; negative before it."""
         return self._true_time.now() - (window + 1) * self._window_s
 
-    def closed_before(self, delay_s: float) -> int:
-        """Return the window before which all ended at least ``delay_s`` ago."""
-        return self.window_at(self._true_time.now() - delay_s)
+    def close_windows(self, delay_s: float) -> int:
+        """Close the windows that ended at least ``delay_s`` ago; return the next one.
+
+        Nothing is added to a closed window.
+        """
+        window = self.window_at(self._true_time.now() - delay_s)
+        self._closed_before = max(self._closed_before, window)
+        return self._closed_before
 
     @property
     def changes(self) -> int:
--- a/wisteriaarch/request/run_counter.py
+++ b/wisteriaarch/request/run_counter.py
@@ -30,13 +30,12 @@
         if counts is None or call.route.kind is CallKind.STREAM:
             yield
             return
-        sent_at_s = now_s()
-        counts.add(call.customer, sent_at_s)
+        window = counts.add(call.customer, now_s())
         try:
             yield
         except AttemptFailed as exc:
             if exc.ran is Ran.NO:
-                counts.add(call.customer, sent_at_s, -1)
+                counts.take_back(call.customer, window)
             raise
 
     def count_stream(self, call: RoutedCall) -> None:
