usage: await the counts of all entries a little longer

The holder awaited the counts of stalled entries for 2.5 of 10 s. It awaits them for 3.5 s, which leaves time for three calls without an answer.

--- a/wisteriaarch/connection/usage_reporter.py
+++ b/wisteriaarch/connection/usage_reporter.py
@@ -1,7 +1,7 @@
 """Reports the usage of each window to the cloud's address, as holder of the duty.
 
 The load is one report per window of 5 s, which must be accepted within 10 s of the
-window's end. A report is sent once all entries have sent their counts, or a quarter of
+window's end. A report is sent once all entries have sent their counts, or a third of
 that time after the window's end. Its counts are recorded in the store before, so that a
 repeat has equal counts, also by a successor.
 """
@@ -24,8 +24,9 @@
 
 STEP_S = 0.2
 RETRY_S = 0.5
-# Share of the time for a report in which the counts of all entries are awaited.
-COLLECT_SHARE = 0.25
+# Share of the time for a report in which the counts of all entries are awaited; the
+# rest suffices for three calls without an answer.
+COLLECT_SHARE = 0.35
 USAGE_TABLE = "usage"
 # Rows of the reports; the oldest is overwritten. More than the retained windows.
 REPORT_ROWS = 64
