--- a/extras/reference_tables.py
+++ b/extras/reference_tables.py
@@ -88,7 +88,7 @@
                 text = _value_text(getattr(default, name))
             yield f"`{prefix}{name}`", _type_text(info), text
         elif NoneType in get_args(info.annotation):
-            yield f"`{prefix}{name}`", "object or None", _default_text(info)
+            yield f"`{prefix}{name}`", "fields below", _default_text(info)
             yield from _field_rows(nested, f"{prefix}{name}.")
         elif get_args(info.annotation):
             yield f"`{prefix}{name}`", "list", _default_text(info)
--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -1,10 +1,7 @@
 """Admission by API keys, and calls whose keys are removed while they wait."""
 
-import json
-import re
 import unittest
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import curio
 
@@ -21,6 +18,7 @@
 from wisteriaarch.version.route_table import CallKind, Route, RouteTable
 
 from .customer_support import make_settings
+from .template_support import render_settings
 
 KEY = "r26t-key"
 SOON_S = 5 * POLL_INTERVAL_S
@@ -141,24 +139,13 @@
 class TemplateTest(unittest.TestCase):
     """A template that isn't JSON where a field is missing ends all entries."""
 
-    def render(self, bounds: dict) -> dict:
-        text = Path("deploy/entry.json.tmpl").read_text(encoding="utf-8")
-        for name in ("strict-revoke", "revoke-ms"):
-            value = bounds.get(name)
-            section = re.compile(rf"{{{{#bounds.{name}}}}}(.*?){{{{/bounds.{name}}}}}")
-            body = section.search(text)[1] if value else ""
-            body = body.replace("{{.|json}}", json.dumps(value))
-            text = section.sub(lambda _match, body=body: body, text)
-        text = re.sub(r"{{#seeds}}.*?{{/seeds}}", "", text)
-        return json.loads(re.sub(r"{{.*?}}", "1", text))
-
     def test_settings_are_valid_with_and_without_the_fields(self):
         for bounds, strict, revoke_ms in (
             ({}, None, None),
             ({"strict-revoke": False, "revoke-ms": 5000}, None, 5000),
             ({"strict-revoke": True, "revoke-ms": 900}, True, 900),
         ):
-            content = self.render(bounds)
+            content = render_settings(bounds=bounds)
             self.assertEqual(content.get("strict_revoke"), strict)
             self.assertEqual(content.get("revoke_ms"), revoke_ms)
 
--- a/wisteriaarch/connection/scheduling_decoder.py
+++ b/wisteriaarch/connection/scheduling_decoder.py
@@ -24,10 +24,12 @@
     PlacedChoice,
     PlaceQuery,
     RefusedAnswer,
+    UsageAnswer,
     WaitingNotice,
     WithdrawnNotice,
 )
 from .scheduling_schema import MS_PER_S, PERCENT, LimitStated, SoftwareIs, schema
+from .usage_codec import usage_from
 
 LIST_MAX = 1024
 # Default of the field, which entries of older program versions don't send.
@@ -209,4 +211,6 @@
     "withdrawn": WithdrawnNotice,
     "copyQuery": lambda _item: CopyQuery(),
     "copy": _copy_from,
+    "usage": usage_from,
+    "usageApplied": UsageAnswer,
 }
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -18,6 +18,7 @@
 from .connection.scheduling_server import SchedulingServer
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
+from .entry_duties import EntryDuties
 from .entry_network import EntryNetwork
 from .entry_scheduling import EntryScheduling
 from .errors import ErrorKind, RequestError, cut_error
@@ -26,7 +27,6 @@
 from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
-from .process.lease_record import Contender
 from .process.metrics import Metrics
 from .process.scheduler_choice import SchedulerChoice
 from .process.settings_models import AddressSettings
@@ -41,7 +41,6 @@
 from .request.revocable_placer import RevocablePlacer
 from .request.stop_admission import StopAdmission
 from .sockets import listen_on
-from .version.stage_supervisor import StageSupervisor
 from .wire import HttpRequest
 
 JSON_HEADERS = [("Content-Type", "application/json")]
@@ -119,7 +118,12 @@
         self.network.exchange_limits(
             self.estimates.limits.export, self._runner.estimate_updater.merge_limits
         )
-        self._stage_supervisor = self._build_stage_supervisor()
+        self._stage_supervisor = self._scheduling.make_stage_supervisor(
+            lambda: self.closing, self._runner.estimate_updater.observe_signals
+        )
+        self._duties = EntryDuties.from_config(
+            settings, adapter, self.network, self._runner.runs, self.metrics, self.log
+        )
         self._gauges = GatewayGauges(
             self.state,
             self.network.members,
@@ -128,27 +132,10 @@
             self._stage_supervisor,
             self._connector.paths,
             self._scheduling.calls_waiting,
+            self._duties,
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
-    def _build_stage_supervisor(self) -> StageSupervisor:
-        return StageSupervisor(
-            Contender(
-                self.settings.entry_id, str(self.network.members.own_record.incarnation)
-            ),
-            self._adapter.table,
-            self.settings.lease,
-            self._adapter.orders,
-            self.estimates,
-            lambda: self.state.routes,
-            lambda: [item.entry_id for item in self.network.members.living_records()],
-            self._scheduler_choice.is_local,
-            lambda: self.closing,
-            self._adapter.store_era,
-            self.log,
-            self._runner.estimate_updater.observe_signals,
-        )
-
     async def __aenter__(self) -> "Gateway":
         return self
 
@@ -202,7 +189,9 @@
                 self.state,
                 self.log,
                 RelayServer(self._connector, self.log),
+                self._duties and self._duties.on_usage,
             ).run,
+            *(self._duties.task_mains() if self._duties else ()),
             *([self._stage_supervisor.run] if settings.change_stages else ()),
             self._info_server("ready", settings.ready, self._answer_info).run,
             self._info_server("directory", settings.directory, self._answer_info).run,
@@ -221,6 +210,8 @@
         await PlannedStop(self._callers, self._announce_own_state, self.log).run(
             schedule
         )
+        if self._duties:
+            await self._duties.close()
 
     def _stop_schedule(self, signals: ProcessSignals) -> StopSchedule:
         settings = self.settings
--- a/wisteriaarch/process/lease_record.py
+++ b/wisteriaarch/process/lease_record.py
@@ -51,7 +51,8 @@
 
     ``acquired_at_s`` is the time at which the holder received the confirmation that it
     has the lease. Orders may be issued from ``orders_allowed_from_s``, a full term
-    after any order of a former holder.
+    after any order of a former holder. ``former_ended_at_s`` is when the term of a
+    former holder had ended at the latest.
     """
 
     epoch: int
@@ -60,6 +61,7 @@
     expires_at_s: float
     orders_allowed_from_s: float
     era: int = 0
+    former_ended_at_s: float = 0.0
 
 
 def next_epoch(previous: int, era: int) -> int:
@@ -73,6 +75,15 @@
     return sum(_rendezvous_score(group, name) > own_score for name in entry_ids)
 
 
+def rendezvous_first(group: str, entry_ids: Iterable[str], count: int) -> list[str]:
+    """Return the first entries in the rendezvous order of a group."""
+
+    def score(entry_id: str) -> bytes:
+        return _rendezvous_score(group, entry_id)
+
+    return sorted(entry_ids, key=score, reverse=True)[:count]
+
+
 def _rendezvous_score(group: str, entry_id: str) -> bytes:
     return hashlib.blake2b(
         f"{group}\0{entry_id}".encode(), digest_size=SCORE_BYTES
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -38,6 +38,8 @@
         "Attempts placed in another zone than that of their entry",
         ("stage", "zone", "upstream_zone"),
     )
+    USAGE_REPORTS = Metric("Usage reports sent", ("result",))
+    USAGE_REPORTS_LATE = Metric("Usage reports accepted too late")
 
 
 class Duration(Enum):
@@ -68,6 +70,7 @@
     ENTRIES = Metric("Entries known, this one included")
     UPSTREAMS_REACHABLE = Metric("0 where this entry can't reach any upstream")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
+    DUTY_HELD = Metric("1 where this entry holds a duty", ("duty",))
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
     CALLS_WAITING = Metric("Plain calls that wait here for an upstream", ("service",))
     STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
