http client: a long request body isn't copied to be sent

Callers saw nothing. Memory for bodies was held twice while they were sent, which the budget of messages counts once.

--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -87,13 +87,9 @@
     async def send_request(
         self, method: str, target: str, headers: Headers, body: bytes = b""
     ) -> None:
-        """Send a complete request in one write."""
+        """Send a complete request, in one write unless it is long."""
         head = self._request_head(method, target, headers, len(body))
-        data = self._h11.send(head)
-        if body:
-            data += self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._send_remainder(data)
+        await self._send_remainder(self._h11.send(head), *self._body_parts(body))
 
     async def send_request_head(
         self, method: str, target: str, headers: Headers, body_bytes: int
@@ -116,19 +112,25 @@
 
     async def send_request_body(self, body: bytes) -> None:
         """Send the body of a request opened by ``send_request_head``."""
-        data = self._h11.send(h11.Data(data=body))
-        data += self._h11.send(h11.EndOfMessage())
-        await self._send_remainder(data)
+        await self._send_remainder(*self._body_parts(body))
 
-    async def _send_remainder(self, data: bytes) -> None:
-        """Send the last bytes of a request.
+    def _body_parts(self, body: bytes) -> list[bytes]:
+        data = h11.Data(data=body)
+        parts = self._h11.send_with_data_passthrough(data) if body else []
+        return [*parts, self._h11.send(h11.EndOfMessage())]
+
+    async def _send_remainder(self, *parts: bytes) -> None:
+        """Send the last bytes of a request; a long body isn't copied.
 
         If the write is interrupted, the server still expects the rest, and the
         connection can't be reused.
         """
         self.has_sent_bytes = True
         self._is_send_complete = False
-        await self.sock.sendall(data)
+        if sum(map(len, parts)) <= READ_BYTES:
+            parts = (b"".join(parts),)
+        for part in parts:
+            await self.sock.sendall(part)
         self._is_send_complete = True
 
     def _request_head(
