clients: bounds on bytes read ahead, unread answers, connections and bodies

Callers saw an entry that ran out of memory and was killed, or had no descriptors left, while other clients pipelined requests and read no answers.

Cause: wait_for_close counted pipelined bytes anew for each request and passed them to h11; nothing stopped reading a connection whose answers weren't read; the kernel's send buffer took megabytes of answers; a body wasn't counted once it was complete; connections had no bound.

Change: - client_socket.py reads at most limits.pipelined_bytes ahead of the current request and then polls for the end of the connection; a write during which the client takes nothing for limits.write_timeout_s resets the connection; limits.unsent_bytes bounds what the kernel holds unsent. - A complete request body counts in the memory budget until its request has ended. The budget follows memory_mb; without it, it is what it was. - connection_limit.py: connections of callers and of each info server are bounded by memory_mb and max_fds; the next one gets 503 and is closed.

--- a/tests/test_stop_faults.py
+++ b/tests/test_stop_faults.py
@@ -20,7 +20,9 @@
 from wisteriaarch.connection.caller_server import CallerServer
 from wisteriaarch.events import EventLog
 from wisteriaarch.process.gateway_settings import GatewaySettings
+from wisteriaarch.process.limit_reports import LimitReports
 from wisteriaarch.process.metrics import Metrics
+from wisteriaarch.process.settings_models import LimitSettings
 from wisteriaarch.process.settings_watch import SettingsWatch
 from wisteriaarch.process.signals import StopSignals
 
@@ -38,7 +40,7 @@
         self.log = EventLog("stop")
         self.metrics = Metrics()
         self.closing = False
-        limits = SimpleNamespace(head_bytes=8192, body_bytes=8192, idle_timeout_s=10.0)
+        limits = LimitSettings(head_bytes=8192, body_bytes=8192, idle_timeout_s=10.0)
         self.settings = SimpleNamespace(limits=limits)
 
     def time_left_s(self):
@@ -52,7 +54,10 @@
 
 
 async def serve(app, sock):
-    server = CallerServer(lambda client: CallerConnection(client, app), app.log)
+    reports = LimitReports(app.metrics, app.log)
+    server = CallerServer(
+        lambda client: CallerConnection(client, app, reports), app.log
+    )
     await server.start(sock)
     return server
 
--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -1,5 +1,6 @@
 """Connection to one caller: reads requests, runs them and writes the answers."""
 
+import contextlib
 import json
 from dataclasses import dataclass
 
@@ -10,8 +11,10 @@
 from ..events import Event
 from ..http_server import BODY_TIMEOUT_S, HttpServerConnection
 from ..process.clock import now_s
+from ..process.limit_reports import ClientLimit, LimitReports
 from ..process.metrics import Count, Duration
 from ..wire import Headers, HttpRequest
+from .connection_limit import bounded_socket
 from .problem import PROBLEM_HEADERS, problem_content
 
 CLOSE_HEADER = ("Connection", "close")
@@ -42,10 +45,11 @@
     the handler hasn't set one.
     """
 
-    def __init__(self, sock, app):
+    def __init__(self, sock, app, reports: LimitReports):
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         limits = app.settings.limits
         self._app = app
+        self._reports = reports
         self._metrics = app.metrics
         self.request_id = ""
         self._started_at_s = 0.0
@@ -60,17 +64,17 @@
         self._is_cut = False
         self._idle_timeout_s = limits.idle_timeout_s
         self._conn = HttpServerConnection(
-            sock, max_head_bytes=limits.head_bytes, max_body_bytes=limits.body_bytes
+            bounded_socket(sock, limits, self._report_limit),
+            max_head_bytes=limits.head_bytes,
+            max_body_bytes=limits.body_bytes,
         )
 
     async def serve(self) -> None:
         """Serve requests until the connection ends."""
         self._task = await curio.current_task()
-        try:
+        with contextlib.suppress(OSError), self._conn:
             while await self._serve_one():
                 pass
-        except OSError:
-            return
 
     async def close_when_idle(self) -> None:
         """End the connection unless its next request arrives within CLOSING_TIMEOUT_S.
@@ -193,6 +197,11 @@
         self._is_cut = True
         self._write_log(Event.REQUEST_CUT, phase=self._phase())
 
+    def _report_limit(self, limit: ClientLimit) -> None:
+        self._reports.report(
+            limit, server="callers", request=self.request_id, path=self._path
+        )
+
     def _phase(self) -> str:
         if self._reading_body:
             return "reading"
--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -10,6 +10,7 @@
 from ..process.supervision import run_step, run_supervised
 from ..sockets import accept_client
 from .caller_connection import CallerConnection
+from .connection_limit import ConnectionLimit
 from .handshake_filter import drop_new_handshakes
 
 CLOSE_POLL_EVERY_S = 0.05
@@ -19,9 +20,15 @@
 class CallerServer:
     """Accepts callers on a listening socket and serves each in its own task."""
 
-    def __init__(self, new_connection: Callable[..., CallerConnection], log: EventLog):
+    def __init__(
+        self,
+        new_connection: Callable[..., CallerConnection],
+        log: EventLog,
+        limit: ConnectionLimit | None = None,
+    ):
         self._new_connection = new_connection
         self._log = log
+        self._limit = limit
         self._connections: set[CallerConnection] = set()
         self._sock: Any = None
         self._accept_task: curio.Task | None = None
@@ -106,6 +113,8 @@
             await self._start(await accept_client(sock, self._log))
 
     async def _start(self, client) -> None:
+        if self._limit and not await self._limit.admit(client):
+            return
         conn = self._new_connection(client)
         self._connections.add(conn)
         await curio.spawn(self._serve, conn, client, daemon=True)
@@ -116,3 +125,5 @@
                 await conn.serve()
         finally:
             self._connections.discard(conn)
+            if self._limit:
+                self._limit.release()
--- a/wisteriaarch/connection/info_server.py
+++ b/wisteriaarch/connection/info_server.py
@@ -1,13 +1,16 @@
 """HTTP server for information about the entry itself, such as its status."""
 
+import contextlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..errors import ANSWERS, RequestError
 from ..events import EventLog
 from ..http_server import HttpServerConnection
+from ..process.settings_models import LimitSettings
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, Headers, HttpRequest
+from .connection_limit import ConnectionLimit, bounded_socket
 
 IDLE_TIMEOUT_S = 30.0
 HEAD_MAX_BYTES = 16 * 1024
@@ -35,24 +38,32 @@
         address: Address,
         answer: Callable[[HttpRequest], InfoAnswer],
         log: EventLog,
+        limit: ConnectionLimit,
+        limits: LimitSettings,
     ):
         self._setting = setting
         self._address = address
         self._answer = answer
         self._log = log
+        self._limit = limit
+        self._limits = limits
 
     async def run(self) -> None:
         """Serve requests forever."""
         sock = listen_on(self._setting, self._address)
-        await serve_clients(sock, self._serve, self._log)
+        await serve_clients(sock, self._serve, self._log, self._limit)
 
     async def _serve(self, client) -> None:
-        conn = HttpServerConnection(client, HEAD_MAX_BYTES, BODY_MAX_BYTES)
-        try:
+        with (
+            contextlib.suppress(OSError),
+            HttpServerConnection(
+                bounded_socket(client, self._limits, self._limit.report),
+                HEAD_MAX_BYTES,
+                BODY_MAX_BYTES,
+            ) as conn,
+        ):
             while await self._serve_one(conn):
                 pass
-        except OSError:
-            return
 
     async def _serve_one(self, conn: HttpServerConnection) -> bool:
         try:
--- a/wisteriaarch/emulator/server.py
+++ b/wisteriaarch/emulator/server.py
@@ -7,6 +7,7 @@
 
 from curio import socket
 
+from ..client_socket import ClientSocket
 from ..errors import WisteriaError
 from ..events import EventLog
 from ..http_server import HttpServerConnection
@@ -32,8 +33,10 @@
 
     async def serve_connection(client) -> None:
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        conn = HttpServerConnection(client)
-        with contextlib.suppress(OSError, WisteriaError):
+        with (
+            contextlib.suppress(OSError, WisteriaError),
+            HttpServerConnection(ClientSocket(client)) as conn,
+        ):
             await _serve_requests(conn, handler, read_body)
 
     await serve_clients(sock, serve_connection, EventLog("emulator"))
--- a/wisteriaarch/emulator/service.py
+++ b/wisteriaarch/emulator/service.py
@@ -79,7 +79,7 @@
     """Send the head and half of the announced body; returns False."""
     body = json.dumps(content).encode()
     head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-    await conn.sock.sendall(head.encode() + body[: len(body) // 2])
+    await conn.client.write(head.encode() + body[: len(body) // 2])
     return False
 
 
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -8,7 +8,7 @@
 import curio
 
 from .connection.caller_connection import AnswerForm, CallerConnection
-from .connection.caller_server import CallerServer
+from .connection.client_servers import ClientServers
 from .connection.peer_network import PeerNetwork
 from .connection.relay_server import RelayServer
 from .connection.upstream_connector import UpstreamConnector
@@ -149,7 +149,8 @@
         self.peers.hooks.blocks = self.requests.blocks.export
         self.peers.hooks.apply_blocks = self.requests.blocks.merge
         self._routes = Routes(self)
-        self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
+        servers = ClientServers(settings, self.metrics, self.log)
+        self._callers = servers.callers(self)
 
     def _is_first_entry(self) -> bool:
         own_id = self.settings.entry_id
--- a/wisteriaarch/errors.py
+++ b/wisteriaarch/errors.py
@@ -173,6 +173,10 @@
     """The connection ended before a message was complete."""
 
 
+class AnswerUnread(ConnectionError):
+    """A client took nothing of its answer for too long."""
+
+
 class PlatformError(WisteriaError):
     """The platform's table, object store or instance list gave no valid response."""
 
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -8,28 +8,15 @@
 
 import contextlib
 from collections.abc import Iterator
-from dataclasses import dataclass
 from enum import Enum
 from typing import Any
 
 import logbook
 
+from .event_kind import EventKind
 from .log_budget import Importance
 
 
-@dataclass(frozen=True)
-class EventKind:
-    """Number, level, message and importance of an event.
-
-    The importance decides which lines are suppressed first under the log budget.
-    """
-
-    number: int
-    level: int
-    message: str
-    importance: Importance = Importance.STATE
-
-
 class Event(Enum):
     """Every event that the program logs."""
 
@@ -135,6 +122,9 @@
         "request cut as its entry ends",
         Importance.REQUIRED,
     )
+    CLIENT_LIMIT_REACHED = EventKind(
+        306, logbook.WARNING, "limit on clients took effect", Importance.FAILURE
+    )
     ATTEMPT_PLACED = EventKind(
         310, logbook.INFO, "attempt placed on an upstream", Importance.PROGRESS
     )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -3,15 +3,14 @@
 import json
 import random
 from collections.abc import Awaitable, Callable
-from functools import partial
 from itertools import islice
 
 import curio
 
 from .adapter import PlatformAdapter
 from .connection.caller_connection import AnswerForm, CallerConnection
-from .connection.caller_server import CallerServer
-from .connection.info_server import InfoAnswer, InfoServer
+from .connection.client_servers import ClientServers
+from .connection.info_server import InfoAnswer
 from .connection.planned_stop import PlannedStop
 from .connection.relay_client import RelayClient
 from .connection.relay_server import RelayServer
@@ -29,7 +28,6 @@
 from .process.lease_record import Contender
 from .process.metrics import Metrics
 from .process.scheduler_choice import SchedulerChoice
-from .process.settings_models import AddressSettings
 from .process.settings_watch import SettingsWatch
 from .process.signals import RELOAD_SIGNAL, ProcessSignals
 from .process.stop_schedule import StopSchedule
@@ -64,6 +62,7 @@
         self.settings = settings
         self.log = EventLog(settings.entry_id)
         self.metrics = Metrics()
+        self._servers = ClientServers(settings, self.metrics, self.log)
         self.closing = False
         self._is_announced = False
         self._adapter = adapter
@@ -118,7 +117,7 @@
             self._stage_supervisor,
             self._connector.paths,
         )
-        self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
+        self._callers = self._servers.callers(self)
 
     def _build_stage_supervisor(self) -> StageSupervisor:
         return StageSupervisor(
@@ -192,16 +191,13 @@
                 RelayServer(self._connector, self.log),
             ).run,
             *([self._stage_supervisor.run] if settings.change_stages else ()),
-            self._info_server("ready", settings.ready, self._answer_info).run,
-            self._info_server("directory", settings.directory, self._answer_info).run,
-            self._info_server(
+            self._servers.info("ready", settings.ready, self._answer_info).run,
+            self._servers.info("directory", settings.directory, self._answer_info).run,
+            self._servers.info(
                 "metrics_port", settings.metrics_address, self._answer_metrics
             ).run,
         ]
 
-    def _info_server(self, field: str, listen: AddressSettings, answer) -> InfoServer:
-        return InfoServer(field, listen.address(), answer, self.log)
-
     async def _stop_gracefully(self, signals: ProcessSignals) -> None:
         self.closing = True
         schedule = self._stop_schedule(signals)
--- a/wisteriaarch/http_server.py
+++ b/wisteriaarch/http_server.py
@@ -4,7 +4,6 @@
 write.
 """
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 from io import BytesIO
 from typing import Any
@@ -13,33 +12,30 @@
 import h11
 from curio import socket
 
+from .client_socket import ClientSocket
 from .errors import ConnectionClosed, ErrorKind, MemoryExhausted, RequestError
 from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
-from .read_turn import ReadTurn
-from .sockets import stop_reading
-from .wire import (
-    READ_BYTES,
-    STATUSES_WITHOUT_BODY,
-    Headers,
-    HttpRequest,
-    decoded_header_list,
-    decoded_headers,
-)
+from .process.limit_reports import ClientLimit
+from .request_head import malformed, no_memory, request_from_event
+from .wire import READ_BYTES, STATUSES_WITHOUT_BODY, Headers, HttpRequest
 
 MAX_HEAD_BYTES = 32 * 1024
 MAX_BODY_BYTES = 16 * 1024 * 1024
 HEAD_TIMEOUT_S = 10.0
 BODY_TIMEOUT_S = 30.0
 LINGER_TIMEOUT_S = 1.0
-PIPELINED_MAX_BYTES = 64 * 1024
-EXCERPT_CHARS = 120
+# What one read may take beyond the end of a head or of a chunked body.
+SMALL_READ_BYTES = 16 * 1024
 
 
 @dataclass
 class HttpServerConnection:
-    """Server side of one accepted connection."""
+    """Server side of one accepted connection.
 
-    sock: Any
+    A context manager that gives the memory of the last body back at its end.
+    """
+
+    client: ClientSocket
     max_head_bytes: int = MAX_HEAD_BYTES
     max_body_bytes: int = MAX_BODY_BYTES
     _h11: h11.Connection = field(init=False)
@@ -47,14 +43,21 @@
     _expects_response_body: bool = True
     _chunked: bool = False
     _is_writing: bool = False
-    _reading_stopped: bool = False
-    _turn: ReadTurn = field(default_factory=ReadTurn)
+    _read_bytes: int = SMALL_READ_BYTES
+    _reservation: Reservation = field(init=False)
     _budget: MemoryBudget = PROCESS_BUDGET
 
     def __post_init__(self):
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=self.max_head_bytes
         )
+        self._reservation = Reservation(self.client.stop_reading)
+
+    def __enter__(self) -> "HttpServerConnection":
+        return self
+
+    def __exit__(self, *exc_info) -> None:
+        self._budget.release(self._reservation)
 
     async def read_head(self, timeout_s: float = HEAD_TIMEOUT_S) -> HttpRequest | None:
         """Read the next request head; None if the client closed or stayed idle.
@@ -68,13 +71,13 @@
         except curio.TaskTimeout:
             return None
         except h11.RemoteProtocolError as exc:
-            raise _malformed(exc, self.max_head_bytes) from exc
+            raise malformed(exc, self.max_head_bytes) from exc
         except OSError:
             return None
         if not isinstance(event, h11.Request):
             return None
         self._expects_response_body = event.method != b"HEAD"
-        req = _request_from_event(event)
+        req = request_from_event(event)
         self._declared_body_bytes = int(req.headers.get("content-length", "0"))
         return req
 
@@ -82,12 +85,11 @@
         """Read the body; raises RequestError if it is malformed, slow or too large."""
         if self._declared_body_bytes > self.max_body_bytes:
             raise self._body_too_large(str(self._declared_body_bytes))
-        reservation = Reservation(self._stop_reading)
         # Its end frees the memory, also where an exception still refers to the buffer.
         with BytesIO() as body:
             try:
                 async with curio.timeout_after(timeout_s):
-                    await self._receive_body(body, reservation)
+                    await self._receive_body(body)
             except curio.TaskTimeout as exc:
                 raise RequestError(
                     ErrorKind.REQUEST_TIMEOUT,
@@ -97,27 +99,33 @@
                     expected="the whole body",
                 ) from exc
             except (h11.RemoteProtocolError, ConnectionClosed, MemoryExhausted) as exc:
-                if reservation.is_revoked:
-                    raise _no_memory() from exc
+                if self._reservation.is_revoked:
+                    self.client.on_limit(ClientLimit.MEMORY)
+                    raise no_memory() from exc
                 if isinstance(exc, h11.RemoteProtocolError):
-                    raise _malformed(exc, self.max_head_bytes) from exc
+                    raise malformed(exc, self.max_head_bytes) from exc
                 raise
             finally:
-                self._budget.release(reservation)
+                self._read_bytes = SMALL_READ_BYTES
+                if not self._reservation.is_complete:
+                    self._budget.release(self._reservation)
             return body.getvalue()
 
-    async def _receive_body(self, body: BytesIO, reservation: Reservation) -> None:
-        async for block in self._body_blocks():
+    async def _receive_body(self, body: BytesIO) -> None:
+        self._choose_read_size(0)
+        while (block := await self._next_block()) is not None:
             size = body.tell() + len(block)
             if size > self.max_body_bytes:
                 raise self._body_too_large(f"at least {size}")
-            await self._budget.resize(reservation, size)
+            await self._budget.resize(self._reservation, size)
             body.write(block)
+            self._choose_read_size(size)
+        # The body is held until the request ends, since it may be sent again.
+        self._reservation.is_complete = True
 
-    def _stop_reading(self) -> None:
-        """Make a pending read return; an answer can still be sent."""
-        self._reading_stopped = True
-        stop_reading(self.sock)
+    def _choose_read_size(self, received: int) -> None:
+        missing = self._declared_body_bytes - received
+        self._read_bytes = min(READ_BYTES, max(SMALL_READ_BYTES, missing))
 
     def _body_too_large(self, size: str) -> RequestError:
         return RequestError(
@@ -128,32 +136,24 @@
             expected=f"at most {self.max_body_bytes} bytes",
         )
 
-    async def _body_blocks(self) -> AsyncIterator[bytes]:
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            else:
-                raise ConnectionClosed("the client closed before the end of the body")
+    async def _next_block(self) -> bytes | None:
+        event = await self._next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        if not isinstance(event, h11.Data):
+            raise ConnectionClosed("the client closed before the end of the body")
+        return bytes(event.data)
 
     async def _next_event(self) -> Any:
         while True:
             if self._h11.they_are_waiting_for_100_continue:
                 await self._send(h11.InformationalResponse(status_code=100, headers=[]))
-            await self._turn.end_if_long()
+            await self.client.end_turn_if_long()
             event = self._h11.next_event()
-            self._turn.count_event()
+            self.client.count_event()
             if event is not h11.NEED_DATA:
                 return event
-            self._h11.receive_data(await self._receive())
-
-    async def _receive(self) -> bytes:
-        await self._turn.end_if_long()
-        data = await self.sock.recv(READ_BYTES)
-        self._turn.count_read(len(data))
-        return data
+            self._h11.receive_data(await self.client.receive(self._read_bytes))
 
     async def _send(self, event: Any) -> None:
         data = self._h11.send(event)
@@ -162,7 +162,7 @@
 
     async def _write(self, data: bytes) -> None:
         self._is_writing = True
-        await self.sock.sendall(data)
+        await self.client.write(data)
         self._is_writing = False
 
     async def send_response(
@@ -226,21 +226,12 @@
         if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
+        self._budget.release(self._reservation)
         return True
 
     async def wait_for_close(self) -> None:
-        """Return once the client has closed its side; pipelined bytes are buffered.
-
-        Never returns once a client has pipelined more than PIPELINED_MAX_BYTES.
-        """
-        pipelined_bytes = 0
-        while pipelined_bytes <= PIPELINED_MAX_BYTES:
-            data = await self._receive()
-            if not data:
-                return
-            pipelined_bytes += len(data)
-            self._h11.receive_data(data)
-        await curio.Event().wait()
+        """Return once the client has closed its side; reads ahead meanwhile."""
+        await self.client.read_ahead()
 
     async def linger(self) -> None:
         """Shut down the sending side, then discard input for up to LINGER_TIMEOUT_S.
@@ -249,52 +240,7 @@
         lose the answer.
         """
         async with curio.ignore_after(LINGER_TIMEOUT_S):
-            await self.sock.shutdown(socket.SHUT_WR)
-            while await self._receive():
-                pass
-            if self._reading_stopped:
+            await self.client.sock.shutdown(socket.SHUT_WR)
+            await self.client.discard_input()
+            if self.client.is_reading_stopped:
                 await curio.sleep(LINGER_TIMEOUT_S)
-
-
-def _request_from_event(event: h11.Request) -> HttpRequest:
-    headers = decoded_headers(event)
-    if "transfer-encoding" in headers and "content-length" in headers:
-        raise RequestError(
-            ErrorKind.MALFORMED_REQUEST,
-            "the body's length is given twice",
-            field="Content-Length",
-            value=headers["content-length"],
-            expected="either Content-Length or Transfer-Encoding, not both",
-        )
-    method = event.method.decode("ascii")
-    return HttpRequest(
-        method,
-        event.target.decode("latin-1"),
-        headers,
-        header_list=decoded_header_list(event),
-    )
-
-
-def _no_memory() -> RequestError:
-    return RequestError(
-        ErrorKind.MEMORY_EXHAUSTED, "too many large requests arrive at the same time"
-    )
-
-
-def _malformed(exc: h11.RemoteProtocolError, max_head_bytes: int) -> RequestError:
-    if exc.error_status_hint == 431:
-        return RequestError(
-            ErrorKind.HEAD_TOO_LARGE,
-            "the request head is too large",
-            field="head",
-            value=f"more than {max_head_bytes} bytes",
-            expected=f"at most {max_head_bytes} bytes",
-        )
-    excerpt = str(exc)[:EXCERPT_CHARS]
-    return RequestError(
-        ErrorKind.MALFORMED_REQUEST,
-        f"the request is malformed: {excerpt}",
-        field="request",
-        value=excerpt,
-        expected="a message of HTTP/1.1 (RFC 9112)",
-    )
--- a/wisteriaarch/log_handler.py
+++ b/wisteriaarch/log_handler.py
@@ -9,7 +9,8 @@
 import logbook
 import logbook.compat
 
-from .events import Event, EventKind
+from .event_kind import EventKind
+from .events import Event
 from .log_budget import Importance, LogBudget
 
 # A buffered progress line is flushed with the first later line after FLUSH_EVERY_S,
--- a/wisteriaarch/memory_budget.py
+++ b/wisteriaarch/memory_budget.py
@@ -43,6 +43,10 @@
     used_bytes: int = 0
     _reservations: set[Reservation] = field(default_factory=set)
 
+    def set_limit(self, message_bytes: int) -> None:
+        """Set both parts of the memory."""
+        self.shared_bytes = self.extra_bytes = message_bytes
+
     async def resize(self, reservation: Reservation, size: int) -> None:
         """Change the size of a reservation; waits while there is no memory.
 
--- a/wisteriaarch/platform/server_emulator.py
+++ b/wisteriaarch/platform/server_emulator.py
@@ -181,7 +181,7 @@
         answer = (
             b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 5\r\n\r\nother"
         )
-        await conn.sock.sendall(answer)
+        await conn.client.write(answer)
 
     async def _stream(
         self, conn: HttpServerConnection, req: HttpRequest, headers: Headers, fault: str
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -55,6 +55,8 @@
     zone: str
     cpu_share: float = Field(default=1.0, gt=0)
     cpu_speed: float = Field(default=1.0, gt=0)
+    memory_mb: int | None = Field(default=None, ge=16)
+    max_fds: int | None = Field(default=None, ge=32)
     front: AddressText
     ready: AddressText
     directory: AddressText
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -30,6 +30,7 @@
     REQUESTS_ANSWERED = Metric("Requests answered", ("status",))
     REQUESTS_REFUSED = Metric("Requests answered with an error", ("kind",))
     REQUESTS_CANCELLED = Metric("Requests whose caller closed the connection")
+    CLIENT_LIMITS_REACHED = Metric("Times that a limit on clients acted", ("limit",))
     TOKENS_RELAYED = Metric("Events of streamed answers relayed to callers")
     CALLS = Metric("Calls on routes that ended", ("kind", "outcome", "cause"))
     ATTEMPTS = Metric("Attempts on upstreams that ended", ("stage", "cause"))
--- a/wisteriaarch/process/settings.py
+++ b/wisteriaarch/process/settings.py
@@ -42,6 +42,8 @@
     lease: LeaseSettings = LeaseSettings()
     log: LogSettings = LogSettings()
     limits: LimitSettings = LimitSettings()
+    memory_mb: int | None = Field(default=None, ge=16)
+    max_fds: int | None = Field(default=None, ge=32)
     heartbeat_every_s: float = Field(default=0.25, gt=0)
     head_poll_every_s: float = Field(default=0.5, gt=0)
     load_poll_every_s: float = Field(default=0.25, gt=0)
--- a/wisteriaarch/process/settings_models.py
+++ b/wisteriaarch/process/settings_models.py
@@ -53,6 +53,10 @@
     body_bytes: int = Field(default=16 * 1024 * 1024, ge=1024)
     requests_in_flight: int = Field(default=2000, ge=1)
     idle_timeout_s: float = Field(default=60.0, gt=0)
+    connections: int | None = Field(default=None, ge=1)
+    pipelined_bytes: int = Field(default=32 * 1024, ge=1024)
+    unsent_bytes: int = Field(default=64 * 1024, ge=1024)
+    write_timeout_s: float = Field(default=5.0, gt=0)
 
 
 def load_model(model: type[ModelT], path: str) -> ModelT:
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -4,7 +4,7 @@
 import errno
 import struct
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Protocol
 
 import curio
 from curio import socket
@@ -62,11 +62,27 @@
         await curio.sleep(ACCEPT_RETRY_DELAY_S)
 
 
+class ConnectionGate(Protocol):
+    """Limit on the number of open connections."""
+
+    async def admit(self, client: Any) -> bool:
+        """Count a new connection, or else refuse and close it."""
+
+    def release(self) -> None:
+        """Count an admitted connection as closed."""
+
+
 async def serve_clients(
-    sock: Any, serve_client: Callable[[Any], Awaitable], log: EventLog
+    sock: Any,
+    serve_client: Callable[[Any], Awaitable],
+    log: EventLog,
+    gate: ConnectionGate | None = None,
 ) -> None:
     """Run ``serve_client`` in a task for each client that connects, until cancelled.
 
+    Only clients that ``gate`` admits are served. It is asked before the next client is
+    accepted, so that a burst of connections doesn't exceed the limit meanwhile.
+
     Cancellation also cancels the tasks and closes the listening socket. curio's own
     server instead waits for a client that is accepted during the cancellation.
     """
@@ -78,12 +94,15 @@
                 await serve_client(client)
         finally:
             tasks.discard(await curio.current_task())
+            if gate:
+                gate.release()
 
     try:
         async with sock:
             while True:
                 client = await accept_client(sock, log)
-                tasks.add(await curio.spawn(serve, client, daemon=True))
+                if gate is None or await gate.admit(client):
+                    tasks.add(await curio.spawn(serve, client, daemon=True))
     finally:
         for task in tuple(tasks):
             await task.cancel()
@@ -94,11 +113,25 @@
 
     A peer that still sends would otherwise learn of the close only after a time.
     """
+    reset_on_close(sock)
     with contextlib.suppress(OSError), sock.blocking() as raw:
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         raw.shutdown(socket.SHUT_RD)
 
 
+def reset_on_close(sock: Any) -> None:
+    """Make the close of a curio socket reset the connection and drop unsent bytes."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+def limit_unsent(sock: Any, size: int) -> None:
+    """Make writes wait while the kernel holds ``size`` bytes that it hasn't sent.
+
+    The send buffer else grows to megabytes before a client that doesn't read is seen.
+    """
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
+
+
 async def open_socket(address: Address, timeout_s: float = CONNECT_TIMEOUT_S) -> Any:
     """Return a connected curio socket; raises OSError on failure or time-out.
 
