clients: unread refusals are counted, and event 306 isn't suppressed by failures

Operators saw neither count nor line where clients left refusals unread: a timer of 5 s around each refusal ended the connection before the write timeout did, and lines of event 306 were suppressed with those of the refusals (importance failure).

--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -12,7 +12,7 @@
 from wisteriaarch.connection.caller_connection import CallerConnection
 from wisteriaarch.connection.caller_server import CallerServer
 from wisteriaarch.connection.connection_limit import ConnectionLimit
-from wisteriaarch.errors import AnswerUnread, RequestError
+from wisteriaarch.errors import AnswerUnread, ErrorKind, RequestError
 from wisteriaarch.events import Event, EventLog
 from wisteriaarch.http_server import HttpServerConnection
 from wisteriaarch.memory_budget import SMALL_BYTES, MemoryBudget
@@ -233,6 +233,34 @@
 
 
 class ConnectionLimitTest(unittest.TestCase):
+    @run
+    async def test_unread_refusals_are_counted_and_end_the_connection(self):
+        """A timer around refusals ended these connections without a trace."""
+
+        async def answer(_req, _conn):
+            raise RequestError(ErrorKind.UNKNOWN_ROUTE, "x" * 4096)
+
+        app = App(answer)
+        limits = {"unsent_bytes": BUFFER_BYTES, "write_timeout_s": 0.2}
+        app.settings.limits = app.settings.limits.model_copy(update=limits)
+        reports = LimitReports(app.metrics, EventLog("limit"))
+        server = CallerServer(
+            lambda client: CallerConnection(client, app, reports), app.log
+        )
+        sock = Socket(socket.create_server(("127.0.0.1", 0)))
+        await server.start(sock)
+        raw = socket.socket()
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES)
+        raw.connect(sock.getsockname())
+        async with Socket(raw) as client:
+            await client.sendall(REQUEST % 1 * 500)
+            while not server.open_connections:
+                await curio.sleep(0.01)
+            while server.open_connections:
+                await curio.sleep(0.01)
+        self.assertIn('{limit="unread_answer"} 1', app.metrics.render())
+        await server.end_requests(1.0)
+
     @run
     async def test_connections_above_the_limit_are_refused_until_one_ends(self):
         """Connections without a bound took all descriptors of the process."""
--- a/wisteriaarch/connection/caller_connection.py
+++ b/wisteriaarch/connection/caller_connection.py
@@ -19,7 +19,6 @@
 
 CLOSE_HEADER = ("Connection", "close")
 JSON_HEADERS = [("Content-Type", "application/json")]
-PROBLEM_TIMEOUT_S = 5.0
 CLOSING_TIMEOUT_S = 0.5
 BODY_TIMEOUT_MIN_S = 0.05
 READ_WAIT = "READ_WAIT"
@@ -222,11 +221,7 @@
             detail=exc.detail,
         )
         self._metrics.count(Count.REQUESTS_REFUSED, exc.kind.value)
-        try:
-            async with curio.timeout_after(PROBLEM_TIMEOUT_S):
-                await self.send_problem(exc)
-        except curio.TaskTimeout as timeout:
-            raise ConnectionError("the caller does not read its answer") from timeout
+        await self.send_problem(exc)
 
     async def send_json(self, content, headers: Headers | None = None) -> None:
         """Send a JSON answer."""
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -123,7 +123,7 @@
         Importance.REQUIRED,
     )
     CLIENT_LIMIT_REACHED = EventKind(
-        306, logbook.WARNING, "limit on clients took effect", Importance.FAILURE
+        306, logbook.WARNING, "limit on clients took effect"
     )
     ATTEMPT_PLACED = EventKind(
         310, logbook.INFO, "attempt placed on an upstream", Importance.PROGRESS
--- a/wisteriaarch/memory_budget.py
+++ b/wisteriaarch/memory_budget.py
@@ -1,8 +1,10 @@
-"""Limit of the memory for messages that are held until they are complete.
+"""Limit of the memory for messages that are held whole.
 
-All connections of a process share it. Small messages are accepted uncounted. Beyond the
-limit, readers wait for memory, except the one that holds most, so that at least one
-makes progress; if they wait too long, the one that holds most is given up.
+All connections of a process share it. A complete request body counts until its request
+has ended, a complete answer until it was passed on. Small messages are accepted
+uncounted. Beyond the limit, readers wait for memory, except the one that holds most, so
+that at least one makes progress; if they wait too long, the one that holds most is
+given up.
 """
 
 from collections.abc import Callable
