--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -127,6 +127,9 @@
         "request cut as its entry ends",
         Importance.REQUIRED,
     )
+    CLIENT_LIMIT_REACHED = EventKind(
+        306, logbook.WARNING, "limit on clients took effect"
+    )
     ATTEMPT_PLACED = EventKind(
         310, logbook.INFO, "attempt placed on an upstream", Importance.PROGRESS
     )
