requests: Request-Urgency follows the priority where there are customers

Callers saw: engines admitted short prompts of a less urgent kind before long ones of an urgent kind, and preempted streams of all kinds alike.

Cause: the header stated the size of a prefill only, and requests that run had none.

Change: each priority of a configuration with customers has its own range of 0 to 9; sizes order the calls of one priority. Runs state it as well. Without customers the headers are as before.

Evidence: tests.test_urgency (6); test_key_check, test_platform_codecs and others, 110 tests in all.

--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -34,6 +34,7 @@
     KvCacheHandle,
     UpstreamProtocol,
 )
+from .urgency import run_urgency
 
 PLACEMENTS_MAX = 4
 RETRY_MIN_REMAINING_S = 0.05
@@ -152,7 +153,9 @@
                 await self._kv_cache_releaser.release_unused(call, kv_cache)
             return
         options = AttemptOptions(
-            fetch_from=plan.decode.fetch_from, resume_after=relay.resume_after
+            fetch_from=plan.decode.fetch_from,
+            resume_after=relay.resume_after,
+            urgency=run_urgency(call),
         )
         async with self._recorder.track_attempt(
             call, plan.decode, AttemptStage.RUN, placement.ticket
@@ -163,7 +166,9 @@
         self, call: RoutedCall, kv_cache: KvCacheHandle, relay: AnswerRelay
     ) -> None:
         placement = await self._placer.place_decode(call, kv_cache.upstream)
-        options = AttemptOptions(kv_cache, resume_after=relay.resume_after)
+        options = AttemptOptions(
+            kv_cache, resume_after=relay.resume_after, urgency=run_urgency(call)
+        )
         async with self._recorder.track_attempt(
             call,
             placement.choice,
--- a/wisteriaarch/request/key_check.py
+++ b/wisteriaarch/request/key_check.py
@@ -15,6 +15,7 @@
 from ..process.metrics import Count, Metrics
 from ..version.route_table import RouteTable
 from .routed_call import RoutedCall
+from .urgency import urgency_range
 
 
 class KeyRefusal(StrEnum):
@@ -109,10 +110,12 @@
 
 
 def _set_customer(call: RoutedCall, table: RouteTable) -> None:
-    if table.customers is None or call.key_digest is None:
+    if table.customers is None:
         return
-    customer = table.customers.find(call.key_digest)
-    call.customer = "" if customer is None else customer.name
-    call.priority = call.route.priority
-    if customer is not None and customer.priority is not None:
-        call.priority = customer.priority
+    if call.key_digest is not None:
+        customer = table.customers.find(call.key_digest)
+        call.customer = "" if customer is None else customer.name
+        call.priority = call.route.priority
+        if customer is not None and customer.priority is not None:
+            call.priority = customer.priority
+    call.urgencies = urgency_range(call.priority, table.priorities)
--- a/wisteriaarch/request/prefill_client.py
+++ b/wisteriaarch/request/prefill_client.py
@@ -13,7 +13,7 @@
 from .placer import Ticket
 from .routed_call import RoutedCall
 from .upstream_protocol import AttemptOptions, KvCacheHandle, UpstreamProtocol
-from .urgency import urgency_of
+from .urgency import prefill_urgency
 
 SUCCESS_STATUS = 200
 
@@ -54,8 +54,9 @@
 
     async def _exchange(self, attempt: TrackedAttempt) -> KvCacheHandle:
         call, upstream = attempt.call, attempt.upstream
-        urgency = urgency_of(call.prompt.own_tokens, call.prioritized)
-        options = AttemptOptions(fetch_from=attempt.choice.fetch_from, urgency=urgency)
+        options = AttemptOptions(
+            fetch_from=attempt.choice.fetch_from, urgency=prefill_urgency(call)
+        )
         req = self._protocol.prefill_request(call, upstream, options)
         async with Exchange(self._pool, self._protocol, call, upstream) as exchange:
             timeout_s = self._timeout_s(call, attempt.choice)
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -90,6 +90,7 @@
     ``key_digest`` identifies the API key of the request, None without one; it is set
     only where the configuration has customers. ``customer`` is the name of the key's
     customer, empty for none, and ``priority`` that customer's, else the route's.
+    ``urgencies`` are those of its priority at engines, None without customers.
     """
 
     call_id: str
@@ -122,6 +123,7 @@
     key_digest: str | None = field(default=None, repr=False)
     customer: str = ""
     priority: int | None = None
+    urgencies: range | None = None
 
     def __post_init__(self):
         if self.priority is None:
--- a/wisteriaarch/version/route_table.py
+++ b/wisteriaarch/version/route_table.py
@@ -100,7 +100,8 @@
 class RouteTable:
     """One version of the routing configuration.
 
-    Without ``customers``, requests carry no API keys.
+    Without ``customers``, requests carry no API keys. ``priorities`` are those of its
+    routes and customers, the most urgent first.
     """
 
     version: int
@@ -108,9 +109,18 @@
     services: dict[str, RoutedService]
     customers: CustomerDirectory | None = None
     _index: RouteIndex = field(init=False, repr=False, compare=False)
+    priorities: tuple[int, ...] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self):
         object.__setattr__(self, "_index", RouteIndex(self.routes))
+        object.__setattr__(self, "priorities", self._find_priorities())
+
+    def _find_priorities(self) -> tuple[int, ...]:
+        found = {route.priority for route in self.routes}
+        if self.customers is not None:
+            customers = self.customers.customers
+            found |= {item.priority for item in customers if item.priority is not None}
+        return tuple(sorted(found))
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of a path."""
