--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -23,8 +23,15 @@
 from .routed_call import RoutedCall
 from .shared_prefill import OnWait, ignore_wait, wait_for_prefix
 from .size_fairness import SizeFairness
-from .stage_plan import FleetLoad, StagePlan, plan_stages
+from .stage_plan import (
+    FleetLoad,
+    StagePlan,
+    StageTransfers,
+    fleet_prefill_rate,
+    plan_stages,
+)
 from .urgency import queue_ahead_s
+from .zone_cost import ZoneCosts
 
 UNSERVABLE_RETRY_MIN_S = 0.3
 
@@ -48,6 +55,7 @@
         prefill_rate: Callable[[str], float],
         handoff_s: Callable[[str], float],
         log: EventLog,
+        zone_costs: ZoneCosts,
     ):
         self._finder = finder
         self._utilization = utilization
@@ -55,6 +63,7 @@
         self._prefill_rate = prefill_rate
         self._handoff_s = handoff_s
         self._log = log
+        self._zone_costs = zone_costs
         self._queues = PrefillQueues(finder.has_customers)
 
     async def plan(
@@ -180,22 +189,7 @@
     def _fleet_rate(
         self, service: str, candidates: list[Candidate], tokens: int
     ) -> float:
-        """Return the combined prefill rate of the prefill stage, in tokens a second.
-
-        An engine with a request limit prefills no more prompts than that allows;
-        ``tokens`` is the size of a prompt.
-        """
-        rate = self._prefill_rate(service)
-        prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
-        limited_rates = [
-            item.limit_per_s * max(1, tokens)
-            for item in prefills
-            if item.limit_per_s * max(1, tokens) < rate
-        ]
-        unlimited = len(prefills) - len(limited_rates)
-        if not limited_rates:
-            return max(1, unlimited) * rate
-        return unlimited * rate + sum(limited_rates)
+        return fleet_prefill_rate(candidates, self._prefill_rate(service), tokens)
 
     def _record_demand(self, call: RoutedCall, choice: Choice) -> None:
         """Record the demand of a queued prompt.
@@ -234,6 +228,9 @@
             self._fleet_load(call, candidates),
             call.zone,
             call.route.pause_s,
+            StageTransfers(
+                self._zone_costs.for_prefill(call), self._zone_costs.for_direct(call)
+            ),
         )
         choice = plan.prefill
         if choice is None or choice.prefill_tokens < LONG_PREFILL_TOKENS:
