service queue: fair order between customers

Callers saw: plain calls of a large customer delayed those of the others.

Cause: the queue ordered calls of one priority by arrival.

Change: the queue uses the order of fair_queue; without customers all calls share one turn, which is the order of arrival as before.

--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -9,6 +9,7 @@
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.upstreams import UpstreamRegistry
+from wisteriaarch.request.fair_queue import Turn
 from wisteriaarch.request.routed_call import RoutedCall
 from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
 from wisteriaarch.request.service_queue import ServiceQueue, WaitingCall
@@ -72,10 +73,18 @@
     def test_expected_wait_counts_what_goes_before(self):
         self.queue._calls += [waiting(0.1 + n / 100) for n in range(10)]
         self.queue._calls += [waiting(0.1, priority=2) for _ in range(10)]
-        self.assertAlmostEqual(self.queue.expected_wait_s(1, 0.5, 1.0, 10.0), 0.1)
-        self.assertAlmostEqual(self.queue.expected_wait_s(0, 0.5, 1.0, 10.0), 0.0)
-        self.assertAlmostEqual(self.queue.expected_wait_s(2, 0.5, 1.0, 10.0), 0.2)
-        self.assertEqual(self.queue.expected_wait_s(1, 0.5, 1.0, 0.0), float("inf"))
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(1, "", 0.5), 1.0, 10.0), 0.1
+        )
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(0, "", 0.5), 1.0, 10.0), 0.0
+        )
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(2, "", 0.5), 1.0, 10.0), 0.2
+        )
+        self.assertEqual(
+            self.queue.expected_wait_s(Turn(1, "", 0.5), 1.0, 0.0), float("inf")
+        )
 
     def test_overdue_call_counts_on_what_others_leave(self):
         """Calls on time use 0.8 of the capacity: other work takes 5 times as long."""
@@ -83,7 +92,7 @@
         for _ in range(80):
             self.queue.record_accepted(1, 0.1)
         self.assertAlmostEqual(
-            self.queue.expected_wait_s(1, 0.5, -0.1, 10.0), 0.5, places=3
+            self.queue.expected_wait_s(Turn(1, "", 0.5), -0.1, 10.0), 0.5, places=3
         )
 
 
--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -7,7 +7,7 @@
 import math
 from collections import defaultdict
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 
 from ..errors import ErrorKind, RequestError
@@ -16,6 +16,7 @@
 from ..process.service_times import ServiceTimes
 from .candidate import Candidate, Choice
 from .candidate_finder import CandidateFinder
+from .fair_queue import Turn
 from .placement import place_service_call
 from .routed_call import RoutedCall
 from .service_queue import POLL_INTERVAL_S, ServiceQueue, WaitingCall
@@ -34,9 +35,9 @@
     wait_s: float
 
 
-def priority_of(call: RoutedCall) -> int:
-    """Return the priority of a call; 0 is the most urgent."""
-    return call.route.priority
+def turn_of(call: RoutedCall) -> Turn:
+    """Return the place of a call in the order; without customers they share one."""
+    return Turn(call.priority, call.customer, call.arrived_at_s)
 
 
 class ServicePlanner:
@@ -73,7 +74,7 @@
         RequestError if the call can't be answered before its deadline.
         """
         queue = self._queues[call.service]
-        priority, work_s = priority_of(call), self._service_s(call)
+        turn, work_s = turn_of(call), self._service_s(call)
         on_time_within_s = self._on_time_within_s(call, work_s)
         if call.placements == 0:
             self._zone_costs.record_demand(call, work_s)
@@ -82,25 +83,24 @@
             choice = None
         if choice is None:
             wait_s = queue.expected_wait_s(
-                priority, call.arrived_at_s, on_time_within_s, capacity_of(candidates)
+                turn, on_time_within_s, capacity_of(candidates)
             )
             if wait_s + work_s > call.remaining_s():
-                raise _refusal_error(call, wait_s)
+                raise self._refuse(call, wait_s)
         if on_time_within_s >= 0:
-            queue.record_accepted(priority, work_s)
-        if choice is not None:
-            return choice
-        await on_wait()
-        return await self._wait(call, candidates, work_s)
+            queue.record_accepted(call.priority, work_s)
+        if choice is None:
+            await on_wait()
+            choice = await self._wait(call, candidates, work_s)
+        queue.record_dispatched(turn, work_s)
+        return choice
 
     def _is_behind_others(self, call: RoutedCall, choice: Choice) -> bool:
         """Whether a call would overtake calls that wait for the same upstreams."""
         group = self._group(call)
         if group and choice.candidate.upstream.zone != group:
             return False
-        ahead_s = self._queues[call.service].work_ahead_s(
-            priority_of(call), call.arrived_at_s, group
-        )
+        ahead_s = self._queues[call.service].work_ahead_s(turn_of(call), group)
         return ahead_s > 0
 
     def _group(self, call: RoutedCall) -> str:
@@ -115,14 +115,12 @@
         find = partial(self._finder.current, call)
 
         def refuse() -> Refusal:
-            wait_s = queue.expected_wait_s(
-                priority_of(call), now_s(), 0.0, capacity_of(find())
-            )
-            return Refusal(wait_s)
+            turn = replace(turn_of(call), arrived_at_s=now_s())
+            return Refusal(queue.expected_wait_s(turn, 0.0, capacity_of(find())))
 
         decision = await queue.wait(
             WaitingCall(
-                priority_of(call),
+                call.priority,
                 call.arrived_at_s,
                 on_time_until_s=waits_from_s + self._on_time_within_s(call, work_s),
                 unservable_at_s=waits_from_s + call.remaining_s() - work_s,
@@ -131,6 +129,7 @@
                 decide=lambda: self._decide(call, find(), own_work_s=work_s),
                 refuse=refuse,
                 group=self._group(call),
+                customer=call.customer,
             )
         )
         is_refused = isinstance(decision, Refusal)
@@ -141,9 +140,14 @@
             reason="deadline" if is_refused else "free slot",
         )
         if is_refused:
-            raise _refusal_error(call, decision.wait_s)
+            raise self._refuse(call, decision.wait_s)
         return decision
 
+    def _refuse(self, call: RoutedCall, wait_s: float) -> RequestError:
+        """Return the error of a call that can't meet its deadline."""
+        self._queues[call.service].record_refused(turn_of(call))
+        return _refusal_error(call, wait_s)
+
     def _decide(
         self,
         call: RoutedCall,
--- a/wisteriaarch/request/service_queue.py
+++ b/wisteriaarch/request/service_queue.py
@@ -7,6 +7,9 @@
 can still meet their objective go before overdue ones, in order of arrival. A call that
 can't meet its deadline is refused as soon as that is known.
 
+Between customers the order of ``fair_queue`` holds; without customers that is the order
+of arrival.
+
 Work is counted in seconds on an upstream of average speed, and the capacity of a
 service in such seconds a second.
 """
@@ -20,6 +23,7 @@
 
 from ..process.clock import now_s
 from ..process.stage_utilization import DECAY_S, DecayingSum
+from .fair_queue import FairOrder, Turn
 
 POLL_INTERVAL_S = 0.005
 # Calls of a group that are evaluated although those before them had to wait.
@@ -52,12 +56,19 @@
     decide: Callable[[], Decision | None]
     refuse: Callable[[], Decision]
     group: str = ""
+    customer: str = ""
     decision: Decision | None = None
     decided: curio.Event = field(default_factory=curio.Event)
 
-    def order(self, at_s: float) -> tuple[int, bool, float]:
-        """Return the sort key at a time."""
-        return (self.priority, at_s > self.on_time_until_s, self.arrived_at_s)
+    @property
+    def turn(self) -> Turn:
+        """Place in the order."""
+        return Turn(self.priority, self.customer, self.arrived_at_s)
+
+    @property
+    def cost(self) -> float:
+        """Expected work."""
+        return self.work_s
 
 
 class ServiceQueue(Generic[Decision]):
@@ -67,6 +78,7 @@
         self._clock = clock
         self._calls: list[WaitingCall[Decision]] = []
         self._on_time_work: dict[int, DecayingSum] = defaultdict(DecayingSum)
+        self._order = FairOrder()
         self._is_polling = False
 
     def __len__(self) -> int:
@@ -76,20 +88,25 @@
         """Return the waiting work of a group."""
         return sum(item.work_s for item in self._calls if item.group == group)
 
-    def work_ahead_s(
-        self, priority: int, arrived_at_s: float, group: str | None = None
-    ) -> float:
+    def waiting(self) -> list[Turn]:
+        """Return the turns of the calls that wait."""
+        return [item.turn for item in self._calls]
+
+    def work_ahead_s(self, turn: Turn, group: str | None = None) -> float:
         """Return the waiting work before a call that can still meet its objective.
 
         With ``group`` only calls of that group count.
         """
-        now = self._clock()
-        order = (priority, False, arrived_at_s)
-        return sum(
-            item.work_s
-            for item in self._calls
-            if item.order(now) < order and group in (None, item.group)
-        )
+        calls = [item for item in self._calls if group in (None, item.group)]
+        return self._order.cost_ahead(turn, calls, self._clock())
+
+    def record_dispatched(self, turn: Turn, work_s: float) -> None:
+        """Record a call that is sent to an upstream, whether it waited or not."""
+        self._order.charge(turn, work_s, self._calls, self._clock())
+
+    def record_refused(self, turn: Turn) -> None:
+        """Record a call that is refused, whether it waited or not."""
+        self._order.refuse(turn, self._clock())
 
     def record_accepted(self, priority: int, work_s: float) -> None:
         """Record a call that can meet its objective, whether it waits or not."""
@@ -106,28 +123,25 @@
         return max(SHARE_MIN, 1 - work_s / DECAY_S / max(capacity, 1e-9))
 
     def expected_wait_s(
-        self,
-        priority: int,
-        arrived_at_s: float,
-        on_time_within_s: float,
-        capacity: float,
+        self, turn: Turn, on_time_within_s: float, capacity: float
     ) -> float:
         """Return how long a call would wait that arrives now.
 
         It is on time if it starts within ``on_time_within_s``. A call that can't be
-        waits behind all others of its priority and uses what they leave.
+        waits behind those of its priority that can, and uses what they leave.
         """
         if capacity <= 0:
             return float("inf")
-        share = self._share_left(priority - 1, capacity)
-        wait_s = self.work_ahead_s(priority, arrived_at_s) / (capacity * share)
+        share = self._share_left(turn.priority - 1, capacity)
+        wait_s = self.work_ahead_s(turn) / (capacity * share)
         if wait_s <= on_time_within_s:
             return wait_s
-        work_s = sum(item.work_s for item in self._calls if item.priority <= priority)
-        return work_s / (capacity * self._share_left(priority, capacity))
+        work_s = self._order.cost_ahead(turn, self._calls, self._clock(), True)
+        return work_s / (capacity * self._share_left(turn.priority, capacity))
 
     async def wait(self, call: WaitingCall[Decision]) -> Decision:
         """Queue a call and return the decision on it."""
+        self._order.enter(call.turn)
         self._calls.append(call)
         try:
             if not self._is_polling:
@@ -157,7 +171,7 @@
         and other calls may be removed meanwhile.
         """
         now = self._clock()
-        ordered = sorted(self._calls, key=lambda call: call.order(now))
+        ordered = self._order.sort(self._calls, now)
         for call in self._find_unservable(ordered, now):
             ordered.remove(call)
             if call in self._calls:
