--- a/wisteriaarch/request/fair_queue.py
+++ b/wisteriaarch/request/fair_queue.py
@@ -176,15 +176,18 @@
         """Return the work that goes before a call that arrives now."""
         on_time_until_s = float("-inf") if is_overdue else float("inf")
         arriving = ArrivingCall(turn, on_time_until_s)
-        keys = self._keys([*calls, arriving], at_s)
+        ahead = sum(call.cost for call in calls if call.turn.priority < turn.priority)
+        same = [call for call in calls if call.turn.priority == turn.priority]
+        keys = self._keys([*same, arriving], at_s)
         own_key = next(key for key, call in keys if call is arriving)
-        return sum(call.cost for key, call in keys if key < own_key)
+        return ahead + sum(call.cost for key, call in keys if key < own_key)
 
     def _keys(self, calls: Iterable[Call], at_s: float) -> list[tuple[tuple, Call]]:
         """Return the calls with their sort keys."""
         by_customer: dict[tuple[int, str], list[Call]] = defaultdict(list)
         for call in calls:
-            by_customer[call.turn.priority, call.turn.customer].append(call)
+            turn = call.turn
+            by_customer[turn.priority, turn.customer].append(call)
         keys = []
         for (priority, customer), own in by_customer.items():
             shares = self._shares.get(priority)
--- a/wisteriaarch/request/prefill_queue.py
+++ b/wisteriaarch/request/prefill_queue.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Callable, Generator, Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Generic, TypeVar
 
 import curio
@@ -59,7 +60,7 @@
         """Sort key: prioritized calls first, then by arrival."""
         return (not self.prioritized, self.arrived_at_s)
 
-    @property
+    @cached_property
     def turn(self) -> Turn:
         """Place in a queue that is fair between customers."""
         return Turn(self.priority, self.customer, self.arrived_at_s, self.prioritized)
--- a/wisteriaarch/request/service_queue.py
+++ b/wisteriaarch/request/service_queue.py
@@ -17,6 +17,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Generic, TypeVar
 
 import curio
@@ -60,7 +61,7 @@
     decision: Decision | None = None
     decided: curio.Event = field(default_factory=curio.Event)
 
-    @property
+    @cached_property
     def turn(self) -> Turn:
         """Place in the order."""
         return Turn(self.priority, self.customer, self.arrived_at_s)
