--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -139,10 +139,7 @@
         Importance.PROGRESS,
     )
     CALL_QUEUED = EventKind(
-        315,
-        logbook.INFO,
-        "call waited for an upstream that can begin it",
-        Importance.PROGRESS,
+        315, logbook.INFO, "call waited for a free upstream", Importance.PROGRESS
     )
     CALL_LEFT_ZONE = EventKind(
         318, logbook.INFO, "call placed outside its zone", Importance.PROGRESS
