tests: a large customer's overload of plain services

Callers saw (replay): with one customer at 20 times the rate of 80 others, at twice the capacity, calls of small customers were answered up to 9 times less than with equal shares, in 20 s.

Change: the replay of plain calls has customers.

Evidence: tests.test_customer_shares.PlainServiceTest: none below its equal share at 1.2 and 2 times the capacity; at 4 times up to 2 calls of some 20 below.

--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -1,5 +1,6 @@
 """Replays of overloads with customers and kinds of calls of several priorities."""
 
+import random
 import unittest
 from collections import Counter, defaultdict
 
@@ -15,6 +16,9 @@
 from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
 from wisteriaarch.request.shared_retry_budget import SharedRetryBudget
 
+from .service_replay import ZONES, Load, ServiceReplay
+
+SPEEDS = {"z1": (0.55,), "z2": (1.0,), "z3": (1.2,)}
 RATE = 50_000.0
 COSTS = EngineCosts(RATE, 1e6, 0.005, 0.001, 1e-4, 16, 442_000)
 PREFILLS = 6
@@ -204,3 +208,62 @@
             ends.append([(item.number, end) for item, end in requests])
         self.assertEqual(*ends)
         self.assertIn("refused", {end for _number, end in ends[0]})
+
+
+class CustomerServiceReplay(ServiceReplay):
+    """Replay of plain calls, 20 of 100 from one customer and one from each other."""
+
+    def __init__(self, load: Load):
+        super().__init__(load)
+        self._customer_rng = random.Random(1)
+        self.customers: dict[float, str] = {}
+        self.ends: dict[float, str] = {}
+
+    async def _run(self, entry, call, asked_at_s, second):
+        if asked_at_s not in self.customers:
+            weights = [item.weight for item in CUSTOMERS]
+            (customer,) = self._customer_rng.choices(CUSTOMERS, weights)
+            self.customers[asked_at_s] = customer.name
+        call.customer = self.customers[asked_at_s]
+        outcome = await super()._run(entry, call, asked_at_s, second)
+        self.ends[asked_at_s] = outcome[0]
+        return outcome
+
+
+class PlainServiceTest(unittest.TestCase):
+    """Load: a large customer beside 80 small ones on three uneven plain upstreams."""
+
+    SERVICE_S = 0.2
+
+    def check(self, load, tolerance=0):
+        demand = {zone: load for zone in ZONES}
+        spec = Load(self.SERVICE_S, SPEEDS, demand, amplitude=0.0)
+        replay = CustomerServiceReplay(spec)
+        replay.run()
+        per_customer_s = len(CUSTOMERS) / spec.capacity
+        served, least, free_at_s = Counter(), Counter(), defaultdict(float)
+        for asked_at_s, name in sorted(replay.customers.items()):
+            served[name] += replay.ends[asked_at_s] in SERVED
+            ends_at_s = max(asked_at_s, free_at_s[name]) + per_customer_s
+            if ends_at_s <= asked_at_s + spec.deadline_s:
+                least[name] += 1
+                free_at_s[name] = ends_at_s
+        below = {
+            item.name: (served[item.name], least[item.name])
+            for item in SMALL
+            if served[item.name] < least[item.name] - tolerance
+        }
+        self.assertEqual(below, {})
+        asked = Counter(replay.customers.values())
+        shares = [served[item.name] / asked[item.name] for item in SMALL]
+        self.assertGreater(min(shares), served["large"] / asked["large"])
+
+    def test_small_customers_have_their_share_at_1_2_times_the_capacity(self):
+        self.check(1.2)
+
+    def test_small_customers_have_their_share_at_twice_the_capacity(self):
+        self.check(2.0)
+
+    def test_small_customers_have_their_share_at_4_times_the_capacity(self):
+        """Service times vary by 30%, unlike those of an equal share: 2 of 21 calls."""
+        self.check(4.0, tolerance=2)
