--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -123,6 +123,7 @@
                 for per_s in (None, UNLIMITED, 0.0, 2.5)
                 for is_final in (True, False)
             ),
+            OutcomeReport(6, AttemptOutcome(ANSWERED, 0.5, transferred_bytes=70_000)),
             WithdrawnNotice(9),
             CopyQuery(),
             CopyAnswer(None),
--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -10,6 +10,7 @@
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.upstreams import UpstreamRegistry
+from wisteriaarch.request.fair_queue import Turn
 from wisteriaarch.request.routed_call import RoutedCall
 from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
 from wisteriaarch.request.service_queue import ServiceQueue, WaitingCall
@@ -50,6 +51,19 @@
         order = self.poll(overdue, later, urgent, early)
         self.assertEqual(order, [urgent, early, later, overdue])
 
+    def test_burst_of_one_customer_waits_behind_its_own_calls(self):
+        """Another customer's call would wait for all of the burst."""
+        burst = [waiting(0.1 + n / 100, customer="large") for n in range(10)]
+        small = waiting(0.4, customer="small")
+        for item in (*burst, small):
+            self.queue._order.enter(item.turn)
+        order = self.poll(*burst, small)
+        self.assertEqual(order, [burst[0], small, *burst[1:]])
+        self.queue._calls += burst
+        ahead = self.queue.work_ahead_s(Turn(1, "other", 0.5))
+        self.assertAlmostEqual(ahead, 0.1)
+        self.assertAlmostEqual(self.queue.work_ahead_s(Turn(1, "large", 0.5)), 1.0)
+
     def test_call_that_can_not_be_placed_does_not_block_other_groups(self):
         """A zone's upstreams are full while those of another have free slots."""
         stuck = [
@@ -73,10 +87,18 @@
     def test_expected_wait_counts_what_goes_before(self):
         self.queue._calls += [waiting(0.1 + n / 100) for n in range(10)]
         self.queue._calls += [waiting(0.1, priority=2) for _ in range(10)]
-        self.assertAlmostEqual(self.queue.expected_wait_s(1, 0.5, 1.0, 10.0), 0.1)
-        self.assertAlmostEqual(self.queue.expected_wait_s(0, 0.5, 1.0, 10.0), 0.0)
-        self.assertAlmostEqual(self.queue.expected_wait_s(2, 0.5, 1.0, 10.0), 0.2)
-        self.assertEqual(self.queue.expected_wait_s(1, 0.5, 1.0, 0.0), float("inf"))
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(1, "", 0.5), 1.0, 10.0), 0.1
+        )
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(0, "", 0.5), 1.0, 10.0), 0.0
+        )
+        self.assertAlmostEqual(
+            self.queue.expected_wait_s(Turn(2, "", 0.5), 1.0, 10.0), 0.2
+        )
+        self.assertEqual(
+            self.queue.expected_wait_s(Turn(1, "", 0.5), 1.0, 0.0), float("inf")
+        )
 
     def test_overdue_call_counts_on_what_others_leave(self):
         """Calls on time use 0.8 of the capacity: other work takes 5 times as long."""
@@ -84,7 +106,7 @@
         for _ in range(80):
             self.queue.record_accepted(1, 0.1)
         self.assertAlmostEqual(
-            self.queue.expected_wait_s(1, 0.5, -0.1, 10.0), 0.5, places=3
+            self.queue.expected_wait_s(Turn(1, "", 0.5), -0.1, 10.0), 0.5, places=3
         )
 
 
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -130,7 +130,7 @@
             self._scheduling.retry_budget,
             self._stage_supervisor,
             self._connector.paths,
-            self._scheduling.calls_waiting,
+            self._scheduling,
             self._duties,
         )
         self._callers = self._servers.callers(self)
--- a/wisteriaarch/request/stage_plan.py
+++ b/wisteriaarch/request/stage_plan.py
@@ -48,6 +48,11 @@
     prefill: Choice | None
     decode: Choice | None
 
+    @property
+    def first(self) -> Choice | None:
+        """Engine that the call is sent to first."""
+        return self.prefill or self.decode
+
 
 NO_PLAN = StagePlan(None, None)
 
@@ -63,6 +68,26 @@
 NO_TRANSFERS = StageTransfers()
 
 
+def fleet_prefill_rate(
+    candidates: Sequence[Candidate], rate: float, tokens: int
+) -> float:
+    """Return the combined prefill rate of the prefill stage, in tokens a second.
+
+    ``rate`` is that of one engine. An engine with a request limit prefills no more
+    prompts than that allows; ``tokens`` is the size of a prompt.
+    """
+    prefills = [item for item in candidates if item.upstream.stage is Stage.PREFILL]
+    limited_rates = [
+        item.limit_per_s * max(1, tokens)
+        for item in prefills
+        if item.limit_per_s * max(1, tokens) < rate
+    ]
+    unlimited = len(prefills) - len(limited_rates)
+    if not limited_rates:
+        return max(1, unlimited) * rate
+    return unlimited * rate + sum(limited_rates)
+
+
 def plan_stages(
     candidates: Sequence[Candidate],
     prompt: Prompt,
