scaling: decode a service's autoscaling and a spot server's registration

Operators saw nothing of `autoscaling`: the entry ignored the field, and a spot server looked like any other. RoutedService gets a ScalingSpec (limits, boot time, prices), Upstream gets is_spot and leaves_ms. A scaling with an invalid range is logged (450); its service is routed as before and isn't scaled, the rest of the configuration is in force.

--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -4,6 +4,7 @@
 import json
 import random
 import unittest
+from unittest import mock
 
 import curio
 
@@ -16,11 +17,13 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
+from wisteriaarch.events import Event
 from wisteriaarch.platform.callers import decode_call
 from wisteriaarch.platform.orders import PlatformOrders
 from wisteriaarch.platform.rows import decode_configuration, decode_upstream
 from wisteriaarch.platform.store import PlatformStore, _decode_rows
 from wisteriaarch.platform.upstreams import PlatformUpstreams
+from wisteriaarch.process.fleet_state import FleetState
 from wisteriaarch.process.request_limits import UNLIMITED
 from wisteriaarch.process.rows import StoredRow
 from wisteriaarch.process.store import Put, Transaction
@@ -132,6 +135,62 @@
                 decode_configuration(row(content))
 
 
+SCALING = {
+    "min-replicas": 1,
+    "max-replicas": 10,
+    "boot-s": 4.0,
+    "spot-price": 0.15,
+    "zone-prices": {"accra-a": 1.0, "accra-b": 0.8},
+}
+
+
+def scaled_service(content):
+    services = [{"name": "one", "autoscaling": content}, {"name": "two"}]
+    table = decode_configuration(row({**CONFIGURATION, "services": services}))
+    return table.services["one"], table
+
+
+class ScalingTest(unittest.TestCase):
+    def test_limits_and_prices(self):
+        spec = scaled_service(SCALING)[0].scaling
+        self.assertEqual((spec.replicas_min, spec.replicas_max), (1, 10))
+        self.assertEqual((spec.boot_s, spec.price("accra-a", False)), (4.0, 1.0))
+        self.assertAlmostEqual(spec.price("accra-b", True), 0.12)
+
+    def test_service_without_scaling_has_none(self):
+        table = decode_configuration(row(CONFIGURATION))
+        for service in table.services.values():
+            self.assertEqual((service.scaling, service.scaling_error), (None, ""))
+
+    def test_invalid_scaling_leaves_the_rest_in_force(self):
+        """A range that can't be met must not end the routing of all services."""
+        changes = {
+            "min-replicas": (11, -1, "1", None, True, 1.5),
+            "max-replicas": (0, "10", None),
+            "boot-s": (-1, "4", None, True),
+            "spot-price": (-0.1, "x", True),
+            "zone-prices": ({}, None, [], {"a": -1}, {"a": "1"}, {"": 1}),
+        }
+        contents = [{**SCALING, name: v} for name, vs in changes.items() for v in vs]
+        for content in (*contents, [], 3, "x", {}):
+            with self.subTest(content=content):
+                service, table = scaled_service(content)
+                self.assertIsNone(service.scaling)
+                self.assertIn("autoscaling", service.scaling_error)
+                self.assertEqual(len(table.routes), 2)
+                self.assertIn("two", table.services)
+
+    def test_invalid_scaling_is_logged(self):
+        services = [{"name": "one", "autoscaling": {}}, {"name": "two"}]
+        log = mock.Mock()
+        adapter = mock.Mock(decode_configuration=decode_configuration)
+        adapter.store_era.current = 0
+        state = FleetState(adapter, 1.0, log)
+        state._activate_configuration(row({**CONFIGURATION, "services": services}))
+        written = {call.args[0]: call.kwargs for call in log.write.mock_calls}
+        self.assertEqual(written[Event.SCALING_INVALID]["service"], "one")
+
+
 class UpstreamRowTest(unittest.TestCase):
     def test_fields(self):
         upstream = decode_upstream(row(SERVER))
@@ -145,6 +204,14 @@
             decode_upstream(row({**SERVER, "state": "draining"})).is_draining
         )
 
+    def test_spot_server_that_is_reclaimed(self):
+        more = {"spot": True, "state": "draining", "leaves_ms": 2250}
+        upstream = decode_upstream(row({**SERVER, **more}))
+        self.assertTrue(upstream.is_spot and upstream.is_draining)
+        self.assertEqual(upstream.leaves_ms, 2250.0)
+        regular = decode_upstream(row(SERVER))
+        self.assertEqual((regular.is_spot, regular.leaves_ms), (False, None))
+
     def test_malformed_ones_name_no_server(self):
         changes = {
             "service": (None, 3, ""),
@@ -155,6 +222,8 @@
             "cold-left-ms": ("0", True),
             "stage": ("both", 3),
             "born": ("now", True, 1.5),
+            "spot": (1, "true", None),
+            "leaves_ms": ("2000", True, -1, 1e300),
             "version": (1, None, ["v1"], "v" * 300, "\ud800"),
         }
         for name, values in changes.items():
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -219,6 +219,9 @@
     STAGE_STAFFED = EventKind(
         434, logbook.INFO, "engines respond again in a stage of the service"
     )
+    SCALING_INVALID = EventKind(
+        450, logbook.WARNING, "scaling of a service is invalid; it isn't scaled"
+    )
     CLAIM_WRITTEN = EventKind(500, logbook.INFO, "claim written", Importance.PROGRESS)
     CLAIM_OUTCOME_WRITTEN = EventKind(
         501, logbook.INFO, "outcome of a claim written", Importance.PROGRESS
--- a/wisteriaarch/platform/rows.py
+++ b/wisteriaarch/platform/rows.py
@@ -14,6 +14,7 @@
     WeightedService,
 )
 from ..wire import INVALID_CONTENT_ERRORS, Address, is_ipv4, load_json
+from .autoscaling import decode_scaling
 from .names import MS_PER_S
 
 CONFIG_KEY = "config"
@@ -66,7 +67,12 @@
     spec = None
     if engine:
         spec = EngineSpec(engine["slots"], engine["kv-capacity-tokens"])
-    return RoutedService(item["name"], item.get("max-conns", 0), spec)
+    scaling, error = None, ""
+    try:
+        scaling = decode_scaling(item.get("autoscaling"))
+    except ConfigError as exc:
+        error = str(exc)
+    return RoutedService(item["name"], item.get("max-conns", 0), spec, scaling, error)
 
 
 def decode_upstream(row: StoredRow) -> Upstream:
@@ -87,6 +93,8 @@
             if "born" in content
             else 0,
             software=_software(content),
+            is_spot=_bool(content, "spot"),
+            leaves_ms=_leaves_ms(content),
         )
     except INVALID_CONTENT_ERRORS as exc:
         raise ConfigError(f"server row {row.key!r}: {exc!r}") from exc
@@ -109,6 +117,22 @@
     return value
 
 
+def _bool(content: dict[str, Any], name: str) -> bool:
+    value = content.get(name, False)
+    if not isinstance(value, bool):
+        raise TypeError(f"{name} is neither true nor false")
+    return value
+
+
+def _leaves_ms(content: dict[str, Any]) -> float | None:
+    value = content.get("leaves_ms")
+    if value is None:
+        return None
+    if type(value) not in (int, float) or not 0 <= value <= STARTED_AT_MAX_MS:
+        raise TypeError("leaves_ms is not a number of milliseconds")
+    return float(value)
+
+
 def _non_negative_int(content: dict[str, Any], name: str, maximum: int) -> int:
     value = content[name]
     if type(value) is not int or not 0 <= value <= maximum:
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -233,6 +233,13 @@
             row_version=row.version,
             routes=len(table.routes),
         )
+        for service in table.services.values():
+            if service.scaling_error:
+                self._log.write(
+                    Event.SCALING_INVALID,
+                    service=service.name,
+                    error=service.scaling_error,
+                )
         self._apply_upstreams()
 
     def _may_be_outdated(self, table: RouteTable) -> bool:
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -29,7 +29,9 @@
 
     ``started_at_ms`` distinguishes incarnations with the same id (Unix milliseconds).
     ``stage`` is None for upstreams that aren't engines. ``software`` is the version of
-    the upstream's software, empty if it states none.
+    the upstream's software, empty if it states none. A server that ``is_spot`` may be
+    reclaimed: it then drains, and ``leaves_ms`` is the notice that it gives. No
+    decision uses the notice, since a draining upstream gets no new work.
     """
 
     upstream_id: str
@@ -42,6 +44,8 @@
     cold_start_left_s: float = 0.0
     started_at_ms: int = 0
     software: str = ""
+    is_spot: bool = False
+    leaves_ms: float | None = None
 
 
 @dataclass(frozen=True)
--- a/wisteriaarch/version/route_table.py
+++ b/wisteriaarch/version/route_table.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .scaling_spec import ScalingSpec
+
 
 class CallKind(StrEnum):
     """Whether a route's calls may be retried, and the form of their answers."""
@@ -63,11 +65,17 @@
 
 @dataclass(frozen=True)
 class RoutedService:
-    """Service: upstreams that serve the same requests."""
+    """Service: upstreams that serve the same requests.
+
+    Without ``scaling`` the number of its servers isn't changed. ``scaling_error`` says
+    why a scaling that the configuration gives isn't in force.
+    """
 
     name: str
     connections_max: int
     engine: EngineSpec | None = None
+    scaling: ScalingSpec | None = None
+    scaling_error: str = ""
 
 
 class RouteIndex:
