scaling: decision on the number of a service's servers

Callers were served by a fixed fleet: 19 servers at full price, also at low load. ServerScaling decides from demand by kind, boot time, prices and stock. Enough servers for the most urgent calls are left after the loss of a zone (its spot servers included) or of a sixth of the servers. Spot servers carry what is above the reserve of regular ones; servers are removed one at a time after a whole wave has been observed.

--- /dev/null
+++ b/wisteriaarch/version/server_scaling.py
@@ -0,0 +1,144 @@
+"""Decision on the number of a service's servers, without I/O.
+
+Load: demand with waves and bursts (see ``scaling_forecast``), while a sixth of the
+servers crash, a zone is lost, or all spot servers of a zone are reclaimed and none are
+available there for some seconds. Calls that are refused cost more than a server does,
+so servers are ordered as soon as they are needed and removed one at a time.
+
+A small number of regular servers is kept; spot servers carry the rest. Regular servers
+beyond that number, such as those of a fleet with which the service began, are removed
+only once spot servers that replace them serve.
+"""
+
+import math
+from collections import Counter
+from dataclasses import dataclass
+
+from ..process.duty_messages import ScalingOrder
+from .scaled_fleet import FleetState, ServerGroup
+from .scaling_forecast import DemandForecast, ServerNeed, ServiceDemand
+from .scaling_plan import ScalingPlan
+from .scaling_spec import ScalingSpec
+
+# Utilization up to which callers see no delay; leaves room for a burst of twice the
+# usual demand, which may be over before an ordered server serves.
+PREFILL_UTILIZATION = 0.45
+DECODE_UTILIZATION = 0.5
+# Utilization that the most urgent calls tolerate for a boot time after a loss.
+SURVIVAL_UTILIZATION = 0.8
+REFUSED_SHARE_MAX = 0.5
+# Share of the servers for urgent calls that can't be reclaimed: spot servers of
+# several zones may be reclaimed within one boot time.
+REGULAR_SHARE = 1 / 3
+REMOVAL_INTERVAL_S = 2.0
+# An engine service keeps an engine in each stage after the loss of one.
+ENGINES_MIN = 3
+ENGINES_AFTER_LOSS_MIN = 2
+# Time after which a zone without stock is asked again.
+STOCK_RETRY_S = 4.0
+
+
+@dataclass(frozen=True)
+class ScalingDecision:
+    """Orders, and the need that they follow from."""
+
+    orders: tuple[ScalingOrder, ...]
+    need: ServerNeed
+
+
+class ServerScaling:
+    """Decides for one service; times are seconds on one clock."""
+
+    def __init__(self, service: str, spec: ScalingSpec, has_engines: bool):
+        self._service = service
+        self._spec = spec
+        self._has_engines = has_engines
+        self._prefill = DemandForecast(spec.boot_s)
+        self._decode = DemandForecast(spec.boot_s)
+        self._added_at_s = float("-inf")
+        self._removed_at_s = float("-inf")
+        self._no_stock_until_s: dict[ServerGroup, float] = {}
+
+    def record_no_stock(
+        self, group: ServerGroup, now: float, retry_s: float = STOCK_RETRY_S
+    ) -> None:
+        """Record that no server of a group is available; others are asked meanwhile."""
+        self._no_stock_until_s[group] = now + retry_s
+
+    def decide(
+        self, demand: ServiceDemand, fleet: FleetState, now: float
+    ) -> ScalingDecision:
+        """Return the orders due now; called some times a second."""
+        need = self._need(demand, now)
+        plan = ScalingPlan(self._spec, need, fleet, self._groups_in_stock(now))
+        added = plan.additions()
+        if added:
+            self._added_at_s = now
+            return ScalingDecision(self._orders(fleet, added), need)
+        if not self._may_remove(fleet, need, now):
+            return ScalingDecision((), need)
+        removed = plan.removal()
+        if removed is None:
+            return ScalingDecision((), need)
+        self._removed_at_s = now
+        return ScalingDecision(self._orders(fleet, Counter({removed: -1})), need)
+
+    def _need(self, demand: ServiceDemand, now: float) -> ServerNeed:
+        """Return the servers needed over the boot time."""
+        offered = 1 / (1 - min(REFUSED_SHARE_MAX, demand.refused_share))
+        self._prefill.observe(demand.prefill * offered, now)
+        self._decode.observe(demand.decode * offered, now)
+        prefill, decode = self._prefill.peak, self._decode.peak
+        share = demand.urgent_share / SURVIVAL_UTILIZATION
+        total = math.ceil(decode / DECODE_UTILIZATION)
+        urgent = math.ceil(decode * share)
+        if self._has_engines:
+            total += math.ceil(prefill / PREFILL_UTILIZATION)
+            urgent += math.ceil(prefill * share)
+        after_loss_min = ENGINES_AFTER_LOSS_MIN if self._has_engines else 1
+        urgent = max(urgent, after_loss_min)
+        return ServerNeed(
+            max(total, ENGINES_MIN if self._has_engines else 1),
+            urgent,
+            max(after_loss_min, math.ceil(urgent * REGULAR_SHARE)),
+            self._decode.is_settled(now),
+        )
+
+    def _groups_in_stock(self, now: float) -> list[ServerGroup]:
+        has_spot = self._spec.spot_price is not None and self._spec.spot_price < 1
+        groups = (
+            ServerGroup(zone, is_spot)
+            for zone in self._spec.zone_prices
+            for is_spot in ((True, False) if has_spot else (False,))
+        )
+        return [
+            group for group in groups if now >= self._no_stock_until_s.get(group, now)
+        ]
+
+    def _may_remove(self, fleet: FleetState, need: ServerNeed, now: float) -> bool:
+        """Whether enough is known, and neither an addition nor a removal is recent.
+
+        A removed engine may be of either stage, so each stage keeps one without it.
+        """
+        return (
+            need.is_settled
+            and now - self._added_at_s >= self._spec.boot_s
+            and now - self._removed_at_s >= REMOVAL_INTERVAL_S
+            and (
+                not self._has_engines
+                or min(fleet.engines_by_stage.values(), default=0) > 1
+            )
+        )
+
+    def _orders(
+        self, fleet: FleetState, changes: Counter[ServerGroup]
+    ) -> tuple[ScalingOrder, ...]:
+        return tuple(
+            ScalingOrder(
+                self._service,
+                group.zone,
+                fleet.present.get(group, 0) + fleet.booting.get(group, 0) + change,
+                group.is_spot,
+            )
+            for group, change in sorted(changes.items())
+        )
