--- a/wisteriaarch/process/fleet_estimates.py
+++ b/wisteriaarch/process/fleet_estimates.py
@@ -5,6 +5,7 @@
 from typing import Self
 
 from .handoff_time import HandoffTime
+from .offered_calls import OfferedCalls
 from .prefill_rate import PrefillRate
 from .prefix_cache_index import PrefixCacheIndex
 from .request_limits import RequestLimits
@@ -22,6 +23,7 @@
     utilization: StageUtilization = field(default_factory=StageUtilization)
     loads: UpstreamLoads = field(default_factory=UpstreamLoads)
     limits: RequestLimits = field(init=False)
+    offered: OfferedCalls = field(default_factory=OfferedCalls)
     stage_changes: StageChanges = field(default_factory=StageChanges)
     prefix_cache: PrefixCacheIndex = field(default_factory=PrefixCacheIndex)
     _handoff_times: dict[str, HandoffTime] = field(
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -97,6 +97,8 @@
             return
         if outcome.cause != ANSWERED:
             self._observe_failure(upstream_id, outcome)
+            if outcome.is_overloaded or outcome.cause == FailureReason.DECLINED:
+                self._estimates.offered.record_refused(call.service, call.work)
             if not includes_prefill and _is_failed_handoff(choice, outcome):
                 self._estimates.observe_failed_handoff(call.service)
         elif stage is AttemptStage.PREFILL:
--- a/wisteriaarch/request/routed_call.py
+++ b/wisteriaarch/request/routed_call.py
@@ -122,6 +122,11 @@
         blocks = self.prompt.shared_blocks if self.prompt else ()
         return tuple(block_key(self.service, item.block_id) for item in blocks)
 
+    @property
+    def work(self) -> float:
+        """Weight of the call among those of its service: the tokens of its prompt."""
+        return self.prompt.input_tokens if self.prompt else 1.0
+
     def may_run_on(self, software: str) -> bool:
         """Whether upstreams of a software version may run the call."""
         if self.software is not None:
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -109,9 +109,19 @@
         Raises RequestError if the call is refused, AttemptFailed if no upstream is
         available now.
         """
+        if not self._serves_fleet:
+            return await self._place(call, on_wait)
+        self._parts.limiter.record_scheduled_call(call.service)
+        offered, work = self._parts.estimates.offered, call.work
+        offered.record(call.service, call.route.priority, work)
+        try:
+            return await self._place(call, on_wait)
+        except (RequestError, AttemptFailed):
+            offered.record_refused(call.service, work)
+            raise
+
+    async def _place(self, call: RoutedCall, on_wait: OnWait) -> StagePlan:
         self._count_call(call)
-        if self._serves_fleet:
-            self._parts.limiter.record_scheduled_call(call.service)
         self._restart_warm_up_after_gap(call.service)
         await self._parts.stream_software.admit(call)
         plan = await self._plan(call, on_wait)
--- a/wisteriaarch/version/scaling_forecast.py
+++ b/wisteriaarch/version/scaling_forecast.py
@@ -8,8 +8,10 @@
 
 from collections import deque
 from dataclasses import dataclass
+from statistics import median
 
-# Longer than the shorter of the usual bursts (2.8 s).
+# Demand counts once it lasts this long; longer than the shorter of the usual bursts
+# (2.8 s).
 SUSTAIN_MAX_S = 3.0
 SUSTAIN_MIN_S = 0.5
 # Longer than a wave of 15 s.
@@ -51,11 +53,9 @@
         """Record the present demand."""
         if self._started_at_s is None:
             self._started_at_s = now
-        _append(self._values, value, now, self._sustain_s)
-        sustained = min(item for _, item in self._values)
-        if now - self._started_at_s < self._sustain_s:
-            # Too few values tell a burst from the usual demand.
-            sustained = value
+        # A rise that fills less than half of the window doesn't move its median.
+        _append(self._values, value, now, 2 * self._sustain_s)
+        sustained = median(item for _, item in self._values)
         _append(self._sustained, sustained, now, TREND_S)
         _append_peak(self._levels, self._extrapolate(sustained, now), now)
 
