--- a/wisteriaarch/entry_duties.py
+++ b/wisteriaarch/entry_duties.py
@@ -10,17 +10,19 @@
 from .connection.usage_reporter import UsageReporter
 from .connection.usage_sender import UsageSender
 from .entry_network import EntryNetwork
+from .entry_scheduling import EntryScheduling
 from .events import EventLog
 from .process.duty import Duty
 from .process.duty_context import DutyContext
-from .process.duty_settings import USAGE_DUTY, DutySettings
+from .process.duty_settings import AUTOSCALE_DUTY, USAGE_DUTY, DutySettings
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
 from .process.member_list import MemberState
-from .process.metrics import Labels, Metrics
+from .process.metrics import Gauge, Labels, Metrics
 from .process.true_time import TrueTime
 from .process.usage_counts import UsageCounts, UsageTotals, UsageUpdate
 from .request.run_counter import RunCounter
+from .version.scale_supervisor import ScaleSupervisor
 
 RELEASE_TIMEOUT_S = 1.0
 
@@ -73,7 +75,7 @@
 
 
 class EntryDuties:
-    """Owns what the duties of one entry share, and the usage duty.
+    """Owns what the duties of one entry share, the usage duty and those of scaling.
 
     ``context`` and ``client`` serve any further duty.
     """
@@ -87,8 +89,12 @@
         metrics: Metrics,
         log: EventLog,
     ):
+        self._cfg = cfg
+        self._network = network
+        self._protocol = adapter.duties
         self._members = network.members
         self._is_closing = False
+        self._scaling: ScaleSupervisor | None = None
         own = network.members.own_record
         self.context = DutyContext(
             settings.node or settings.entry_id,
@@ -130,6 +136,21 @@
             runs.counts = duties.usage.counts
         return duties
 
+    def scale_servers(
+        self, scheduling: EntryScheduling, is_closing: Callable[[], bool]
+    ) -> None:
+        """Change the number of servers of services, where the settings say so."""
+        if self._cfg.has(AUTOSCALE_DUTY):
+            self._scaling = ScaleSupervisor(
+                self.context,
+                self.client.call,
+                self._protocol,
+                scheduling.estimates,
+                lambda: self._network.state.routes,
+                scheduling.choice.is_local,
+                is_closing,
+            )
+
     def _candidates(self) -> list[str]:
         return [
             item.entry_id
@@ -139,10 +160,11 @@
 
     def task_mains(self) -> list[Callable[[], Awaitable]]:
         """Return the main functions of the tasks."""
+        scaling = [self._scaling.run] if self._scaling else []
         usage = self.usage
         if usage is None:
-            return []
-        return [usage.duty.run, usage.sender.run, usage.reporter.run]
+            return scaling
+        return [usage.duty.run, usage.sender.run, usage.reporter.run, *scaling]
 
     @property
     def on_usage(self) -> Callable[[UsageUpdate], str] | None:
@@ -151,9 +173,21 @@
 
     def held(self) -> dict[Labels, float]:
         """Return whether this entry holds each duty, by its name."""
-        if self.usage is None:
-            return {}
-        return {(self.usage.duty.name,): float(self.usage.duty.is_held)}
+        duties = [self.usage.duty] if self.usage else []
+        held = {(duty.name,): float(duty.is_held) for duty in duties}
+        for service, is_held in self._scaling.held() if self._scaling else ():
+            held[f"{AUTOSCALE_DUTY} {service}",] = float(is_held)
+        return held
+
+    def server_gauges(self) -> dict[Gauge, dict[Labels, float]]:
+        """Return the wanted and the present servers by service, zone and kind."""
+        wanted: dict[Labels, float] = {}
+        present: dict[Labels, float] = {}
+        counts = self._scaling.counts() if self._scaling else ()
+        for service, group, wanted_count, present_count in counts:
+            labels = (service, group.zone, "spot" if group.is_spot else "regular")
+            wanted[labels], present[labels] = wanted_count, present_count
+        return {Gauge.SERVERS_WANTED: wanted, Gauge.SERVERS_PRESENT: present}
 
     async def close(self) -> None:
         """Send the last counts and release the duty, so that a successor takes over."""
--- a/wisteriaarch/entry_scheduling.py
+++ b/wisteriaarch/entry_scheduling.py
@@ -23,6 +23,7 @@
 
     ``shared_scheduler`` places calls of all entries; ``placer`` uses it, that of
     another entry, or this entry's own fallback, which uses ``retry_budget``.
+    ``estimates`` and ``choice`` are those that it schedules by.
     """
 
     def __init__(
@@ -37,6 +38,8 @@
     ):
         self._network = network
         self._settings = settings
+        self.estimates = estimates
+        self.choice = scheduler_choice
         self.stream_versions = self._build_stream_versions(
             estimates, scheduler_choice, adapter, log
         )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -114,6 +114,8 @@
         self._duties = EntryDuties.from_config(
             settings, adapter, self.network, self._runner.runs, self.metrics, self.log
         )
+        if self._duties:
+            self._duties.scale_servers(self._scheduling, lambda: self.closing)
         self._gauges = GatewayGauges(
             self.state,
             self.network.members,
--- a/wisteriaarch/gauges.py
+++ b/wisteriaarch/gauges.py
@@ -43,6 +43,7 @@
             Gauge.ENTRIES: {(): len(self.members.living_records())},
             Gauge.PEER_AGE_SECONDS: self._peer_ages(),
             Gauge.DUTY_HELD: self.duties.held() if self.duties else {},
+            **(self.duties.server_gauges() if self.duties else {}),
             **self._service_values(),
             **self._upstream_values(),
         }
--- a/wisteriaarch/process/metrics.py
+++ b/wisteriaarch/process/metrics.py
@@ -66,6 +66,14 @@
     UPSTREAMS_REACHABLE = Metric("0 where this entry can't reach any upstream")
     LEASE_HELD = Metric("1 where this entry holds the lease of a service", ("service",))
     DUTY_HELD = Metric("1 where this entry holds a duty", ("duty",))
+    SERVERS_WANTED = Metric(
+        "Servers of a scaled service that its scheduler wants now",
+        ("service", "zone", "kind"),
+    )
+    SERVERS_PRESENT = Metric(
+        "Servers of a scaled service that are registered and don't drain",
+        ("service", "zone", "kind"),
+    )
     RETRIES_LEFT = Metric("Repeats that this entry may still send", ("service",))
     STAGE_ENGINES = Metric("Engines that respond", ("service", "stage"))
     READING_DEMAND = Metric(
--- a/wisteriaarch/process/offered_calls.py
+++ b/wisteriaarch/process/offered_calls.py
@@ -13,6 +13,7 @@
 
 # Longer than a burst of 2.8 s, shorter than a wave of 15 s.
 DECAY_S = 5.0
+URGENT_SHARE_MIN = 0.02
 
 
 @dataclass
@@ -45,10 +46,17 @@
         self._current(service).refused += work
 
     def urgent_share(self, service: str) -> float:
-        """Return the share of the most urgent priority; 1 without calls."""
+        """Return the share of the most urgent priority; 1 without calls.
+
+        Priorities with hardly any calls count along with the next one.
+        """
         offered = self._current(service).offered
-        total = offered.total()
-        return offered[min(offered)] / total if total > 0 else 1.0
+        total, urgent = offered.total(), 0.0
+        for priority in sorted(offered):
+            urgent += offered[priority]
+            if urgent > URGENT_SHARE_MIN * total:
+                return urgent / total
+        return 1.0
 
     def refused_share(self, service: str) -> float:
         """Return the share of work that was refused or declined; 0 without calls."""
