scaling: room for bursts only at the price of spot servers

Regular servers are now ordered and kept for a utilization of 0.6 to 0.7 at the forecast peak; the room for a burst of twice the demand is made of spot servers. Growth beyond what the last minute showed is extrapolated up to 1.2, since waves were overestimated. An addition that isn't urgent waits a boot time after a removal.

--- a/wisteriaarch/version/scaling_forecast.py
+++ b/wisteriaarch/version/scaling_forecast.py
@@ -18,8 +18,11 @@
 HOLD_S = 20.0
 # Time over which growth is measured; shorter than the rise of a wave.
 TREND_S = 2.0
-# Bounds the extrapolation: a wave rises by less than this within a boot.
-GROWTH_MAX = 1.5
+# Growth beyond what was seen within ``MEMORY_S`` is extrapolated up to this factor.
+# Without the bound each rise of a wave was taken for a load that goes on rising.
+GROWTH_MAX = 1.2
+# Some waves of 15 s.
+MEMORY_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -48,6 +51,7 @@
         self._values: deque[tuple[float, float]] = deque()
         self._sustained: deque[tuple[float, float]] = deque()
         self._levels: deque[tuple[float, float]] = deque()
+        self._known: deque[tuple[float, float]] = deque()
 
     def observe(self, value: float, now: float) -> None:
         """Record the present demand."""
@@ -57,14 +61,16 @@
         _append(self._values, value, now, 2 * self._sustain_s)
         sustained = median(item for _, item in self._values)
         _append(self._sustained, sustained, now, TREND_S)
-        _append_peak(self._levels, self._extrapolate(sustained, now), now)
+        _append_peak(self._known, sustained, now, MEMORY_S)
+        _append_peak(self._levels, self._extrapolate(sustained, now), now, HOLD_S)
 
     def _extrapolate(self, sustained: float, now: float) -> float:
         since_s, before = self._sustained[0]
         if now - since_s < TREND_S / 2 or sustained <= before:
             return sustained
         slope = (sustained - before) / (now - since_s)
-        return min(GROWTH_MAX * sustained, sustained + slope * self._boot_s)
+        bound = max(GROWTH_MAX * sustained, self._known[0][1])
+        return min(bound, sustained + slope * self._boot_s)
 
     @property
     def peak(self) -> float:
@@ -85,22 +91,27 @@
         items.popleft()
 
 
-def _append_peak(items: deque[tuple[float, float]], value: float, now: float) -> None:
+def _append_peak(
+    items: deque[tuple[float, float]], value: float, now: float, kept_s: float
+) -> None:
     """Append a value to a window whose first item is its maximum."""
     while items and items[-1][1] <= value:
         items.pop()
-    _append(items, value, now, HOLD_S)
+    _append(items, value, now, kept_s)
 
 
 @dataclass(frozen=True)
 class ServerNeed:
     """Servers needed for all calls, and for the most urgent ones after a loss.
 
-    ``regular`` of them aren't spot servers. While the need isn't settled, too little
+    With ``enough`` servers all calls are served; ``total`` leave room for a burst of
+    twice the demand, which is worth the price of spot servers only. ``regular`` of them
+    aren't spot servers. While the need isn't settled, too little
     demand was observed to remove servers.
     """
 
     total: int
+    enough: int
     urgent: int
     regular: int
     is_settled: bool = True
--- a/wisteriaarch/version/scaling_plan.py
+++ b/wisteriaarch/version/scaling_plan.py
@@ -38,6 +38,11 @@
         self._ordered = Counter(fleet.present) + Counter(fleet.booting)
         self._has_spot = any(group.is_spot for group in in_stock)
 
+    @property
+    def is_enough(self) -> bool:
+        """Whether the servers there and ordered serve all calls, also after a loss."""
+        return self._suffices(self._expected, self._need.enough)
+
     def additions(self) -> Counter[ServerGroup]:
         """Return how many servers to add, by group."""
         added: Counter[ServerGroup] = Counter()
@@ -48,11 +53,11 @@
         lacking = self._lacking_to_minimum(added)
         added += lacking
         counts += lacking
-        while not self._suffices(counts):
+        while not self._suffices(counts, self._need.total):
             if not self._add(counts, added, is_spot=True):
                 break
         counts = self._expected + added
-        while not self._suffices(counts):
+        while not self._suffices(counts, self._need.enough):
             if not self._add(counts, added, is_spot=False):
                 break
         return added
@@ -81,9 +86,10 @@
         if by_zone(self._ordered)[group.zone] <= self._spec.replicas_min:
             return False
         if group.is_spot:
-            return self._suffices(left, REMOVAL_MARGIN)
+            return self._suffices(left, self._need.total, REMOVAL_MARGIN)
+        margin = 1.0 if self._has_spot else REMOVAL_MARGIN
         return regular_count(left) >= self._need.regular and self._suffices(
-            left, 1.0 if self._has_spot else REMOVAL_MARGIN
+            left, self._need.enough, margin
         )
 
     def _kept(self) -> Counter[ServerGroup]:
@@ -155,9 +161,11 @@
         zones = by_zone(counts)
         return open_groups > 1 or zones[group.zone] < max(zones.values())
 
-    def _suffices(self, counts: Counter[ServerGroup], margin: float = 1.0) -> bool:
+    def _suffices(
+        self, counts: Counter[ServerGroup], total: int, margin: float = 1.0
+    ) -> bool:
         return (
-            counts.total() >= self._need.total * margin
+            counts.total() >= total * margin
             and self._left_after_loss(counts) >= self._need.urgent * margin
         )
 
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -20,10 +20,13 @@
 from .scaling_plan import ScalingPlan
 from .scaling_spec import ScalingSpec
 
-# Utilization up to which callers see no delay; leaves room for a burst of twice the
-# usual demand, which may be over before an ordered server serves.
+# Utilization that leaves room for a burst of twice the usual demand, which may be over
+# before an ordered server serves.
 PREFILL_UTILIZATION = 0.45
 DECODE_UTILIZATION = 0.5
+# Utilization at the forecast peak up to which all calls are served.
+ENOUGH_PREFILL_UTILIZATION = 0.6
+ENOUGH_DECODE_UTILIZATION = 0.7
 # Utilization that the most urgent calls tolerate for a boot time after a loss.
 SURVIVAL_UTILIZATION = 0.8
 REFUSED_SHARE_MAX = 0.5
@@ -72,6 +75,9 @@
         need = self._need(demand, now)
         plan = ScalingPlan(self._spec, need, fleet, self._groups_in_stock(now))
         added = plan.additions()
+        if added and plan.is_enough and now - self._removed_at_s < self._spec.boot_s:
+            # Servers beyond what is enough may wait, so that changes aren't reversed.
+            return ScalingDecision((), need)
         if added:
             self._added_at_s = now
             return ScalingDecision(self._orders(fleet, added), need)
@@ -91,14 +97,18 @@
         prefill, decode = self._prefill.peak, self._decode.peak
         share = demand.urgent_share / SURVIVAL_UTILIZATION
         total = math.ceil(decode / DECODE_UTILIZATION)
+        enough = math.ceil(decode / ENOUGH_DECODE_UTILIZATION)
         urgent = math.ceil(decode * share)
         if self._has_engines:
             total += math.ceil(prefill / PREFILL_UTILIZATION)
+            enough += math.ceil(prefill / ENOUGH_PREFILL_UTILIZATION)
             urgent += math.ceil(prefill * share)
         after_loss_min = ENGINES_AFTER_LOSS_MIN if self._has_engines else 1
         urgent = max(urgent, after_loss_min)
+        total_min = ENGINES_MIN if self._has_engines else 1
         return ServerNeed(
-            max(total, ENGINES_MIN if self._has_engines else 1),
+            max(total, total_min),
+            max(enough, total_min),
             urgent,
             max(after_loss_min, math.ceil(urgent * REGULAR_SHARE)),
             self._decode.is_settled(now),
