scaling: begin to replace the fleet after half a wave, a server a second

On a run of some minutes most of the cost was that of the first minute: 20 s without removals, then one in 2 s. Half a wave shows its peak or its rise, and the room for bursts covers the rest.

--- a/extras/scaling_trial.py
+++ b/extras/scaling_trial.py
@@ -197,7 +197,7 @@
     served_urgent: float
     orders: int
     reversals: int
-    last_count: int
+    last_price: float
 
 
 def simulate(case: Case, policy_name: str, seed: int = 1) -> Result:
@@ -224,20 +224,23 @@
                 if not cloud.execute(order, now):
                     policy.record_no_stock(order, now)
     served, urgent = work.shares()
-    last = len(cloud.servers)
-    return Result(cost, served, urgent, cloud.orders, cloud.reversals, last)
+    return Result(cost, served, urgent, cloud.orders, cloud.reversals, price)
 
 
 def main() -> None:
     """Print the table."""
     argparse.ArgumentParser(description=__doc__).parse_args()
-    print("| Demand | Decision | Server-seconds | Served | Urgent | Orders | Rev |")
-    print("|---|---|---|---|---|---|---|")
+    print(
+        "| Demand | Decision | Server-seconds | Price a second at the end | Served "
+        "| Urgent served | Orders | Reversed within a boot |"
+    )
+    print("|---|---|---|---|---|---|---|---|")
     for case in CASES:
         for name in POLICIES:
             result = simulate(case, name)
             print(
                 f"| {case.name} | {name} | {result.server_seconds:.0f} "
+                f"| {result.last_price:.1f} "
                 f"| {result.served:.2%} | {result.served_urgent:.2%} "
                 f"| {result.orders} | {result.reversals} |"
             )
--- a/wisteriaarch/version/scaling_forecast.py
+++ b/wisteriaarch/version/scaling_forecast.py
@@ -16,6 +16,9 @@
 SUSTAIN_MIN_S = 0.5
 # Longer than a wave of 15 s.
 HOLD_S = 20.0
+# Half a wave: its peak or its rise has been observed. While servers are removed one at
+# a time, the room for bursts covers the rest of a rise.
+SETTLING_S = 8.0
 # Time over which growth is measured; shorter than the rise of a wave.
 TREND_S = 2.0
 # Growth beyond what was seen within ``MEMORY_S`` is extrapolated up to this factor.
@@ -78,8 +81,8 @@
         return self._levels[0][1] if self._levels else 0.0
 
     def is_settled(self, now: float) -> bool:
-        """Whether a whole wave has been observed."""
-        return self._started_at_s is not None and now - self._started_at_s >= HOLD_S
+        """Whether half a wave has been observed."""
+        return self._started_at_s is not None and now - self._started_at_s >= SETTLING_S
 
 
 def _append(
--- a/wisteriaarch/version/scaling_plan.py
+++ b/wisteriaarch/version/scaling_plan.py
@@ -36,6 +36,8 @@
         self._serving = Counter(fleet.serving)
         self._expected = self._serving + Counter(fleet.booting)
         self._ordered = Counter(fleet.present) + Counter(fleet.booting)
+        self._zone_servers = by_zone(self._serving)
+        self._zone_ordered = by_zone(self._ordered)
         self._has_spot = any(group.is_spot for group in in_stock)
 
     @property
@@ -78,13 +80,13 @@
 
     def _removal_order(self, group: ServerGroup) -> tuple[bool, int, float, str]:
         """Sort regular servers last, then those of zones with many servers."""
-        in_zone = by_zone(self._serving)[group.zone]
+        in_zone = self._zone_servers[group.zone]
         return not group.is_spot, in_zone, self._price(group), group.zone
 
     def _is_dispensable(self, group: ServerGroup) -> bool:
-        left = self._serving - Counter({group: 1})
-        if by_zone(self._ordered)[group.zone] <= self._spec.replicas_min:
+        if self._zone_ordered[group.zone] <= self._spec.replicas_min:
             return False
+        left = self._serving - Counter({group: 1})
         if group.is_spot:
             return self._suffices(left, self._need.total, REMOVAL_MARGIN)
         margin = 1.0 if self._has_spot else REMOVAL_MARGIN
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -34,6 +34,8 @@
 # several zones may be reclaimed within one boot time.
 REGULAR_SHARE = 1 / 3
 REMOVAL_INTERVAL_S = 2.0
+# A regular server that spot servers have replaced costs several times their price.
+REPLACED_INTERVAL_S = 1.0
 # An engine service keeps an engine in each stage after the loss of one.
 ENGINES_MIN = 3
 ENGINES_AFTER_LOSS_MIN = 2
@@ -84,7 +86,7 @@
         if not self._may_remove(fleet, need, now):
             return ScalingDecision((), need)
         removed = plan.removal()
-        if removed is None:
+        if removed is None or not self._is_removal_due(removed, now):
             return ScalingDecision((), need)
         self._removed_at_s = now
         return ScalingDecision(self._orders(fleet, Counter({removed: -1})), need)
@@ -126,20 +128,23 @@
         ]
 
     def _may_remove(self, fleet: FleetState, need: ServerNeed, now: float) -> bool:
-        """Whether enough is known, and neither an addition nor a removal is recent.
+        """Whether enough is known, and no addition is recent.
 
         A removed engine may be of either stage, so each stage keeps one without it.
         """
         return (
             need.is_settled
             and now - self._added_at_s >= self._spec.boot_s
-            and now - self._removed_at_s >= REMOVAL_INTERVAL_S
             and (
                 not self._has_engines
                 or min(fleet.engines_by_stage.values(), default=0) > 1
             )
         )
 
+    def _is_removal_due(self, group: ServerGroup, now: float) -> bool:
+        interval_s = REMOVAL_INTERVAL_S if group.is_spot else REPLACED_INTERVAL_S
+        return now - self._removed_at_s >= interval_s
+
     def _orders(
         self, fleet: FleetState, changes: Counter[ServerGroup]
     ) -> tuple[ScalingOrder, ...]:
