--- a/extras/scaling_cloud.py
+++ b/extras/scaling_cloud.py
@@ -13,7 +13,7 @@
 NOTICE_S = 2.2
 
 
-@dataclass
+@dataclass(eq=False)
 class Server:
     """Simulated server; it serves from ``ready_at_s`` to ``leaves_at_s``."""
 
--- a/tests/test_server_scaling.py
+++ b/tests/test_server_scaling.py
@@ -301,6 +301,13 @@
 
 
 class CloudTest(unittest.TestCase):
+    def test_crash_takes_a_sixth(self):
+        """Servers of one group were equal, so that more than half of all crashed."""
+        groups = [ServerGroup(zone, False) for zone in ZONES]
+        cloud = Cloud(SPEC, [Server(groups[n % 4], 0.0) for n in range(18)])
+        cloud.inflict("sixth", 1.0)
+        self.assertEqual(cloud.step(1.1)[0], 15)
+
     def test_reclaimed_servers_serve_no_more(self):
         """The simulation must show the faults that the decision is tested against."""
         cloud = Cloud(SPEC, [Server(ServerGroup("b", True), 0.0) for _ in range(4)])
