scaling: control loop before random answers, late orders and reclaims

Guards against late orders that undo newer ones and against a number that never settles: 20 seeds of refused, throttled, lost and late orders, reclaims and a duty that comes and goes, then calm.

--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -1,5 +1,6 @@
 """Orders for servers: the duty, refusals, unanswered orders and takeovers."""
 
+import random
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -123,7 +124,7 @@
         return [call.kwargs for call in calls if call.args[0] is event]
 
 
-class ControlTest(unittest.TestCase):
+class ControlTestCase(unittest.TestCase):
     def setUp(self):
         self.use_cloud({ServerGroup(zone, False): 2 for zone in ZONES})
 
@@ -150,6 +151,8 @@
             curio.run(steps)
         return self.cloud.calls[before:]
 
+
+class ControlTest(ControlTestCase):
     def test_missing_servers_are_ordered_once(self):
         """Servers that boot were ordered again with each decision."""
         calls = self.play(SPEC.boot_s)
@@ -285,6 +288,70 @@
         self.assertEqual(present, 0)
 
 
+class UnreliableCloud(FakeCloud):
+    """Answers at random; some unanswered orders are executed seconds later."""
+
+    def __init__(self, counts, rng):
+        super().__init__(counts)
+        self.rng = rng
+        self.late = []
+        self.until_s = self.now_s + 60.0
+
+    def fleet(self, now):
+        for item in list(self.late):
+            if item[0] <= self.now_s:
+                self.late.remove(item)
+                self.execute(item[1])
+        if self.now_s < self.until_s and self.rng.random() < 0.01:
+            self.counts[ServerGroup(self.rng.choice(ZONES), True)] = 0
+        return super().fleet(now)
+
+    def answer(self, order):
+        result = self.rng.choice([DutyResult.ACCEPTED, *DutyResult])
+        if result is DutyResult.UNKNOWN and self.rng.random() < 0.5:
+            self.late.append((self.now_s + self.rng.uniform(0.0, 6.0), order))
+        return result
+
+
+class UnreliableSender(FakeSender):
+    """Loses the duty for some time, now and then."""
+
+    def authority(self):
+        cloud = self.cloud
+        if cloud.now_s < cloud.until_s and int(cloud.now_s) % 13 in (0, 1, 2):
+            raise LeaseLost("not held")
+        return super().authority()
+
+    async def send(self, order):
+        if self.cloud.now_s < self.cloud.until_s:
+            self.cloud.results = [self.cloud.answer(order)]
+        return await super().send(order)
+
+
+class UnreliableCloudTest(ControlTestCase):
+    def test_fleet_settles_after_random_answers_and_reclaims(self):
+        """Late orders undid newer ones, or were compensated again and again."""
+        for seed in range(20):
+            rng = random.Random(seed)
+            with self.subTest(seed=seed):
+                self.use_cloud({})
+                cloud = UnreliableCloud(
+                    {ServerGroup(zone, False): 5 for zone in ZONES}, rng
+                )
+                self.cloud = cloud
+                self.entry = Entry(cloud)
+                sender = UnreliableSender(cloud)
+                self.entry.control._sender = sender
+                for _ in range(140):
+                    self.play(0.5)
+                    # The most urgent calls need 5 of the 6 servers' work of demand.
+                    self.assertGreaterEqual(cloud.counts.total(), 5)
+                self.play(60.0)
+                self.assertEqual(self.play(30.0), [])
+                self.assertGreaterEqual(cloud.counts.total(), 13)
+                self.assertLessEqual(regular_count(cloud.counts), 4)
+
+
 class IssuedOrdersTest(unittest.TestCase):
     def setUp(self):
         self.issued = IssuedOrders(4.0)
