--- a/wisteriaarch/entry_scheduling.py
+++ b/wisteriaarch/entry_scheduling.py
@@ -1,6 +1,7 @@
 """Placement of calls by a gateway entry, for itself and for the other entries."""
 
 import random
+from collections.abc import Callable
 
 from .adapter import PlatformAdapter
 from .connection.fleet_placer import FleetPlacer
@@ -8,7 +9,9 @@
 from .events import EventLog
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
+from .process.lease_record import Contender
 from .process.scheduler_choice import SchedulerChoice
+from .process.upstream_signals import SignalsObserver
 from .process.version_records import VersionRecords
 from .request.own_shares import OwnShares
 from .request.scheduler import Scheduler, SchedulingParts
@@ -16,6 +19,7 @@
 from .request.size_fairness import SizeFairness
 from .request.stream_versions import StreamVersions
 from .version.route_table import resumable_services
+from .version.stage_supervisor import StageSupervisor
 
 
 class EntryScheduling:
@@ -40,6 +44,8 @@
         self._settings = settings
         self.estimates = estimates
         self.choice = scheduler_choice
+        self._adapter = adapter
+        self._log = log
         self.stream_versions = self._build_stream_versions(
             estimates, scheduler_choice, adapter, log
         )
@@ -104,6 +110,26 @@
         adapter.store_era.subscribe(versions.handle_new_era)
         return versions
 
+    def make_stage_supervisor(
+        self, is_closing: Callable[[], bool], observe_signals: SignalsObserver
+    ) -> StageSupervisor:
+        """Return the supervisor of the stage changes of this entry's services."""
+        members = self._network.members
+        return StageSupervisor(
+            Contender(self._settings.entry_id, str(members.own_record.incarnation)),
+            self._adapter.table,
+            self._settings.lease,
+            self._adapter.orders,
+            self.estimates,
+            lambda: self._network.state.routes,
+            lambda: [item.entry_id for item in members.living_records()],
+            self.choice.is_local,
+            is_closing,
+            self._adapter.store_era,
+            self._log,
+            observe_signals,
+        )
+
     @property
     def fairness(self) -> SizeFairness:
         """Shares of prompts of different sizes."""
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -27,7 +27,6 @@
 from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
-from .process.lease_record import Contender
 from .process.metrics import Metrics
 from .process.scheduler_choice import SchedulerChoice
 from .process.settings_models import AddressSettings
@@ -38,9 +37,10 @@
 from .request.block_quarantine import TrialPolicy
 from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
+from .request.key_check import KeyCheck
+from .request.revocable_placer import RevocablePlacer
 from .request.stop_admission import StopAdmission
 from .sockets import listen_on
-from .version.stage_supervisor import StageSupervisor
 from .wire import HttpRequest
 
 JSON_HEADERS = [("Content-Type", "application/json")]
@@ -74,6 +74,12 @@
         self._scheduler_choice = SchedulerChoice(self.network.members)
         self.estimates = FleetEstimates.from_registry(self.state.registry)
         self._stop_admission = StopAdmission()
+        self._key_check = KeyCheck(
+            lambda: self.settings,
+            lambda: self.state.routes,
+            lambda: self.state.confirmed_at_s,
+            self.metrics,
+        )
         self._connector = UpstreamConnector(
             self.state.registry.addresses,
             self.log,
@@ -90,16 +96,18 @@
             self._rng,
             self.log,
         )
+        self._placer = RevocablePlacer(self._scheduling.placer, self._key_check)
         self._runner = CallRunner(
             adapter.upstreams,
             self.estimates,
             self._pool,
-            self._scheduling.placer,
+            self._placer,
             self._scheduling.fairness,
             TrialPolicy(self._scheduler_choice.is_local, self.network.count_entries),
             self._announce_crashes,
             self.metrics,
             self.log,
+            self._key_check.check_again,
         )
         self.network.exchange_crashes(
             self._runner.crashes.export, self._runner.crashes.merge
@@ -110,7 +118,9 @@
         self.network.exchange_limits(
             self.estimates.limits.export, self._runner.estimate_updater.merge_limits
         )
-        self._stage_supervisor = self._build_stage_supervisor()
+        self._stage_supervisor = self._scheduling.make_stage_supervisor(
+            lambda: self.closing, self._runner.estimate_updater.observe_signals
+        )
         self._duties = EntryDuties.from_config(
             settings, adapter, self.network, self._runner.runs, self.metrics, self.log
         )
@@ -127,24 +137,6 @@
         )
         self._callers = CallerServer(partial(CallerConnection, app=self), self.log)
 
-    def _build_stage_supervisor(self) -> StageSupervisor:
-        return StageSupervisor(
-            Contender(
-                self.settings.entry_id, str(self.network.members.own_record.incarnation)
-            ),
-            self._adapter.table,
-            self.settings.lease,
-            self._adapter.orders,
-            self.estimates,
-            lambda: self.state.routes,
-            lambda: [item.entry_id for item in self.network.members.living_records()],
-            self._scheduler_choice.is_local,
-            lambda: self.closing,
-            self._adapter.store_era,
-            self.log,
-            self._runner.estimate_updater.observe_signals,
-        )
-
     async def __aenter__(self) -> "Gateway":
         return self
 
@@ -184,6 +176,7 @@
             *self.network.task_mains(),
             self._announce_readiness,
             self._scheduling.stream_versions.run,
+            self._placer.run,
             BlockRows(
                 self._runner.blocks,
                 self._adapter.table,
@@ -267,6 +260,7 @@
                 "no configuration was read yet",
             )
         call = self._adapter.decode_call(req, table, self._rng)
+        self._key_check.admit(call, table)
         call.zone = self.settings.zone
         self._stop_admission.check(call)
         try:
--- a/wisteriaarch/platform/rows.py
+++ b/wisteriaarch/platform/rows.py
@@ -15,6 +15,7 @@
 )
 from ..wire import INVALID_CONTENT_ERRORS, Address, is_ipv4, load_json
 from .autoscaling import decode_scaling
+from .customers import decode_customers
 from .names import MS_PER_S
 
 CONFIG_KEY = "config"
@@ -35,6 +36,7 @@
             version=int(content["version"]),
             routes=tuple(_route(item) for item in content["routes"]),
             services={item.name: item for item in services},
+            customers=decode_customers(content),
         )
     except INVALID_CONTENT_ERRORS as exc:
         raise ConfigError(f"configuration row {row.version}: {exc!r}") from exc
@@ -59,6 +61,7 @@
         attempts_max=item.get("max-attempts", 1),
         resumable=bool(item.get("resumable", False)),
         pause_s=None if gap_ms is None else gap_ms / MS_PER_S,
+        public=item.get("public") is True,
     )
 
 
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -14,6 +14,7 @@
 from ..events import Event, EventLog
 from ..version.route_table import RouteTable
 from .clock import now_s
+from .invalid_parts import log_invalid_parts
 from .manifest_copy import ManifestCopy
 from .row_copy import RowCopy
 from .row_watch import RowWatch
@@ -225,6 +226,8 @@
             return
         if self.routes is None and self._may_be_outdated(table):
             return
+        if table.version != self.configuration_version:
+            log_invalid_parts(table, self._log)
         self.routes = table
         self._active_row = row
         self._log.write(
@@ -233,13 +236,6 @@
             row_version=row.version,
             routes=len(table.routes),
         )
-        for service in table.services.values():
-            if service.scaling_error:
-                self._log.write(
-                    Event.SCALING_INVALID,
-                    service=service.name,
-                    error=service.scaling_error,
-                )
         self._apply_upstreams()
 
     def _may_be_outdated(self, table: RouteTable) -> bool:
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -113,7 +113,7 @@
             return await self._place(call, on_wait)
         self._parts.limiter.record_scheduled_call(call.service)
         offered, work = self._parts.estimates.offered, call.work
-        offered.record(call.service, call.route.priority, work)
+        offered.record(call.service, call.priority, work)
         try:
             return await self._place(call, on_wait)
         except (RequestError, AttemptFailed):
