scaling: repeats of unanswered orders leave calls for other orders

While an order stayed unanswered, its repeats took every call of the service (one a second), so that a rise in demand was followed by no other zone. Decided orders are sent first, an unanswered one is repeated every 2 s. New tests: an unanswered order counts as carried out; a rise is met by the other zones.

--- a/tests/test_scale_control.py
+++ b/tests/test_scale_control.py
@@ -223,6 +223,33 @@
         self.play(SPEC.boot_s)
         self.assertEqual(self.cloud.counts[group_of(first)], first.desired)
 
+    def ordered(self):
+        """Return the latest desired number of each group that was ordered."""
+        return {group_of(order): order.desired for _, order, _ in self.cloud.calls}
+
+    def test_unanswered_order_counts_as_carried_out(self):
+        """Other zones got the same servers again while an answer was awaited."""
+        self.play(3.0)
+        answered = self.ordered()
+        self.use_cloud({ServerGroup(zone, False): 2 for zone in ZONES})
+        self.cloud.result_of = {"b": DutyResult.UNKNOWN}
+        self.play(3.0)
+        self.assertEqual(self.ordered(), answered)
+
+    def test_rising_demand_is_met_in_zones_whose_orders_are_answered(self):
+        """What was to be added to a group with an unanswered order was left out."""
+        self.cloud.result_of = {"b": DutyResult.UNKNOWN}
+        self.play(2.0)
+        before = self.ordered()
+        self.cloud.demand_now = ServiceDemand(3.6, 8.4, 0.5)
+        self.play(5.0)
+        after = self.ordered()
+        group = ServerGroup("b", True)
+        self.assertEqual(after[group], before[group])
+        # 8 engines for 3.6 servers' prefill at 0.45, 17 for 8.4 at 0.5.
+        regular_kept = 4
+        self.assertGreaterEqual(sum(after.values()) + regular_kept, 25)
+
     def test_other_zones_are_used_while_orders_stay_unanswered(self):
         self.cloud.result_of = {"a": DutyResult.UNKNOWN}
         self.play(UNANSWERED_MAX_S + 8.0)
@@ -379,7 +406,9 @@
         self.issued.record(ORDER, True, False, 0.0)
         self.issued.record(ORDER, True, False, 5.0)
         self.assertEqual(self.issued.expire(self.fleet(3), 11.0), [])
-        self.assertEqual(self.issued.unanswered(), [(ORDER, True)])
+        self.assertEqual(self.issued.unanswered(), [ORDER])
+        self.assertEqual(self.issued.to_repeat(6.0), [])
+        self.assertEqual(self.issued.to_repeat(7.0), [(ORDER, True)])
         self.issued.expire(self.fleet(0), UNANSWERED_MAX_S)
         self.assertEqual(self.issued.unanswered(), [])
 
--- a/wisteriaarch/version/issued_orders.py
+++ b/wisteriaarch/version/issued_orders.py
@@ -13,6 +13,8 @@
 BOOT_MARGIN_FACTOR = 1.5
 # An order without an answer may be executed within this time.
 UNANSWERED_MAX_S = 12.0
+# Repeats leave most of a service's calls to orders for other groups.
+REPEAT_INTERVAL_S = 2.0
 
 
 @dataclass
@@ -21,6 +23,7 @@
     sent_at_s: float
     is_addition: bool
     is_answered: bool
+    last_sent_at_s: float
 
 
 def group_of(order: ScalingOrder) -> ServerGroup:
@@ -41,10 +44,13 @@
         """Record an order that was sent; one unanswered again keeps its time."""
         known = self._by_group.get(group_of(order))
         if known is not None and not known.is_answered and known.order == order:
+            known.last_sent_at_s = now
             if is_answered:
                 known.is_answered, known.sent_at_s = True, now
             return
-        self._by_group[group_of(order)] = _Issued(order, now, is_addition, is_answered)
+        self._by_group[group_of(order)] = _Issued(
+            order, now, is_addition, is_answered, now
+        )
 
     def discard(self, order: ScalingOrder) -> None:
         """Remove an order that isn't carried out."""
@@ -54,15 +60,16 @@
         """Remove all orders."""
         self._by_group.clear()
 
-    def unanswered(self) -> list[tuple[ScalingOrder, bool]]:
-        """Return the orders to repeat, and whether they are additions.
+    def unanswered(self) -> list[ScalingOrder]:
+        """Return the orders whose outcome is unknown."""
+        return [item.order for item in self._by_group.values() if not item.is_answered]
 
-        Their outcome is unknown.
-        """
+    def to_repeat(self, now: float) -> list[tuple[ScalingOrder, bool]]:
+        """Return the unanswered orders that are due, and whether they are additions."""
         return [
             (item.order, item.is_addition)
             for item in self._by_group.values()
-            if not item.is_answered
+            if not item.is_answered and now - item.last_sent_at_s >= REPEAT_INTERVAL_S
         ]
 
     def expire(self, fleet: FleetState, now: float) -> list[ScalingOrder]:
--- a/wisteriaarch/version/scale_controller.py
+++ b/wisteriaarch/version/scale_controller.py
@@ -122,7 +122,7 @@
         now = now_s()
         fleet = self._present = self._view.fleet(now)
         self._drop_expired(fleet, now)
-        for order, _is_addition in self._issued.unanswered():
+        for order in self._issued.unanswered():
             # Another order for the group might arrive before the repeated one.
             self._scaling.record_no_stock(group_of(order), now, DECISION_INTERVAL_S)
         expected = self._issued.apply(fleet)
@@ -156,7 +156,7 @@
 
         Additions are decided again while they are needed, removals at intervals.
         """
-        unanswered = {group_of(order) for order, _ in self._issued.unanswered()}
+        unanswered = {group_of(order) for order in self._issued.unanswered()}
         if decision.orders:
             self._pending = [
                 (order, order.desired > _expected_count(expected, group_of(order)))
@@ -171,13 +171,14 @@
     async def _send_due(
         self, decision: ScalingDecision, demand: ServiceDemand, expected: FleetState
     ) -> None:
-        for order, is_addition in (*self._issued.unanswered(), *self._pending):
+        decided = tuple(self._pending)
+        for order, is_addition in (*decided, *self._issued.to_repeat(now_s())):
             now = now_s()
             if now < self._paused_until_s or not self._has_authority():
                 return
             if not self._budget.try_acquire(now):
                 return
-            if (order, is_addition) in self._pending:
+            if (order, is_addition) in decided:
                 self._log_decision(order, decision, demand, expected)
             result = await self._send(order)
             if result is None:
