--- a/wisteriaarch/version/scale_controller.py
+++ b/wisteriaarch/version/scale_controller.py
@@ -21,9 +21,9 @@
 from .server_scaling import ScalingDecision, ServerScaling
 
 DECISION_INTERVAL_S = 0.5
-# Orders of one decision may be sent at once; on average one call a second is sent.
+# On average one call a second; orders of one decision for many zones are sent at once.
 CALLS_PER_S = 1.0
-CALLS_AT_ONCE_MAX = 6.0
+CALLS_AT_ONCE_MAX = 12.0
 THROTTLED_PAUSE_S = 1.0
 # Avoids a new competition for the duty between the removals of one service.
 DUTY_KEPT_S = 10.0
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -21,9 +21,10 @@
 from .scaling_spec import ScalingSpec
 
 # Utilization that leaves room for a burst of twice the usual demand, which may be over
-# before an ordered server serves.
-PREFILL_UTILIZATION = 0.45
-DECODE_UTILIZATION = 0.5
+# before an ordered server serves, and keeps the prefill stage below the utilization
+# (0.45) from which it counts as short of engines.
+PREFILL_UTILIZATION = 0.35
+DECODE_UTILIZATION = 0.4
 # Utilization at the forecast peak up to which all calls are served.
 ENOUGH_PREFILL_UTILIZATION = 0.6
 ENOUGH_DECODE_UTILIZATION = 0.7
