Merge branch 'scaling': the number of servers follows demand

The scheduler of a service orders regular and spot servers by forecast demand under a duty of its own, where the service states its autoscaling.

--- a/wisteriaarch/entry_scheduling.py
+++ b/wisteriaarch/entry_scheduling.py
@@ -29,6 +29,7 @@
 
     ``shared_scheduler`` places calls of all entries; ``placer`` uses it, that of
     another entry, or this entry's own fallback, which uses ``retry_budget``.
+    ``estimates`` and ``choice`` are those that it schedules by.
     """
 
     def __init__(
@@ -43,8 +44,8 @@
     ):
         self._network = network
         self._settings = settings
-        self._estimates = estimates
-        self._scheduler_choice = scheduler_choice
+        self.estimates = estimates
+        self.choice = scheduler_choice
         self._adapter = adapter
         self._log = log
         self.stream_versions = self._build_stream_versions(
@@ -122,10 +123,10 @@
             self._adapter.table,
             self._settings.lease,
             self._adapter.orders,
-            self._estimates,
+            self.estimates,
             lambda: self._network.state.routes,
             lambda: [item.entry_id for item in members.living_records()],
-            self._scheduler_choice.is_local,
+            self.choice.is_local,
             is_closing,
             self._adapter.store_era,
             self._log,
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -221,6 +221,17 @@
     STAGE_STAFFED = EventKind(
         434, logbook.INFO, "engines respond again in a stage of the service"
     )
+    SCALING_INVALID = EventKind(
+        460, logbook.WARNING, "scaling of a service is invalid; it isn't scaled"
+    )
+    SCALING_DECIDED = EventKind(
+        461, logbook.INFO, "change of a service's servers decided"
+    )
+    SCALING_ORDER_FAILED = EventKind(
+        462,
+        logbook.WARNING,
+        "order for servers isn't carried out, or its outcome is unknown",
+    )
     CLAIM_WRITTEN = EventKind(500, logbook.INFO, "claim written", Importance.PROGRESS)
     CLAIM_OUTCOME_WRITTEN = EventKind(
         501, logbook.INFO, "outcome of a claim written", Importance.PROGRESS
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -14,6 +14,7 @@
 from ..events import Event, EventLog
 from ..version.route_table import RouteTable
 from .clock import now_s
+from .invalid_parts import log_invalid_parts
 from .manifest_copy import ManifestCopy
 from .row_copy import RowCopy
 from .row_watch import RowWatch
@@ -27,8 +28,6 @@
 # How long a start waits for contact with peers, and for a copy of their configuration.
 PEER_CONTACT_WAIT_S = 0.3
 PEER_COPY_WAIT_S = 2.0
-# Bounds the line about invalid customers; the rest is counted.
-CUSTOMER_ERRORS_LOGGED_MAX = 10
 
 
 class FleetState:
@@ -227,7 +226,8 @@
             return
         if self.routes is None and self._may_be_outdated(table):
             return
-        self._report_customers(table)
+        if table.version != self.configuration_version:
+            log_invalid_parts(table, self._log)
         self.routes = table
         self._active_row = row
         self._log.write(
@@ -238,17 +238,6 @@
         )
         self._apply_upstreams()
 
-    def _report_customers(self, table: RouteTable) -> None:
-        """Log the customers that are left out, once for each version."""
-        errors = table.customers.errors if table.customers is not None else ()
-        if errors and table.version != self.configuration_version:
-            self._log.write(
-                Event.CUSTOMERS_INVALID,
-                version=table.version,
-                left_out=len(errors),
-                errors=errors[:CUSTOMER_ERRORS_LOGGED_MAX],
-            )
-
     def _may_be_outdated(self, table: RouteTable) -> bool:
         """Whether peers may have a later configuration than this first one.
 
--- a/wisteriaarch/version/route_table.py
+++ b/wisteriaarch/version/route_table.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from .customers import CustomerDirectory
+from .scaling_spec import ScalingSpec
 
 
 class CallKind(StrEnum):
@@ -67,11 +68,17 @@
 
 @dataclass(frozen=True)
 class RoutedService:
-    """Service: upstreams that serve the same requests."""
+    """Service: upstreams that serve the same requests.
+
+    Without ``scaling`` the number of its servers isn't changed. ``scaling_error`` says
+    why a scaling that the configuration gives isn't in force.
+    """
 
     name: str
     connections_max: int
     engine: EngineSpec | None = None
+    scaling: ScalingSpec | None = None
+    scaling_error: str = ""
 
 
 class RouteIndex:
