scaling: keep the number found at the start until demand is known

Cause: no demand was taken for a demand of nothing.

Evidence: StartTest in tests.test_server_scaling; before, the number of its servers fell to the least.

--- a/tests/test_server_scaling.py
+++ b/tests/test_server_scaling.py
@@ -15,6 +15,7 @@
     regular_count,
 )
 from wisteriaarch.version.scaling_forecast import (
+    HOLD_S,
     SETTLING_S,
     DemandForecast,
     ServerNeed,
@@ -68,6 +69,31 @@
         return rounds
 
 
+class StartTest(unittest.TestCase):
+    """A service begins with 19 regular servers, before its callers come."""
+
+    def setUp(self):
+        self.decider = Decider(regular(19))
+        self.decider.play(ServiceDemand(0.0, 0.0), 30)
+
+    def test_number_stays_until_demand_is_known_and_cheaper_servers_replace_others(
+        self,
+    ):
+        """Guards against calls that are refused as the first ones find few servers."""
+        self.assertGreaterEqual(self.decider.counts.total(), 19)
+        self.assertLess(regular_count(self.decider.counts), 10)
+        self.decider.play(ServiceDemand(0.5, 0.5), HOLD_S / 2)
+        self.assertGreaterEqual(self.decider.counts.total(), 19)
+
+    def test_number_follows_demand_once_a_whole_wave_was_seen(self):
+        self.decider.play(ServiceDemand(0.5, 0.5), 3 * HOLD_S)
+        self.assertLess(self.decider.counts.total(), 12)
+
+    def test_calls_that_test_a_route_are_no_demand(self):
+        self.decider.play(ServiceDemand(0.05, 0.05), 3 * HOLD_S)
+        self.assertGreaterEqual(self.decider.counts.total(), 19)
+
+
 class TrialTest(unittest.TestCase):
     def test_callers_are_served_as_by_the_fixed_fleet_for_less(self):
         for case in CASES:
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 
 from ..process.duty_messages import ScalingOrder
-from .scaled_fleet import FleetState, ServerGroup
-from .scaling_forecast import DemandForecast, ServerNeed, ServiceDemand
+from .scaled_fleet import FleetState, ServerGroup, regular_count
+from .scaling_forecast import HOLD_S, DemandForecast, ServerNeed, ServiceDemand
 from .scaling_plan import ScalingPlan
 from .scaling_spec import ScalingSpec
 
@@ -37,6 +37,8 @@
 REMOVAL_INTERVAL_S = 2.0
 # A regular server that spot servers have replaced costs several times their price.
 REPLACED_INTERVAL_S = 1.0
+# Less than this, in servers, is no demand yet, such as calls that test a route.
+DEMAND_MIN = 0.2
 # An engine service keeps an engine in each stage after the loss of one.
 ENGINES_MIN = 3
 ENGINES_AFTER_LOSS_MIN = 2
@@ -61,6 +63,8 @@
         self._has_engines = has_engines
         self._prefill = DemandForecast(spec.boot_s)
         self._decode = DemandForecast(spec.boot_s)
+        self._initial_servers = 0
+        self._demand_since_s: float | None = None
         self._added_at_s = float("-inf")
         self._removed_at_s = float("-inf")
         self._no_stock_until_s: dict[ServerGroup, float] = {}
@@ -75,6 +79,7 @@
         self, demand: ServiceDemand, fleet: FleetState, now: float
     ) -> ScalingDecision:
         """Return the orders due now; called some times a second."""
+        self._observe_start(demand, fleet, now)
         need = self._need(demand, now)
         plan = ScalingPlan(self._spec, need, fleet, self._groups_in_stock(now))
         added = plan.additions()
@@ -92,6 +97,31 @@
         self._removed_at_s = now
         return ScalingDecision(self._orders(fleet, Counter({removed: -1})), need)
 
+    def _observe_start(
+        self, demand: ServiceDemand, fleet: FleetState, now: float
+    ) -> None:
+        if self._demand_since_s is None:
+            # Registrations may arrive one after the other; spot servers that replace
+            # regular ones don't count once more.
+            found = regular_count(fleet.present)
+            if not self._initial_servers:
+                found = sum(fleet.present.values()) + sum(fleet.booting.values())
+            self._initial_servers = max(self._initial_servers, found)
+            if max(demand.prefill, demand.decode) >= DEMAND_MIN:
+                self._demand_since_s = now
+
+    def _least_servers(self, now: float) -> int:
+        """Return the number kept whatever the demand.
+
+        Until the demand of a whole wave is known, it is the number found at the start,
+        which the operator has chosen; cheaper servers may replace those.
+        """
+        least = ENGINES_MIN if self._has_engines else 1
+        since_s = self._demand_since_s
+        if since_s is not None and now - since_s >= HOLD_S:
+            return least
+        return max(least, self._initial_servers)
+
     def _need(self, demand: ServiceDemand, now: float) -> ServerNeed:
         """Return the servers needed over the boot time."""
         offered = 1 / (1 - min(REFUSED_SHARE_MAX, demand.refused_share))
@@ -108,7 +138,7 @@
             urgent += math.ceil(prefill * share)
         after_loss_min = ENGINES_AFTER_LOSS_MIN if self._has_engines else 1
         urgent = max(urgent, after_loss_min)
-        total_min = ENGINES_MIN if self._has_engines else 1
+        total_min = self._least_servers(now)
         return ServerNeed(
             max(total, total_min),
             max(enough, total_min),
