--- a/tests/test_handoff_time.py
+++ b/tests/test_handoff_time.py
@@ -35,7 +35,9 @@
         self.time = HandoffTime(clock=lambda: self.now)
         self.estimates._handoff_times["s"] = self.time
         self.updater = EstimateUpdater(self.estimates, mock.Mock())
-        self.call = mock.Mock(service="s", prompt=prompt(9_000, shared=6_000))
+        self.call = mock.Mock(
+            service="s", prompt=prompt(9_000, shared=6_000), work=9_000
+        )
 
     def hand_off(self, outcome, includes_prefill=False, **load):
         choice = Choice(candidate("d0", Stage.DECODE, **load), 0.01)
