scaling: replaced servers leave sooner

Only servers that serve count as a replacement, so that it needn't wait; and before the first calls, several of a zone are removed at once.

--- a/tests/test_server_scaling.py
+++ b/tests/test_server_scaling.py
@@ -80,6 +80,7 @@
         self,
     ):
         """Guards against calls that are refused as the first ones find few servers."""
+        self.assertEqual(regular_count(self.decider.counts), 2)
         self.assertGreaterEqual(self.decider.counts.total(), 19)
         self.assertLess(regular_count(self.decider.counts), 10)
         self.decider.play(ServiceDemand(0.5, 0.5), HOLD_S / 2)
--- a/wisteriaarch/version/scaling_plan.py
+++ b/wisteriaarch/version/scaling_plan.py
@@ -74,6 +74,13 @@
         groups.sort(key=self._removal_order, reverse=True)
         return next((group for group in groups if self._is_dispensable(group)), None)
 
+    def dispensable(self, group: ServerGroup) -> int:
+        """Return how many servers of a dispensable group can be removed at once."""
+        count = 1
+        while count < self._serving[group] and self._is_dispensable(group, count + 1):
+            count += 1
+        return count
+
     @property
     def _zones(self) -> Collection[str]:
         return self._spec.zone_prices.keys()
@@ -83,10 +90,10 @@
         in_zone = self._zone_servers[group.zone]
         return not group.is_spot, in_zone, self._price(group), group.zone
 
-    def _is_dispensable(self, group: ServerGroup) -> bool:
-        if self._zone_ordered[group.zone] <= self._spec.replicas_min:
+    def _is_dispensable(self, group: ServerGroup, count: int = 1) -> bool:
+        if self._zone_ordered[group.zone] - count < self._spec.replicas_min:
             return False
-        left = self._serving - Counter({group: 1})
+        left = self._serving - Counter({group: count})
         if group.is_spot:
             return self._suffices(left, self._need.total, REMOVAL_MARGIN)
         margin = 1.0 if self._has_spot else REMOVAL_MARGIN
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -89,13 +89,29 @@
         if added:
             self._added_at_s = now
             return ScalingDecision(self._orders(fleet, added), need)
-        if not self._may_remove(fleet, need, now):
+        if not self._may_remove(fleet, need):
             return ScalingDecision((), need)
         removed = plan.removal()
         if removed is None or not self._is_removal_due(removed, now):
             return ScalingDecision((), need)
         self._removed_at_s = now
-        return ScalingDecision(self._orders(fleet, Counter({removed: -1})), need)
+        count = self._removal_count(plan, removed, fleet)
+        return ScalingDecision(self._orders(fleet, Counter({removed: -count})), need)
+
+    def _removal_count(
+        self, plan: ScalingPlan, group: ServerGroup, fleet: FleetState
+    ) -> int:
+        """Return how many dispensable servers to remove at once.
+
+        Before the first calls, no engine has cached a prefix that would be lost.
+        """
+        if self._demand_since_s is not None:
+            return 1
+        count = plan.dispensable(group)
+        if self._has_engines:
+            # All of them may be of the stage with the fewest engines.
+            count = min(count, min(fleet.engines_by_stage.values()) - 1)
+        return count
 
     def _observe_start(
         self, demand: ServiceDemand, fleet: FleetState, now: float
@@ -147,33 +163,39 @@
             self._decode.is_settled(now),
         )
 
+    @property
+    def _has_spot(self) -> bool:
+        return self._spec.spot_price is not None and self._spec.spot_price < 1
+
     def _groups_in_stock(self, now: float) -> list[ServerGroup]:
-        has_spot = self._spec.spot_price is not None and self._spec.spot_price < 1
         groups = (
             ServerGroup(zone, is_spot)
             for zone in self._spec.zone_prices
-            for is_spot in ((True, False) if has_spot else (False,))
+            for is_spot in ((True, False) if self._has_spot else (False,))
         )
         return [
             group for group in groups if now >= self._no_stock_until_s.get(group, now)
         ]
 
-    def _may_remove(self, fleet: FleetState, need: ServerNeed, now: float) -> bool:
-        """Whether enough is known, and no addition is recent.
+    def _may_remove(self, fleet: FleetState, need: ServerNeed) -> bool:
+        """Whether enough is known to remove servers.
 
         A removed engine may be of either stage, so each stage keeps one without it.
         """
-        return (
-            need.is_settled
-            and now - self._added_at_s >= self._spec.boot_s
-            and (
-                not self._has_engines
-                or min(fleet.engines_by_stage.values(), default=0) > 1
-            )
+        return need.is_settled and (
+            not self._has_engines or min(fleet.engines_by_stage.values(), default=0) > 1
         )
 
     def _is_removal_due(self, group: ServerGroup, now: float) -> bool:
-        interval_s = REMOVAL_INTERVAL_S if group.is_spot else REPLACED_INTERVAL_S
+        """Whether the last changes are long enough ago.
+
+        A regular server that spot servers replace needn't wait for the boot of further
+        ones, since only those that serve count as its replacement.
+        """
+        is_replaced = not group.is_spot and self._has_spot
+        if not is_replaced and now - self._added_at_s < self._spec.boot_s:
+            return False
+        interval_s = REPLACED_INTERVAL_S if is_replaced else REMOVAL_INTERVAL_S
         return now - self._removed_at_s >= interval_s
 
     def _orders(
