--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -15,8 +15,8 @@
 from dataclasses import dataclass
 
 from ..process.duty_messages import ScalingOrder
-from .scaled_fleet import FleetState, ServerGroup
-from .scaling_forecast import DemandForecast, ServerNeed, ServiceDemand
+from .scaled_fleet import FleetState, ServerGroup, regular_count
+from .scaling_forecast import HOLD_S, DemandForecast, ServerNeed, ServiceDemand
 from .scaling_plan import ScalingPlan
 from .scaling_spec import ScalingSpec
 
@@ -37,6 +37,8 @@
 REMOVAL_INTERVAL_S = 2.0
 # A regular server that spot servers have replaced costs several times their price.
 REPLACED_INTERVAL_S = 1.0
+# Less than this, in servers, is no demand yet, such as calls that test a route.
+DEMAND_MIN = 0.2
 # An engine service keeps an engine in each stage after the loss of one.
 ENGINES_MIN = 3
 ENGINES_AFTER_LOSS_MIN = 2
@@ -61,6 +63,8 @@
         self._has_engines = has_engines
         self._prefill = DemandForecast(spec.boot_s)
         self._decode = DemandForecast(spec.boot_s)
+        self._initial_servers = 0
+        self._demand_since_s: float | None = None
         self._added_at_s = float("-inf")
         self._removed_at_s = float("-inf")
         self._no_stock_until_s: dict[ServerGroup, float] = {}
@@ -75,6 +79,7 @@
         self, demand: ServiceDemand, fleet: FleetState, now: float
     ) -> ScalingDecision:
         """Return the orders due now; called some times a second."""
+        self._observe_start(demand, fleet, now)
         need = self._need(demand, now)
         plan = ScalingPlan(self._spec, need, fleet, self._groups_in_stock(now))
         added = plan.additions()
@@ -84,13 +89,54 @@
         if added:
             self._added_at_s = now
             return ScalingDecision(self._orders(fleet, added), need)
-        if not self._may_remove(fleet, need, now):
+        if not self._may_remove(fleet, need):
             return ScalingDecision((), need)
         removed = plan.removal()
         if removed is None or not self._is_removal_due(removed, now):
             return ScalingDecision((), need)
         self._removed_at_s = now
-        return ScalingDecision(self._orders(fleet, Counter({removed: -1})), need)
+        count = self._removal_count(plan, removed, fleet)
+        return ScalingDecision(self._orders(fleet, Counter({removed: -count})), need)
+
+    def _removal_count(
+        self, plan: ScalingPlan, group: ServerGroup, fleet: FleetState
+    ) -> int:
+        """Return how many dispensable servers to remove at once.
+
+        Before the first calls, no engine has cached a prefix that would be lost.
+        """
+        if self._demand_since_s is not None:
+            return 1
+        count = plan.dispensable(group)
+        if self._has_engines:
+            # All of them may be of the stage with the fewest engines.
+            count = min(count, min(fleet.engines_by_stage.values()) - 1)
+        return count
+
+    def _observe_start(
+        self, demand: ServiceDemand, fleet: FleetState, now: float
+    ) -> None:
+        if self._demand_since_s is None:
+            # Registrations may arrive one after the other; spot servers that replace
+            # regular ones don't count once more.
+            found = regular_count(fleet.present)
+            if not self._initial_servers:
+                found = sum(fleet.present.values()) + sum(fleet.booting.values())
+            self._initial_servers = max(self._initial_servers, found)
+            if max(demand.prefill, demand.decode) >= DEMAND_MIN:
+                self._demand_since_s = now
+
+    def _least_servers(self, now: float) -> int:
+        """Return the number kept whatever the demand.
+
+        Until the demand of a whole wave is known, it is the number found at the start,
+        which the operator has chosen; cheaper servers may replace those.
+        """
+        least = ENGINES_MIN if self._has_engines else 1
+        since_s = self._demand_since_s
+        if since_s is not None and now - since_s >= HOLD_S:
+            return least
+        return max(least, self._initial_servers)
 
     def _need(self, demand: ServiceDemand, now: float) -> ServerNeed:
         """Return the servers needed over the boot time."""
@@ -108,7 +154,7 @@
             urgent += math.ceil(prefill * share)
         after_loss_min = ENGINES_AFTER_LOSS_MIN if self._has_engines else 1
         urgent = max(urgent, after_loss_min)
-        total_min = ENGINES_MIN if self._has_engines else 1
+        total_min = self._least_servers(now)
         return ServerNeed(
             max(total, total_min),
             max(enough, total_min),
@@ -117,33 +163,39 @@
             self._decode.is_settled(now),
         )
 
+    @property
+    def _has_spot(self) -> bool:
+        return self._spec.spot_price is not None and self._spec.spot_price < 1
+
     def _groups_in_stock(self, now: float) -> list[ServerGroup]:
-        has_spot = self._spec.spot_price is not None and self._spec.spot_price < 1
         groups = (
             ServerGroup(zone, is_spot)
             for zone in self._spec.zone_prices
-            for is_spot in ((True, False) if has_spot else (False,))
+            for is_spot in ((True, False) if self._has_spot else (False,))
         )
         return [
             group for group in groups if now >= self._no_stock_until_s.get(group, now)
         ]
 
-    def _may_remove(self, fleet: FleetState, need: ServerNeed, now: float) -> bool:
-        """Whether enough is known, and no addition is recent.
+    def _may_remove(self, fleet: FleetState, need: ServerNeed) -> bool:
+        """Whether enough is known to remove servers.
 
         A removed engine may be of either stage, so each stage keeps one without it.
         """
-        return (
-            need.is_settled
-            and now - self._added_at_s >= self._spec.boot_s
-            and (
-                not self._has_engines
-                or min(fleet.engines_by_stage.values(), default=0) > 1
-            )
+        return need.is_settled and (
+            not self._has_engines or min(fleet.engines_by_stage.values(), default=0) > 1
         )
 
     def _is_removal_due(self, group: ServerGroup, now: float) -> bool:
-        interval_s = REMOVAL_INTERVAL_S if group.is_spot else REPLACED_INTERVAL_S
+        """Whether the last changes are long enough ago.
+
+        A regular server that spot servers replace needn't wait for the boot of further
+        ones, since only those that serve count as its replacement.
+        """
+        is_replaced = not group.is_spot and self._has_spot
+        if not is_replaced and now - self._added_at_s < self._spec.boot_s:
+            return False
+        interval_s = REPLACED_INTERVAL_S if is_replaced else REMOVAL_INTERVAL_S
         return now - self._removed_at_s >= interval_s
 
     def _orders(
