connections: one that is unread makes room for a new client at the limit

While clients that read no answers held all connections, ordinary callers were refused with 503 until the write timeout ended some.

Cause: at the limit, a new client was refused whatever the open connections did.

Change: at the limit, the connection whose client has taken nothing of a waiting answer for longest is reset if that is limits.unread_when_full_s (0.5 s) or more; else the new client is refused as before. The kernel is asked for unsent bytes and the time since it last sent any (TCP_INFO), so that slow readers, idle connections and calls without an answer are kept. The new client is admitted once the other connection is closed, 0.3 s later at most, so that connections stay within the limit. It holds for the servers for information too, which share the limit's code.

--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -126,4 +126,4 @@
         finally:
             self._connections.discard(conn)
             if self._limit:
-                self._limit.release()
+                self._limit.release(client)
--- a/wisteriaarch/connection/client_servers.py
+++ b/wisteriaarch/connection/client_servers.py
@@ -34,7 +34,7 @@
         return CallerServer(
             partial(CallerConnection, app=app, reports=self._reports),
             self._log,
-            ConnectionLimit(self._limits.connections, CALLERS, self._reports),
+            self._limit(self._limits.connections, CALLERS),
         )
 
     def info(
@@ -49,6 +49,10 @@
             listen.address(),
             answer,
             self._log,
-            ConnectionLimit(self._limits.info_connections, field, self._reports),
+            self._limit(self._limits.info_connections, field),
             self._settings.limits,
         )
+
+    def _limit(self, connections: int, server: str) -> ConnectionLimit:
+        unread_s = self._settings.limits.unread_when_full_s
+        return ConnectionLimit(connections, server, self._reports, unread_s)
--- a/wisteriaarch/connection/connection_limit.py
+++ b/wisteriaarch/connection/connection_limit.py
@@ -7,9 +7,10 @@
 import curio
 
 from ..client_socket import ClientSocket
+from ..process.clock import now_s
 from ..process.limit_reports import ClientLimit, LimitReports
 from ..process.settings_models import LimitSettings
-from ..sockets import limit_unsent
+from ..sockets import limit_unsent, stop_transfer, unread_for_s
 
 # Most clients send their request right after they connect and take this for its
 # answer. It is not certain to arrive: unread input resets the connection.
@@ -17,6 +18,10 @@
     b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nX-Ran: no\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+UNREAD_WHEN_FULL_S = 0.5
+# A connection that was reset ends within HANGUP_POLL_S of the client's socket.
+CLOSE_POLL_EVERY_S = 0.005
+CLOSE_POLLS = 60
 
 
 def bounded_socket(
@@ -30,15 +35,25 @@
 class ConnectionLimit:
     """Counts the open connections of one server.
 
-    Connections above the limit are accepted and closed at once, since clients that
-    wait in the queue of the socket would learn nothing.
+    Above the limit, the connection whose answer has been unread for longest is reset
+    if that is ``unread_s`` or more. Otherwise the new one is accepted and closed at
+    once, since clients that wait in the queue of the socket would learn nothing.
     """
 
-    def __init__(self, maximum: int, server: str, reports: LimitReports):
+    def __init__(
+        self,
+        maximum: int,
+        server: str,
+        reports: LimitReports,
+        unread_s: float = UNREAD_WHEN_FULL_S,
+    ):
         self.maximum = maximum
         self._server = server
         self._reports = reports
-        self._open = 0
+        self._unread_s = unread_s
+        self._open: set[Any] = set()
+        self._reset: set[Any] = set()
+        self._next_search_at_s = 0.0
 
     def report(self, limit: ClientLimit, **fields: str) -> None:
         """Record that a limit took effect at this server."""
@@ -46,8 +61,12 @@
 
     async def admit(self, client: Any) -> bool:
         """Count a new connection, or else refuse and close it."""
-        if self._open < self.maximum:
-            self._open += 1
+        if len(self._open) >= self.maximum:
+            # A cancellation in between would lose a client that was accepted.
+            async with curio.disable_cancellation():
+                await self._make_room()
+        if len(self._open) < self.maximum:
+            self._open.add(client)
             return True
         self.report(ClientLimit.CONNECTIONS)
         with contextlib.suppress(OSError):
@@ -57,6 +76,37 @@
         await curio.sleep(0)
         return False
 
-    def release(self) -> None:
+    def release(self, client: Any) -> None:
         """Count an admitted connection as closed."""
-        self._open -= 1
+        self._open.discard(client)
+        self._reset.discard(client)
+
+    async def _make_room(self) -> None:
+        """Reset the connection unread for longest, and wait until it is closed.
+
+        The wait keeps the number of descriptors within the limit.
+        """
+        client = self._find_unread()
+        if client is None:
+            return
+        self.report(ClientLimit.UNREAD_WHEN_FULL)
+        self._reset.add(client)
+        stop_transfer(client)
+        for _ in range(CLOSE_POLLS):
+            await curio.sleep(CLOSE_POLL_EVERY_S)
+            if len(self._open) < self.maximum:
+                return
+
+    def _find_unread(self) -> Any | None:
+        now = now_s()
+        if now < self._next_search_at_s:
+            return None
+        unread = {client: unread_for_s(client) for client in self._open - self._reset}
+        client = max(unread, key=unread.__getitem__, default=None)
+        longest_s = unread.get(client, 0.0)
+        if longest_s >= self._unread_s:
+            return client
+        # A search takes about 3 us for each connection, so none is made before one of
+        # them can have been unread for that long.
+        self._next_search_at_s = now + self._unread_s - longest_s
+        return None
--- a/wisteriaarch/process/limit_reports.py
+++ b/wisteriaarch/process/limit_reports.py
@@ -16,6 +16,7 @@
     CONNECTIONS = "connections"
     PIPELINED = "pipelined_bytes"
     UNREAD = "unread_answer"
+    UNREAD_WHEN_FULL = "unread_when_full"
     MEMORY = "memory"
 
 
--- a/wisteriaarch/process/settings_models.py
+++ b/wisteriaarch/process/settings_models.py
@@ -57,6 +57,7 @@
     pipelined_bytes: int = Field(default=32 * 1024, ge=1024)
     unsent_bytes: int = Field(default=64 * 1024, ge=1024)
     write_timeout_s: float = Field(default=5.0, gt=0)
+    unread_when_full_s: float = Field(default=0.5, gt=0)
 
 
 def load_model(model: type[ModelT], path: str) -> ModelT:
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -18,6 +18,11 @@
 # struct linger: on, for 0 s.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 ACCEPT_RETRY_DELAY_S = 0.05
+# Linux's struct tcp_info up to tcpi_notsent_bytes: eight bytes, then 24 fields of four
+# bytes, four of eight (rates and byte counts) and three of four.
+TCP_INFO = struct.Struct("=8x24I4Q3I")
+LAST_DATA_SENT_MS = 9
+UNSENT_BYTES = 30
 # Errors of a single connection, or a temporary lack of descriptors or memory.
 TRANSIENT_ACCEPT_ERRORS = frozenset(
     (
@@ -68,7 +73,7 @@
     async def admit(self, client: Any) -> bool:
         """Count a new connection, or else refuse and close it."""
 
-    def release(self) -> None:
+    def release(self, client: Any) -> None:
         """Count an admitted connection as closed."""
 
 
@@ -95,7 +100,7 @@
         finally:
             tasks.discard(await curio.current_task())
             if gate:
-                gate.release()
+                gate.release(client)
 
     try:
         async with sock:
@@ -113,9 +118,18 @@
 
     A peer that still sends would otherwise learn of the close only after a time.
     """
+    _shut_down(sock, socket.SHUT_RD)
+
+
+def stop_transfer(sock: Any) -> None:
+    """As ``stop_reading``, and make a pending write fail."""
+    _shut_down(sock, socket.SHUT_RDWR)
+
+
+def _shut_down(sock: Any, how: int) -> None:
     reset_on_close(sock)
     with contextlib.suppress(OSError), sock.blocking() as raw:
-        raw.shutdown(socket.SHUT_RD)
+        raw.shutdown(how)
 
 
 def reset_on_close(sock: Any) -> None:
@@ -132,6 +146,20 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, size)
 
 
+def unread_for_s(sock: Any) -> float:
+    """Return for how long the peer has taken nothing of what waits to be sent to it.
+
+    0 if nothing waits to be sent. The kernel is asked, since it still sends to a slow
+    reader between the writes.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        fields = TCP_INFO.unpack(info)
+    except (OSError, struct.error):
+        return 0.0
+    return fields[LAST_DATA_SENT_MS] / 1000 if fields[UNSENT_BYTES] else 0.0
+
+
 async def open_socket(address: Address, timeout_s: float = CONNECT_TIMEOUT_S) -> Any:
     """Return a connected curio socket; raises OSError on failure or time-out.
 
