--- a/extras/control_cost.py
+++ b/extras/control_cost.py
@@ -6,7 +6,7 @@
 import curio
 
 from extras.cluster import Cluster
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.http_store import HttpTableStore
 from wisteriaarch.process.lease import Lease
--- a/extras/replay/fleet.py
+++ b/extras/replay/fleet.py
@@ -9,7 +9,7 @@
 
 from wisteriaarch.connection.placed_attempt import PlacedAttempt
 from wisteriaarch.errors import RequestError
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.upstreams import Stage, Upstream, UpstreamRegistry
--- a/tests/test_call_runner.py
+++ b/tests/test_call_runner.py
@@ -5,7 +5,7 @@
 import curio
 
 from wisteriaarch.errors import ErrorKind, Ran, RequestError
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.process.metrics import Metrics
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -13,7 +13,8 @@
 from wisteriaarch.connection.caller_server import CallerServer
 from wisteriaarch.connection.connection_limit import ConnectionLimit
 from wisteriaarch.errors import AnswerUnread, ErrorKind, RequestError
-from wisteriaarch.events import Event, EventLog
+from wisteriaarch.event_log import EventLog
+from wisteriaarch.events import Event
 from wisteriaarch.http_server import HttpServerConnection
 from wisteriaarch.memory_budget import SMALL_BYTES, MemoryBudget
 from wisteriaarch.process.client_limits import MIB, ClientLimits
--- a/tests/test_connection_limit.py
+++ b/tests/test_connection_limit.py
@@ -13,7 +13,7 @@
 from wisteriaarch.connection.caller_server import CallerServer
 from wisteriaarch.connection.connection_limit import ConnectionLimit
 from wisteriaarch.errors import ErrorKind, RequestError
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.limit_reports import LimitReports
 from wisteriaarch.sockets import limit_unsent, unread_for_s
 
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -10,7 +10,7 @@
 from extras.replay.engines import EngineCosts
 from extras.replay.fleet import FleetReplay
 from extras.replay.load import CustomerSpec, Deployment, KindSpec, Peak
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.fleet_estimates import FleetEstimates
 from wisteriaarch.request.estimate_updater import EstimateUpdater
 from wisteriaarch.request.scheduler import Scheduler, SchedulingParts
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -6,7 +6,8 @@
 import unittest
 from unittest import mock
 
-from wisteriaarch.events import Event, EventLog
+from wisteriaarch.event_log import EventLog
+from wisteriaarch.events import Event
 from wisteriaarch.log_budget import LogBudget
 from wisteriaarch.log_handler import open_log, redirect_library_logging
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -8,7 +8,7 @@
 
 from extras.cluster import wait_until
 from wisteriaarch.errors import LeaseLost
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.lease import CONTENDERS_MAX, Lease
 from wisteriaarch.process.lease_record import Contender
 from wisteriaarch.process.settings_models import LeaseSettings
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -15,7 +15,7 @@
 from extras.step_controller import StepController
 from wisteriaarch.emulator.scheduler import expected_text
 from wisteriaarch.errors import ConfigError
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.http_store import HttpTableStore
 from wisteriaarch.process.manifest_copy import ManifestCopy
 from wisteriaarch.process.store import NO_VERSION, Row
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,7 +9,7 @@
 
 from extras.cluster import Cluster, wait_until
 from wisteriaarch.errors import RequestError, StoreUnavailable
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.digest import CrashRecord
 from wisteriaarch.process.http_store import HttpTableStore
 from wisteriaarch.request.call import Call
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from wisteriaarch.errors import RequestError
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.clock import now_s
 from wisteriaarch.process.digest import SentWork
 from wisteriaarch.process.load_monitor import LoadMonitor, choose_subset
--- a/tests/test_row_watch.py
+++ b/tests/test_row_watch.py
@@ -6,7 +6,7 @@
 import curio
 
 from wisteriaarch.errors import HistoryUnavailable, StoreUnavailable
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process import (
     row_watch as row_watch_module,
     upstreams as upstreams_module,
--- a/tests/test_settlement.py
+++ b/tests/test_settlement.py
@@ -9,7 +9,7 @@
 from extras.cluster import Cluster, wait_until
 from extras.ports import free_port
 from wisteriaarch.errors import WriteConflict
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.group_commit import GroupCommit
 from wisteriaarch.process.http_store import HttpTableStore
 from wisteriaarch.process.store import NO_VERSION, Put, Transaction
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -10,7 +10,7 @@
 from curio.io import Socket
 
 from wisteriaarch.connection.caller_server import CallerServer
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.sockets import serve_clients
 
 TIMEOUT_S = 5.0
--- a/tests/test_stop_faults.py
+++ b/tests/test_stop_faults.py
@@ -18,7 +18,7 @@
 from extras.gateway_cluster import HOST, GatewayCluster, is_ready
 from wisteriaarch.connection.caller_connection import AnswerForm, CallerConnection
 from wisteriaarch.connection.caller_server import CallerServer
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.process.gateway_settings import GatewaySettings
 from wisteriaarch.process.limit_reports import LimitReports
 from wisteriaarch.process.metrics import Metrics
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -28,7 +28,7 @@
     StoreUnavailable,
     WriteOutcomeUnknown,
 )
-from wisteriaarch.events import EventLog
+from wisteriaarch.event_log import EventLog
 from wisteriaarch.platform.adapter import Platform
 from wisteriaarch.platform.store import PlatformStore
 from wisteriaarch.process import (
--- a/wisteriaarch/connection/caller_server.py
+++ b/wisteriaarch/connection/caller_server.py
@@ -6,7 +6,8 @@
 import curio
 from curio.io import Socket
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.supervision import run_step, run_supervised
 from ..sockets import accept_client
 from .caller_connection import CallerConnection
--- a/wisteriaarch/connection/client_servers.py
+++ b/wisteriaarch/connection/client_servers.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import Any
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..memory_budget import PROCESS_BUDGET
 from ..process.client_limits import ClientLimits, InstanceSettings
 from ..process.limit_reports import LimitReports
--- a/wisteriaarch/connection/copy_client.py
+++ b/wisteriaarch/connection/copy_client.py
@@ -12,7 +12,8 @@
 import curio
 
 from ..errors import ConfigError, WisteriaError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.fleet_state import FleetState
 from ..process.member_list import MemberList, MemberRecord
--- a/wisteriaarch/connection/duty_client.py
+++ b/wisteriaarch/connection/duty_client.py
@@ -6,7 +6,8 @@
 from curio import socket
 
 from ..errors import LeaseLost, WireError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..http_client import HttpClientConnection
 from ..process.clock import now_s
 from ..process.duty import Duty
--- a/wisteriaarch/connection/fleet_placer.py
+++ b/wisteriaarch/connection/fleet_placer.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.clock import now_s
 from ..process.prefix_cache_index import CacheState
 from ..process.registration_wait import wait_for_registrations
--- a/wisteriaarch/connection/info_server.py
+++ b/wisteriaarch/connection/info_server.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from ..errors import ANSWERS, RequestError
-from ..events import EventLog
+from ..event_log import EventLog
 from ..http_server import HttpServerConnection
 from ..process.settings_models import LimitSettings
 from ..sockets import listen_on, serve_clients
--- a/wisteriaarch/connection/peer_network.py
+++ b/wisteriaarch/connection/peer_network.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import ConfigError, FrameError, WisteriaError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.backoff import Backoff
 from ..process.clock import now_s
 from ..process.digest import PeerDigest
--- a/wisteriaarch/connection/planned_stop.py
+++ b/wisteriaarch/connection/planned_stop.py
@@ -4,7 +4,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.stop_schedule import StopSchedule
 from ..process.supervision import run_step
--- a/wisteriaarch/connection/prober.py
+++ b/wisteriaarch/connection/prober.py
@@ -14,7 +14,8 @@
 from curio import socket
 
 from ..errors import FrameError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.digest import (
     NO_BLOCK_RECORDS,
--- a/wisteriaarch/connection/relay_server.py
+++ b/wisteriaarch/connection/relay_server.py
@@ -5,7 +5,8 @@
 import curio
 
 from ..errors import ConnectionClosed, FrameError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..sockets import open_socket
 from .frames import FrameReader, encode_frame
 from .relay_codec import (
--- a/wisteriaarch/connection/scheduler_link.py
+++ b/wisteriaarch/connection/scheduler_link.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import WisteriaError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.upstream_signals import UpstreamSignals
 from ..request.attempt_outcome import ABANDONED, AttemptOutcome
--- a/wisteriaarch/connection/scheduling_server.py
+++ b/wisteriaarch/connection/scheduling_server.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import FrameError, RequestError, WisteriaError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.manifest_copy import ManifestCopySource
 from ..process.usage_counts import UsageUpdate
--- a/wisteriaarch/connection/upstream_connector.py
+++ b/wisteriaarch/connection/upstream_connector.py
@@ -9,7 +9,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..http_client import HttpClientConnection
 from ..process.clock import now_s
 from ..process.fleet import Fleet
--- a/wisteriaarch/connection/usage_reporter.py
+++ b/wisteriaarch/connection/usage_reporter.py
@@ -12,7 +12,8 @@
 import curio
 
 from ..errors import LeaseLost, PlatformError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.duty import Duty
 from ..process.duty_messages import DutyProtocol, DutyResult, UsageReport
--- a/wisteriaarch/emulator/proxy.py
+++ b/wisteriaarch/emulator/proxy.py
@@ -18,7 +18,7 @@
 import curio
 from curio import socket
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..http_server import HttpServerConnection
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, HttpRequest
--- a/wisteriaarch/emulator/server.py
+++ b/wisteriaarch/emulator/server.py
@@ -9,7 +9,7 @@
 
 from ..client_socket import ClientSocket
 from ..errors import WisteriaError
-from ..events import EventLog
+from ..event_log import EventLog
 from ..http_server import HttpServerConnection
 from ..sockets import listen_on, serve_clients
 from ..wire import Address, HttpRequest
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -14,7 +14,8 @@
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
 from .errors import ErrorKind, RequestError
-from .events import Event, EventLog
+from .event_log import EventLog
+from .events import Event
 from .process.clock import now_s
 from .process.demand import DemandMeter
 from .process.digest import EntryRecord, LimitRecord
--- a/wisteriaarch/entry_duties.py
+++ b/wisteriaarch/entry_duties.py
@@ -11,7 +11,7 @@
 from .connection.usage_sender import UsageSender
 from .entry_network import EntryNetwork
 from .entry_scheduling import EntryScheduling
-from .events import EventLog
+from .event_log import EventLog
 from .process.duty import Duty
 from .process.duty_context import DutyContext
 from .process.duty_settings import AUTOSCALE_DUTY, USAGE_DUTY, DutySettings
--- a/wisteriaarch/entry_network.py
+++ b/wisteriaarch/entry_network.py
@@ -8,7 +8,7 @@
 from .connection.copy_client import CopyClient
 from .connection.prober import Prober
 from .connection.store_relay import StoreRelay
-from .events import EventLog
+from .event_log import EventLog
 from .process.address_choice import choose_entries
 from .process.digest import BlockRecords, CrashRecord, LimitRecord
 from .process.entry_list import EntryList
--- a/wisteriaarch/entry_scheduling.py
+++ b/wisteriaarch/entry_scheduling.py
@@ -6,7 +6,7 @@
 from .adapter import PlatformAdapter
 from .connection.fleet_placer import FleetPlacer
 from .entry_network import EntryNetwork
-from .events import EventLog
+from .event_log import EventLog
 from .process.fleet_estimates import FleetEstimates
 from .process.gateway_settings import GatewaySettings
 from .process.lease_record import Contender
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -6,10 +6,7 @@
 never be logged as fields of an event.
 """
 
-import contextlib
-from collections.abc import Iterator
 from enum import Enum
-from typing import Any
 
 import logbook
 
@@ -294,26 +291,3 @@
     ADMISSION_REFUSED = EventKind(
         700, logbook.INFO, "request can't be admitted", Importance.FAILURE
     )
-
-
-class EventLog:
-    """Writes each event as one log line with the entry's id."""
-
-    def __init__(self, entry_id: str):
-        self._logger = logbook.Logger(entry_id)
-
-    def write(self, event: Event, **fields: Any) -> None:
-        """Log ``event`` with ``fields``."""
-        kind = event.value
-        self._logger.log(
-            kind.level, kind.message, extra={"kind": kind, "fields": fields}
-        )
-
-    @contextlib.contextmanager
-    def record_failure(self) -> Iterator[None]:
-        """Log an exception that ends the entry, and let it through."""
-        try:
-            yield
-        except Exception as exc:
-            self.write(Event.ENTRY_FAILED, error=repr(exc))
-            raise
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -21,7 +21,8 @@
 from .entry_network import EntryNetwork
 from .entry_scheduling import EntryScheduling
 from .errors import ErrorKind, RequestError, cut_error
-from .events import Event, EventLog
+from .event_log import EventLog
+from .events import Event
 from .gauges import GatewayGauges
 from .process.clock import now_s
 from .process.fleet_estimates import FleetEstimates
--- a/wisteriaarch/process/duty_context.py
+++ b/wisteriaarch/process/duty_context.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from ..events import EventLog
+from ..event_log import EventLog
 from .lease_record import Contender
 from .settings_models import LeaseSettings
 from .store import RowStore
--- a/wisteriaarch/process/fleet_state.py
+++ b/wisteriaarch/process/fleet_state.py
@@ -11,7 +11,8 @@
 
 from ..adapter import PlatformAdapter
 from ..errors import ConfigError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..version.route_table import RouteTable
 from .clock import now_s
 from .invalid_parts import log_invalid_parts
--- a/wisteriaarch/process/group_commit.py
+++ b/wisteriaarch/process/group_commit.py
@@ -15,7 +15,8 @@
 import curio
 
 from ..errors import PlatformError, StoreUnavailable, WriteConflict
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from .clock import now_s
 from .store import Put, TableStore, Transaction
 
--- a/wisteriaarch/process/invalid_parts.py
+++ b/wisteriaarch/process/invalid_parts.py
@@ -1,6 +1,7 @@
 """Log lines on parts of a configuration that are invalid and left out."""
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..version.route_table import RouteTable
 
 # Bounds the line about invalid customers; the rest is counted.
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -18,7 +18,8 @@
 import curio
 
 from ..errors import LeaseLost, PlatformError, WriteConflict
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..steps import Step, reach_step
 from .clock import now_s
 from .lease_observer import LeaseObserver
--- a/wisteriaarch/process/limit_reports.py
+++ b/wisteriaarch/process/limit_reports.py
@@ -3,7 +3,8 @@
 from collections import Counter
 from enum import StrEnum
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from .clock import now_s
 from .metrics import Count, Metrics
 
--- a/wisteriaarch/process/row_watch.py
+++ b/wisteriaarch/process/row_watch.py
@@ -9,7 +9,8 @@
 import curio
 
 from ..errors import HistoryUnavailable, StoreUnavailable
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from .backoff import Backoff
 from .clock import now_s
 from .row_copy import RowCopy
--- a/wisteriaarch/process/settings_watch.py
+++ b/wisteriaarch/process/settings_watch.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import ConfigError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from .gateway_settings import GatewaySettings
 
 
--- a/wisteriaarch/process/staleness.py
+++ b/wisteriaarch/process/staleness.py
@@ -5,7 +5,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from .clock import now_s
 from .member import NEVER_S
 from .membership import Membership
--- a/wisteriaarch/process/supervision.py
+++ b/wisteriaarch/process/supervision.py
@@ -5,7 +5,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 
 RESTART_DELAY_S = 0.5
 
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..wire import Address
 from .clock import now_s
 
--- a/wisteriaarch/request/admission.py
+++ b/wisteriaarch/request/admission.py
@@ -5,7 +5,8 @@
 from contextlib import contextmanager
 
 from ..errors import ErrorKind, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.demand import DemandMeter
 from ..version.manifest import CallerSpec
 from .admission_probes import AdmissionProbes
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -4,7 +4,8 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 from ..connection.upstream_pool import UpstreamPool
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.upstream_signals import UpstreamSignals
--- a/wisteriaarch/request/block_quarantine.py
+++ b/wisteriaarch/request/block_quarantine.py
@@ -15,7 +15,8 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind, Ran, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.digest import NO_BLOCK_RECORDS, BlockRecords
 from .block_evidence import (
--- a/wisteriaarch/request/call_runner.py
+++ b/wisteriaarch/request/call_runner.py
@@ -10,7 +10,8 @@
 
 from ..connection.upstream_pool import UpstreamPool
 from ..errors import ErrorKind, Ran, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.fleet_estimates import FleetEstimates
 from ..process.metrics import Metrics
 from .answer_relay import AnswerRelay, CallSink
--- a/wisteriaarch/request/claim_journal.py
+++ b/wisteriaarch/request/claim_journal.py
@@ -21,7 +21,8 @@
     WisteriaError,
     WriteConflict,
 )
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.group_commit import GroupCommit
 from ..process.store import NO_VERSION, ObjectStore, Put, Row, TableStore
 from ..steps import Step, reach_step
--- a/wisteriaarch/request/claim_sweep.py
+++ b/wisteriaarch/request/claim_sweep.py
@@ -10,7 +10,8 @@
 import curio
 
 from ..errors import PlatformError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.fleet import Fleet
 from ..process.store import ObjectStore, Put, Row, TableStore, Transaction
 from .claim_epochs import ClaimEpochs, SweepState
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.digest import LimitRecord
 from ..process.fleet_estimates import FleetEstimates
--- a/wisteriaarch/request/invalid_header_log.py
+++ b/wisteriaarch/request/invalid_header_log.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterable
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 
 REMEMBERED_MAX = 1024
 
--- a/wisteriaarch/request/isolation.py
+++ b/wisteriaarch/request/isolation.py
@@ -9,7 +9,8 @@
 import curio
 
 from ..errors import RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
 from ..steps import Step, reach_step
--- a/wisteriaarch/request/kv_cache_releaser.py
+++ b/wisteriaarch/request/kv_cache_releaser.py
@@ -4,7 +4,8 @@
 
 from ..connection.upstream_pool import UpstreamPool
 from ..errors import WisteriaError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from .estimate_updater import EstimateUpdater
 from .exchange import CONTROL_ANSWER_MAX_BYTES, Exchange
--- a/wisteriaarch/request/limit_log.py
+++ b/wisteriaarch/request/limit_log.py
@@ -1,6 +1,7 @@
 """Logs changes of the request limits that upstreams state."""
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.request_limits import UNLIMITED
 
 
--- a/wisteriaarch/request/outcome_writer.py
+++ b/wisteriaarch/request/outcome_writer.py
@@ -13,7 +13,8 @@
     StoreUnavailable,
     WriteConflict,
 )
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.backoff import Backoff
 from ..process.clock import now_s
 from ..process.group_commit import GroupCommit
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -5,7 +5,8 @@
 from functools import partial
 
 from ..errors import ErrorKind, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.stage_utilization import StageUtilization
 from ..process.upstreams import Stage
--- a/wisteriaarch/request/policy.py
+++ b/wisteriaarch/request/policy.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.demand import DemandMeter
 from ..process.fleet import Fleet
 from ..process.load_monitor import LoadMonitor
--- a/wisteriaarch/request/quarantine.py
+++ b/wisteriaarch/request/quarantine.py
@@ -15,7 +15,8 @@
 import curio
 
 from ..errors import ErrorKind, Ran, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.digest import CrashRecord
 from ..steps import Step, reach_step
--- a/wisteriaarch/request/request_path.py
+++ b/wisteriaarch/request/request_path.py
@@ -6,7 +6,7 @@
 
 from ..connection.upstream_pool import UpstreamPool
 from ..errors import ErrorKind
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.fleet import Fleet
 from ..process.group_commit import GroupCommit
 from ..process.settings import EntrySettings
--- a/wisteriaarch/request/request_runner.py
+++ b/wisteriaarch/request/request_runner.py
@@ -16,7 +16,8 @@
     UpstreamError,
     UpstreamRefused,
 )
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
 from ..version.publication import ActiveManifest
--- a/wisteriaarch/request/routing.py
+++ b/wisteriaarch/request/routing.py
@@ -6,7 +6,8 @@
 from functools import singledispatch, singledispatchmethod
 
 from ..errors import ErrorKind, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.fleet import Fleet
 from ..process.load_monitor import LoadMonitor
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -12,7 +12,7 @@
 import curio
 
 from ..errors import ErrorKind, RequestError
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.upstreams import Upstream
--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -11,7 +11,8 @@
 from functools import partial
 
 from ..errors import ErrorKind, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.service_times import ServiceTimes
 from ..version.route_table import CallKind
--- a/wisteriaarch/request/service_recorder.py
+++ b/wisteriaarch/request/service_recorder.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import PlatformError, StoreUnavailable, WriteConflict
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.upstreams import UpstreamRegistry
 from ..process.version_records import VersionRecords, VersionSnapshot
--- a/wisteriaarch/request/shared_prefill.py
+++ b/wisteriaarch/request/shared_prefill.py
@@ -9,7 +9,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.prefix_cache_index import CacheState
 from .candidate import Candidate
--- a/wisteriaarch/request/signal_reader.py
+++ b/wisteriaarch/request/signal_reader.py
@@ -3,7 +3,8 @@
 ``platform`` has the headers of an upstream on a platform (``gateway``).
 """
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.request_limits import UNLIMITED, RequestLimits, parse_rate
 from ..process.upstream_signals import UpstreamSignals, parse_backoff_s
--- a/wisteriaarch/request/stream_versions.py
+++ b/wisteriaarch/request/stream_versions.py
@@ -14,7 +14,8 @@
 import curio
 
 from ..errors import ErrorKind, PlatformError, RequestError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.upstreams import Stage
--- a/wisteriaarch/request/zone_log.py
+++ b/wisteriaarch/request/zone_log.py
@@ -2,7 +2,8 @@
 
 from enum import StrEnum
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.fleet_estimates import FleetEstimates
 from .candidate import Choice
 from .routed_call import RoutedCall
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -10,7 +10,8 @@
 from curio import socket
 
 from .errors import ConfigError
-from .events import Event, EventLog
+from .event_log import EventLog
+from .events import Event
 from .wire import Address
 
 CONNECT_TIMEOUT_S = 1.0
--- a/wisteriaarch/version/closures.py
+++ b/wisteriaarch/version/closures.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass, field
 
 from ..errors import WriteConflict
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.lease import Lease
 from ..process.membership import Membership
--- a/wisteriaarch/version/control.py
+++ b/wisteriaarch/version/control.py
@@ -4,7 +4,7 @@
 
 import curio
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.clock import now_s
 from ..process.fleet import Fleet
 from ..process.lease import Lease
--- a/wisteriaarch/version/engine_monitor.py
+++ b/wisteriaarch/version/engine_monitor.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import LeaseLost, OrderError, PlatformError, UpstreamReassigned
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.store import Instance
 from .head import ALL_MODELS
--- a/wisteriaarch/version/group_controller.py
+++ b/wisteriaarch/version/group_controller.py
@@ -7,7 +7,8 @@
 import curio
 
 from ..errors import LeaseLost, PlatformError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.lease import Lease
 from ..process.lease_record import LeaseTerm
--- a/wisteriaarch/version/group_observer.py
+++ b/wisteriaarch/version/group_observer.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.fleet import Fleet
 from ..process.load_reports import LoadReport
 from ..process.store import Instance
--- a/wisteriaarch/version/manifest_settings_check.py
+++ b/wisteriaarch/version/manifest_settings_check.py
@@ -8,7 +8,8 @@
 
 import curio
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.settings import EntrySettings
 from ..process.settings_relations import Relation
 from .manifest import Manifest
--- a/wisteriaarch/version/manifest_watcher.py
+++ b/wisteriaarch/version/manifest_watcher.py
@@ -6,7 +6,8 @@
 import curio
 
 from ..errors import ConfigError, StoreUnavailable
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.backoff import Backoff
 from ..process.clock import now_s
 from ..process.manifest_copy import ManifestCopy
--- a/wisteriaarch/version/order_issuer.py
+++ b/wisteriaarch/version/order_issuer.py
@@ -7,7 +7,8 @@
 from dataclasses import dataclass, field
 
 from ..errors import LeaseLost, OrderRefused, OrderUnconfirmed, UpstreamReassigned
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.lease import Lease
 from ..process.store import Instance
--- a/wisteriaarch/version/role_changes.py
+++ b/wisteriaarch/version/role_changes.py
@@ -3,7 +3,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..steps import Step, reach_step
 from .orders import EngineState
--- a/wisteriaarch/version/scale_controller.py
+++ b/wisteriaarch/version/scale_controller.py
@@ -11,7 +11,8 @@
 import curio
 
 from ..errors import LeaseLost, PlatformError
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.duty_messages import DutyAuthority, DutyResult, ScalingOrder
 from .issued_orders import IssuedOrders, group_of
--- a/wisteriaarch/version/stage_controller.py
+++ b/wisteriaarch/version/stage_controller.py
@@ -18,7 +18,8 @@
     OrderUnconfirmed,
     PlatformError,
 )
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.clock import now_s
 from ..process.lease import Lease
 from ..process.stage_changes import StageChanges
--- a/wisteriaarch/version/stage_supervisor.py
+++ b/wisteriaarch/version/stage_supervisor.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from ..events import EventLog
+from ..event_log import EventLog
 from ..process.clock import now_s
 from ..process.fleet_estimates import FleetEstimates
 from ..process.lease import Lease
--- a/wisteriaarch/version/staging_log.py
+++ b/wisteriaarch/version/staging_log.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Sequence
 
-from ..events import Event, EventLog
+from ..event_log import EventLog
+from ..events import Event
 from ..process.upstreams import Stage
 from .stage_loads import EngineLoad
 from .stage_policy import StageChange
