names, comments and notes that a first reader stumbled on

Constants state what they are, docstrings agree with the code, notes with what is built; sockets.ConnectionGate is ConnectionAdmission, record_no_stock is block_group.

--- a/extras/scaling_trial.py
+++ b/extras/scaling_trial.py
@@ -177,7 +177,7 @@
 
     def record_no_stock(self, order: ScalingOrder, now: float) -> None:
         """Let other zones be asked."""
-        self.scaling.record_no_stock(ServerGroup(order.zone, order.spot), now)
+        self.scaling.block_group(ServerGroup(order.zone, order.spot), now)
 
 
 POLICIES = {
--- a/tests/test_server_scaling.py
+++ b/tests/test_server_scaling.py
@@ -293,7 +293,7 @@
     def test_zone_without_stock_is_asked_again_after_some_seconds(self):
         decider = Decider(regular(8))
         group = ServerGroup("b", True)
-        decider.scaling.record_no_stock(group, 0.0)
+        decider.scaling.block_group(group, 0.0)
         for _at_s, orders in decider.play(CALM, 3.5):
             self.assertNotIn(group, [ServerGroup(o.zone, o.spot) for o in orders])
         decider.counts.clear()
--- a/wisteriaarch/connection/connection_limit.py
+++ b/wisteriaarch/connection/connection_limit.py
@@ -19,7 +19,7 @@
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 UNREAD_WHEN_FULL_S = 0.5
-# A connection that was reset ends within HANGUP_POLL_S of the client's socket.
+# 0.3 s in total; the task of a reset connection notices it within HANGUP_POLL_S.
 CLOSE_POLL_EVERY_S = 0.005
 CLOSE_POLLS = 60
 
--- a/wisteriaarch/connection/duty_client.py
+++ b/wisteriaarch/connection/duty_client.py
@@ -26,7 +26,7 @@
 
 
 class DutyClient:
-    """Sends the calls of this entry's duties, at most ``calls_per_s`` of them."""
+    """Sends the calls of this entry's duties, at most ``calls_per_s`` a second."""
 
     def __init__(
         self,
@@ -69,18 +69,18 @@
             await self._wait_for_turn()
             token = self._protocol.token(req)
             note = duty.note if note is None else note
-            settled_before_s = duty.unsettled_until_s
+            former_unsettled_until_s = duty.unsettled_until_s
             await duty.begin_call(token, note, puts)
             result = DutyResult.UNKNOWN
             try:
                 result = await self._exchange(duty, token, req)
             except LeaseLost:
-                await duty.end_call(settled_before_s, note)
+                await duty.end_call(former_unsettled_until_s, note)
                 raise
             if result is DutyResult.ACCEPTED and note_if_accepted is not None:
                 note = note_if_accepted
             if result is not DutyResult.UNKNOWN:
-                await duty.end_call(settled_before_s, note)
+                await duty.end_call(former_unsettled_until_s, note)
             if result is DutyResult.FENCED:
                 result = await self._resolve_refusal(duty, token)
         self._log.write(
@@ -101,7 +101,7 @@
     async def _resolve_refusal(self, duty: Duty, token: int) -> DutyResult:
         """Return what a refusal means, and replace a token that may be outdated.
 
-        A scaling order is refused alike if no servers are available.
+        409 to a scaling order may also mean that no servers are available.
         """
         is_scaling = duty.name == AUTOSCALE_DUTY
         if self._require_fence or not is_scaling:
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -203,7 +203,9 @@
     DUTY_RECORD_FAILED = EventKind(
         452, logbook.WARNING, "record of a duty can't be read or written"
     )
-    USAGE_REPORT_FAILED = EventKind(453, logbook.WARNING, "usage report not accepted")
+    USAGE_REPORT_FAILED = EventKind(
+        453, logbook.WARNING, "usage report not accepted, or windows skipped"
+    )
     USAGE_REPORT_LATE = EventKind(454, logbook.WARNING, "usage report is late")
     ROLE_CHANGE_DECIDED = EventKind(430, logbook.INFO, "role change decided")
     ROLE_CHANGE_DEFERRED = EventKind(
--- a/wisteriaarch/memory_budget.py
+++ b/wisteriaarch/memory_budget.py
@@ -46,7 +46,7 @@
     _reservations: set[Reservation] = field(default_factory=set)
 
     def set_limit(self, message_bytes: int) -> None:
-        """Set both parts of the memory."""
+        """Set the shared memory, and that of the reader that holds most, to this."""
         self.shared_bytes = self.extra_bytes = message_bytes
 
     async def resize(self, reservation: Reservation, size: int) -> None:
--- a/wisteriaarch/platform/customers.py
+++ b/wisteriaarch/platform/customers.py
@@ -32,7 +32,7 @@
         try:
             customers.append(_customer(item))
         except INVALID_CONTENT_ERRORS as exc:
-            errors.append(f"entry {index}: {exc}")
+            errors.append(f"{CUSTOMERS_FIELD}[{index}]: {exc}")
     return CustomerDirectory.from_customers(customers, errors)
 
 
--- a/wisteriaarch/platform/duties.py
+++ b/wisteriaarch/platform/duties.py
@@ -23,8 +23,8 @@
 class PlatformDuties:
     """Implements ``DutyProtocol`` for the platform's cloud address.
 
-    A refused scaling order may mean that no servers are available; the answer doesn't
-    say which. ``DutyClient`` decides by whether the address compares tokens.
+    409 to a scaling order means either a token that is too low or no available servers;
+    ``DutyClient`` returns UNAVAILABLE for both.
     """
 
     def usage_request(
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -35,7 +35,7 @@
 IDLE_POLL_S = 0.2
 # A call is sent only with more of the term left than this share.
 SEND_SHARE = 0.5
-# Writes without an answer were seen to be executed up to 6 s later, orders up to 12 s.
+# Time in which a call without an answer may still be executed, by duty.
 LATE_CALL_S = {USAGE_DUTY: 6.0, AUTOSCALE_DUTY: 12.0}
 
 
@@ -241,13 +241,14 @@
         self._unsettled_until_s = now_s() + self._late_call_s
         self._quiet_until_s = self._unsettled_until_s + self._quiet_s
 
-    async def end_call(self, settled_before_s: float, note: Any) -> None:
+    async def end_call(self, former_unsettled_until_s: float, note: Any) -> None:
         """Record that a call has its answer, unless an earlier one may still arrive.
 
-        ``settled_before_s`` is ``unsettled_until_s`` before the call was sent.
+        ``former_unsettled_until_s`` is the value of ``unsettled_until_s`` before this
+        call was sent.
         """
-        self._unsettled_until_s = settled_before_s
-        last_call_s = max(now_s(), settled_before_s)
+        self._unsettled_until_s = former_unsettled_until_s
+        last_call_s = max(now_s(), former_unsettled_until_s)
         self._quiet_until_s = last_call_s + self._quiet_s
         try:
             await self._write_settled(note)
--- a/wisteriaarch/process/duty_messages.py
+++ b/wisteriaarch/process/duty_messages.py
@@ -19,7 +19,9 @@
 class DutyResult(Enum):
     """Outcome of a call.
 
-    Only UNKNOWN leaves open whether the call is executed, possibly seconds later.
+    FENCED: refused for its token. UNAVAILABLE: the address couldn't be reached, or
+    refused a scaling order. THROTTLED: too many calls. Only UNKNOWN leaves open whether
+    the call is executed, possibly seconds later.
     """
 
     ACCEPTED = "accepted"
--- a/wisteriaarch/process/duty_settings.py
+++ b/wisteriaarch/process/duty_settings.py
@@ -25,8 +25,11 @@
 class DutySettings(StrictModel):
     """Duties of a deployment and the bounds that their calls must keep.
 
-    ``calls_per_s`` applies to all entries together. With ``require_fence`` the address
-    refuses a lower token than one it has seen.
+    ``calls_per_s`` is the address's limit for all entries together; each entry keeps
+    its own calls below it. With ``require_fence`` the address refuses a lower token
+    than one it has seen. ``window_s`` is the length of a usage window, ``usage_late_s``
+    the time after its end in which a report must be accepted. ``tolerance`` is the
+    accepted relative error of a report's counts; no decision uses it.
     """
 
     model_config = ConfigDict(extra="ignore", frozen=True)
--- a/wisteriaarch/process/gateway_settings.py
+++ b/wisteriaarch/process/gateway_settings.py
@@ -39,6 +39,7 @@
 
     ``delay_ms`` is the time one way, ``price_per_gb`` the price of a gigabyte, and
     ``value_per_s`` the value of a second of a caller's waiting, in the same unit.
+    ``kv_bytes_per_token`` is the size of a KV cache for each token of a prompt.
     """
 
     delay_ms: float = Field(ge=0)
--- a/wisteriaarch/process/lease_observer.py
+++ b/wisteriaarch/process/lease_observer.py
@@ -70,7 +70,7 @@
     def former_ended_at_s(self, era: int) -> float:
         """Return when the last holder's term has ended at the latest.
 
-        One that released the lease renewed it before the release.
+        After a release a full term counts, as the holder may have renewed just before.
         """
         if not self._record.was_written_in(era):
             return self._era.observed_at_s + self._settings.term_s
--- a/wisteriaarch/process/reported_slowdown.py
+++ b/wisteriaarch/process/reported_slowdown.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-# A statement changes many times a second.
+# Time constant of a statement's weight; statements change many times a second.
 LIFETIME_S = 0.15
 AVERAGE_WEIGHT = 0.1
 RATIO_MIN = 0.1
--- a/wisteriaarch/process/service_times.py
+++ b/wisteriaarch/process/service_times.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 INITIAL_SERVICE_S = 0.02
-# The average of the first answers, then an exponential one.
+# Least weight of an answer: a plain mean of up to 20, then a moving average.
 WEIGHT_MIN = 0.05
 # Bounds of the time from an end at an upstream until its next call may arrive there:
 # two messages between entries at least; a slow caller delays reports of single ends.
--- a/wisteriaarch/process/true_time.py
+++ b/wisteriaarch/process/true_time.py
@@ -17,8 +17,8 @@
 OWN_SAMPLES_MAX = 121
 SAMPLE_EVERY_S = 1.0
 PEERS_MAX = 64
-# A process that didn't use the time for this long was paused. The estimates that have
-# waited for it since are outdated; those received in the next time are ignored.
+# A process that took no sample for this long was paused. Estimates of peers are then
+# ignored for IGNORE_AFTER_PAUSE_S, since they may have waited in the socket meanwhile.
 PAUSE_S = 1.0
 IGNORE_AFTER_PAUSE_S = 0.5
 
--- a/wisteriaarch/process/upstream_loads.py
+++ b/wisteriaarch/process/upstream_loads.py
@@ -173,6 +173,7 @@
 
     def forget(self) -> None:
         """Forget what was learnt; the requests in flight stay counted."""
+        self.event_interval_s = 0.0
         self.untracked_requests = 0
         self.reported_at_s = 0.0
         self.health = UpstreamHealth()
--- a/wisteriaarch/request/answer_relay.py
+++ b/wisteriaarch/request/answer_relay.py
@@ -36,25 +36,28 @@
 
 @dataclass
 class EventTimes:
-    """Times at which the events of one attempt's stream arrived."""
+    """Arrival times of the blocks of events in one attempt's stream.
 
-    count: int = 0
+    Events that arrive together count once.
+    """
+
+    arrivals: int = 0
     first_at_s: float = 0.0
     last_at_s: float = 0.0
 
     def record(self, at_s: float) -> None:
         """Record the arrival of events."""
-        if not self.count:
+        if not self.arrivals:
             self.first_at_s = at_s
-        self.count += 1
+        self.arrivals += 1
         self.last_at_s = at_s
 
     @property
     def mean_interval_s(self) -> float | None:
         """Mean time between arrivals; None before the second one."""
-        if self.count < 2:
+        if self.arrivals < 2:
             return None
-        return (self.last_at_s - self.first_at_s) / (self.count - 1)
+        return (self.last_at_s - self.first_at_s) / (self.arrivals - 1)
 
 
 class AnswerRelay:
@@ -73,7 +76,7 @@
         self.first_event_at_s: float | None = None
         self.longest_pause_s = 0.0
         self.body_bytes = 0
-        # Called with the first events of each attempt.
+        # Called once for each attempt, when its first events arrive.
         self.on_first_events: Callable[[], None] = _ignore
         self._last_event_at_s = 0.0
         self._attempt_events = EventTimes()
--- a/wisteriaarch/request/priority_balance.py
+++ b/wisteriaarch/request/priority_balance.py
@@ -14,8 +14,8 @@
 from ..process.clock import now_s
 from ..process.stage_utilization import DecayingSum
 
-# Callers that are refused come back, those of short prompts soonest. With an exponent
-# of 1 a less urgent kind got 0.73 of its requests served beside 0.64 in some seconds.
+# Refused callers come back, those of short prompts soonest, which raises their share;
+# the square makes up for it (docs/design/customer-shares.md).
 SHARE_EXPONENT = 2
 
 
--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -163,8 +163,8 @@
     ) -> Choice | Refusal | None:
         """Return the upstream for a call; None while it should wait for one.
 
-        A call that waits, with ``own_work_s`` in the queue, is refused once no upstream
-        is left.
+        Refuses the call if there are no candidates. ``own_work_s`` is its work in the
+        queue, 0 if it doesn't wait yet.
         """
         if not candidates:
             return Refusal(RETRY_AFTER_MIN_S)
--- a/wisteriaarch/request/zone_cost.py
+++ b/wisteriaarch/request/zone_cost.py
@@ -125,20 +125,21 @@
 class TransferCost:
     """Cost of sending one call to an upstream, by the upstream's zone.
 
-    ``zone`` is that of the call's entry; ``transfer_s`` and ``crossing_s`` are added
-    for upstreams outside ``zone`` and outside ``source_zone``, which is that of the
-    engine that has prefilled the prompt.
+    ``zone_costs_s`` is the expected wait plus the cost to other callers, by zone; 0 for
+    a zone that isn't listed. ``transfer_s`` is added for an upstream outside ``zone``,
+    the zone of the call's entry, and ``crossing_s`` for one outside ``source_zone``,
+    the zone of the engine that has prefilled the prompt, if there is one.
     """
 
     zone: str
     transfer_s: float
-    crowding_s: Mapping[str, float] = field(default_factory=dict)
+    zone_costs_s: Mapping[str, float] = field(default_factory=dict)
     source_zone: str = ""
     crossing_s: float = 0.0
 
     def of(self, upstream: Upstream) -> float:
         """Return the cost in seconds."""
-        cost_s = self.crowding_s.get(upstream.zone, 0.0)
+        cost_s = self.zone_costs_s.get(upstream.zone, 0.0)
         if upstream.zone != self.zone:
             cost_s += self.transfer_s
         if self.source_zone and upstream.zone != self.source_zone:
--- a/wisteriaarch/sockets.py
+++ b/wisteriaarch/sockets.py
@@ -68,7 +68,7 @@
         await curio.sleep(ACCEPT_RETRY_DELAY_S)
 
 
-class ConnectionGate(Protocol):
+class ConnectionAdmission(Protocol):
     """Limit on the number of open connections."""
 
     async def admit(self, client: Any) -> bool:
@@ -82,12 +82,12 @@
     sock: Any,
     serve_client: Callable[[Any], Awaitable],
     log: EventLog,
-    gate: ConnectionGate | None = None,
+    admission: ConnectionAdmission | None = None,
 ) -> None:
     """Run ``serve_client`` in a task for each client that connects, until cancelled.
 
-    Only clients that ``gate`` admits are served. It is asked before the next client is
-    accepted, so that a burst of connections doesn't exceed the limit meanwhile.
+    Only clients that ``admission`` admits are served. It is asked before the next one
+    is accepted, so that a burst of connections doesn't exceed the limit meanwhile.
 
     Cancellation also cancels the tasks and closes the listening socket. curio's own
     server instead waits for a client that is accepted during the cancellation.
@@ -100,14 +100,14 @@
                 await serve_client(client)
         finally:
             tasks.discard(await curio.current_task())
-            if gate:
-                gate.release(client)
+            if admission:
+                admission.release(client)
 
     try:
         async with sock:
             while True:
                 client = await accept_client(sock, log)
-                if gate is None or await gate.admit(client):
+                if admission is None or await admission.admit(client):
                     tasks.add(await curio.spawn(serve, client, daemon=True))
     finally:
         for task in tuple(tasks):
--- a/wisteriaarch/version/scale_controller.py
+++ b/wisteriaarch/version/scale_controller.py
@@ -125,7 +125,7 @@
         self._drop_expired(fleet, now)
         for order in self._issued.unanswered():
             # Another order for the group might arrive before the repeated one.
-            self._scaling.record_no_stock(group_of(order), now, DECISION_INTERVAL_S)
+            self._scaling.block_group(group_of(order), now, DECISION_INTERVAL_S)
         expected = self._issued.apply(fleet)
         demand = self._view.demand()
         decision = self._scaling.decide(demand, expected, now)
@@ -149,7 +149,7 @@
 
     def _drop_expired(self, fleet: FleetState, now: float) -> None:
         for order in self._issued.expire(fleet, now):
-            self._scaling.record_no_stock(group_of(order), now)
+            self._scaling.block_group(group_of(order), now)
             self._log_failure(order, "no effect in time")
 
     def _update_pending(self, decision: ScalingDecision, expected: FleetState) -> None:
@@ -215,7 +215,7 @@
         else:
             self._issued.discard(order)
             if is_addition:
-                self._scaling.record_no_stock(group_of(order), now)
+                self._scaling.block_group(group_of(order), now)
         if result is not DutyResult.ACCEPTED:
             self._log_failure(order, result.value)
 
--- a/wisteriaarch/version/scaling_forecast.py
+++ b/wisteriaarch/version/scaling_forecast.py
@@ -22,7 +22,7 @@
 # Time over which growth is measured; shorter than the rise of a wave.
 TREND_S = 2.0
 # Growth beyond what was seen within ``MEMORY_S`` is extrapolated up to this factor.
-# Without the bound each rise of a wave was taken for a load that goes on rising.
+# It bounds that of a wave's rise, which looks like lasting growth.
 GROWTH_MAX = 1.2
 # Some waves of 15 s.
 MEMORY_S = 60.0
@@ -107,10 +107,10 @@
 class ServerNeed:
     """Servers needed for all calls, and for the most urgent ones after a loss.
 
-    With ``enough`` servers all calls are served; ``total`` leave room for a burst of
-    twice the demand, which is worth the price of spot servers only. ``regular`` of them
-    aren't spot servers. While the need isn't settled, too little
-    demand was observed to remove servers.
+    ``enough`` servers serve all calls. ``total`` servers also leave room for a burst of
+    twice the demand; only spot servers are ordered for that room. At least ``regular``
+    servers aren't spot servers. Unless ``is_settled``, too little demand was observed
+    to remove servers.
     """
 
     total: int
--- a/wisteriaarch/version/scaling_plan.py
+++ b/wisteriaarch/version/scaling_plan.py
@@ -12,7 +12,8 @@
 from .scaling_forecast import ServerNeed
 from .scaling_spec import ScalingSpec
 
-CRASHED_SHARE = 6
+# One server in this many may crash at the same time.
+SERVERS_PER_CRASH = 6
 # Demand above the present at which a spot server is still dispensable.
 REMOVAL_MARGIN = 1.1
 
@@ -65,7 +66,11 @@
         return added
 
     def removal(self) -> ServerGroup | None:
-        """Return the group that is to lose a server: the dearest dispensable one."""
+        """Return the group that is to lose a server; None if none is dispensable.
+
+        Regular servers go before spot ones, then those of zones with many servers, then
+        the dearest.
+        """
         groups = [
             group
             for group, count in self._serving.items()
@@ -86,7 +91,7 @@
         return self._spec.zone_prices.keys()
 
     def _removal_order(self, group: ServerGroup) -> tuple[bool, int, float, str]:
-        """Sort regular servers last, then those of zones with many servers."""
+        """Return a sort key; the group with the greatest loses a server first."""
         in_zone = self._zone_servers[group.zone]
         return not group.is_spot, in_zone, self._price(group), group.zone
 
@@ -185,7 +190,7 @@
         its spot servers count, since no number of servers would survive its loss.
         """
         total = counts.total()
-        losses = [math.ceil(total / CRASHED_SHARE)]
+        losses = [math.ceil(total / SERVERS_PER_CRASH)]
         if len(self._zones) > 1:
             losses.extend(by_zone(counts).values())
         else:
--- a/wisteriaarch/version/scaling_view.py
+++ b/wisteriaarch/version/scaling_view.py
@@ -7,7 +7,7 @@
 from .scaled_fleet import FleetState, ServerGroup
 from .scaling_forecast import ServiceDemand
 
-# A suspension of a server that answers again is shorter.
+# Shorter interruptions of a server end by themselves.
 LOST_AFTER_S = 1.5
 
 
@@ -49,10 +49,10 @@
         occupied = sum(
             self._occupied(item) for item in estimates.registry.usable(self._service)
         )
-        decode_s = utilization.engines_needed(self._service, Stage.DECODE)
+        decode_engines = utilization.engines_needed(self._service, Stage.DECODE)
         return ServiceDemand(
             utilization.engines_needed(self._service, Stage.PREFILL),
-            max(occupied, decode_s),
+            max(occupied, decode_engines),
             estimates.offered.urgent_share(self._service),
             estimates.offered.refused_share(self._service),
         )
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -3,7 +3,8 @@
 Load: demand with waves and bursts (see ``scaling_forecast``), while a sixth of the
 servers crash, a zone is lost, or all spot servers of a zone are reclaimed and none are
 available there for some seconds. Calls that are refused cost more than a server does,
-so servers are ordered as soon as they are needed and removed one at a time.
+so servers are ordered as soon as they are needed and, once calls have come, removed
+one at a time.
 
 A small number of regular servers is kept; spot servers carry the rest. Regular servers
 beyond that number, such as those of a fleet with which the service began, are removed
@@ -69,10 +70,13 @@
         self._removed_at_s = float("-inf")
         self._no_stock_until_s: dict[ServerGroup, float] = {}
 
-    def record_no_stock(
+    def block_group(
         self, group: ServerGroup, now: float, retry_s: float = STOCK_RETRY_S
     ) -> None:
-        """Record that no server of a group is available; others are asked meanwhile."""
+        """Order no servers of a group for ``retry_s``.
+
+        None are available there, or the outcome of an order is unknown.
+        """
         self._no_stock_until_s[group] = now + retry_s
 
     def decide(
@@ -103,7 +107,8 @@
     ) -> int:
         """Return how many dispensable servers to remove at once.
 
-        Before the first calls, no engine has cached a prefix that would be lost.
+        Several only before the first calls, while no engine has cached a prefix that
+        would be lost.
         """
         if self._demand_since_s is not None:
             return 1
