--- a/wisteriaarch/connection/upstream_pool.py
+++ b/wisteriaarch/connection/upstream_pool.py
@@ -36,7 +36,8 @@
 
         With ``fresh``, always opens a new connection. A connection on which
         ``request_id`` was sent before isn't used: an answer that is sent once more
-        couldn't be told from the one to the new request.
+        couldn't be told from the one to the new request. A new connection replaces one
+        of these, so that a caller that repeats an id doesn't fill the pool.
         """
         idle = self._idle[address]
         skipped = []
@@ -53,6 +54,9 @@
                 skipped.append((conn, expires_at_s))
             else:
                 found = conn
+        if found is None and skipped:
+            conn, _expires_at_s = skipped.pop()
+            await conn.close()
         idle.extend(reversed(skipped))
         return found or await self.connector.connect(address, timeout_s)
 
