scaling: each stage keeps a sixth of the engines needed

The fixture of tests.test_server_scaling has the stages of its 19 engines now; it had those of nine, with which nothing would be removed. No check is changed.

Evidence: test_each_stage_keeps_engines_for_the_first_calls.

--- a/tests/test_server_scaling.py
+++ b/tests/test_server_scaling.py
@@ -31,7 +31,7 @@
 STEP_S = 0.5
 ZONES = tuple(SPEC.zone_prices)
 ALL_GROUPS = [ServerGroup(zone, is_spot) for zone in ZONES for is_spot in (True, False)]
-TWO_STAGES = {"prefill": 3, "decode": 6}
+TWO_STAGES = {"prefill": 6, "decode": 13}
 CALM = ServiceDemand(1.8, 4.2, 0.5)
 
 
@@ -90,6 +90,14 @@
         self.decider.play(ServiceDemand(0.5, 0.5), 3 * HOLD_S)
         self.assertLess(self.decider.counts.total(), 12)
 
+    def test_each_stage_keeps_engines_for_the_first_calls(self):
+        """Guards against prompts that wait for seconds until stages are changed."""
+        decider = Decider(regular(19))
+        decider.stages = {"prefill": 5, "decode": 14}
+        rounds = decider.play(ServiceDemand(0.0, 0.0), 10)
+        removed = [order for _, orders in rounds for order in orders if not order.spot]
+        self.assertEqual([order.desired for order in removed], [4, 4])
+
     def test_calls_that_test_a_route_are_no_demand(self):
         self.decider.play(ServiceDemand(0.05, 0.05), 3 * HOLD_S)
         self.assertGreaterEqual(self.decider.counts.total(), 19)
--- a/wisteriaarch/version/server_scaling.py
+++ b/wisteriaarch/version/server_scaling.py
@@ -40,6 +40,9 @@
 REPLACED_INTERVAL_S = 1.0
 # Less than this, in servers, is no demand yet, such as calls that test a route.
 DEMAND_MIN = 0.2
+# Share of the needed engines that each stage keeps. Stages are changed one engine at a
+# time, which is away for seconds.
+STAGE_SHARE_MIN = 1 / 6
 # An engine service keeps an engine in each stage after the loss of one.
 ENGINES_MIN = 3
 ENGINES_AFTER_LOSS_MIN = 2
@@ -93,31 +96,19 @@
         if added:
             self._added_at_s = now
             return ScalingDecision(self._orders(fleet, added), need)
-        if not self._may_remove(fleet, need):
+        removable = self._removable(fleet, need)
+        if removable < 1:
             return ScalingDecision((), need)
         removed = plan.removal()
         if removed is None or not self._is_removal_due(removed, now):
             return ScalingDecision((), need)
         self._removed_at_s = now
-        count = self._removal_count(plan, removed, fleet)
+        # Several only before the first calls, while no engine has cached a prefix that
+        # would be lost.
+        is_idle = self._demand_since_s is None
+        count = min(plan.dispensable(removed), removable) if is_idle else 1
         return ScalingDecision(self._orders(fleet, Counter({removed: -count})), need)
 
-    def _removal_count(
-        self, plan: ScalingPlan, group: ServerGroup, fleet: FleetState
-    ) -> int:
-        """Return how many dispensable servers to remove at once.
-
-        Several only before the first calls, while no engine has cached a prefix that
-        would be lost.
-        """
-        if self._demand_since_s is not None:
-            return 1
-        count = plan.dispensable(group)
-        if self._has_engines:
-            # All of them may be of the stage with the fewest engines.
-            count = min(count, min(fleet.engines_by_stage.values()) - 1)
-        return count
-
     def _observe_start(
         self, demand: ServiceDemand, fleet: FleetState, now: float
     ) -> None:
@@ -182,14 +173,18 @@
             group for group in groups if now >= self._no_stock_until_s.get(group, now)
         ]
 
-    def _may_remove(self, fleet: FleetState, need: ServerNeed) -> bool:
-        """Whether enough is known to remove servers.
+    def _removable(self, fleet: FleetState, need: ServerNeed) -> float:
+        """Return how many servers may be removed at once; 0 while too little is known.
 
-        A removed engine may be of either stage, so each stage keeps one without it.
+        The platform chooses which engines leave. All of them may be of the stage with
+        the fewest, and that of a new engine is changed only as prompts come.
         """
-        return need.is_settled and (
-            not self._has_engines or min(fleet.engines_by_stage.values(), default=0) > 1
-        )
+        if not need.is_settled:
+            return 0
+        if not self._has_engines:
+            return math.inf
+        kept = max(1, math.ceil(STAGE_SHARE_MIN * need.enough))
+        return min(fleet.engines_by_stage.values(), default=0) - kept
 
     def _is_removal_due(self, group: ServerGroup, now: float) -> bool:
         """Whether the last changes are long enough ago.
