duties: the log says where a report's counts come from, and of which era the record is

Three causes were possible: a holder of the lost era that sent late, a successor that read the record of the report and changed it, or one that found none and added the counts up anew. The log had neither the era of the record nor the source of the counts, so it could not tell them apart.

Event 450 names the era of the term, that of the record and its holder; event 455 names the source of a report's counts (record, memory, totals).

--- a/wisteriaarch/connection/usage_reporter.py
+++ b/wisteriaarch/connection/usage_reporter.py
@@ -147,13 +147,19 @@
         entry failed to record its own.
         """
         key = f"report-{window % REPORT_ROWS}"
-        counts = None
+        source, counts = "record", None
         if window <= (self._noted("sent") or 0):
             counts = await self._read_recorded(key, window)
         if counts is None:
-            counts = self._sent.get(window)
+            source, counts = "memory", self._sent.get(window)
         if counts is None:
-            counts = self._totals.of_window(window)
+            source, counts = "totals", self._totals.of_window(window)
+        self._log.write(
+            Event.USAGE_COUNTS_CHOSEN,
+            window=window,
+            source=source,
+            requests=sum(counts.values()),
+        )
         value: dict[str, Any] = {"window": window, "counts": counts}
         return counts, (Put(USAGE_TABLE, key, value, None),)
 
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -211,6 +211,9 @@
         self._log(
             Event.DUTY_TAKEN,
             token=term.epoch,
+            era=term.era,
+            record_era=record.era,
+            former_holder=record.holder,
             waits_s=max(0.0, self._allowed_from_s - now_s()),
         )
 
