duties: a holder that may lack records leaves out windows that may be reported

Cause: the record of a duty's calls lives in the store. After the store came back from an older copy, a new holder took the note of the former era for the last one, and the lack of a report's row for "not reported". Evidence: event 450 (era 1, record of era 0), then 455 with source "totals" for a window that the former holder had had accepted 12 s before.

Change: in a new era the note counts as complete only for a holder whose term lasted until the store came back, as nobody else can have called. Any other one counts the windows as reported that ended before the last moment at which a former holder can have sent, and writes that with its next record, so that a third holder knows it. A window that is noted as sent, whose counts nobody has, is left out. Nothing grows: the note still holds two numbers, and entries of the version before read it as they did.

The drill of duties plays restorations now.

test_drill_finds_reports_that_are_not_recorded changes its naive version: it let the record be missing, which the reporter now takes for lost and leaves out, so that no rule can break. It adds the counts up anew in place of the recorded ones now, which is the fault that the test is about.

--- a/extras/duty_drill.py
+++ b/extras/duty_drill.py
@@ -65,14 +65,15 @@
         self.true_time = TrueTime(
             lambda: EPOCH_S + sim.now_s + process.step_s, lambda: sim.now_s
         )
-        table = Table(world.store, process)
+        era = StoreEra(lambda: sim.now_s)
+        table = Table(world.store, process, era)
         context = DutyContext(
             name,
             Contender(name, str(incarnation)),
             table,
             LEASE,
             lambda: world.known_entries(process),
-            StoreEra(lambda: sim.now_s),
+            era,
             log,
         )
         self.is_closing = False
@@ -153,7 +154,7 @@
 class World:
     """Entries, store and cloud, with faults drawn from the seed."""
 
-    def __init__(self, sim, require_fence, entries=4, faults=True):
+    def __init__(self, sim, require_fence, entries=4, faults=True, restores=False):
         self.sim = sim
         self.store = Store(self.sim)
         self.cloud = Cloud(self.sim, require_fence)
@@ -168,6 +169,8 @@
         self.sim.at(4.0, self._move_scheduler)
         if faults:
             self.sim.at(6.0, self._draw_fault)
+        if restores:
+            self.sim.at(20.0, self._restore_store)
 
     def known_entries(self, process):
         """Return the entries that a process knows as living."""
@@ -233,6 +236,15 @@
         process.step_s = self.sim.rng.choice((-2.0, 2.0))
         self.sim.at(self.sim.rng.uniform(2, 8), lambda: setattr(process, "step_s", 0.0))
 
+    def _restore_store(self):
+        self.store.is_down = True
+        self.sim.at(0.5, self._come_back)
+        self.sim.at(self.sim.rng.uniform(10.0, 25.0), self._restore_store)
+
+    def _come_back(self):
+        self.store.restore(self.sim.rng.uniform(1.0, 9.0))
+        self.store.is_down = False
+
     def _down(self, _entry):
         self.store.is_down = True
         self.sim.at(
@@ -267,11 +279,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seeds", type=int, default=50)
     parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--restores", action="store_true", help="the store goes back")
     options = parser.parse_args()
     broken = reports = late = 0
     for seed in range(options.first, options.first + options.seeds):
         for require_fence in (False, True):
-            world = play(seed, require_fence)
+            world = play(seed, require_fence, restores=options.restores)
             reports += len(world.cloud.reports)
             late += len(late_windows(world))
             if world.cloud.violations:
--- a/extras/duty_simulation.py
+++ b/extras/duty_simulation.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 import types
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from wisteriaarch.errors import (
     StoreUnavailable,
@@ -81,11 +81,23 @@
         self.rows = {}
         self.is_down = False
         self.calls = 0
+        self.era = 0
         self._version = 0
+        self._snapshots = [(sim.now_s, 0, {})]
 
     def read(self, table, key):
         """Return a row."""
-        return self.rows.get((table, key), Row(table, key, 0, None))
+        row = self.rows.get((table, key), Row(table, key, 0, None))
+        return replace(row, era=self.era)
+
+    def restore(self, age_s):
+        """Return to the rows of ``age_s`` ago, in a new era."""
+        copied_at_s = self.sim.now_s - age_s
+        kept = [item for item in self._snapshots if item[0] <= copied_at_s]
+        self._snapshots = kept or self._snapshots[:1]
+        _at_s, self._version, rows = self._snapshots[-1]
+        self.rows = dict(rows)
+        self.era += 1
 
     def apply(self, transaction):
         """Apply a transaction; raises WriteConflict."""
@@ -98,14 +110,16 @@
         for put in transaction.puts:
             key = (put.table, put.key)
             self.rows[key] = Row(put.table, put.key, self._version, put.value)
+        self._snapshots.append((self.sim.now_s, self._version, dict(self.rows)))
 
 
 class Table:
-    """Store as one process reaches it."""
+    """Store as one process reaches it; ``era`` observes the era of its answers."""
 
-    def __init__(self, store, process):
+    def __init__(self, store, process, era):
         self._store = store
         self._process = process
+        self._era = era
 
     def _is_lost(self):
         return self._store.is_down or "store" in self._process.cut
@@ -120,6 +134,8 @@
             raise StoreUnavailable("cut")
         row = self._store.read(table, key)
         await sleep(rng.uniform(0.002, 0.03))
+        if not self._era.observe(row.era):
+            raise StoreUnavailable("answer of an older era")
         return row
 
     async def write(self, transaction):
@@ -136,12 +152,17 @@
         await sleep(1.0 if is_lost else 0.06)
         if not outcome:
             raise WriteOutcomeUnknown("no answer")
-        if outcome[0] is not None:
-            raise outcome[0]
+        error, era = outcome[0]
+        self._era.observe(era)
+        if error is not None:
+            raise error
+        if era != transaction.era:
+            raise WriteOutcomeUnknown("executed in another era")
 
     def _apply(self, transaction):
+        error = None
         try:
             self._store.apply(transaction)
         except WriteConflict as exc:
-            return exc
-        return None
+            error = exc
+        return error, self._store.era
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -74,8 +74,11 @@
 
     def test_drill_finds_reports_that_are_not_recorded(self):
         """Guards against a drill that would find nothing."""
-        nothing = mock.AsyncMock(return_value=None)
-        with mock.patch.object(UsageReporter, "_read_recorded", nothing):
+
+        async def add_up(reporter, _key, window):
+            return reporter._totals.of_window(window)
+
+        with mock.patch.object(UsageReporter, "_read_recorded", add_up):
             self.assertNotEqual(self.violations(range(1, 16)), [])
 
 
--- a/wisteriaarch/connection/usage_reporter.py
+++ b/wisteriaarch/connection/usage_reporter.py
@@ -19,6 +19,7 @@
 from ..process.duty_messages import DutyProtocol, DutyResult, UsageReport
 from ..process.duty_settings import DutySettings
 from ..process.metrics import Count, Metrics
+from ..process.note_recovery import NOTHING_UNKNOWN
 from ..process.store import Put
 from ..process.usage_counts import UsageCounts, UsageTotals
 from .duty_client import DutyClient
@@ -58,9 +59,11 @@
         self._metrics = metrics
         self._log = log
         self._first_window = counts.current_window()
-        self._accepted: int | None = None
+        # Last window that was accepted or given up.
+        self._done: int | None = None
         self._sent: dict[int, dict[str, int]] = {}
         self._retry_at_s = float("-inf")
+        duty.recovery.complete = self._complete_note
 
     async def run(self) -> None:
         """Report windows while the duty is held; never returns."""
@@ -84,17 +87,28 @@
                 self._log.write(Event.USAGE_REPORT_FAILED, error=str(exc))
 
     def _noted(self, name: str) -> int | None:
-        note = self._duty.note
-        return note.get(name) if isinstance(note, dict) else None
+        return _value_of(self._duty.note, name)
 
-    def _last_accepted(self) -> int | None:
-        known = (self._accepted, self._noted("accepted"))
-        return max((item for item in known if item is not None), default=None)
+    def _last_done(self) -> int | None:
+        return _greatest(self._done, self._noted("accepted"))
+
+    def _complete_note(
+        self, note: Any, unknown_until_s: float
+    ) -> dict[str, int | None]:
+        """Return the note of a record of which later ones may be lost.
+
+        A window that had ended by then may have been reported with other counts.
+        """
+        unknown = None
+        if unknown_until_s > NOTHING_UNKNOWN:
+            unknown = self._counts.window_of(unknown_until_s) - 1
+        done = _greatest(self._done, _value_of(note, "accepted"), unknown)
+        return {"accepted": done, "sent": _greatest(_value_of(note, "sent"), done)}
 
     def _next_window(self) -> int:
-        accepted = self._last_accepted()
-        if accepted is not None:
-            window = accepted + 1
+        done = self._last_done()
+        if done is not None:
+            window = done + 1
         else:
             first = self._totals.first_window()
             known = self._first_window if first is None else first
@@ -118,13 +132,16 @@
 
     async def _report(self, window: int) -> None:
         counts, puts = await self._record_of(window)
+        if counts is None:
+            self._give_up(window)
+            return
         # If the write's outcome is unknown, a repeat must have the same counts.
         self._sent[window] = counts
         authority = self._duty.authority()
         report = UsageReport(window, counts)
-        accepted = self._last_accepted()
-        if accepted is not None and window > accepted + 1:
-            skipped = window - accepted - 1
+        done = self._last_done()
+        if done is not None and window > done + 1:
+            skipped = window - done - 1
             self._log.write(
                 Event.USAGE_REPORT_FAILED,
                 window=window,
@@ -134,24 +151,37 @@
         result = await self._client.call(
             self._duty,
             self._protocol.usage_request(report, authority),
-            {"accepted": accepted, "sent": window},
+            {"accepted": done, "sent": window},
             {"accepted": window, "sent": window},
             puts,
         )
         self._observe(window, result)
 
-    async def _record_of(self, window: int) -> tuple[dict[str, int], tuple[Put, ...]]:
+    def _give_up(self, window: int) -> None:
+        """Leave out a window that was reported with counts which nobody knows."""
+        self._done = window
+        self._log.write(
+            Event.USAGE_REPORT_FAILED, window=window, result="record lost", count=1
+        )
+
+    async def _record_of(
+        self, window: int
+    ) -> tuple[dict[str, int] | None, tuple[Put, ...]]:
         """Return the counts of a window's report, and the write that records them.
 
-        A recorded report takes precedence: another holder may have sent it, while this
+        The counts are None if it may have been sent with others that aren't known. A
+        recorded report takes precedence: another holder may have sent it, while this
         entry failed to record its own.
         """
         key = f"report-{window % REPORT_ROWS}"
+        is_noted = window <= (self._noted("sent") or 0)
         source, counts = "record", None
-        if window <= (self._noted("sent") or 0):
+        if is_noted:
             counts = await self._read_recorded(key, window)
         if counts is None:
             source, counts = "memory", self._sent.get(window)
+        if counts is None and is_noted:
+            return None, ()
         if counts is None:
             source, counts = "totals", self._totals.of_window(window)
         self._log.write(
@@ -178,7 +208,7 @@
                 Event.USAGE_REPORT_FAILED, window=window, result=result.value
             )
             return
-        self._accepted = window
+        self._done = window
         if late_s > 0:
             self._metrics.count(Count.USAGE_REPORTS_LATE)
             self._log.write(Event.USAGE_REPORT_LATE, window=window, late_s=late_s)
@@ -188,3 +218,11 @@
         self._totals.forget_before(oldest)
         for window in [item for item in self._sent if item < oldest]:
             del self._sent[window]
+
+
+def _value_of(note: Any, name: str) -> int | None:
+    return note.get(name) if isinstance(note, dict) else None
+
+
+def _greatest(*windows: int | None) -> int | None:
+    return max((item for item in windows if item is not None), default=None)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -207,7 +207,12 @@
         453, logbook.WARNING, "usage report not accepted, or windows skipped"
     )
     USAGE_REPORT_LATE = EventKind(454, logbook.WARNING, "usage report is late")
-    USAGE_COUNTS_CHOSEN = EventKind(455, logbook.INFO, "counts of a usage report chosen")
+    DUTY_RECORDS_LOST = EventKind(
+        456, logbook.WARNING, "records of a duty may be lost with the store's rows"
+    )
+    USAGE_COUNTS_CHOSEN = EventKind(
+        455, logbook.INFO, "counts of a usage report chosen"
+    )
     ROLE_CHANGE_DECIDED = EventKind(430, logbook.INFO, "role change decided")
     ROLE_CHANGE_DEFERRED = EventKind(
         432,
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -25,6 +25,7 @@
 from .duty_settings import AUTOSCALE_DUTY, USAGE_DUTY
 from .lease import Lease
 from .lease_record import LeaseTerm
+from .note_recovery import NoteRecovery
 from .store import Put
 
 # Entries that read the lease row; it bounds the duty's calls to the store.
@@ -45,7 +46,10 @@
 
 
 class Duty:
-    """Competes for one subject of a duty while ``is_wanted``, and guards its calls."""
+    """Competes for one subject of a duty while ``is_wanted``, and guards its calls.
+
+    ``recovery`` decides on the note of the record after the store was restored.
+    """
 
     def __init__(
         self,
@@ -65,6 +69,7 @@
         self._rows = rows
         self._is_wanted = is_wanted
         self._late_call_s = LATE_CALL_S[name]
+        self.recovery = NoteRecovery(lease, context.era, self._note_of_term)
         # Epoch of the lease term for which the record was read.
         self._read_epoch: int | None = None
         self._allowed_from_s = float("inf")
@@ -205,6 +210,8 @@
             return
         record = await self._rows.read()
         self._allowed_from_s = self._first_call_at_s(record, term)
+        if record.era != term.era:
+            self._recover_note(record, term)
         self._read_epoch = term.epoch
         if record.unsettled:
             self._unsettled_until_s = max(self._unsettled_until_s, self._allowed_from_s)
@@ -223,11 +230,26 @@
         if self._was_called_by_another(record):
             at_s = max(at_s, self._quiet_until_s)
         if record.unsettled or record.era != term.era:
-            # Its holder sent it with at least SEND_SHARE of its term left.
-            last_sent_s = term.former_ended_at_s - SEND_SHARE * self._lease.term_s
-            at_s = max(at_s, last_sent_s + self._late_call_s)
+            at_s = max(at_s, self._last_sent_s(term) + self._late_call_s)
         return at_s
 
+    def _last_sent_s(self, term: LeaseTerm) -> float:
+        """Return when the former holder sent its last call at the latest.
+
+        It sent it with at least SEND_SHARE of its term left.
+        """
+        return term.former_ended_at_s - SEND_SHARE * self._lease.term_s
+
+    def _note_of_term(self) -> Any | None:
+        return self.note if self._read_epoch is not None else None
+
+    def _recover_note(self, record: DutyRecord, term: LeaseTerm) -> None:
+        note = self.recovery.note_after(record, self._last_sent_s(term))
+        self._rows.record = replace(record, note=note)
+        self._log(
+            Event.DUTY_RECORDS_LOST, record_era=record.era, era=term.era, note=note
+        )
+
     async def begin_call(self, token: int, note: Any, puts: tuple[Put, ...]) -> None:
         """Record that a call may arrive; ``puts`` are written with the record.
 
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -95,6 +95,11 @@
             self._lease_term = None
         return self._lease_term
 
+    def has_unexpired_term(self) -> bool:
+        """Whether a term has time remaining, if the store's era is left aside."""
+        term = self._lease_term
+        return term is not None and term.expires_at_s > now_s()
+
     @property
     def rank(self) -> int:
         """Number of other entries that try to take the lease before this one.
--- a/wisteriaarch/process/usage_counts.py
+++ b/wisteriaarch/process/usage_counts.py
@@ -55,7 +55,7 @@
         ``at_s`` is a reading of ``now_s``. Estimates of the true time vary, so that it
         may be in a window that this entry has already closed; it counts in the next.
         """
-        window = max(self.window_at(self._true_time.at(at_s)), self._closed_before)
+        window = max(self.window_of(at_s), self._closed_before)
         self._change(window, customer, 1)
         return window
 
@@ -80,6 +80,10 @@
         """Return the window of the present true time."""
         return self.window_at(self._true_time.now())
 
+    def window_of(self, at_s: float) -> int:
+        """Return the window in which a reading of ``now_s`` is."""
+        return self.window_at(self._true_time.at(at_s))
+
     def window_age_s(self, window: int) -> float:
         """Return the time since the end of a window; negative before it."""
         return self._true_time.now() - (window + 1) * self._window_s
