crashes: the log says whose crashes are cleared, and by which request

Possible causes: crashes that weren't recorded, that weren't told to the other entries, that expired, or that an answer cleared. Event 510 lacked the fingerprint and the customer, and nothing was logged where an answer clears crashes.

510 names both; 513 is written where an answer clears crashes.

--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -191,20 +191,32 @@
 
     async def _record_crash(self, attempt: TrackedAttempt) -> None:
         call, upstream_id = attempt.call, attempt.upstream.upstream_id
+        fingerprint = request_fingerprint(call)
         crashes = self._crashes.record_crash(call, upstream_id)
-        self._blocks.record_crash(
-            request_fingerprint(call), call.block_keys, upstream_id
-        )
+        self._blocks.record_crash(fingerprint, call.block_keys, upstream_id)
         call.block_trial.is_granted = False
         self._log.write(
             Event.CRASH_RECORDED,
             request=call.call_id,
+            customer=call.customer,
+            fingerprint=fingerprint,
             upstream=upstream_id,
             crashes=crashes,
             blocks=call.block_keys,
         )
         await self._announce_crashes()
 
+    def _clear_suspect(self, call: RoutedCall) -> None:
+        crashes = self._crashes.record_success(call)
+        if crashes:
+            self._log.write(
+                Event.SUSPECT_CLEARED,
+                request=call.call_id,
+                customer=call.customer,
+                fingerprint=request_fingerprint(call),
+                crashes=crashes,
+            )
+
     def record_prefill(self, attempt: TrackedAttempt) -> None:
         """Record a prompt's disaggregated prefill."""
         attempt.record_answer()
@@ -223,7 +235,7 @@
             AttemptStage.RUN.value, ANSWERED, attempt.started_at_s
         )
         if not failed:
-            self._crashes.record_success(call)
+            self._clear_suspect(call)
         if relay.status in SUCCESS_STATUSES and self._blocks.record_answer(
             call.block_keys
         ):
--- a/wisteriaarch/request/crash_history.py
+++ b/wisteriaarch/request/crash_history.py
@@ -65,10 +65,12 @@
         request.crashed_at_s[upstream_id] = self._clock()
         return self._recent_crashes(request)
 
-    def record_success(self, call: RoutedCall) -> None:
-        """Remove the crashes of a request that completed."""
-        if self._requests:
-            self._requests.pop(request_fingerprint(call), None)
+    def record_success(self, call: RoutedCall) -> int:
+        """Remove the crashes of a request that completed; returns their number."""
+        if not self._requests:
+            return 0
+        request = self._requests.pop(request_fingerprint(call), None)
+        return self._recent_crashes(request) if request is not None else 0
 
     def export(self) -> Iterator[CrashRecord]:
         """Return the records to be sent to peers, newest first."""
