upstreams: what one said of its incarnation holds when it is listed again

Cause: the registry kept an answer's "draining" only while the upstream was listed.

Change: process/incarnations.py keeps the newest incarnation of each upstream and whether it is leaving, until another one is listed or for 60 s after it was listed last. The same class: a late registration as ready after one as draining, an answer after the registration ended, an answer of a former incarnation, a late row of a former one.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -468,7 +468,7 @@
 
         async def scenario(one, _two):
             for name in ("d1", "d2"):
-                self.one.registry.record_draining(name)
+                self.one.registry.record_draining(name, now_s())
             call = make_call(prompt=prompt(300))
             with self.assertRaises(AttemptFailed):
                 await one.place(call)
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -8,6 +8,7 @@
 from ..events import Event
 from ..wire import Address
 from .clock import now_s
+from .incarnations import Incarnations
 
 REGISTRATION_GRACE_S = 2.5
 # A store restored from an older snapshot may list a departed upstream until the
@@ -80,7 +81,7 @@
         self._missing: dict[str, Upstream] = {}
         self._by_service: dict[str, tuple[Upstream, ...]] = {}
         self._first_listed_at_s: float | None = None
-        self._reported_draining: dict[str, int] = {}
+        self._incarnations = Incarnations()
         self._departed: dict[str, _Departure] = {}
         self._departed_excluded_until_s = float("-inf")
         self._excludes_departed = False
@@ -100,17 +101,14 @@
         }
         for name in deregistered:
             self._handle_deregistration(self._listed[name])
-        self._reported_draining = {
-            name: started_at_ms
-            for name, started_at_ms in self._reported_draining.items()
-            if name in upstreams or name in self._missing
-        }
+        self._incarnations.update(upstreams.values(), now_s())
         for name in upstreams.keys() - self._listed.keys():
             self._log.write(
                 Event.UPSTREAM_REGISTERED,
                 upstream=name,
                 service=upstreams[name].service,
                 software=upstreams[name].software,
+                leaving=self._incarnations.is_leaving(upstreams[name]),
             )
         for name in upstreams.keys() & self._listed.keys():
             self._handle_restart(self._listed[name], upstreams[name])
@@ -169,22 +167,17 @@
             and now_s() - recovered_at_s < REGISTRATION_GRACE_S
         )
 
-    def record_draining(self, upstream_id: str) -> bool:
-        """Record that an upstream reports that it is draining; True where that is new.
+    def record_draining(self, upstream_id: str, sent_at_s: float) -> bool:
+        """Record that an upstream answers that it is draining; True where that is new.
 
-        This applies to its present incarnation, whatever its registration states.
+        This applies to its incarnation, whatever its registration states, and also if
+        it isn't registered any more. ``sent_at_s`` is when the answer's request was
+        sent, or an earlier time.
         """
-        upstream = self.get(upstream_id)
-        if upstream is None or self._has_reported_draining(upstream):
-            return False
-        self._reported_draining[upstream_id] = upstream.started_at_ms
-        self._usable.clear()
-        return True
-
-    def _has_reported_draining(self, upstream: Upstream) -> bool:
-        return (
-            self._reported_draining.get(upstream.upstream_id) == upstream.started_at_ms
-        )
+        is_new = self._incarnations.mark_leaving(upstream_id, sent_at_s)
+        if is_new:
+            self._usable.clear()
+        return is_new
 
     def may_be_incomplete(self) -> bool:
         """Whether registrations may be missing: after a start or a store recovery."""
@@ -227,11 +220,7 @@
     def get_usable(self, upstream_id: str) -> Upstream | None:
         """Return an upstream if it accepts new work, else None."""
         upstream = self.get(upstream_id)
-        if (
-            upstream is None
-            or upstream.is_draining
-            or self._has_reported_draining(upstream)
-        ):
+        if upstream is None or self._incarnations.is_leaving(upstream):
             return None
         return None if self._is_excluded(upstream) else upstream
 
--- a/wisteriaarch/request/estimate_updater.py
+++ b/wisteriaarch/request/estimate_updater.py
@@ -131,7 +131,7 @@
                 seconds=signals.backoff_s,
             )
         if signals.is_draining and self._estimates.registry.record_draining(
-            upstream_id
+            upstream_id, sent_at_s
         ):
             self._log.write(Event.UPSTREAM_DRAINING, upstream=upstream_id)
         if signals.limit_per_s is not None:
