crashes: what is known of requests outlives the entries

Cause: crashes of whole requests were in the memory of the entries alone.

Change: request/crash_history_rows.py keeps them in a row of the store, written by one entry with each change and read by each at its start (event 518). What it shares with the row of prompt blocks is in request/kept_records.py.

--- a/tests/test_block_quarantine.py
+++ b/tests/test_block_quarantine.py
@@ -26,7 +26,6 @@
     BlockRecords,
 )
 from wisteriaarch.process.member_list import MemberRecord
-from wisteriaarch.process.store import Row
 from wisteriaarch.request.block_history import RECENT_S, RETENTION_S
 from wisteriaarch.request.block_quarantine import (
     PROBE_INTERVAL_S,
@@ -35,15 +34,17 @@
     TrialPolicy,
 )
 from wisteriaarch.request.block_rows import (
-    CHECK_EVERY_S,
     RECORDS_MAX,
     BlockRows,
     decode_records,
     encode_records,
 )
 from wisteriaarch.request.block_trial import BlockTrial, choose_trial_owner
+from wisteriaarch.request.kept_records import CHECK_EVERY_S
 from wisteriaarch.request.prefix_assignments import BLOCK_BYTES, prefix_digests
 
+from .memory_table import MemoryTable
+
 CRASH_BLOCK = "crash"
 FIRST_BLOCKS = ("first-1", "first-2", "first-3", "first-4")
 EXPORTED = 16
@@ -434,7 +435,7 @@
         self.store = MemoryTable()
 
     async def run_for_a_while(self, quarantine, is_writer=True):
-        rows = BlockRows(quarantine, self.store, lambda: is_writer)
+        rows = BlockRows(quarantine, self.store, lambda: is_writer, mock.Mock())
         task = await curio.spawn(rows.run)
         await curio.sleep(2.5 * CHECK_EVERY_S)
         await task.cancel()
@@ -467,23 +468,3 @@
         for value in (None, [], {"crashes": 3}, {"crashes": [[1]], "answers": []}):
             with self.subTest(value=value):
                 self.assertEqual(decode_records(value), NO_BLOCK_RECORDS)
-
-
-class MemoryTable:
-    """One row in memory, that may be away."""
-
-    def __init__(self):
-        self.rows = {}
-        self.error = None
-
-    async def read(self, table, key):
-        if self.error is not None:
-            raise self.error
-        return self.rows.get((table, key), Row(table, key, 0, None))
-
-    async def write(self, transaction):
-        if self.error is not None:
-            raise self.error
-        for put in transaction.puts:
-            row = Row(put.table, put.key, 1, put.value)
-            self.rows[put.table, put.key] = row
--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -197,7 +197,9 @@
             self.peers.run,
             self.connector.run,
             self.control.run,
-            BlockRows(self.requests.blocks, self.table, self._is_first_entry).run,
+            BlockRows(
+                self.requests.blocks, self.table, self._is_first_entry, self.log
+            ).run,
             *self.requests.task_mains(),
             partial(self.staleness.log_changes, self.log),
             ManifestSettingsCheck(self.settings, self.watcher, self.log).run,
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -272,6 +272,9 @@
     BLOCK_TRIED = EventKind(
         517, logbook.INFO, "request runs as a trial of a quarantined block"
     )
+    RECORDS_READ = EventKind(
+        518, logbook.INFO, "records of former processes read from the store"
+    )
     PEER_CONNECTED = EventKind(
         600, logbook.INFO, "heartbeat connection to a peer established"
     )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -36,6 +36,8 @@
 from .request.block_quarantine import TrialPolicy
 from .request.block_rows import BlockRows
 from .request.call_runner import CallRunner
+from .request.crash_history_rows import CrashHistoryRows
+from .request.kept_records import KeptRecords
 from .request.key_check import KeyCheck
 from .request.revocable_placer import RevocablePlacer
 from .request.stop_admission import StopAdmission
@@ -52,7 +54,7 @@
 CRASHES_ANNOUNCED_MAX = 16
 BLOCK_CRASHES_ANNOUNCED_MAX = 32
 # Name by which the entry that writes the rows of blocks is chosen.
-BLOCK_ROWS_DUTY = "block records"
+KEPT_RECORDS_DUTY = "block records"
 
 
 class Gateway:
@@ -178,11 +180,7 @@
             self._announce_readiness,
             self._scheduling.stream_versions.run,
             self._placer.run,
-            BlockRows(
-                self._runner.blocks,
-                self._adapter.table,
-                lambda: self._scheduler_choice.is_local(BLOCK_ROWS_DUTY),
-            ).run,
+            *(records.run for records in self._kept_records()),
             self._connector.run,
             SchedulingServer(
                 self.network.peer_address(settings.entry_id),
@@ -202,6 +200,19 @@
             ).run,
         ]
 
+    def _kept_records(self) -> tuple[KeptRecords, ...]:
+        """Return what one entry keeps in the store for all of them."""
+        common = (
+            self._adapter.table,
+            lambda: self._scheduler_choice.is_local(KEPT_RECORDS_DUTY),
+            self.log,
+            lambda: self._adapter.store_era.current,
+        )
+        return (
+            BlockRows(self._runner.blocks, *common),
+            CrashHistoryRows(self._runner.crashes, *common),
+        )
+
     async def _stop_gracefully(self, signals: ProcessSignals) -> None:
         self.closing = True
         schedule = self._stop_schedule(signals)
--- a/wisteriaarch/request/block_rows.py
+++ b/wisteriaarch/request/block_rows.py
@@ -1,67 +1,46 @@
-"""What is known of prompt blocks and crashes, kept in the store.
-
-Entries tell each other of crashes, and all of it is lost where all of them start again
-at once. One entry writes what it knows with each change; an entry that starts reads it.
-"""
+"""What is known of prompt blocks and crashes, kept in the store."""
 
 from collections.abc import Callable
 from typing import Any
 
-import curio
-
-from ..errors import PlatformError
+from ..event_log import EventLog
 from ..process.digest import NO_BLOCK_RECORDS, BlockAnswer, BlockCrash, BlockRecords
-from ..process.store import Put, RowStore, Transaction
+from ..process.store import RowStore
 from .block_quarantine import BlockQuarantine
+from .kept_records import KeptRecords, first_era
 
-TABLE = "block_records"
-KEY = "all"
 RECORDS_MAX = 32
-CHECK_EVERY_S = 0.1
-RETRY_S = 0.5
 
 
-class BlockRows:
-    """Reads the row at the start, and keeps it up to date while ``is_writer``."""
+class BlockRows(KeptRecords):
+    """Crashes and answers from which verdicts on prompt blocks are derived."""
+
+    table = "block_records"
 
     def __init__(
-        self, blocks: BlockQuarantine, store: RowStore, is_writer: Callable[[], bool]
+        self,
+        blocks: BlockQuarantine,
+        store: RowStore,
+        is_writer: Callable[[], bool],
+        log: EventLog,
+        current_era: Callable[[], int] = first_era,
     ):
+        super().__init__(store, is_writer, log, current_era)
         self._blocks = blocks
-        self._store = store
-        self._is_writer = is_writer
-        self._written_version = 0
 
-    async def run(self) -> None:
-        """Read the row once, then write each change, forever."""
-        while not await self._read():
-            await curio.sleep(RETRY_S)
-        while True:
-            is_written = True
-            if self._blocks.version != self._written_version and self._is_writer():
-                is_written = await self._write()
-            await curio.sleep(CHECK_EVERY_S if is_written else RETRY_S)
+    def version(self) -> int:
+        """Return the version of the records."""
+        return self._blocks.version
 
-    async def _read(self) -> bool:
-        try:
-            row = await self._store.read(TABLE, KEY)
-        except PlatformError:
-            return False
-        before = self._blocks.version
-        self._blocks.merge(decode_records(row.value))
-        if before == self._written_version:
-            self._written_version = self._blocks.version
-        return True
+    def encode(self) -> dict[str, Any]:
+        """Return the newest records."""
+        return encode_records(self._blocks.export(RECORDS_MAX))
 
-    async def _write(self) -> bool:
-        version = self._blocks.version
-        value = encode_records(self._blocks.export(RECORDS_MAX))
-        try:
-            await self._store.write(Transaction((Put(TABLE, KEY, value, None),)))
-        except PlatformError:
-            return False
-        self._written_version = version
-        return True
+    def merge(self, value: Any) -> int:
+        """Add the records of a row; returns their number."""
+        records = decode_records(value)
+        self._blocks.merge(records)
+        return len(records.crashes)
 
 
 def encode_records(records: BlockRecords) -> dict[str, Any]:
--- a/wisteriaarch/request/crash_history.py
+++ b/wisteriaarch/request/crash_history.py
@@ -51,12 +51,37 @@
     return "", ",".join(credentials)
 
 
+@dataclass(frozen=True)
+class RequestCrash:
+    """Crash that a request was in flight at.
+
+    ``crash_id`` is that of the crashed upstream; ``age_s`` is the time since the crash,
+    as of when the record was exported.
+    """
+
+    request: str
+    crash_id: str
+    age_s: float
+
+
 @dataclass
 class CrashedRequest:
-    """Times of the crashes during one request, by the id of the crashed upstream."""
+    """Times of the crashes during one request, by crash id."""
 
     crashed_at_s: dict[str, float] = field(default_factory=dict)
 
+    def recent(self, now: float) -> dict[str, float]:
+        """Return the times of the crashes that count."""
+        return {
+            crash_id: at_s
+            for crash_id, at_s in self.crashed_at_s.items()
+            if now - at_s < RETENTION_S
+        }
+
+    def is_refused(self, now: float) -> bool:
+        """Whether the request was in flight at too many crashes."""
+        return len(self.recent(now)) >= CRASHES_MAX
+
 
 class CrashHistory:
     """Crashes by the fingerprints of the requests that were in flight."""
@@ -64,42 +89,79 @@
     def __init__(self, clock: Callable[[], float] = now_s):
         self._clock = clock
         self._requests: dict[str, CrashedRequest] = {}
+        self._changes = 0
 
     def check(self, call: RoutedCall) -> None:
         """Raise RequestError if the call was in flight at too many crashes."""
         if not self._requests:
             return
         request = self._requests.get(request_fingerprint(call))
-        if request is not None and self._recent_crashes(request) >= CRASHES_MAX:
+        if request is not None and request.is_refused(self._clock()):
             raise RequestError(
                 ErrorKind.CRASHES_UPSTREAMS,
                 "the request was in flight at several crashes of upstreams",
                 ran=call.ran,
             )
 
-    def record_crash(self, call: RoutedCall, upstream_id: str) -> int:
+    def record_crash(self, call: RoutedCall, crash_id: str) -> int:
         """Record a crash and return the number of recent crashes of the request."""
         request = self._get_or_add(request_fingerprint(call))
-        request.crashed_at_s[upstream_id] = self._clock()
-        return self._recent_crashes(request)
+        request.crashed_at_s[crash_id] = self._clock()
+        self._changes += 1
+        return len(request.recent(self._clock()))
 
     def record_success(self, call: RoutedCall) -> int:
         """Remove the crashes of a request that completed; returns their number."""
         if not self._requests:
             return 0
-        request = self._requests.pop(request_fingerprint(call), None)
-        return self._recent_crashes(request) if request is not None else 0
+        fingerprint = request_fingerprint(call)
+        request = self._requests.get(fingerprint)
+        if request is None:
+            return 0
+        self._remove(fingerprint)
+        return len(request.recent(self._clock()))
+
+    def version(self) -> int:
+        """Return a number that rises with each change, also as crashes expire."""
+        now = self._clock()
+        expired = sum(
+            len(item.crashed_at_s) - len(item.recent(now))
+            for item in self._requests.values()
+        )
+        return self._changes + expired
 
     def export(self) -> Iterator[CrashRecord]:
         """Return the records to be sent to peers, newest first."""
-        records = [
-            (at_s, f"{fingerprint}{KEY_SEPARATOR}{upstream_id}")
+        records = [item for known in self._recent_by_request() for item in known]
+        records.sort(key=lambda item: item.age_s)
+        return (
+            CrashRecord(
+                f"{item.request}{KEY_SEPARATOR}{item.crash_id}", 1, quarantined=False
+            )
+            for item in records
+        )
+
+    def export_worst(self, count_max: int) -> list[RequestCrash]:
+        """Return up to ``count_max`` records, of the requests with most crashes first.
+
+        Of requests with equal numbers the one with the last crash comes first.
+        """
+        by_request = self._recent_by_request()
+        by_request.sort(key=lambda known: min(item.age_s for item in known))
+        by_request.sort(key=len, reverse=True)
+        return [item for known in by_request for item in known][:count_max]
+
+    def _recent_by_request(self) -> list[list[RequestCrash]]:
+        self._forget_old()
+        now = self._clock()
+        by_request = [
+            [
+                RequestCrash(fingerprint, crash_id, now - at_s)
+                for crash_id, at_s in known.recent(now).items()
+            ]
             for fingerprint, known in self._requests.items()
-            for upstream_id, at_s in known.crashed_at_s.items()
-            if self._is_recent(at_s)
         ]
-        records.sort(reverse=True)
-        return (CrashRecord(name, 1, quarantined=False) for _at_s, name in records)
+        return [known for known in by_request if known]
 
     def merge(self, records: tuple[CrashRecord, ...]) -> None:
         """Add the records of a peer.
@@ -107,18 +169,36 @@
         Known crashes keep their time, so records that peers send back and forth expire.
         """
         for record in records:
-            fingerprint, _, upstream_id = record.fingerprint.partition(KEY_SEPARATOR)
-            request = self._get_or_add(fingerprint)
-            request.crashed_at_s.setdefault(upstream_id, self._clock())
+            fingerprint, _, crash_id = record.fingerprint.partition(KEY_SEPARATOR)
+            self.add(RequestCrash(fingerprint, crash_id, 0.0))
+
+    def add(self, crash: RequestCrash) -> None:
+        """Add a record of another process, unless it is known."""
+        request = self._get_or_add(crash.request)
+        if crash.crash_id not in request.crashed_at_s:
+            request.crashed_at_s[crash.crash_id] = self._clock() - crash.age_s
+            self._changes += 1
 
     def _get_or_add(self, fingerprint: str) -> CrashedRequest:
         request = self._requests.setdefault(fingerprint, CrashedRequest())
-        while len(self._requests) > RECORDS_MAX:
-            del self._requests[next(iter(self._requests))]
+        if len(self._requests) > RECORDS_MAX:
+            self._remove(self._oldest_served())
         return request
 
-    def _recent_crashes(self, request: CrashedRequest) -> int:
-        return sum(self._is_recent(at_s) for at_s in request.crashed_at_s.values())
-
-    def _is_recent(self, at_s: float) -> bool:
-        return self._clock() - at_s < RETENTION_S
+    def _oldest_served(self) -> str:
+        """Return the request known for longest that isn't refused; else the first."""
+        now = self._clock()
+        served = (
+            name for name, item in self._requests.items() if not item.is_refused(now)
+        )
+        return next(served, next(iter(self._requests)))
+
+    def _remove(self, fingerprint: str) -> None:
+        self._changes += len(self._requests.pop(fingerprint).crashed_at_s)
+
+    def _forget_old(self) -> None:
+        """Forget requests whose last crash expired long ago, also at all peers."""
+        oldest_s = self._clock() - 2 * RETENTION_S
+        for fingerprint, request in list(self._requests.items()):
+            if max(request.crashed_at_s.values(), default=oldest_s) <= oldest_s:
+                self._remove(fingerprint)
