crashes: each incarnation of an upstream counts, also under one id

Cause: crashes of requests and of prompt blocks were recorded by the id of the upstream, so that the second crash of a server took the place of its first.

Change: a crash is named by the incarnation (id, and start where it is known). While entries of the version before run, a crash that both see may count as two.

RestartedServerTest failed before (502 at the sixth start, 503 asked after three crashes) and passes.

--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,6 +14,7 @@
 CRASHES = 3
 # Crashes are told to the writer, and written, within this time.
 WRITTEN_S = 2.0
+BORN_MS = 1_800_000_000_000
 
 
 class CrashingRequestTest(RouteCluster):
@@ -66,5 +67,53 @@
         self.assertEqual(self.crashes(), crashed)
 
 
+class RestartedServerTest(RouteCluster):
+    """Two servers that start again under the ids that they had."""
+
+    SERVERS = ("app-1", "app-2")
+    STARTS_MAX = 6
+
+    def setUp(self):
+        self.cluster = self.enterContext(GatewayCluster())
+        self.cluster.start_store()
+        self.starts = 0
+        self.servers = {}
+        for name in self.SERVERS:
+            self.start_server(name)
+        self.entry = self.cluster.start_gateway()
+        wait_until(lambda: is_ready(self.entry))
+
+    def start_server(self, name):
+        self.starts += 1
+        born = BORN_MS + self.starts
+        self.servers[name] = self.cluster.start_server(name, "app", born=born)
+
+    def restart_crashed(self):
+        """Start the servers that have ended again, each under its id."""
+        for name, server in list(self.servers.items()):
+            if server.popen.poll() is not None:
+                server.popen.stdout.close()
+                self.start_server(name)
+
+    def test_crashes_of_one_server_under_one_id_add_up(self):
+        """Guards against servers that keep their ids and are crashed without end."""
+        status = None
+        while status != 503 and self.starts < self.STARTS_MAX:
+            number = self.starts
+            status = self.ask(
+                "GET", "/get/sick", f"sick-{number}", self.entry, Crash="1"
+            ).status
+            self.restart_crashed()
+            wait_until(
+                lambda number=number: (
+                    self.ask("GET", "/get/sound", f"sound-{number}", self.entry).status
+                    == 200
+                )
+            )
+        self.assertEqual(status, 503)
+        crashed = self.starts - len(self.SERVERS)
+        self.assertEqual(crashed, CRASHES)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/wisteriaarch/process/upstreams.py
+++ b/wisteriaarch/process/upstreams.py
@@ -49,6 +49,13 @@
     is_spot: bool = False
     leaves_ms: float | None = None
 
+    @property
+    def incarnation_id(self) -> str:
+        """Identify this incarnation: a restarted upstream may keep its id."""
+        if not self.started_at_ms:
+            return self.upstream_id
+        return f"{self.upstream_id}/{self.started_at_ms}"
+
 
 @dataclass(frozen=True)
 class _Departure:
--- a/wisteriaarch/request/attempt_recorder.py
+++ b/wisteriaarch/request/attempt_recorder.py
@@ -190,17 +190,18 @@
         return self._pool.connector.paths.is_cut_off and reason in LINK_REASONS
 
     async def _record_crash(self, attempt: TrackedAttempt) -> None:
-        call, upstream_id = attempt.call, attempt.upstream.upstream_id
+        call, crash_id = attempt.call, attempt.upstream.incarnation_id
         fingerprint = request_fingerprint(call)
-        crashes = self._crashes.record_crash(call, upstream_id)
-        self._blocks.record_crash(fingerprint, call.block_keys, upstream_id)
+        crashes = self._crashes.record_crash(call, crash_id)
+        self._blocks.record_crash(fingerprint, call.block_keys, crash_id)
         call.block_trial.is_granted = False
         self._log.write(
             Event.CRASH_RECORDED,
             request=call.call_id,
             customer=call.customer,
             fingerprint=fingerprint,
-            upstream=upstream_id,
+            upstream=attempt.upstream.upstream_id,
+            started_at_ms=attempt.upstream.started_at_ms,
             crashes=crashes,
             blocks=call.block_keys,
         )
--- a/wisteriaarch/request/crash_history.py
+++ b/wisteriaarch/request/crash_history.py
@@ -55,8 +55,8 @@
 class RequestCrash:
     """Crash that a request was in flight at.
 
-    ``crash_id`` is that of the crashed upstream; ``age_s`` is the time since the crash,
-    as of when the record was exported.
+    ``crash_id`` is that of the crashed incarnation of an upstream. ``age_s`` is the
+    time since the crash, as of when the record was exported.
     """
 
     request: str
