answers: the end of a connection ends a body only after a regular close

Cause: the kernel reports a reset once. The write of the request, whose failure an exchange tolerates since servers may answer early, took the report; the next read returned no bytes, which h11 takes for the end of the body. Reading that MemoryBudget shuts down ends the same way.

Change: HttpClientConnection decides for all readers whether the end of a connection is the end of a body: not after a failed write, not where reading was ended here, not behind a relay (which one of three readers checked before). It fails at the head where that is known by then. has_no_body and ends_with_connection are in response_rules.py, fetch in http_fetch.py.

--- a/wisteriaarch/cli/fleet_view.py
+++ b/wisteriaarch/cli/fleet_view.py
@@ -7,7 +7,7 @@
 import curio
 
 from ..errors import StoreUnavailable, WireError
-from ..http_client import fetch
+from ..http_fetch import fetch
 from ..process.clock import now_s
 from ..process.entry_status import EntryStatus
 from ..process.http_store import HttpInstanceList
--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -1,6 +1,5 @@
 """Client side of HTTP/1.1 over a curio socket, parsed by h11."""
 
-import json
 import select
 from collections import deque
 from dataclasses import dataclass, field
@@ -8,12 +7,12 @@
 from io import BytesIO
 from typing import Any
 
-import curio
 import h11
 
-from .errors import ConnectionClosed, WireError
+from .errors import ConnectionClosed, MemoryExhausted, WireError
 from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
 from .read_turn import ReadTurn
+from .response_rules import ends_with_connection
 from .sockets import CONNECT_TIMEOUT_S, open_socket, stop_reading
 from .wire import (
     READ_BYTES,
@@ -50,6 +49,7 @@
         default_factory=partial(deque, maxlen=REQUEST_IDS_MAX)
     )
     _is_send_complete: bool = True
+    _method: str = ""
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
     _turn: ReadTurn = field(default_factory=ReadTurn)
@@ -136,6 +136,7 @@
     def _request_head(
         self, method: str, target: str, headers: Headers, body_bytes: int
     ) -> h11.Request:
+        self._method = method
         all_headers = list(headers)
         if not any(name.lower() == "host" for name, _value in headers):
             all_headers.insert(0, ("Host", str(self.address)))
@@ -144,15 +145,22 @@
         return h11.Request(method=method, target=target, headers=all_headers)
 
     async def read_head(self) -> HttpResponse:
-        """Read the final response head; raises WireError if the server closes early."""
+        """Read the final response head.
+
+        Raises WireError if the server closes early, or if the end of the body would
+        not be recognized.
+        """
         for _ in range(INFORMATIONAL_MAX):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                return HttpResponse(
+                head = HttpResponse(
                     event.status_code,
                     decoded_headers(event),
                     header_list=decoded_header_list(event),
                 )
+                if ends_with_connection(self._method, head):
+                    self._check_close_is_regular()
+                return head
             if isinstance(event, h11.InformationalResponse):
                 continue
             raise ConnectionClosed("the server closed before its response")
@@ -223,9 +231,24 @@
     async def _receive(self) -> None:
         await self._turn.end_if_long()
         data = await self.sock.recv(READ_BYTES)
+        if not data:
+            self._check_close_is_regular()
         self._turn.count_read(len(data))
         self._h11.receive_data(data)
 
+    def _check_close_is_regular(self) -> None:
+        """Raise WireError if the connection's end says nothing about a message's end.
+
+        The kernel reports a reset once, and reads then return no bytes, as they do
+        after a regular close: a failed write has taken the reset's place.
+        """
+        if self._reservation.is_revoked:
+            raise MemoryExhausted("reading was ended for lack of memory")
+        if not self._is_send_complete:
+            raise ConnectionClosed("the connection failed while the request was sent")
+        if self.is_relayed:
+            raise ConnectionClosed("the end of a relayed connection marks no end")
+
     def skip_foreign_response(self, method: str) -> None:
         """Discard the response just read, which belongs to an earlier request.
 
@@ -264,36 +287,3 @@
         self.has_sent_bytes = False
         self.is_reused = True
         return True
-
-
-async def fetch(
-    address: Address,
-    method: str,
-    target: str,
-    *,
-    headers: Headers | None = None,
-    body: bytes = b"",
-    timeout_s: float = 5.0,
-) -> HttpResponse:
-    """Make one request on a new connection and read the complete response.
-
-    Raises OSError, TimeoutError or WireError.
-    """
-    try:
-        async with curio.timeout_after(timeout_s):
-            async with await HttpClientConnection.connect(address) as conn:
-                await conn.send_request(method, target, headers or [], body)
-                response = await conn.read_head()
-                response.body = await conn.read_body()
-                return response
-    except curio.TaskTimeout as exc:
-        raise TimeoutError(f"{method} {target} at {address} took too long") from exc
-
-
-async def fetch_json(
-    address: Address, method: str, target: str, payload: Any = None, **options
-) -> HttpResponse:
-    """Like ``fetch``, with a JSON body."""
-    body = b"" if payload is None else json.dumps(payload).encode()
-    headers = [("Content-Type", "application/json")]
-    return await fetch(address, method, target, headers=headers, body=body, **options)
--- a/wisteriaarch/platform/store.py
+++ b/wisteriaarch/platform/store.py
@@ -13,7 +13,7 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from ..http_client import fetch
+from ..http_fetch import fetch
 from ..process.rows import RowsRead, RowTable, StoredRow
 from ..process.store import NO_VERSION, Check, Put, Row, Transaction, encode_json
 from ..process.store_era import StoreEra
--- a/wisteriaarch/process/http_store.py
+++ b/wisteriaarch/process/http_store.py
@@ -12,7 +12,7 @@
     WriteConflict,
     WriteOutcomeUnknown,
 )
-from ..http_client import fetch, fetch_json
+from ..http_fetch import fetch, fetch_json
 from ..wire import INVALID_CONTENT_ERRORS, Address, HttpResponse
 from .store import Instance, Row, Transaction
 
--- a/wisteriaarch/request/attempt.py
+++ b/wisteriaarch/request/attempt.py
@@ -15,6 +15,7 @@
 from ..http_client import HttpClientConnection
 from ..process.clock import now_s
 from ..process.upstream_view import UpstreamView
+from ..response_rules import ends_with_connection
 from ..steps import Step, reach_step
 from ..wire import INVALID_CONTENT_ERRORS, HttpResponse, load_json
 from .answer import AnswerSink
@@ -22,7 +23,6 @@
 from .event_stream import EventBuffer
 from .forwarding import (
     SOFTWARE_HEADER,
-    has_no_body,
     outgoing_request,
     returned_headers,
 )
@@ -132,11 +132,10 @@
         return True
 
     def _check_body_is_delimited(self, head: HttpResponse) -> None:
-        if has_no_body(self._call, head):
-            return
-        if "content-length" in head.headers or "transfer-encoding" in head.headers:
-            return
-        raise UpstreamDisconnected(f"{self._view.name}: the answer's end is not marked")
+        if ends_with_connection(self._call.method, head):
+            raise UpstreamDisconnected(
+                f"{self._view.name}: the answer's end is not marked"
+            )
 
     async def _read_body(self, conn) -> bytes:
         try:
--- a/wisteriaarch/request/exchange.py
+++ b/wisteriaarch/request/exchange.py
@@ -10,7 +10,6 @@
 from ..errors import ConnectionClosed, WireError
 from ..http_client import BODY_MAX_BYTES, HttpClientConnection
 from ..process.upstreams import Upstream
-from ..wire import STATUSES_WITHOUT_BODY, HttpResponse
 from .attempt_failures import AttemptFailed, FailureReason
 from .routed_call import RoutedCall
 from .upstream_protocol import OutgoingRequest, UpstreamHead, UpstreamProtocol
@@ -101,7 +100,6 @@
                 self._record_answer()
                 head = self._protocol.read_head(self._call, raw)
                 self._check_refusal_is_own(head)
-                self._check_end_is_marked(raw)
                 if not head.foreign:
                     self._keep_alive_s = head.keep_alive_s
                     return head
@@ -120,14 +118,6 @@
                 FailureReason.FOREIGN_ANSWER, "a refusal names no request"
             )
 
-    def _check_end_is_marked(self, raw: HttpResponse) -> None:
-        """Raise AttemptFailed if a lost relay would look like the end of the body."""
-        if not self._conn.is_relayed or raw.status in STATUSES_WITHOUT_BODY:
-            return
-        if "content-length" in raw.headers or "transfer-encoding" in raw.headers:
-            return
-        raise AttemptFailed(FailureReason.CLOSED, "the answer's end isn't marked")
-
     async def read_block(self) -> bytes | None:
         """Return the next received block of the body; None at its end."""
         try:
--- a/wisteriaarch/request/forwarding.py
+++ b/wisteriaarch/request/forwarding.py
@@ -2,8 +2,8 @@
 
 from functools import singledispatch
 
+from ..response_rules import has_no_body
 from ..wire import (
-    STATUSES_WITHOUT_BODY,
     Headers,
     HttpResponse,
     end_to_end_headers,
@@ -66,7 +66,7 @@
     # Only the entry reports whether a call ran: it tracks all of its attempts.
     # A request limit is meant for the entries.
     dropped = {RAN_HEADER, LIMIT_HEADER}
-    if not has_no_body(call, head):
+    if not has_no_body(call.method, head):
         dropped.add(LENGTH_HEADER)
     return [
         (name, value)
@@ -80,8 +80,3 @@
     return [
         (name, head.headers[name]) for name in RETURNED_HEADERS if name in head.headers
     ]
-
-
-def has_no_body(call: Call, head: HttpResponse) -> bool:
-    """Whether an answer has no body, regardless of its headers."""
-    return call.method == "HEAD" or head.status in STATUSES_WITHOUT_BODY
--- a/wisteriaarch/request/owner_probe.py
+++ b/wisteriaarch/request/owner_probe.py
@@ -1,7 +1,7 @@
 """Checks whether the entry that holds a claim is still running."""
 
 from ..errors import WireError
-from ..http_client import fetch
+from ..http_fetch import fetch
 from ..process.fleet import Fleet
 
 PROBE_TIMEOUT_S = 0.5
--- a/wisteriaarch/version/orders.py
+++ b/wisteriaarch/version/orders.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from ..errors import OrderError, UpstreamReassigned, WireError
-from ..http_client import fetch
+from ..http_fetch import fetch
 from ..process.lease import Lease
 from ..process.store import NO_VERSION, Instance, Put, Row, TableStore, Transaction
 from .roles import Role
