answers: a head that breaks HTTP is refused by all readers

Statuses from 600 on, HTTP/2.0 in the status line, two framings and chunks in HTTP/1.0 were passed on, too. Status 000 and odd bytes in a field's name gave 502 already.

Cause: h11 joins such lines before it checks them, and takes any status up to 999 and any digits as a version.

Change: response_rules.py holds what heads may hold; HttpClientConnection applies it to each head before anything of it is used, informational ones too.

tests.test_answer_heads: 22 heads in pieces of 1 to all bytes, and through a real entry. 12 of them were read before, none now; seven sound heads are read.

--- a/wisteriaarch/http_client.py
+++ b/wisteriaarch/http_client.py
@@ -12,16 +12,14 @@
 from .errors import ConnectionClosed, MemoryExhausted, WireError
 from .memory_budget import PROCESS_BUDGET, MemoryBudget, Reservation
 from .read_turn import ReadTurn
-from .response_rules import ends_with_connection
-from .sockets import CONNECT_TIMEOUT_S, open_socket, stop_reading
-from .wire import (
-    READ_BYTES,
-    Address,
-    Headers,
-    HttpResponse,
-    decoded_header_list,
-    decoded_headers,
+from .response_rules import (
+    check_head,
+    check_head_lines,
+    ends_with_connection,
+    response_from_event,
 )
+from .sockets import CONNECT_TIMEOUT_S, open_socket, stop_reading
+from .wire import READ_BYTES, Address, Headers, HttpResponse
 
 # Bounds of a response that is read completely into memory.
 BODY_MAX_BYTES = 16 * 1024 * 1024
@@ -29,6 +27,8 @@
 # Events of one read that are returned as one block.
 BLOCK_EVENTS_MAX = 64
 REQUEST_IDS_MAX = 64
+# States of the server in which the head of an answer is read.
+HEAD_STATES = (h11.IDLE, h11.SEND_RESPONSE)
 
 
 @dataclass
@@ -50,6 +50,7 @@
     )
     _is_send_complete: bool = True
     _method: str = ""
+    _head_checked_bytes: int = 0
     _h11: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
     _next_parsed_event: Any = None
     _turn: ReadTurn = field(default_factory=ReadTurn)
@@ -153,11 +154,7 @@
         for _ in range(INFORMATIONAL_MAX):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                head = HttpResponse(
-                    event.status_code,
-                    decoded_headers(event),
-                    header_list=decoded_header_list(event),
-                )
+                head = response_from_event(event)
                 if ends_with_connection(self._method, head):
                     self._check_close_is_regular()
                 return head
@@ -218,16 +215,27 @@
         await self._turn.end_if_long()
         event, self._next_parsed_event = self._next_parsed_event, None
         try:
-            event = event or self._h11.next_event()
+            event = event or self._parse_event()
             while event is h11.NEED_DATA:
                 await self._receive()
-                event = self._h11.next_event()
+                event = self._parse_event()
             return event
         except h11.RemoteProtocolError as exc:
             raise WireError(f"the server broke HTTP: {exc}") from exc
         except OSError as exc:
             raise ConnectionClosed(f"the connection failed: {exc}") from exc
 
+    def _parse_event(self) -> Any:
+        """Return the next event; raises WireError for an invalid head."""
+        if self._h11.their_state not in HEAD_STATES:
+            return self._h11.next_event()
+        received = self._h11.trailing_data[0]
+        self._head_checked_bytes = check_head_lines(received, self._head_checked_bytes)
+        event = self._h11.next_event()
+        if isinstance(event, h11.Response | h11.InformationalResponse):
+            check_head(event)
+        return event
+
     async def _receive(self) -> None:
         await self._turn.end_if_long()
         data = await self.sock.recv(READ_BYTES)
@@ -260,6 +268,7 @@
         self._h11.send(self._request_head(method, "/", [], 0))
         self._h11.send(h11.EndOfMessage())
         self._next_parsed_event = None
+        self._head_checked_bytes = 0
         if arrived:
             self._h11.receive_data(arrived)
 
