streams: what placement asks of software versions has a module of its own

The protocol and its version for fleets of a single version move to stream_software.py; nothing else changes.

--- a/wisteriaarch/request/placer.py
+++ b/wisteriaarch/request/placer.py
@@ -9,7 +9,7 @@
 from .candidate import Choice
 from .routed_call import RoutedCall
 from .stage_plan import StagePlan
-from .stream_versions import StreamSoftware
+from .stream_software import StreamSoftware
 
 
 class Ticket(Protocol):
--- a/wisteriaarch/request/scheduler.py
+++ b/wisteriaarch/request/scheduler.py
@@ -29,7 +29,7 @@
 from .shared_retry_budget import SharedRetryBudget
 from .size_fairness import SizeFairness
 from .stage_plan import StagePlan
-from .stream_versions import AnySoftware, StreamSoftware
+from .stream_software import AnySoftware, StreamSoftware
 from .zone_cost import ZoneCosts
 from .zone_log import ZoneLog
 
