--- a/extras/duty_cloud.py
+++ b/extras/duty_cloud.py
@@ -95,7 +95,7 @@
             self.process.paused_until_s = sim.now_s + sim.rng.uniform(1.0, 18.0)
             await sleep(0.0)
         duty.require_token(token)
-        duty.record_sent()
+        duty.times.record_sent()
         result = []
 
         def arrive():
@@ -114,7 +114,7 @@
 async def answer_at_once(client, duty, token, req):
     """Exchange without delays and faults, in place of that of ``Client``."""
     duty.require_token(token)
-    duty.record_sent()
+    duty.times.record_sent()
     return client.cloud.receive(duty.name, req, client.process)
 
 
--- a/extras/duty_drill.py
+++ b/extras/duty_drill.py
@@ -19,7 +19,7 @@
     PlatformError,
 )
 from wisteriaarch.platform.duties import PlatformDuties
-from wisteriaarch.process import duty, lease, store_era
+from wisteriaarch.process import call_times, duty, lease, store_era
 from wisteriaarch.process.duty import Duty
 from wisteriaarch.process.duty_context import DutyContext
 from wisteriaarch.process.duty_messages import ScalingOrder
@@ -42,7 +42,15 @@
 EPOCH_S = 1_800_000_000.0
 CUSTOMERS = ("huka270", "small", "other")
 DETECTION_S = 1.5
-MODULES = (duty_client, usage_reporter, usage_sender, duty, lease, store_era)
+MODULES = (
+    duty_client,
+    usage_reporter,
+    usage_sender,
+    call_times,
+    duty,
+    lease,
+    store_era,
+)
 
 
 class Sender(UsageSender):
--- a/tests/test_kept_records.py
+++ b/tests/test_kept_records.py
@@ -6,6 +6,7 @@
 import curio
 
 from wisteriaarch.errors import RequestError, StoreUnavailable
+from wisteriaarch.process.store_era import StoreEra
 from wisteriaarch.request.crash_history import (
     CRASHES_MAX,
     RECORDS_MAX,
@@ -28,7 +29,7 @@
 class CrashHistoryRowsTest(unittest.TestCase):
     def setUp(self):
         self.now_s = 1000.0
-        self.era = 0
+        self.era = StoreEra()
         self.store = MemoryTable()
         self.history = self.new_history()
         self.rows = self.rows_of(self.history)
@@ -39,9 +40,7 @@
 
     def rows_of(self, history, is_writer=True):
         log = mock.Mock()
-        return CrashHistoryRows(
-            history, self.store, lambda: is_writer, log, lambda: self.era
-        )
+        return CrashHistoryRows(history, self.store, lambda: is_writer, log, self.era)
 
     def write(self):
         """Let the entry write what is due."""
@@ -82,7 +81,7 @@
         self.store.rows.clear()
         self.write()
         self.assertEqual(self.store.rows, {})
-        self.era = 1
+        self.era.observe(1)
         self.write()
         self.assert_refused(self.restarted(), call())
 
--- a/tests/test_lost_records.py
+++ b/tests/test_lost_records.py
@@ -110,6 +110,13 @@
         windows = range(before, self.current_window() - 1)
         self.assertLessEqual(set(windows), self.world.cloud.reports.keys())
 
+    def test_note_of_a_former_term_is_not_complete(self):
+        """Guards against an era that ends between a new term and its record's read."""
+        duty = self.holder().usage
+        epoch = duty._read_epoch
+        self.assertIsNotNone(duty._note_of(epoch))
+        self.assertIsNone(duty._note_of(epoch + 1))
+
     def test_no_order_of_events_breaks_a_rule(self):
         """Guards against restorations amid pauses, cuts, kills and late calls."""
         for seed in SEEDS:
--- a/wisteriaarch/connection/duty_client.py
+++ b/wisteriaarch/connection/duty_client.py
@@ -69,7 +69,7 @@
             await self._wait_for_turn()
             token = self._protocol.token(req)
             note = duty.note if note is None else note
-            former_unsettled_until_s = duty.unsettled_until_s
+            former_unsettled_until_s = duty.times.unsettled_until_s
             await duty.begin_call(token, note, puts)
             result = DutyResult.UNKNOWN
             try:
@@ -123,7 +123,7 @@
         async with conn:
             _discard_undelivered(conn.sock)
             duty.require_token(token)
-            duty.record_sent()
+            duty.times.record_sent()
             try:
                 async with curio.timeout_after(ANSWER_TIMEOUT_S):
                     return await self._read_answer(conn, req)
--- a/wisteriaarch/events.py
+++ b/wisteriaarch/events.py
@@ -207,9 +207,7 @@
         453, logbook.WARNING, "usage report not accepted, or windows skipped"
     )
     USAGE_REPORT_LATE = EventKind(454, logbook.WARNING, "usage report is late")
-    DUTY_RECORDS_LOST = EventKind(
-        456, logbook.WARNING, "records of a duty may be lost with the store's rows"
-    )
+    DUTY_RECORDS_LOST = EventKind(456, logbook.WARNING, "duty's records may be lost")
     USAGE_COUNTS_CHOSEN = EventKind(
         455, logbook.INFO, "counts of a usage report chosen"
     )
@@ -272,9 +270,7 @@
     BLOCK_TRIED = EventKind(
         517, logbook.INFO, "request runs as a trial of a quarantined block"
     )
-    RECORDS_READ = EventKind(
-        518, logbook.INFO, "records of former processes read from the store"
-    )
+    RECORDS_READ = EventKind(518, logbook.INFO, "records read from the store")
     PEER_CONNECTED = EventKind(
         600, logbook.INFO, "heartbeat connection to a peer established"
     )
--- a/wisteriaarch/gateway.py
+++ b/wisteriaarch/gateway.py
@@ -202,15 +202,14 @@
 
     def _kept_records(self) -> tuple[KeptRecords, ...]:
         """Return what one entry keeps in the store for all of them."""
-        common = (
-            self._adapter.table,
-            lambda: self._scheduler_choice.is_local(KEPT_RECORDS_DUTY),
-            self.log,
-            lambda: self._adapter.store_era.current,
-        )
+        table, era = self._adapter.table, self._adapter.store_era
+
+        def is_writer() -> bool:
+            return self._scheduler_choice.is_local(KEPT_RECORDS_DUTY)
+
         return (
-            BlockRows(self._runner.blocks, *common),
-            CrashHistoryRows(self._runner.crashes, *common),
+            BlockRows(self._runner.blocks, table, is_writer, self.log, era),
+            CrashHistoryRows(self._runner.crashes, table, is_writer, self.log, era),
         )
 
     async def _stop_gracefully(self, signals: ProcessSignals) -> None:
--- a/wisteriaarch/process/duty.py
+++ b/wisteriaarch/process/duty.py
@@ -18,8 +18,9 @@
 
 from ..errors import LeaseLost, PlatformError
 from ..events import Event
+from .call_times import CallTimes
 from .clock import now_s
-from .duty_context import DutyContext
+from .duty_context import DutyContext, always
 from .duty_messages import DutyAuthority
 from .duty_record import DutyRecord, DutyRows
 from .duty_settings import AUTOSCALE_DUTY, USAGE_DUTY
@@ -40,15 +41,11 @@
 LATE_CALL_S = {USAGE_DUTY: 6.0, AUTOSCALE_DUTY: 12.0}
 
 
-def always() -> bool:
-    """Return True: a duty that is held all the time."""
-    return True
-
-
 class Duty:
     """Competes for one subject of a duty while ``is_wanted``, and guards its calls.
 
-    ``recovery`` decides on the note of the record after the store was restored.
+    ``recovery`` decides on the note of the record after the store was restored;
+    ``times`` are those of this entry's calls.
     """
 
     def __init__(
@@ -68,15 +65,13 @@
         self._lease = lease
         self._rows = rows
         self._is_wanted = is_wanted
-        self._late_call_s = LATE_CALL_S[name]
-        self.recovery = NoteRecovery(lease, context.era, self._note_of_term)
+        self.times = CallTimes(
+            LATE_CALL_S[name], quiet_s=lease.term_s + lease.drift_margin_s
+        )
+        self.recovery = NoteRecovery(lease, context.era, self._note_of)
         # Epoch of the lease term for which the record was read.
         self._read_epoch: int | None = None
         self._allowed_from_s = float("inf")
-        self._unsettled_until_s = float("-inf")
-        # A former process of this entry may have called until now, unanswered.
-        self._quiet_s = lease.term_s + lease.drift_margin_s
-        self._quiet_until_s = now_s() + self._late_call_s + self._quiet_s
         self._polled_at_s = float("-inf")
 
     @classmethod
@@ -196,7 +191,7 @@
 
     async def _must_stay_quiet(self) -> bool:
         """Whether another entry has called and this one called too recently."""
-        if now_s() >= self._quiet_until_s:
+        if not self.times.must_be_quiet:
             return False
         return self._was_called_by_another(await self._rows.read())
 
@@ -214,7 +209,7 @@
             self._recover_note(record, term)
         self._read_epoch = term.epoch
         if record.unsettled:
-            self._unsettled_until_s = max(self._unsettled_until_s, self._allowed_from_s)
+            self.times.record_unsettled(self._allowed_from_s)
         self._log(
             Event.DUTY_TAKEN,
             token=term.epoch,
@@ -226,11 +221,11 @@
 
     def _first_call_at_s(self, record: DutyRecord, term: LeaseTerm) -> float:
         """Return when no call of a former holder can arrive any more."""
-        at_s = self._unsettled_until_s
+        at_s = self.times.unsettled_until_s
         if self._was_called_by_another(record):
-            at_s = max(at_s, self._quiet_until_s)
+            at_s = max(at_s, self.times.quiet_until_s)
         if record.unsettled or record.era != term.era:
-            at_s = max(at_s, self._last_sent_s(term) + self._late_call_s)
+            at_s = max(at_s, self._last_sent_s(term) + self.times.late_call_s)
         return at_s
 
     def _last_sent_s(self, term: LeaseTerm) -> float:
@@ -240,8 +235,9 @@
         """
         return term.former_ended_at_s - SEND_SHARE * self._lease.term_s
 
-    def _note_of_term(self) -> Any | None:
-        return self.note if self._read_epoch is not None else None
+    def _note_of(self, epoch: int) -> Any | None:
+        """Return the note of a term; None if its record wasn't read."""
+        return self.note if epoch == self._read_epoch else None
 
     def _recover_note(self, record: DutyRecord, term: LeaseTerm) -> None:
         note = self.recovery.note_after(record, self._last_sent_s(term))
@@ -261,30 +257,18 @@
         record = DutyRecord(holder, token, True, note, term.era)
         await self._rows.write(record, self._lease.epoch_check(), puts)
 
-    def record_sent(self) -> None:
-        """Record that a call is sent now."""
-        self._unsettled_until_s = now_s() + self._late_call_s
-        self._quiet_until_s = self._unsettled_until_s + self._quiet_s
-
     async def end_call(self, former_unsettled_until_s: float, note: Any) -> None:
         """Record that a call has its answer, unless an earlier one may still arrive.
 
-        ``former_unsettled_until_s`` is the value of ``unsettled_until_s`` before this
-        call was sent.
+        ``former_unsettled_until_s`` is the value of ``times.unsettled_until_s`` before
+        this call was sent.
         """
-        self._unsettled_until_s = former_unsettled_until_s
-        last_call_s = max(now_s(), former_unsettled_until_s)
-        self._quiet_until_s = last_call_s + self._quiet_s
+        self.times.record_answered(former_unsettled_until_s)
         try:
             await self._write_settled(note)
         except (LeaseLost, PlatformError) as exc:
             self._log(Event.DUTY_RECORD_FAILED, error=str(exc))
 
-    @property
-    def unsettled_until_s(self) -> float:
-        """Until when an unanswered call of this entry may be executed."""
-        return self._unsettled_until_s
-
     async def replace_token(self, token: int) -> None:
         """Get a token above one that the address has refused."""
         try:
@@ -297,12 +281,12 @@
 
     async def _settle_late_call(self) -> None:
         """Record that an unanswered call can't be executed any more."""
-        is_due = self.is_held and now_s() >= self._unsettled_until_s
+        is_due = self.is_held and not self.times.may_be_unsettled
         if is_due and not self._is_settled and not self.call_lock.locked():
             await self._write_settled(self.note)
 
     async def _write_settled(self, note: Any) -> None:
-        unsettled = now_s() < self._unsettled_until_s
+        unsettled = self.times.may_be_unsettled
         era = self._lease.require_remaining(0.0).era
         record = replace(self._rows.record, unsettled=unsettled, note=note, era=era)
         await self._rows.write(record, self._lease.epoch_check())
--- a/wisteriaarch/process/duty_context.py
+++ b/wisteriaarch/process/duty_context.py
@@ -10,6 +10,11 @@
 from .store_era import StoreEra
 
 
+def always() -> bool:
+    """Return True: a duty that is held all the time."""
+    return True
+
+
 @dataclass(frozen=True)
 class DutyContext:
     """What the duties of one entry share.
--- a/wisteriaarch/process/lease.py
+++ b/wisteriaarch/process/lease.py
@@ -14,6 +14,7 @@
 """
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import curio
 
@@ -59,7 +60,7 @@
         self._rows = LeaseRows(group, contender, settings.term_s, table)
         self._settings = settings
         self._candidates = candidates
-        self._log = log
+        self._event_log = log
         self._is_preferred = is_preferred
         self.observer = LeaseObserver(settings, self._era)
         self._observed_candidates: frozenset[str] = frozenset()
@@ -86,19 +87,15 @@
     def lease_term(self) -> LeaseTerm | None:
         """Lease term of this entry, possibly expired; None if it isn't the holder."""
         if self._lease_term is not None and self._lease_term.era != self._era.current:
-            self._log.write(
-                Event.LEASE_LOST,
-                group=self.group,
-                epoch=self._lease_term.epoch,
-                era=self._era.current,
-            )
+            epoch, era = self._lease_term.epoch, self._era.current
+            self._log(Event.LEASE_LOST, epoch=epoch, era=era)
             self._lease_term = None
         return self._lease_term
 
-    def has_unexpired_term(self) -> bool:
-        """Whether a term has time remaining, if the store's era is left aside."""
+    def unexpired_epoch(self) -> int | None:
+        """Return the epoch of a term with time remaining, also of an ended era."""
         term = self._lease_term
-        return term is not None and term.expires_at_s > now_s()
+        return term.epoch if term and term.expires_at_s > now_s() else None
 
     @property
     def rank(self) -> int:
@@ -164,7 +161,7 @@
             self._lease_term = None
             if row.value["epoch"] <= floor:
                 await self._rows.raise_epoch(row, floor + 1)
-        self._log.write(Event.EPOCH_RAISED, group=self.group, epoch=floor + 1)
+        self._log(Event.EPOCH_RAISED, epoch=floor + 1)
 
     async def run(self) -> None:
         """Compete for the lease or renew it; never returns."""
@@ -195,7 +192,7 @@
         except WriteConflict:
             return
         except PlatformError as exc:
-            self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
+            self._log(Event.LEASE_WRITE_FAILED, error=str(exc))
 
     async def observe_on_candidate_change(self) -> None:
         """Read the lease row if the candidates have changed since the last read.
@@ -218,7 +215,7 @@
         except PlatformError as exc:
             self._observed_candidates = frozenset()
             self._next_observation_at_s = now_s() + self._settings.term_s
-            self._log.write(Event.LEASE_READ_FAILED, group=self.group, error=str(exc))
+            self._log(Event.LEASE_READ_FAILED, error=str(exc))
 
     async def _renew(self, row: Row, record: LeaseRecord) -> None:
         sent_at_s = now_s()
@@ -264,23 +261,13 @@
             era,
             self._former_ended_at_s,
         )
-        self._log.write(
-            Event.LEASE_ACQUIRED,
-            group=self.group,
-            epoch=self._lease_term.epoch,
-            rank=self.rank,
-        )
+        self._log(Event.LEASE_ACQUIRED, epoch=row.value["epoch"], rank=self.rank)
 
     def _end_term(self, record: LeaseRecord) -> None:
         lease_term = self.lease_term
         if lease_term is None:
             return
-        self._log.write(
-            Event.LEASE_LOST,
-            group=self.group,
-            epoch=lease_term.epoch,
-            holder=record.holder,
-        )
+        self._log(Event.LEASE_LOST, epoch=lease_term.epoch, holder=record.holder)
         self._lease_term = None
 
     async def release(self) -> None:
@@ -300,6 +287,9 @@
                 return
             await self._rows.release(row)
         except PlatformError as exc:
-            self._log.write(Event.LEASE_WRITE_FAILED, group=self.group, error=str(exc))
+            self._log(Event.LEASE_WRITE_FAILED, error=str(exc))
             return
-        self._log.write(Event.LEASE_RELEASED, group=self.group)
+        self._log(Event.LEASE_RELEASED)
+
+    def _log(self, event: Event, **fields: Any) -> None:
+        self._event_log.write(event, group=self.group, **fields)
--- a/wisteriaarch/process/note_recovery.py
+++ b/wisteriaarch/process/note_recovery.py
@@ -25,24 +25,24 @@
 class NoteRecovery:
     """Decides with which note a duty goes on in a new era of the store.
 
-    ``current_note`` returns the note that this entry wrote or read last, None if it
-    hasn't read the record in its present term. ``complete`` gets a note and the time
-    until which calls may have been sent that the note lacks, on this process's clock;
-    it returns the note to go on with.
+    ``note_of`` returns the note that this entry wrote or read last in the lease term
+    of an epoch, None if it hasn't read the record in that term. ``complete`` gets a
+    note and the time until which calls may have been sent that the note lacks, on this
+    process's clock; it returns the note to go on with.
     """
 
     def __init__(
-        self, lease: Lease, era: StoreEra, current_note: Callable[[], Any | None]
+        self, lease: Lease, era: StoreEra, note_of: Callable[[int], Any | None]
     ):
         self._lease = lease
-        self._current_note = current_note
+        self._note_of = note_of
         self._note_of_only_caller: Any | None = None
         self.complete: Callable[[Any, float], Any] = keep_note
         era.subscribe(self._on_era_change)
 
     def _on_era_change(self) -> None:
-        is_only_caller = self._lease.has_unexpired_term()
-        self._note_of_only_caller = self._current_note() if is_only_caller else None
+        epoch = self._lease.unexpired_epoch()
+        self._note_of_only_caller = None if epoch is None else self._note_of(epoch)
 
     def note_after(self, record: DutyRecord, last_sent_s: float) -> Any:
         """Return the note that replaces that of a record of an earlier era.
--- a/wisteriaarch/request/block_rows.py
+++ b/wisteriaarch/request/block_rows.py
@@ -6,8 +6,9 @@
 from ..event_log import EventLog
 from ..process.digest import NO_BLOCK_RECORDS, BlockAnswer, BlockCrash, BlockRecords
 from ..process.store import RowStore
+from ..process.store_era import StoreEra
 from .block_quarantine import BlockQuarantine
-from .kept_records import KeptRecords, first_era
+from .kept_records import KeptRecords
 
 RECORDS_MAX = 32
 
@@ -23,9 +24,9 @@
         store: RowStore,
         is_writer: Callable[[], bool],
         log: EventLog,
-        current_era: Callable[[], int] = first_era,
+        era: StoreEra | None = None,
     ):
-        super().__init__(store, is_writer, log, current_era)
+        super().__init__(store, is_writer, log, era)
         self._blocks = blocks
 
     def version(self) -> int:
--- a/wisteriaarch/request/crash_history_rows.py
+++ b/wisteriaarch/request/crash_history_rows.py
@@ -5,8 +5,9 @@
 
 from ..event_log import EventLog
 from ..process.store import RowStore
+from ..process.store_era import StoreEra
 from .crash_history import RETENTION_S, CrashHistory, RequestCrash
-from .kept_records import KeptRecords, first_era
+from .kept_records import KeptRecords
 
 # About 80 bytes each. A mass loss of upstreams changes the row all the time.
 RECORDS_MAX = 96
@@ -24,9 +25,9 @@
         store: RowStore,
         is_writer: Callable[[], bool],
         log: EventLog,
-        current_era: Callable[[], int] = first_era,
+        era: StoreEra | None = None,
     ):
-        super().__init__(store, is_writer, log, current_era)
+        super().__init__(store, is_writer, log, era)
         self._crashes = crashes
 
     def version(self) -> int:
--- a/wisteriaarch/request/kept_records.py
+++ b/wisteriaarch/request/kept_records.py
@@ -15,22 +15,18 @@
 from ..event_log import EventLog
 from ..events import Event
 from ..process.store import Put, RowStore, Transaction
+from ..process.store_era import StoreEra
 
 KEY = "all"
 CHECK_EVERY_S = 0.1
 RETRY_S = 0.5
 
 
-def first_era() -> int:
-    """Return the era of a store that is never restored."""
-    return 0
-
-
 class KeptRecords(ABC):
     """Reads the row at the start, and keeps it up to date while ``is_writer``.
 
-    ``write_interval_s`` is the least time between two writes of this entry, and
-    ``current_era`` returns the newest known era of the store.
+    ``write_interval_s`` is the least time between two writes of this entry. ``era`` is
+    the era of the store, needed if it may be restored from an older copy.
     """
 
     table: ClassVar[str]
@@ -41,12 +37,12 @@
         store: RowStore,
         is_writer: Callable[[], bool],
         log: EventLog,
-        current_era: Callable[[], int] = first_era,
+        era: StoreEra | None = None,
     ):
         self._store = store
         self._is_writer = is_writer
         self._log = log
-        self._current_era = current_era
+        self._era = era or StoreEra()
         self._written = (0, 0)
 
     async def run(self) -> None:
@@ -72,7 +68,7 @@
         """
 
     def _state(self) -> tuple[int, int]:
-        return self.version(), self._current_era()
+        return self.version(), self._era.current
 
     async def _read(self) -> bool:
         try:
