--- a/tests/test_kept_records.py
+++ b/tests/test_kept_records.py
@@ -94,6 +94,16 @@
         self.assertEqual(self.store.rows[ROW].value, {"crashes": []})
         self.restarted().check(call())
 
+    def test_crash_of_an_id_that_had_expired_is_written(self):
+        """Guards against a change that the expiry of another record hides."""
+        self.history.record_crash(call(), "u")
+        self.write()
+        self.now_s += RETENTION_S
+        self.write()
+        self.history.record_crash(call(), "u")
+        self.write()
+        self.assertEqual(len(self.store.rows[ROW].value["crashes"]), 1)
+
     def test_answer_clears_the_row(self):
         """Guards against a sound request that is refused after a restart."""
         crash(self.history, call())
--- a/wisteriaarch/request/crash_history.py
+++ b/wisteriaarch/request/crash_history.py
@@ -106,8 +106,9 @@
     def record_crash(self, call: RoutedCall, crash_id: str) -> int:
         """Record a crash and return the number of recent crashes of the request."""
         request = self._get_or_add(request_fingerprint(call))
+        # The version may count a former crash of this id, which has expired.
+        self._changes += 1 + (crash_id in request.crashed_at_s)
         request.crashed_at_s[crash_id] = self._clock()
-        self._changes += 1
         return len(request.recent(self._clock()))
 
     def record_success(self, call: RoutedCall) -> int:
--- a/wisteriaarch/response_rules.py
+++ b/wisteriaarch/response_rules.py
@@ -18,7 +18,7 @@
 )
 
 STATUSES = range(100, 600)
-VERSIONS = (b"1.0", b"1.1")
+MAJOR_VERSION = b"1."
 VERSION_WITHOUT_CHUNKS = b"1.0"
 FRAMING_HEADERS = ("content-length", "transfer-encoding")
 HEAD_END = re.compile(rb"\n\r?\n")
@@ -44,7 +44,7 @@
     """Check what a complete head says; raises WireError."""
     if event.status_code not in STATUSES:
         raise WireError(f"the status is {event.status_code}")
-    if event.http_version not in VERSIONS:
+    if not event.http_version.startswith(MAJOR_VERSION):
         raise WireError(f"the version of HTTP is {event.http_version!r}")
     names = {name for name, _value in event.headers}
     if b"transfer-encoding" not in names:
