entry: the manifest that is served has a module of its own

Which manifest requests are served on, and when it is too old for that, moves to version/served_manifest.py. Nothing else changes; the tests of manifests, membership, routing, repeated requests and stops pass.

--- a/wisteriaarch/entry.py
+++ b/wisteriaarch/entry.py
@@ -13,7 +13,6 @@
 from .connection.relay_server import RelayServer
 from .connection.upstream_connector import UpstreamConnector
 from .connection.upstream_pool import UpstreamPool
-from .errors import ErrorKind, RequestError
 from .event_log import EventLog
 from .events import Event
 from .process.clock import now_s
@@ -41,9 +40,9 @@
 from .version.manifest import PolicySpec
 from .version.manifest_settings_check import ManifestSettingsCheck
 from .version.manifest_watcher import ManifestWatcher
-from .version.publication import ActiveManifest
 from .version.role_policy import build_role_policy
 from .version.roles import RolePolicy
+from .version.served_manifest import ServedManifest
 from .wire import Address, HttpRequest
 
 CUT_TIME_S = 0.5
@@ -97,6 +96,9 @@
         self.staleness = StalenessCheck(
             settings.freshness_bound_s, self.watcher, self.membership
         )
+        self.active_manifest = ServedManifest(
+            self.watcher, self.staleness, settings.freshness_bound_s
+        ).require
         self.peers = PeerNetwork(
             settings,
             self.fleet,
@@ -249,19 +251,6 @@
         current = self.watcher.current
         return [item.upstreams for item in current.manifest.groups] if current else []
 
-    def active_manifest(self) -> ActiveManifest:
-        """Return the manifest in force; raises RequestError if it may be outdated."""
-        current = self.watcher.current
-        if current is None:
-            raise RequestError(ErrorKind.STALE_MANIFEST, "no manifest is in force yet")
-        if self.staleness.basis() is ServingBasis.NONE:
-            raise RequestError(
-                ErrorKind.STALE_MANIFEST,
-                f"generation {self.watcher.generation} was not confirmed "
-                f"within {self.settings.freshness_bound_s:g} s",
-            )
-        return current
-
     def is_ready(self, entry_id: str) -> bool:
         """Whether an entry accepts new requests, according to this entry's view."""
         if entry_id != self.settings.entry_id:
