--- a/tests/endless_support.py
+++ b/tests/endless_support.py
@@ -1,13 +1,12 @@
 """Stand-in of a faulty server, which sends bytes without end, for tests."""
 
-import contextlib
 import re
 import select
 import socket
 import threading
 from pathlib import Path
 
-from wisteriaarch.wire import Address
+from .threaded_server import ThreadedServer
 
 # The smallest machines have 160 MB.
 PEAK_MAX_KB = 150 * 1024
@@ -38,36 +37,26 @@
 STREAMED = ("event", "event-lines")
 
 
-class EndlessServer:
+class EndlessServer(ThreadedServer):
     """Answers calls without end; ``open`` counts those whose connection isn't closed.
 
     All other requests are passed on to the address ``sound``, if there is one.
     """
 
     def __init__(self, way, sound=None):
+        super().__init__()
         self.way = way
         self.sound = sound
         self.accepted = self.open = 0
         self._lock = threading.Lock()
-        self._sock = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.address = str(Address(*self._sock.getsockname()))
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def _accept(self):
-        while True:
-            try:
-                client, _address = self._sock.accept()
-            except OSError:
-                return
-            threading.Thread(target=self._serve, args=(client,), daemon=True).start()
+        self.start()
 
     def _serve(self, client):
-        with client, contextlib.suppress(OSError):
-            head = client.recv(65536)
-            if self.sound and b"/completions" not in head:
-                self._pass_on(client, head)
-            elif head:
-                self._answer(client, head)
+        head = client.recv(65536)
+        if self.sound and b"/completions" not in head:
+            self._pass_on(client, head)
+        elif head:
+            self._answer(client, head)
 
     def _pass_on(self, client, head):
         with socket.create_connection(self.sound) as server:
@@ -96,10 +85,6 @@
             self.open += change
             self.accepted += change > 0
 
-    def close(self):
-        self._sock.shutdown(socket.SHUT_RDWR)
-        self._sock.close()
-
 
 def peak_kb(process) -> int:
     """Return the largest resident memory that a process has had."""
