prefill queue: a call whose engine is free doesn't wait for more urgent ones

What callers saw: while urgent long prompts filled the engines that prefill them, less urgent calls waited or were refused although their own engines were free, and no urgent one was served sooner for it.

Cause: FairPrefillQueue compared shares. A less urgent call was dispatched only while the share of its kind that was dispatched stayed below the square of the share of the urgent kind that was in time, and one that was held back was refused once an urgent one had been refused (PriorityBalance). No caller gains by shares that look alike.

Change: PriorityBalance is gone. The order decides between calls that want the same engine; there priority goes first, as the configuration states a rank.

--- a/wisteriaarch/request/fair_prefill_queue.py
+++ b/wisteriaarch/request/fair_prefill_queue.py
@@ -1,11 +1,11 @@
-"""Queue of long prompts that is fair between priorities and between customers.
+"""Queue of long prompts that is ordered by priority and fair between customers.
 
 Load: more long prompts arrive than the engines can prefill, most of them from one
 customer or of one kind. Prompts are dispatched and refused in the order of
 ``fair_queue``: the expected wait of each counts what goes before it, so the burst of a
-large customer is refused before the calls of others. While a more urgent prompt is
-queued, less urgent ones of any size wait unless no greater share of them is served.
-Short and directly prefilled prompts of a customer that is ahead of its share wait, too.
+large customer is refused before the calls of others. The order decides between calls
+that want the same engine: a call whose engine is free never waits for more urgent ones
+that wait for another. Short prompts of a customer that is ahead of its share wait, too.
 """
 
 from collections import defaultdict
@@ -22,7 +22,6 @@
     PrefillQueue,
     QueuedCall,
 )
-from .priority_balance import PriorityBalance
 from .routed_call import RoutedCall
 
 
@@ -32,7 +31,6 @@
     def __init__(self, clock: Callable[[], float] = now_s):
         super().__init__(clock)
         self._order = FairOrder()
-        self._balance = PriorityBalance(clock)
         self._on_time_by_priority: dict[int, DecayingSum] = defaultdict(DecayingSum)
 
     def order_of(self, call: RoutedCall) -> Turn:
@@ -42,36 +40,21 @@
     def must_wait(self, call: RoutedCall) -> bool:
         """Whether even a call that could run now must not overtake queued ones.
 
-        They are more urgent and served no more often, or the customer has had more than
-        its share by one long prompt.
+        Its customer has had more than its share by one long prompt.
         """
-        if not self._may_overtake(call.priority):
-            return True
         return self._order.lead(self.order_of(call), self._calls) > LONG_PREFILL_TOKENS
 
-    def _may_overtake(self, priority: int) -> bool:
-        waiting = {item.priority for item in self._calls}
-        return self._balance.may_overtake(priority, waiting)
-
     def waiting(self) -> list[Turn]:
         """Return the turns of the queued calls."""
         return [call.turn for call in self._calls]
 
-    def record_arrival(self, call: RoutedCall) -> None:
-        """Record a call that is to be dispatched, queued or refused."""
-        self._balance.record_arrival(call.priority)
-
-    def record_dispatched(
-        self, call: RoutedCall, tokens: int, is_on_time: bool
-    ) -> None:
+    def record_dispatched(self, call: RoutedCall, tokens: int) -> None:
         """Record a call that is dispatched, whether it was queued or not."""
-        self._balance.record_dispatched(call.priority, is_on_time)
         self._order.charge(self.order_of(call), tokens, self._calls, self._clock())
 
     def record_refused(self, call: RoutedCall) -> None:
         """Record a call that is refused, whether it was queued or not."""
         self._order.refuse(self.order_of(call), self._clock())
-        self._balance.record_refused(call.priority)
 
     def record_accepted(
         self,
@@ -152,8 +135,6 @@
         for call in calls:
             if call not in self._calls:
                 continue
-            if not self._may_overtake(call.priority):
-                return False
             call.decision = call.decide()
             if call.decision is not None:
                 self._calls.remove(call)
@@ -167,27 +148,15 @@
     def _unservable(
         self, ordered: list[QueuedCall[Decision]], now: float
     ) -> list[QueuedCall[Decision]]:
-        """Return the calls that can't start before their deadline in this order.
-
-        Calls that more urgent ones hold back go before these in refusals.
-        """
+        """Return the calls that can't start before their deadline in this order."""
         unservable = []
         tokens = 0.0
         for call in ordered:
             is_overdue = now > call.on_time_until_s
             share = self._share_left(call.priority - (not is_overdue))
             starts_in_s = tokens / (call.fleet_rate * share) / UNSERVABLE_FACTOR
-            if now + starts_in_s > call.unservable_at_s or self._is_displaced(call):
+            if now + starts_in_s > call.unservable_at_s:
                 unservable.append(call)
             else:
                 tokens += call.tokens
         return unservable
-
-    def _is_displaced(self, call: QueuedCall[Decision]) -> bool:
-        """Whether a more urgent call was refused while a call that is held back waited.
-
-        Otherwise it would be served after the overload, unlike the refused one.
-        """
-        return self._balance.refused_since(
-            call.priority, call.arrived_at_s
-        ) and not self._may_overtake(call.priority)
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -83,7 +83,6 @@
         call.prioritized = self._fairness.is_prioritized(
             call.call_id, call.route.name, call.prompt.own_tokens
         )
-        self._queues.of(call.service).record_arrival(call)
         find = partial(self._finder.current, call)
         decision = self._decide(call, candidates, is_new=True)
         if decision.dispatch is not Dispatch.UNSERVABLE:
@@ -261,8 +260,7 @@
     def _record_dispatched(self, call: RoutedCall, plan: StagePlan) -> None:
         if plan.first is not None:
             queue = self._queues.of(call.service)
-            is_on_time = self._on_time_within_s(call, plan.first) >= 0
-            queue.record_dispatched(call, plan.first.prefill_tokens, is_on_time)
+            queue.record_dispatched(call, plan.first.prefill_tokens)
 
     def _fleet_load(self, call: RoutedCall, candidates: list[Candidate]) -> FleetLoad:
         service = call.service
--- a/wisteriaarch/request/prefill_queue.py
+++ b/wisteriaarch/request/prefill_queue.py
@@ -91,12 +91,7 @@
         """Whether even a call that could run now must not overtake queued ones."""
         return False
 
-    def record_arrival(self, call: RoutedCall) -> None:
-        """Record a call that is to be dispatched, queued or refused."""
-
-    def record_dispatched(
-        self, call: RoutedCall, tokens: int, is_on_time: bool
-    ) -> None:
+    def record_dispatched(self, call: RoutedCall, tokens: int) -> None:
         """Record a call that is dispatched, whether it was queued or not."""
 
     def record_refused(self, call: RoutedCall) -> None:
