prefill queue: no call is refused for the work before it beside a free engine

What callers saw: a prompt was refused because of the work queued before it, on arrival or while it waited, although an engine was free for it and those before it waited for other engines.

Change: a poll dispatches first, and an unservable call is refused only if no engine is free for it then; one whose own time is over is refused before.

--- a/tests/test_fair_prefill_queue.py
+++ b/tests/test_fair_prefill_queue.py
@@ -102,6 +102,13 @@
         urgent = self.fill("a", 0, arrived_at_s=0.5)
         self.assertEqual(list(self.queue.poll()), [urgent, later])
 
+    def test_call_with_a_free_engine_is_not_refused_for_the_work_of_others(self):
+        for _ in range(60):
+            self.fill("a", 0, tokens=200)
+        free = self.fill("b", 2, free=True)
+        decided = {item: item.decision for item in self.queue.poll()}
+        self.assertEqual(decided[free], "placed")
+
     def test_less_urgent_call_is_refused_first_where_both_want_the_same_engine(self):
         """The work of the urgent ones leaves no time for it."""
         for _ in range(33):
--- a/wisteriaarch/request/fair_prefill_queue.py
+++ b/wisteriaarch/request/fair_prefill_queue.py
@@ -108,21 +108,16 @@
         Within a priority, overdue calls have their turn once no other one is left.
         """
         now = self._clock()
-        ordered = self._order.sort(self._calls, now)
-        for call in self._unservable(ordered, now):
-            ordered.remove(call)
-            if call in self._calls:
-                call.decision = call.refuse()
-                self._calls.remove(call)
-                yield call
+        yield from self._refuse_expired(now)
         by_priority: dict[int, list[QueuedCall[Decision]]] = defaultdict(list)
-        for call in ordered:
+        for call in self._order.sort(self._calls, now):
             by_priority[call.priority].append(call)
         for calls in by_priority.values():
             on_time = [call for call in calls if now <= call.on_time_until_s]
             if (yield from self._dispatch_group(on_time)):
                 overdue = calls[len(on_time) :]
                 yield from self._dispatch_group(overdue)
+        yield from self._refuse(self._find_unservable(now))
 
     def _dispatch_group(
         self, calls: list[QueuedCall[Decision]]
@@ -145,13 +140,11 @@
                 break
         return held == 0
 
-    def _unservable(
-        self, ordered: list[QueuedCall[Decision]], now: float
-    ) -> list[QueuedCall[Decision]]:
+    def _find_unservable(self, now: float) -> list[QueuedCall[Decision]]:
         """Return the calls that can't start before their deadline in this order."""
         unservable = []
         tokens = 0.0
-        for call in ordered:
+        for call in self._order.sort(self._calls, now):
             is_overdue = now > call.on_time_until_s
             share = self._share_left(call.priority - (not is_overdue))
             starts_in_s = tokens / (call.fleet_rate * share) / UNSERVABLE_FACTOR
--- a/wisteriaarch/request/prefill_queue.py
+++ b/wisteriaarch/request/prefill_queue.py
@@ -9,7 +9,7 @@
 first few are evaluated at a time.
 """
 
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import Generic, TypeVar
@@ -158,14 +158,18 @@
     async def _poll_until_empty(self) -> None:
         try:
             while self._calls:
-                for call in self.poll():
-                    await call.decided.set()
-                    # Let it be dispatched, so that the next decision sees its load.
-                    await curio.sleep(0)
+                await self.dispatch_waiting()
                 await curio.sleep(POLL_INTERVAL_S)
         finally:
             self._is_polling = False
 
+    async def dispatch_waiting(self) -> None:
+        """Dispatch the calls for which an engine is free; refuse unservable ones."""
+        for call in self.poll():
+            await call.decided.set()
+            # Let it be dispatched, so that the next decision sees its load.
+            await curio.sleep(0)
+
     def poll(self) -> Iterator[QueuedCall[Decision]]:
         """Yield the calls that are decided, after removing them from the queue.
 
@@ -173,26 +177,48 @@
         other calls may be removed meanwhile.
         """
         now = self._clock()
+        yield from self._refuse_expired(now)
+        on_time, overdue = self._split(now)
+        if (yield from self._dispatch_first(on_time)):
+            yield from self._dispatch_first(overdue)
+        yield from self._refuse(self._find_unservable(now))
+
+    def _split(
+        self, now: float
+    ) -> tuple[list[QueuedCall[Decision]], list[QueuedCall[Decision]]]:
+        """Return the calls that can meet their objective and the overdue ones."""
         ordered = sorted(self._calls, key=lambda call: call.order)
         on_time = [call for call in ordered if now <= call.on_time_until_s]
         overdue = [call for call in ordered if now > call.on_time_until_s]
-        for call in self._find_unservable(on_time, overdue, now):
-            overdue.remove(call)
+        return on_time, overdue
+
+    def _refuse_expired(self, now: float) -> Iterator[QueuedCall[Decision]]:
+        """Yield the refused calls that can't meet their deadline on any engine."""
+        for call in [item for item in self._calls if now > item.unservable_at_s]:
             if call in self._calls:
                 call.decision = call.refuse()
                 self._calls.remove(call)
                 yield call
-        if (yield from self._dispatch_first(on_time)):
-            yield from self._dispatch_first(overdue)
 
-    def _find_unservable(
-        self,
-        on_time: list[QueuedCall[Decision]],
-        overdue: list[QueuedCall[Decision]],
-        now: float,
-    ) -> list[QueuedCall[Decision]]:
+    def _refuse(
+        self, calls: Iterable[QueuedCall[Decision]]
+    ) -> Iterator[QueuedCall[Decision]]:
+        """Yield unservable calls, refused unless an engine is free for them.
+
+        Those that go before them may wait for other engines.
+        """
+        for call in calls:
+            if call not in self._calls:
+                continue
+            decision = call.decide()
+            call.decision = call.refuse() if decision is None else decision
+            self._calls.remove(call)
+            yield call
+
+    def _find_unservable(self, now: float) -> list[QueuedCall[Decision]]:
         """Return the overdue calls that can't start before their deadline."""
         unservable = []
+        on_time, overdue = self._split(now)
         spare_share = self._spare_share
         tokens = sum(call.tokens for call in on_time)
         for call in overdue:
