prefill queue: among calls that want the same engines, rank and time decide

Cause: "an engine is free for it" was taken for "nobody who waits can use it". All long prompts want the engines of the prefill stage.

Change: a queued call names the stage whose engines it wants. It isn't placed while one that goes before it waits for that stage; a call that wants no stage waits for nobody.

--- a/wisteriaarch/request/fair_prefill_queue.py
+++ b/wisteriaarch/request/fair_prefill_queue.py
@@ -9,10 +9,11 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Generator, Iterator
+from collections.abc import Callable, Iterator
 
 from ..process.clock import now_s
 from ..process.stage_utilization import DECAY_S, DecayingSum
+from ..process.upstreams import Stage
 from .fair_queue import FairOrder, Turn
 from .prefill_dispatch import LONG_PREFILL_TOKENS, UNSERVABLE_FACTOR
 from .prefill_queue import (
@@ -105,26 +106,38 @@
     def poll(self) -> Iterator[QueuedCall[Decision]]:
         """Yield the calls that are decided, after removing them from the queue.
 
-        Within a priority, overdue calls have their turn once no other one is left.
+        A call doesn't start while one that goes before it waits for the same engines:
+        more urgent ones, and within a priority, those that can meet their objective.
         """
         now = self._clock()
-        yield from self._refuse_expired(now)
-        by_priority: dict[int, list[QueuedCall[Decision]]] = defaultdict(list)
-        for call in self._order.sort(self._calls, now):
-            by_priority[call.priority].append(call)
-        for calls in by_priority.values():
-            on_time = [call for call in calls if now <= call.on_time_until_s]
-            if (yield from self._dispatch_group(on_time)):
-                overdue = calls[len(on_time) :]
-                yield from self._dispatch_group(overdue)
+        yield from self._refuse(
+            [call for call in self._calls if now > call.unservable_at_s]
+        )
+        wanted: set[Stage] = set()
+        for calls in self._groups(now):
+            yield from self._dispatch_group(
+                [call for call in calls if call.stage not in wanted]
+            )
+            wanted.update(
+                call.stage
+                for call in calls
+                if call.stage is not None and call in self._calls
+            )
         yield from self._refuse(self._find_unservable(now))
 
+    def _groups(self, now: float) -> list[list[QueuedCall[Decision]]]:
+        """Return the calls by priority, of each those on time and the overdue ones."""
+        groups: dict[tuple[int, bool], list[QueuedCall[Decision]]] = defaultdict(list)
+        for call in self._order.sort(self._calls, now):
+            groups[call.priority, now > call.on_time_until_s].append(call)
+        return list(groups.values())
+
     def _dispatch_group(
         self, calls: list[QueuedCall[Decision]]
-    ) -> Generator[QueuedCall[Decision], None, bool]:
-        """Yield dispatched calls in order; return whether all were dispatched.
+    ) -> Iterator[QueuedCall[Decision]]:
+        """Yield the calls of a group for which an engine is free, in their order.
 
-        Short prompts are dispatched without limit, as they wait for no engine.
+        Those behind the first ones that wait want the same engines.
         """
         held = 0
         for call in calls:
@@ -137,8 +150,7 @@
                 continue
             held += 1
             if held >= EVALUATED_MAX:
-                break
-        return held == 0
+                return
 
     def _find_unservable(self, now: float) -> list[QueuedCall[Decision]]:
         """Return the calls that can't start before their deadline in this order."""
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -89,12 +89,9 @@
             decision = await self._wait_for_prefix(
                 call, decision, candidates, find, on_wait
             )
-        if self._is_behind_others(call, decision):
-            await self._queues.of(call.service).dispatch_waiting()
-            decision = self._decide(call, find(), is_new=True)
-        if decision.dispatch is not Dispatch.UNSERVABLE:
-            self._record_accepted(call, decision.plan, candidates)
-        if decision.dispatch is Dispatch.QUEUE or self._must_wait(call, decision):
+        if decision.dispatch is Dispatch.QUEUE or self._is_behind_others(
+            call, decision
+        ):
             await on_wait()
             decision = await self._wait_in_queue(call, decision.plan, find)
         if decision.dispatch is Dispatch.UNSERVABLE:
@@ -128,20 +125,14 @@
         return len(self._queues.of(service))
 
     def _is_behind_others(self, call: RoutedCall, decision: DispatchPlan) -> bool:
-        """Whether queued prompts may want the engine that is free for a long one."""
-        is_free = decision.dispatch in (Dispatch.ON_TIME, Dispatch.IDLE_ENGINE)
-        return is_free and _is_queueable(decision.plan) and self._has_queue(call)
+        """Whether a call would overtake prompts that are already queued.
 
-    def _must_wait(self, call: RoutedCall, decision: DispatchPlan) -> bool:
-        """Whether a short prompt must not overtake those that are queued."""
-        if decision.dispatch is Dispatch.UNSERVABLE or decision.plan.first is None:
-            return False
-        if _is_queueable(decision.plan) or not self._has_queue(call):
+        A short prompt usually may.
+        """
+        queue, plan = self._queues.of(call.service), decision.plan
+        if not queue or plan.first is None or decision.dispatch is Dispatch.UNSERVABLE:
             return False
-        return self._queues.of(call.service).must_wait(call)
-
-    def _has_queue(self, call: RoutedCall) -> bool:
-        return self.queue_length(call.service) > 0
+        return _is_queueable(plan) or queue.must_wait(call)
 
     async def _wait_in_queue(
         self, call: RoutedCall, plan: StagePlan, find: Callable[[], list[Candidate]]
@@ -168,6 +159,7 @@
             refuse=lambda: DispatchPlan(plan, Dispatch.UNSERVABLE),
             priority=call.priority,
             customer=call.customer,
+            stage=Stage.PREFILL if _is_queueable(plan) else None,
         )
         decision = await self._queues.of(call.service).wait(queued_call)
         self._log.write(
@@ -229,7 +221,7 @@
         """Return the decision on a call.
 
         The forecast for a call that ``is_new`` includes its expected time behind queued
-        calls.
+        calls. If such a call isn't unservable, it is recorded as accepted.
         """
         plan = plan_stages(
             candidates,
@@ -245,16 +237,18 @@
             return DispatchPlan(plan, Dispatch.ON_TIME)
         choice = plan.prefill
         queue_wait_s = self._queue_wait_s(call, choice, candidates) if is_new else 0.0
-        forecast = self._forecast(call, choice, queue_wait_s)
-        return DispatchPlan(plan, choose_dispatch(forecast, self._has_queue(call)))
+        has_queue = self.queue_length(call.service) > 0
+        dispatch = choose_dispatch(
+            self._forecast(call, choice, queue_wait_s), has_queue
+        )
+        if is_new and dispatch is not Dispatch.UNSERVABLE:
+            self._record_accepted(call, choice, candidates)
+        return DispatchPlan(plan, dispatch)
 
     def _record_accepted(
-        self, call: RoutedCall, plan: StagePlan, candidates: list[Candidate]
+        self, call: RoutedCall, choice: Choice, candidates: list[Candidate]
     ) -> None:
-        """Record a long prompt that is accepted, whether it is queued or not."""
-        if not _is_queueable(plan):
-            return
-        choice = plan.prefill
+        """Record a newly arrived call that is accepted, whether it is queued or not."""
         self._queues.of(call.service).record_accepted(
             choice.prefill_tokens,
             self._on_time_within_s(call, choice),
--- a/wisteriaarch/request/prefill_dispatch.py
+++ b/wisteriaarch/request/prefill_dispatch.py
@@ -59,33 +59,25 @@
         """Time until the first event."""
         return self.queue_wait_s + self.engine_queue_s + self.prefill_s + self.handoff_s
 
-    @property
-    def latest_s(self) -> float:
-        """Time after which a prompt isn't tried any more."""
-        return UNSERVABLE_FACTOR * self.deadline_left_s
-
-    @property
-    def is_served_in_order(self) -> bool:
-        """Whether its turn comes in time behind those that are queued."""
-        return self.queue_wait_s <= self.latest_s
-
 
 def choose_dispatch(forecast: PrefillForecast, has_queue: bool = False) -> Dispatch:
     """Return whether to dispatch a prompt now.
 
     While others are queued, no engine time is spent on a prompt that will probably miss
-    its deadline. The expected time behind them counts only while no engine is free for
-    the prompt: they may wait for other engines.
+    its deadline.
     """
     earliest_s = forecast.prefill_s + forecast.handoff_s
-    if earliest_s > forecast.latest_s:
-        return Dispatch.UNSERVABLE
-    if forecast.engine_queue_s > ENGINE_BACKLOG_MAX_S:
-        return Dispatch.QUEUE if forecast.is_served_in_order else Dispatch.UNSERVABLE
-    if has_queue and earliest_s > forecast.deadline_left_s:
+    if (
+        max(forecast.queue_wait_s, earliest_s)
+        > UNSERVABLE_FACTOR * forecast.deadline_left_s
+    ):
         return Dispatch.UNSERVABLE
-    is_on_time = forecast.first_event_s <= forecast.objective_left_s
-    return Dispatch.ON_TIME if is_on_time else Dispatch.IDLE_ENGINE
+    if forecast.engine_queue_s <= ENGINE_BACKLOG_MAX_S:
+        if has_queue and earliest_s > forecast.deadline_left_s:
+            return Dispatch.UNSERVABLE
+        is_on_time = forecast.first_event_s <= forecast.objective_left_s
+        return Dispatch.ON_TIME if is_on_time else Dispatch.IDLE_ENGINE
+    return Dispatch.QUEUE
 
 
 def caller_timeout_s(route: Route) -> float:
--- a/wisteriaarch/request/prefill_queue.py
+++ b/wisteriaarch/request/prefill_queue.py
@@ -3,8 +3,9 @@
 In an overload of tens of seconds more long prompts arrive than the engines can prefill.
 If all were sent to the engines, each would be overdue there; so the queues of the
 engines are kept short, and the prompts are queued here in order of arrival, prioritized
-ones first. Prompts that can still meet their objective go before overdue ones, which
-use the remaining capacity; an overdue one that can't start before its deadline is
+ones first. All of them want the same engines, and one is busy with a prompt until its
+end. So prompts that can still meet their objective go before overdue ones, which use
+the remaining capacity; an overdue one that can't start before its deadline is
 refused at once. Hundreds may be queued at the entry that schedules them, and only the
 first few are evaluated at a time.
 """
@@ -18,6 +19,7 @@
 
 from ..process.clock import now_s
 from ..process.stage_utilization import DECAY_S, DecayingSum
+from ..process.upstreams import Stage
 from .fair_queue import Turn
 from .prefill_dispatch import UNSERVABLE_FACTOR
 from .routed_call import RoutedCall
@@ -39,7 +41,8 @@
     ``on_time_until_s``, and its deadline if it starts by ``unservable_at_s``.
     ``tokens`` are to be prefilled by engines with a combined rate of ``fleet_rate``
     tokens a second. ``priority`` and ``customer`` count only in a queue that is fair
-    between customers.
+    between customers, and ``stage``: the engines that the call waits for, None if it
+    needs no other engine than those that are free.
     """
 
     arrived_at_s: float
@@ -52,6 +55,7 @@
     refuse: Callable[[], Decision]
     priority: int = 0
     customer: str = ""
+    stage: Stage | None = None
     decision: Decision | None = None
     decided: curio.Event = field(default_factory=curio.Event)
 
@@ -158,18 +162,14 @@
     async def _poll_until_empty(self) -> None:
         try:
             while self._calls:
-                await self.dispatch_waiting()
+                for call in self.poll():
+                    await call.decided.set()
+                    # Let it be dispatched, so that the next decision sees its load.
+                    await curio.sleep(0)
                 await curio.sleep(POLL_INTERVAL_S)
         finally:
             self._is_polling = False
 
-    async def dispatch_waiting(self) -> None:
-        """Dispatch the calls for which an engine is free; refuse unservable ones."""
-        for call in self.poll():
-            await call.decided.set()
-            # Let it be dispatched, so that the next decision sees its load.
-            await curio.sleep(0)
-
     def poll(self) -> Iterator[QueuedCall[Decision]]:
         """Yield the calls that are decided, after removing them from the queue.
 
@@ -177,48 +177,31 @@
         other calls may be removed meanwhile.
         """
         now = self._clock()
-        yield from self._refuse_expired(now)
-        on_time, overdue = self._split(now)
-        if (yield from self._dispatch_first(on_time)):
-            yield from self._dispatch_first(overdue)
-        yield from self._refuse(self._find_unservable(now))
-
-    def _split(
-        self, now: float
-    ) -> tuple[list[QueuedCall[Decision]], list[QueuedCall[Decision]]]:
-        """Return the calls that can meet their objective and the overdue ones."""
         ordered = sorted(self._calls, key=lambda call: call.order)
         on_time = [call for call in ordered if now <= call.on_time_until_s]
         overdue = [call for call in ordered if now > call.on_time_until_s]
-        return on_time, overdue
-
-    def _refuse_expired(self, now: float) -> Iterator[QueuedCall[Decision]]:
-        """Yield the refused calls that can't meet their deadline on any engine."""
-        for call in [item for item in self._calls if now > item.unservable_at_s]:
-            if call in self._calls:
-                call.decision = call.refuse()
-                self._calls.remove(call)
-                yield call
+        yield from self._refuse(self._find_unservable(on_time, overdue, now))
+        if (yield from self._dispatch_first(on_time)):
+            yield from self._dispatch_first(overdue)
 
     def _refuse(
         self, calls: Iterable[QueuedCall[Decision]]
     ) -> Iterator[QueuedCall[Decision]]:
-        """Yield unservable calls, refused unless an engine is free for them.
-
-        Those that go before them may wait for other engines.
-        """
+        """Yield the calls that are refused, after removing them from the queue."""
         for call in calls:
-            if call not in self._calls:
-                continue
-            decision = call.decide()
-            call.decision = call.refuse() if decision is None else decision
-            self._calls.remove(call)
-            yield call
+            if call in self._calls:
+                call.decision = call.refuse()
+                self._calls.remove(call)
+                yield call
 
-    def _find_unservable(self, now: float) -> list[QueuedCall[Decision]]:
+    def _find_unservable(
+        self,
+        on_time: list[QueuedCall[Decision]],
+        overdue: list[QueuedCall[Decision]],
+        now: float,
+    ) -> list[QueuedCall[Decision]]:
         """Return the overdue calls that can't start before their deadline."""
         unservable = []
-        on_time, overdue = self._split(now)
         spare_share = self._spare_share
         tokens = sum(call.tokens for call in on_time)
         for call in overdue:
