planner: prompts that need no prefill engine don't wait for those that do

What callers saw: while long prompts of others waited for prefill engines, short prompts of a customer that had used more than its share waited up to the end of the overload, and others behind them, although the engines that read and run them were free.

Cause: the queue held every call of such a customer, also one that is prefilled where it runs. Nobody who waits wants those engines.

Change: only a call that wants the prefill stage may have to wait for it. Equal shares there hold for short prompts as before.

--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -130,6 +130,22 @@
         self.check(2.0, SuccessorReplay)
 
 
+class OtherEnginesTest(unittest.TestCase):
+    """Load: 1.5 times the capacity of long prompts; short ones need other engines."""
+
+    def test_short_prompts_wait_for_no_long_ones_of_other_customers(self):
+        """Those of a customer that had more than its share, too: nobody would gain."""
+        kinds = (long_kind(1.5 * CALLS_PER_S, 0, 0.3), short_kind(150.0))
+        ends = defaultdict(Counter)
+        for arrival, end in play(kinds):
+            ends[arrival.kind.name, arrival.customer == LARGE.name][end] += 1
+        self.assertGreater(ends["long", True]["refused"], 0)
+        for is_large in (False, True):
+            short = ends["short", is_large]
+            with self.subTest(large=is_large):
+                self.assertGreaterEqual(short["in time"] / short.total(), 0.99)
+
+
 class KindsTest(unittest.TestCase):
     """Load: twice as many long prompts as usual for 2.8 s and 14 s, and few short."""
 
--- a/wisteriaarch/request/fair_prefill_queue.py
+++ b/wisteriaarch/request/fair_prefill_queue.py
@@ -5,7 +5,8 @@
 ``fair_queue``: the expected wait of each counts what goes before it, so the burst of a
 large customer is refused before the calls of others. The order decides between calls
 that want the same engine: a call whose engine is free never waits for more urgent ones
-that wait for another. Short prompts of a customer that is ahead of its share wait, too.
+that wait for another. Short prompts for the prefill stage wait, too, if their customer
+is ahead of its share: many of them would take the engines from other customers.
 """
 
 from collections import defaultdict
@@ -39,7 +40,7 @@
         return Turn(call.priority, call.customer, call.arrived_at_s, call.prioritized)
 
     def must_wait(self, call: RoutedCall) -> bool:
-        """Whether even a call that could run now must not overtake queued ones.
+        """Whether even a short prompt must not overtake those that are queued.
 
         Its customer has had more than its share by one long prompt.
         """
--- a/wisteriaarch/request/planner.py
+++ b/wisteriaarch/request/planner.py
@@ -125,12 +125,14 @@
         return len(self._queues.of(service))
 
     def _is_behind_others(self, call: RoutedCall, decision: DispatchPlan) -> bool:
-        """Whether a call would overtake prompts that are already queued.
+        """Whether queued prompts go before a call that wants the same engines.
 
-        A short prompt usually may.
+        A call that is prefilled where it runs wants none of the prefill stage.
         """
         queue, plan = self._queues.of(call.service), decision.plan
-        if not queue or plan.first is None or decision.dispatch is Dispatch.UNSERVABLE:
+        if not queue or plan.prefill is None:
+            return False
+        if decision.dispatch is Dispatch.UNSERVABLE:
             return False
         return _is_queueable(plan) or queue.must_wait(call)
 
@@ -159,7 +161,7 @@
             refuse=lambda: DispatchPlan(plan, Dispatch.UNSERVABLE),
             priority=call.priority,
             customer=call.customer,
-            stage=Stage.PREFILL if _is_queueable(plan) else None,
+            stage=None if plan.prefill is None else Stage.PREFILL,
         )
         decision = await self._queues.of(call.service).wait(queued_call)
         self._log.write(
--- a/wisteriaarch/request/prefill_queue.py
+++ b/wisteriaarch/request/prefill_queue.py
@@ -92,7 +92,7 @@
         return (not call.prioritized, call.arrived_at_s)
 
     def must_wait(self, call: RoutedCall) -> bool:
-        """Whether even a call that could run now must not overtake queued ones."""
+        """Whether even a short prompt must not overtake those that are queued."""
         return False
 
     def record_dispatched(self, call: RoutedCall, tokens: int) -> None:
