service queue: calls don't wait behind those that can't use the free upstream

What callers saw: plain calls waited, or were refused for the work before them, while an upstream had free slots. Those before them had been declined by it, or were bound to another software version, and waited for another upstream.

Cause: of the waiting calls only the first two of a zone are evaluated, whatever upstreams they may still use, and a call behind others was refused by their work before anything looked whether the free upstream is one that they want.

Evidence: OtherUpstreamTest, both tests failed before: no placement within 0.5 s, and "the call would wait 7.5 s for an upstream" beside an idle one.

Change: calls count as waiting for the same upstreams only if they may use the same ones (tried upstreams, software). A poll dispatches before it refuses, and on arrival the expected wait refuses a call only while no upstream is free for it. A call whose own time is over is still refused first.

--- a/tests/test_service_queue.py
+++ b/tests/test_service_queue.py
@@ -204,6 +204,58 @@
         curio.run(scenario)
 
 
+class OtherUpstreamTest(unittest.TestCase):
+    """One upstream of two is full, and calls wait for it that the other declined."""
+
+    def setUp(self):
+        registry = UpstreamRegistry(lambda: None, mock.Mock())
+        registry.update([upstream("full", slots=2), upstream("free", slots=2)])
+        estimates = FleetEstimates.from_registry(registry)
+        self.loads = estimates.loads
+        parts = SchedulingParts.from_estimates(estimates, lambda: None, mock.Mock())
+        self.queue = parts.service_planner._queues["s"]
+        self.scheduler = Scheduler(parts, SharedRetryBudget(0.2, 50, 10.0, lambda: 1))
+        for _ in range(40):
+            self.loads.begin("full", 0)
+        route = Route("r", "h", "/", CallKind.IDEMPOTENT, (), 2.0, 1.0)
+        self.call = RoutedCall(
+            "id", route, "s", "GET", "/", [], b"", now_s(), now_s() + 2.0
+        )
+
+    def check_is_placed(self, work_s):
+        """Place a call behind some of ``work_s`` seconds each."""
+        now = now_s()
+        declined = [
+            waiting(
+                now - 1.0,
+                self.call.priority,
+                on_time_until_s=now + 9.0,
+                unservable_at_s=now + 99.0,
+                work_s=work_s,
+                decide=lambda: None,
+                choices="full",
+            )
+            for _ in range(6)
+        ]
+        self.queue._calls.extend(declined)
+
+        async def scenario():
+            async with curio.timeout_after(0.5):
+                plan = await self.scheduler.place(self.call)
+            self.assertEqual(plan.decode.candidate.upstream.upstream_id, "free")
+            self.assertEqual(self.queue._calls, declined)
+            self.queue._calls.clear()
+
+        curio.run(scenario)
+
+    def test_call_does_not_wait_beside_a_free_upstream(self):
+        self.check_is_placed(work_s=0.1)
+
+    def test_call_is_not_refused_beside_a_free_upstream(self):
+        """The work before it takes longer than the time that it has."""
+        self.check_is_placed(work_s=5.0)
+
+
 class OverloadTest(unittest.TestCase):
     """Demand waves of 15 s, other phases by zone, on three machines of 6 slots.
 
--- a/wisteriaarch/request/service_planner.py
+++ b/wisteriaarch/request/service_planner.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Hashable, Sequence
 from dataclasses import dataclass, replace
 from functools import partial
 
@@ -85,15 +85,18 @@
         if call.placements == 0:
             self._zone_costs.record_demand(call, work_s)
         choice = self._decide(call, candidates)
-        if choice is not None and self._is_behind_others(call, choice):
+        is_free = choice is not None
+        if is_free and self._is_behind_others(call, choice):
             choice = None
+        wait_s = 0.0
         if choice is None:
             wait_s = queue.expected_wait_s(
                 turn, on_time_within_s, capacity_of(candidates)
             )
-            if wait_s + work_s > call.remaining_s():
-                raise self._refuse(call, wait_s)
-        if on_time_within_s >= 0:
+        is_served_in_order = wait_s + work_s <= call.remaining_s()
+        if not is_served_in_order and not is_free:
+            raise self._refuse(call, wait_s)
+        if on_time_within_s >= 0 and is_served_in_order:
             queue.record_accepted(call.priority, work_s)
         if choice is None:
             await on_wait()
@@ -136,6 +139,7 @@
                 refuse=refuse,
                 group=self._group(call),
                 customer=call.customer,
+                choices=_choices(call),
             )
         )
         is_refused = isinstance(decision, Refusal)
@@ -244,6 +248,11 @@
         return call.route.objective_s - elapsed_s - margin_s
 
 
+def _choices(call: RoutedCall) -> Hashable:
+    """Return what limits the upstreams that may run a call."""
+    return frozenset(call.tried_upstreams), call.software, call.usable_software
+
+
 def capacity_of(candidates: Sequence[Candidate]) -> float:
     """Return the work of the upstreams, in seconds of average speed a second."""
     usable = [item for item in candidates if not item.is_suspended] or candidates
--- a/wisteriaarch/request/service_queue.py
+++ b/wisteriaarch/request/service_queue.py
@@ -15,7 +15,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Hashable, Iterable, Iterator
 from dataclasses import dataclass, field
 from functools import cached_property
 from typing import Generic, TypeVar
@@ -27,7 +27,7 @@
 from .fair_queue import FairOrder, Turn
 
 POLL_INTERVAL_S = 0.005
-# Calls of a group that are evaluated although those before them had to wait.
+# Calls with the same choices that are evaluated although those before them must wait.
 EVALUATED_MAX = 2
 # Minimum share of the capacity assumed for calls that others go before.
 SHARE_MIN = 0.1
@@ -43,7 +43,8 @@
 
     ``priority`` 0 is the most urgent. The call meets its objective if it starts by
     ``on_time_until_s``, and its deadline if it starts by ``unservable_at_s``. Calls of
-    one ``group`` wait for the same upstreams. ``capacity`` is that of its service.
+    one ``group`` wait for the upstreams of one zone; those with the same ``choices``
+    may use the same ones of them. ``capacity`` is that of its service.
     ``decide`` returns None while no upstream can take the call, ``refuse`` the decision
     on a call that can't meet its deadline.
     """
@@ -58,6 +59,7 @@
     refuse: Callable[[], Decision]
     group: str = ""
     customer: str = ""
+    choices: Hashable = None
     decision: Decision | None = None
     decided: curio.Event = field(default_factory=curio.Event)
 
@@ -172,31 +174,41 @@
         and other calls may be removed meanwhile.
         """
         now = self._clock()
-        ordered = self._order.sort(self._calls, now)
-        for call in self._find_unservable(ordered, now):
-            ordered.remove(call)
-            if call in self._calls:
-                call.decision = call.refuse()
-                self._calls.remove(call)
-                yield call
-        undecided: dict[str, int] = defaultdict(int)
-        for call in ordered:
-            if undecided[call.group] >= EVALUATED_MAX or call not in self._calls:
+        yield from self._refuse(
+            [call for call in self._calls if now > call.unservable_at_s]
+        )
+        yield from self._dispatch(now)
+        yield from self._refuse(self._find_unservable(now))
+
+    def _dispatch(self, now: float) -> Iterator[WaitingCall[Decision]]:
+        """Yield the calls for which an upstream is free, in their order."""
+        undecided: dict[tuple[str, Hashable], int] = defaultdict(int)
+        for call in self._order.sort(self._calls, now):
+            wants = (call.group, call.choices)
+            if undecided[wants] >= EVALUATED_MAX or call not in self._calls:
                 continue
             call.decision = call.decide()
             if call.decision is None:
-                undecided[call.group] += 1
+                undecided[wants] += 1
                 continue
             self._calls.remove(call)
             yield call
 
-    def _find_unservable(
-        self, ordered: list[WaitingCall[Decision]], now: float
-    ) -> list[WaitingCall[Decision]]:
-        """Return the calls that can't start before their deadline."""
+    def _refuse(
+        self, calls: Iterable[WaitingCall[Decision]]
+    ) -> Iterator[WaitingCall[Decision]]:
+        """Yield the calls that are refused, after removing them from the queue."""
+        for call in calls:
+            if call in self._calls:
+                call.decision = call.refuse()
+                self._calls.remove(call)
+                yield call
+
+    def _find_unservable(self, now: float) -> list[WaitingCall[Decision]]:
+        """Return the calls that can't start before their deadline in this order."""
         unservable = []
         work_s = 0.0
-        for call in ordered:
+        for call in self._order.sort(self._calls, now):
             is_overdue = now > call.on_time_until_s
             share = self._share_left(call.priority, call.capacity) if is_overdue else 1
             starts_in_s = work_s / max(1e-9, call.capacity * share) / REFUSAL_MARGIN
