--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -188,6 +188,10 @@
                     raise RuntimeError(f"entry {number} isn't ready")
                 await asyncio.sleep(0.1)
 
+    def process(self, number):
+        """Return the process of an entry."""
+        return self._processes[number]
+
     def signal(self, number, what):
         """Send a signal to an entry."""
         self.record.note(f"entry {number} gets {signal.Signals(what).name}")
