--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -12,7 +12,7 @@
 import time
 from pathlib import Path
 
-from stand_ins import Store, ask
+from stand_ins import Link, Store, ask
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
@@ -112,9 +112,13 @@
         self._folder = tempfile.mkdtemp(prefix="review-")
         self._processes = {}
         self._logs = []
+        self.store_links = {}
 
     async def __aenter__(self):
         await self.store.start()
+        for number in self.numbers:
+            self.store_links[number] = link = Link(self.store.address)
+            await link.start()
         return self
 
     async def __aexit__(self, *exc_info):
@@ -149,7 +153,7 @@
             "ready": f"{host}:{ready}",
             "directory": f"{host}:{directory}",
             "metrics_port": metrics,
-            "store": self.store.address,
+            "store": self.store_links[number].address,
             "peer_port": peer,
             "seeds": [f"127.0.0.{item}:{peer}" for item in self.numbers],
             "retry": {"ratio": 0.2, "window_s": 10, "slack": 58},
--- a/review/lib-3/stand_ins.py
+++ b/review/lib-3/stand_ins.py
@@ -93,6 +93,47 @@
             writer.close()
 
 
+class Link(Listener):
+    """The way of one machine to an address; it can be cut and healed."""
+
+    def __init__(self, target):
+        super().__init__()
+        self._target = target
+
+    async def serve(self, reader, writer):
+        """Pass bytes on both ways until one side ends."""
+        host, _, port = self._target.rpartition(":")
+        to_reader, to_writer = await asyncio.open_connection(host, int(port))
+        ways = [
+            asyncio.create_task(self._pass_on(reader, to_writer)),
+            asyncio.create_task(self._pass_on(to_reader, writer)),
+        ]
+        try:
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for way in ways:
+                way.cancel()
+            to_writer.close()
+
+    async def _pass_on(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while block := await reader.read(1 << 16):
+                writer.write(block)
+                await writer.drain()
+
+    async def cut(self):
+        """Refuse new connections and end those that are open."""
+        await self.stop()
+        await self._server.wait_closed()
+
+    async def heal(self):
+        """Accept connections again, at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port), limit=1 << 20
+        )
+
+
 class Store(Listener):
     """The platform's store: rows, conditional transactions, and a feed of changes."""
 
