--- a/review/lib-3/stand_ins.py
+++ b/review/lib-3/stand_ins.py
@@ -86,6 +86,13 @@
         """Serve one connection."""
         raise NotImplementedError
 
+    async def listen_again(self):
+        """Accept connections again, at the same address."""
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port), limit=1 << 20
+        )
+
     async def stop(self):
         """Stop listening and close all connections."""
         self._server.close()
@@ -127,11 +134,8 @@
         await self._server.wait_closed()
 
     async def heal(self):
-        """Accept connections again, at the same address."""
-        host, _, port = self.address.rpartition(":")
-        self._server = await asyncio.start_server(
-            self._accept, host, int(port), limit=1 << 20
-        )
+        """Accept connections again."""
+        await self.listen_again()
 
 
 class Store(Listener):
