--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -207,15 +207,21 @@
         self.record.note(f"entry {number} ended with {code}")
 
 
+def _interrupt(_number, _frame):
+    raise KeyboardInterrupt
+
+
 def run_case(folder, main, timeout_s=110.0):
     """Run a case; exits with 1 if the rule was broken, 0 if it held, else 2.
 
-    ``main`` gets the record and returns whether the rule held.
+    ``main`` gets the record and returns whether the rule held. A case that is told to
+    end by a signal ends its processes first.
     """
     record = Record(Path(folder) / "record.txt")
+    signal.signal(signal.SIGTERM, _interrupt)
     try:
         held = asyncio.run(asyncio.wait_for(main(record), timeout_s))
-    except Exception as exc:
+    except (Exception, KeyboardInterrupt) as exc:
         record.note(f"the case couldn't run: {exc!r}")
         print(f"the case couldn't run: {exc!r}")
         sys.exit(2)
