--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -207,8 +207,12 @@
         self.record.note(f"entry {number} ended with {code}")
 
 
-def _interrupt(_number, _frame):
-    raise KeyboardInterrupt
+async def _run_until_told(main, record, timeout_s):
+    """Run a case within a time; SIGTERM cancels it, and its processes are ended."""
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(timeout_s):
+        return await main(record)
 
 
 def run_case(folder, main, timeout_s=110.0):
@@ -218,10 +222,9 @@
     end by a signal ends its processes first.
     """
     record = Record(Path(folder) / "record.txt")
-    signal.signal(signal.SIGTERM, _interrupt)
     try:
-        held = asyncio.run(asyncio.wait_for(main(record), timeout_s))
-    except (Exception, KeyboardInterrupt) as exc:
+        held = asyncio.run(_run_until_told(main, record, timeout_s))
+    except (Exception, asyncio.CancelledError) as exc:
         record.note(f"the case couldn't run: {exc!r}")
         print(f"the case couldn't run: {exc!r}")
         sys.exit(2)
